storer, recorder: shared types of the replicated state and of events

Cause: every part needs the same resources, commands, results and events. Conclusion: the parts can be built side by side against these types.

--- /dev/null
+++ b/internal/state/pins/pins.go
@@ -0,0 +1,32 @@
+// Package pins keeps the libraries in go.mod until their users land.
+package pins
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/alexflint/go-arg"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/dustin/go-humanize"
+	_ "github.com/fxamacker/cbor/v2"
+	_ "github.com/google/btree"
+	_ "github.com/juju/errors"
+	_ "github.com/onsi/ginkgo/v2"
+	_ "github.com/onsi/gomega"
+	_ "github.com/onsi/gomega/ghttp"
+	_ "github.com/onsi/gomega/gbytes"
+	_ "github.com/openai/openai-go/v3"
+	_ "github.com/openai/openai-go/v3/option"
+	_ "github.com/prometheus/client_golang/prometheus"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/prometheus/client_golang/prometheus/testutil"
+	_ "github.com/rs/zerolog"
+	_ "github.com/sourcegraph/jsonrpc2"
+	_ "github.com/tailscale/hujson"
+	_ "github.com/zeebo/xxh3"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/sync/singleflight"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/internal/state/recorder/clock.go
@@ -0,0 +1,60 @@
+package recorder
+
+import (
+	"sync"
+	"time"
+)
+
+// Timestamp is a reading of the hybrid logical clock.
+type Timestamp struct {
+	// Wall is the largest wall clock reading known, in nanoseconds since 1970.
+	Wall int64
+	// Logical orders timestamps with the same Wall.
+	Logical uint32
+}
+
+// Before reports whether t sorts before u.
+func (t Timestamp) Before(u Timestamp) bool {
+	if t.Wall != u.Wall {
+		return t.Wall < u.Wall
+	}
+	return t.Logical < u.Logical
+}
+
+// Time returns the wall part in UTC.
+func (t Timestamp) Time() time.Time { return time.Unix(0, t.Wall).UTC() }
+
+// Clock is a hybrid logical clock. It may be used by several goroutines.
+type Clock struct {
+	now func() time.Time
+
+	mu sync.Mutex
+	// last is the latest timestamp given or seen; guarded by mu. It never goes
+	// back, also when the wall clock does.
+	last Timestamp
+}
+
+// NewClock returns a clock over the wall clock now.
+func NewClock(now func() time.Time) *Clock { return &Clock{now: now} }
+
+// Now returns a timestamp later than every one given or observed before.
+func (c *Clock) Now() Timestamp {
+	wall := c.now().UnixNano()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if wall > c.last.Wall {
+		c.last = Timestamp{Wall: wall}
+	} else {
+		c.last.Logical++
+	}
+	return c.last
+}
+
+// Observe moves the clock past a timestamp received from another process.
+func (c *Clock) Observe(t Timestamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last.Before(t) {
+		c.last = t
+	}
+}
--- /dev/null
+++ b/internal/state/storer/resource.go
@@ -0,0 +1,170 @@
+package storer
+
+import (
+	"time"
+)
+
+// Key names one resource.
+type Key struct {
+	Kind Kind
+	// Workspace is empty for a member: backend servers are shared.
+	Workspace string
+	// Name is unique within the kind and the workspace. A version's name is
+	// ADAPTER@VERSION; a workspace's name is the workspace itself.
+	Name string
+}
+
+// Metadata is the part of a resource which every kind has.
+type Metadata struct {
+	Workspace string
+	Name      string
+	// Revision is the log index of the command which last wrote the resource.
+	Revision uint64
+}
+
+// Resource is one declared thing. Its Spec is what the operator asked for.
+type Resource struct {
+	Kind     Kind
+	Metadata Metadata
+	// Spec has the type which belongs to Kind.
+	Spec Spec
+}
+
+// Key returns the name under which the resource is stored.
+func (r Resource) Key() Key {
+	return Key{Kind: r.Kind, Workspace: r.Metadata.Workspace, Name: r.Metadata.Name}
+}
+
+// Spec is the declared content of a resource: one of WorkspaceSpec,
+// AdapterSpec, VersionSpec, PriorityRuleSpec, ServiceSpec, KeySpec and
+// MemberSpec.
+type Spec interface{ spec() }
+
+// WorkspaceSpec declares a workspace and its share of the engines.
+type WorkspaceSpec struct {
+	// Share weighs the workspace in queues, slots and load permits; 0 means 1.
+	Share int
+	// MaxInFlight bounds the workspace's requests in progress at one entry; 0
+	// means the entry's own limit.
+	MaxInFlight int
+}
+
+// AdapterSpec declares an adapter of a base model.
+type AdapterSpec struct {
+	BaseModel string
+	// Current is the version which answers calls naming no version. It may be
+	// empty; then such calls are refused.
+	Current string
+}
+
+// VersionSpec declares one immutable version of an adapter.
+type VersionSpec struct {
+	// Source is the path of the weights in the weight store.
+	Source string
+	// Digest is the hexadecimal SHA-256 of the weights; it may be empty.
+	Digest string
+	// SizeBytes is the size of the weights.
+	SizeBytes int64
+}
+
+// PriorityRuleSpec decides whose work comes first inside a workspace. The rule
+// with the most specific match wins: adapter and key, adapter, key, neither;
+// among equals the one with the smaller name.
+type PriorityRuleSpec struct {
+	// Adapter limits the rule to one adapter; empty means all.
+	Adapter string
+	// Key limits the rule to callers with one key's name; empty means all.
+	Key string
+	// Priority ranges from 0, last, to 9, first.
+	Priority int
+	// DeadlineMillis is the deadline given to calls which bring none; 0 means
+	// the entry's own.
+	DeadlineMillis int64
+}
+
+// ServiceSpec declares a plain service. Calls which match neither list are
+// non-idempotent.
+type ServiceSpec struct {
+	IdempotentMethods []string
+	// IdempotentPaths are path prefixes below the service.
+	IdempotentPaths []string
+}
+
+// KeySpec declares a caller's bearer key by its hash.
+type KeySpec struct {
+	// Hash is the hexadecimal SHA-256 of the bearer key.
+	Hash     string
+	Disabled bool
+}
+
+//go:generate stringer -type=MemberKind -trimprefix=MemberKind
+
+// MemberKind tells what a backend server runs.
+type MemberKind int
+
+// The kinds of backend servers.
+const (
+	MemberKindEngine MemberKind = iota
+	MemberKindService
+)
+
+//go:generate stringer -type=MemberState -trimprefix=MemberState
+
+// MemberState tells whether a backend server takes new work.
+type MemberState int
+
+// The states of a backend server's membership.
+const (
+	// MemberStateServing takes new work.
+	MemberStateServing MemberState = iota
+	// MemberStateLeaving finishes what it has and takes nothing new.
+	MemberStateLeaving
+)
+
+// MemberSpec is the announcement of a backend server by its companion.
+type MemberSpec struct {
+	Kind  MemberKind
+	State MemberState
+	// Address is the companion's address for entries, IP:port.
+	Address       string
+	Region        string
+	FailureDomain string
+	BaseModel     string
+	// Service is the name of the plain service as WORKSPACE/NAME or, where all
+	// workspaces share it, NAME; empty for an engine.
+	Service       string
+	Slots         int
+	MaxBatch      int
+	ChecksFencing bool
+	Incarnation   string
+	// Epoch is the log index of the command which began this membership. It
+	// fences orders: a later membership has a higher epoch.
+	Epoch uint64
+}
+
+func (WorkspaceSpec) spec()    {}
+func (AdapterSpec) spec()      {}
+func (VersionSpec) spec()      {}
+func (PriorityRuleSpec) spec() {}
+func (ServiceSpec) spec()      {}
+func (KeySpec) spec()          {}
+func (MemberSpec) spec()       {}
+
+// Change is one step of the resource history: a resource as written, or its
+// deletion.
+type Change struct {
+	Revision uint64
+	Resource Resource
+	// Deleted means that the resource ended at Revision; Resource then holds
+	// its last content.
+	Deleted bool
+}
+
+// Instant is a proposer's wall clock reading in nanoseconds since 1970, UTC.
+type Instant int64
+
+// InstantOf returns t as an Instant.
+func InstantOf(t time.Time) Instant { return Instant(t.UnixNano()) }
+
+// Time returns the instant as a time in UTC.
+func (i Instant) Time() time.Time { return time.Unix(0, int64(i)).UTC() }
