--- /dev/null
+++ b/internal/state/configurer/duration.go
@@ -0,0 +1,52 @@
+package configurer
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Duration is a time.Duration whose JSON form is a string with its unit, such as
+// "250ms" or "1m30s".
+type Duration time.Duration
+
+// String returns d in the form that ParseDuration reads.
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
+// MarshalText returns d with its unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText sets d from text such as "250ms".
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := ParseDuration(string(text))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	*d = v
+	return nil
+}
+
+// UnmarshalJSON sets d from a JSON string such as "250ms".
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if json.Unmarshal(data, &s) != nil {
+		return errors.Errorf(`%s is no duration, which is a string with its unit, such as "250ms"`, data)
+	}
+	return errors.Trace(d.UnmarshalText([]byte(s)))
+}
+
+// ParseDuration reads a duration with its unit. It differs from
+// time.ParseDuration by refusing "0", so that no number stands without its unit.
+func ParseDuration(s string) (Duration, error) {
+	v, err := time.ParseDuration(s)
+	if err != nil || strings.TrimLeft(s, "+-") == "0" {
+		return 0, errors.Errorf(`%q is no duration with its unit, such as "250ms"`, s)
+	}
+	return Duration(v), nil
+}
--- /dev/null
+++ b/internal/state/configurer/size.go
@@ -0,0 +1,76 @@
+package configurer
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/dustin/go-humanize"
+	"github.com/juju/errors"
+)
+
+// Size is a number of bytes whose JSON form is a string with its unit, such as
+// "64MiB".
+type Size int64
+
+// Sizes by their binary units.
+const (
+	Byte Size = 1
+	KiB       = 1024 * Byte
+	MiB       = 1024 * KiB
+	GiB       = 1024 * MiB
+	TiB       = 1024 * GiB
+)
+
+// maxSize is the largest size that ParseSize reads without loss, since it goes
+// through a float64.
+const maxSize = 1 << 53
+
+// String returns s in the largest binary unit that divides it, so that ParseSize
+// reads back the same number.
+func (s Size) String() string {
+	n, unit := s, "B"
+	for _, u := range []string{"KiB", "MiB", "GiB", "TiB"} {
+		if n == 0 || n%1024 != 0 {
+			break
+		}
+		n, unit = n/1024, u
+	}
+	return strconv.FormatInt(int64(n), 10) + unit
+}
+
+// MarshalText returns s with its unit.
+func (s Size) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
+// UnmarshalText sets s from text such as "64MiB".
+func (s *Size) UnmarshalText(text []byte) error {
+	v, err := ParseSize(string(text))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	*s = v
+	return nil
+}
+
+// UnmarshalJSON sets s from a JSON string such as "64MiB".
+func (s *Size) UnmarshalJSON(data []byte) error {
+	var t string
+	if json.Unmarshal(data, &t) != nil {
+		return errors.Errorf(`%s is no size, which is a string with its unit, such as "64MiB"`, data)
+	}
+	return errors.Trace(s.UnmarshalText([]byte(t)))
+}
+
+// ParseSize reads a size with its unit, decimal ("64MB") or binary ("64MiB"). It
+// refuses a number without a unit, a fraction of a byte, and what exceeds 2^53
+// bytes.
+func ParseSize(s string) (Size, error) {
+	v, err := humanize.ParseBytes(s)
+	if err != nil || !strings.HasSuffix(s, "B") || v > min(maxSize, math.MaxInt64) {
+		return 0, errors.Errorf(`%q is no size with its unit, such as "64MiB"`, s)
+	}
+	return Size(v), nil
+}
