--- /dev/null
+++ b/internal/state/configurer/check.go
@@ -0,0 +1,225 @@
+package configurer
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"strconv"
+	"time"
+)
+
+// maxName is the greatest length of a name, that of a DNS label.
+const maxName = 63
+
+// Bounds that several settings share.
+const (
+	minInterval = Duration(time.Millisecond)
+	maxInterval = Duration(time.Minute)
+	maxTimeout  = Duration(24 * time.Hour)
+	maxCount    = 1 << 24
+	maxTokens   = 1 << 40
+)
+
+// Check returns the problems of s, without places; nil where there are none. It
+// takes defaults for zero values, and looks only at the sections of the roles
+// that s names. It reads no files.
+func (s Settings) Check() []Problem {
+	s = s.WithDefaults()
+	c := &checker{}
+	c.name("Node", s.Node)
+	c.name("Region", s.Region)
+	c.name("FailureDomain", s.FailureDomain)
+	c.roles(s.Roles)
+	c.controlHosts(s.ControlHosts)
+	if s.HasRole(RoleControl) {
+		c.control(s)
+	}
+	if s.HasRole(RoleEntry) {
+		c.entry(s.Entry, s.Stop)
+	}
+	if s.HasRole(RoleCompanion) {
+		c.companion(s.Companion, s.Stop)
+	}
+	if s.HasRole(RoleControl) && s.HasRole(RoleCompanion) && 3*s.Companion.HeartbeatInterval > s.Control.MemberLease {
+		c.fault("Companion.HeartbeatInterval", "more than a third of Control.MemberLease, %v, so that one late heartbeat ends it", s.Control.MemberLease)
+	}
+	c.operators(s.Operators)
+	checkEnum(c, "Log.Level", s.Log.Level, LogLevelError)
+	checkEnum(c, "Log.Format", s.Log.Format, LogFormatConsole)
+	checkRange(c, "Stop.BalancerDelay", s.Stop.BalancerDelay, minInterval, Duration(10*time.Minute))
+	checkRange(c, "Stop.GracePeriod", s.Stop.GracePeriod, minInterval, maxTimeout)
+	checkRange(c, "Events.RingSize", s.Events.RingSize, 16, maxCount)
+	c.listeners(s)
+	return c.problems
+}
+
+// checker collects the problems of settings.
+type checker struct {
+	problems []Problem
+}
+
+// fault adds a problem.
+func (c *checker) fault(path, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// name checks a name: 1 to 63 letters, digits, hyphens, underscores and dots.
+func (c *checker) name(path, value string) {
+	if value == "" {
+		c.fault(path, "required")
+		return
+	}
+	if len(value) > maxName {
+		c.fault(path, "longer than %d characters", maxName)
+		return
+	}
+	for _, r := range value {
+		if !isNameRune(r) {
+			c.fault(path, "%q holds %q; a name has letters, digits, '-', '_' and '.'", value, r)
+			return
+		}
+	}
+}
+
+func isNameRune(r rune) bool {
+	return 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || r == '-' || r == '_' || r == '.'
+}
+
+// address checks an IP and port, and returns it; ok is false after a fault. It
+// takes only the canonical form, so that equal addresses are equal strings.
+func (c *checker) address(path, value string) (a netip.AddrPort, ok bool) {
+	if value == "" {
+		c.fault(path, "required")
+		return a, false
+	}
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.String() != value {
+		c.fault(path, `%q is no IP and port, such as "10.20.1.5:7400"`, value)
+		return a, false
+	}
+	return a, true
+}
+
+// peer checks an address that other processes, or this one, connect to.
+func (c *checker) peer(path, value string) (a netip.AddrPort, ok bool) {
+	a, ok = c.address(path, value)
+	if !ok {
+		return a, false
+	}
+	if a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Port() == 0 {
+		c.fault(path, "%q is no address to connect to", value)
+		return a, false
+	}
+	return a, true
+}
+
+// path checks the absolute path of a file or folder.
+func (c *checker) path(path, value string) {
+	switch {
+	case value == "":
+		c.fault(path, "required")
+	case !filepath.IsAbs(value):
+		c.fault(path, "%q is no absolute path", value)
+	}
+}
+
+// roles checks that roles names at least one, and none twice.
+func (c *checker) roles(roles []Role) {
+	if len(roles) == 0 {
+		c.fault("Roles", "required")
+	}
+	seen := make(map[Role]bool, len(roles))
+	for i, r := range roles {
+		path := element("Roles", i)
+		if seen[r] {
+			c.fault(path, "%v given twice", r)
+		}
+		seen[r] = true
+		checkEnum(c, path, r, RoleControl)
+	}
+}
+
+// controlHosts checks that hosts are complete and differ in identity and
+// address: two hosts with one identity would vote twice.
+func (c *checker) controlHosts(hosts []ControlHost) {
+	if len(hosts) == 0 {
+		c.fault("ControlHosts", "required")
+	}
+	identities := make(map[uint64]bool, len(hosts))
+	addresses := make(map[string]bool, len(hosts))
+	for i, h := range hosts {
+		path := element("ControlHosts", i)
+		switch {
+		case h.ID == 0:
+			c.fault(path+".ID", "required, from 1")
+		case identities[h.ID]:
+			c.fault(path+".ID", "%d given twice", h.ID)
+		}
+		identities[h.ID] = true
+		if _, ok := c.peer(path+".Address", h.Address); ok && addresses[h.Address] {
+			c.fault(path+".Address", "%q given twice", h.Address)
+		}
+		addresses[h.Address] = true
+		c.name(path+".FailureDomain", h.FailureDomain)
+		c.name(path+".Region", h.Region)
+	}
+}
+
+// operators checks the operators' listener.
+func (c *checker) operators(o OperatorsSettings) {
+	a, ok := c.address("Operators.Listen", o.Listen)
+	switch {
+	case o.KeyFile != "":
+		c.path("Operators.KeyFile", o.KeyFile)
+	case ok && !a.Addr().IsLoopback():
+		c.fault("Operators.KeyFile", "required, since Operators.Listen is not on the loopback")
+	}
+}
+
+// listeners checks that no two listeners of the process share an address, of
+// which the second could not open.
+func (c *checker) listeners(s Settings) {
+	listeners := []struct {
+		path, address string
+		open          bool
+	}{
+		{"Control.Listen", s.Control.Listen, s.HasRole(RoleControl)},
+		{"Entry.Listen", s.Entry.Listen, s.HasRole(RoleEntry)},
+		{"Companion.Listen", s.Companion.Listen, s.HasRole(RoleCompanion)},
+		{"Operators.Listen", s.Operators.Listen, true},
+	}
+	paths := make(map[string]string, len(listeners))
+	for _, l := range listeners {
+		a, err := netip.ParseAddrPort(l.address)
+		if err != nil || !l.open || a.Port() == 0 {
+			continue
+		}
+		if other, ok := paths[l.address]; ok {
+			c.fault(l.path, "%q is %s already", l.address, other)
+		}
+		paths[l.address] = l.path
+	}
+}
+
+// element returns the path of the element i of the array at path.
+func element(path string, i int) string {
+	return path + "[" + strconv.Itoa(i) + "]"
+}
+
+// checkRange checks that value lies between low and high, both included; NaN
+// doesn't.
+func checkRange[T cmp.Ordered](c *checker, path string, value, low, high T) {
+	if value >= low && value <= high {
+		return
+	}
+	c.fault(path, "%v is not between %v and %v", value, low, high)
+}
+
+// checkEnum checks that value lies between zero and last, which a value set by a
+// program may not.
+func checkEnum[T enum](c *checker, path string, value, last T) {
+	if value < 0 || value > last {
+		c.fault(path, "%d is no %T", int(value), value)
+	}
+}
--- a/internal/state/configurer/companion.go
+++ b/internal/state/configurer/companion.go
@@ -125,3 +125,44 @@
 	c.DrainTimeout = cmp.Or(c.DrainTimeout, DefaultDrainTimeout)
 	return c
 }
+
+// companion checks the section Companion.
+func (c *checker) companion(m CompanionSettings, stop StopSettings) {
+	if a, ok := c.address("Companion.Listen", m.Listen); ok && a.Addr().IsUnspecified() {
+		c.fault("Companion.Listen", "%q can't be announced to entries; name the IP that they reach", m.Listen)
+	}
+	checkEnum(c, "Companion.Kind", m.Kind, BackendKindService)
+	switch m.Kind {
+	case BackendKindEngine:
+		c.engine(m)
+	case BackendKindService:
+		c.peer("Companion.ServiceAddress", m.ServiceAddress)
+		c.name("Companion.ServiceName", m.ServiceName)
+	}
+	checkRange(c, "Companion.MaxBatch", m.MaxBatch, 0, maxCount)
+	checkRange(c, "Companion.HeartbeatInterval", m.HeartbeatInterval, minInterval, maxInterval)
+	checkRange(c, "Companion.AnswerBuffer", m.AnswerBuffer, 64*KiB, TiB)
+	checkRange(c, "Companion.AnswerRetention", m.AnswerRetention, minInterval, maxTimeout)
+	checkRange(c, "Companion.QueueLimit", m.QueueLimit, 1, maxCount)
+	checkRange(c, "Companion.QueueTokens", m.QueueTokens, 1, maxTokens)
+	checkRange(c, "Companion.DrainTimeout", m.DrainTimeout, minInterval, maxTimeout)
+	if stop.GracePeriod < m.DrainTimeout {
+		c.fault("Stop.GracePeriod", "%v is shorter than Companion.DrainTimeout, %v, so that a planned stop cuts requests off", stop.GracePeriod, m.DrainTimeout)
+	}
+}
+
+// engine checks what only a companion beside an engine has.
+func (c *checker) engine(m CompanionSettings) {
+	a, ok := c.peer("Companion.EngineAddress", m.EngineAddress)
+	if ok && !m.ChecksFencing && !a.Addr().IsLoopback() {
+		c.fault("Companion.EngineAddress", "%q is not on the loopback, which an engine that doesn't check fencing numbers needs", m.EngineAddress)
+	}
+	if m.BaseModel == "" {
+		c.fault("Companion.BaseModel", "required")
+	}
+	checkRange(c, "Companion.Slots", m.Slots, 0, maxCount)
+	checkRange(c, "Companion.OrderLife", m.OrderLife, minInterval, Duration(time.Hour))
+	checkRange(c, "Companion.StaticLoadRate", m.StaticLoadRate, 0.00001, 10000)
+	checkRange(c, "Companion.LoadBackoff.Initial", m.LoadBackoff.Initial, minInterval, Duration(time.Hour))
+	checkRange(c, "Companion.LoadBackoff.Max", m.LoadBackoff.Max, m.LoadBackoff.Initial, maxTimeout)
+}
--- a/internal/state/configurer/control.go
+++ b/internal/state/configurer/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -106,3 +107,47 @@
 	c.IdempotencyRetention = cmp.Or(c.IdempotencyRetention, DefaultIdempotencyRetention)
 	return c
 }
+
+// control checks the section Control of s, and that s names this host as
+// ControlHosts does: a host under the identity of another would vote for it.
+func (c *checker) control(s Settings) {
+	t := s.Control
+	c.path("DataFolder", s.DataFolder)
+	c.address("Control.Listen", t.Listen)
+	c.name("Control.Group", t.Group)
+	if t.Bootstrap && t.Join {
+		c.fault("Control.Join", "excludes Control.Bootstrap: a host forms a group or joins one")
+	}
+	id := s.ControlID()
+	own := slices.IndexFunc(s.ControlHosts, func(h ControlHost) bool { return h.ID == id })
+	switch {
+	case id == 0 || own < 0:
+		c.fault("Control.ID", "no host in ControlHosts has this host's ID or the address in Control.Listen")
+	case s.ControlHosts[own].FailureDomain != s.FailureDomain:
+		c.fault(element("ControlHosts", own)+".FailureDomain", "differs from FailureDomain, %q", s.FailureDomain)
+	case s.ControlHosts[own].Region != s.Region:
+		c.fault(element("ControlHosts", own)+".Region", "differs from Region, %q", s.Region)
+	}
+	c.elections(t)
+	checkRange(c, "Control.SnapshotEvery", t.SnapshotEvery, 100, maxCount)
+	checkRange(c, "Control.MemberLease", t.MemberLease, Duration(100*time.Millisecond), maxInterval)
+	checkRange(c, "Control.ConfigurationLease", t.ConfigurationLease, Duration(time.Second), Duration(time.Hour))
+	checkRange(c, "Control.StoreRate", t.StoreRate, 0.001, 10000)
+	checkRange(c, "Control.StoreParallel", t.StoreParallel, 1, 1000)
+	checkRange(c, "Control.PermitExpiry", t.PermitExpiry, Duration(time.Second), Duration(time.Hour))
+	checkRange(c, "Control.ClaimRetention", t.ClaimRetention, Duration(time.Minute), 30*maxTimeout)
+	checkRange(c, "Control.IdempotencyRetention", t.IdempotencyRetention, Duration(time.Minute), 30*maxTimeout)
+}
+
+// elections checks the times of elections against each other.
+func (c *checker) elections(t ControlSettings) {
+	checkRange(c, "Control.ElectionTimeout", t.ElectionTimeout, Duration(10*time.Millisecond), maxInterval)
+	checkRange(c, "Control.HeartbeatInterval", t.HeartbeatInterval, minInterval, maxInterval)
+	checkRange(c, "Control.LeaseDrift", t.LeaseDrift, Duration(time.Microsecond), maxInterval)
+	if 3*t.HeartbeatInterval > t.ElectionTimeout {
+		c.fault("Control.HeartbeatInterval", "more than a third of Control.ElectionTimeout, %v, so that one late heartbeat starts an election", t.ElectionTimeout)
+	}
+	if 2*t.LeaseDrift >= t.ElectionTimeout {
+		c.fault("Control.LeaseDrift", "half of Control.ElectionTimeout, %v, or more, which leaves a leader no lease", t.ElectionTimeout)
+	}
+}
--- a/internal/state/configurer/duration.go
+++ b/internal/state/configurer/duration.go
@@ -1,7 +1,6 @@
 package configurer
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -32,15 +31,6 @@
 	return nil
 }
 
-// UnmarshalJSON sets d from a JSON string such as "250ms".
-func (d *Duration) UnmarshalJSON(data []byte) error {
-	var s string
-	if json.Unmarshal(data, &s) != nil {
-		return errors.Errorf(`%s is no duration, which is a string with its unit, such as "250ms"`, data)
-	}
-	return errors.Trace(d.UnmarshalText([]byte(s)))
-}
-
 // ParseDuration reads a duration with its unit. It differs from
 // time.ParseDuration by refusing "0", so that no number stands without its unit.
 func ParseDuration(s string) (Duration, error) {
--- a/internal/state/configurer/entry.go
+++ b/internal/state/configurer/entry.go
@@ -90,3 +90,24 @@
 	e.TargetFill = cmp.Or(e.TargetFill, DefaultTargetFill)
 	return e
 }
+
+// entry checks the section Entry.
+func (c *checker) entry(e EntrySettings, stop StopSettings) {
+	c.address("Entry.Listen", e.Listen)
+	checkRange(c, "Entry.MaxHeaderBytes", e.MaxHeaderBytes, KiB, 16*MiB)
+	checkRange(c, "Entry.MaxBodyBytes", e.MaxBodyBytes, KiB, GiB)
+	checkRange(c, "Entry.HeaderTimeout", e.HeaderTimeout, minInterval, maxInterval)
+	checkRange(c, "Entry.BodyTimeout", e.BodyTimeout, minInterval, Duration(time.Hour))
+	checkRange(c, "Entry.RequestTimeout", e.RequestTimeout, minInterval, maxTimeout)
+	checkRange(c, "Entry.MaxInFlight", e.MaxInFlight, 1, maxCount)
+	checkRange(c, "Entry.QueueTokens", e.QueueTokens, 1, maxTokens)
+	checkRange(c, "Entry.RetryBudget", e.RetryBudget, 0.001, 1)
+	checkRange(c, "Entry.HedgeAfter", e.HedgeAfter, 0, Duration(time.Hour))
+	checkRange(c, "Entry.StallWeight", e.StallWeight, 0.001, 1000)
+	checkRange(c, "Entry.BatchWeight", e.BatchWeight, 0.001, 1000)
+	checkRange(c, "Entry.TargetFill", e.TargetFill, 0.01, 1)
+	checkEnum(c, "Entry.Policy", e.Policy, PolicyConsistentHash)
+	if stop.GracePeriod < e.RequestTimeout {
+		c.fault("Stop.GracePeriod", "%v is shorter than Entry.RequestTimeout, %v, so that a planned stop cuts requests off", stop.GracePeriod, e.RequestTimeout)
+	}
+}
--- a/internal/state/configurer/enums.go
+++ b/internal/state/configurer/enums.go
@@ -7,11 +7,11 @@
 	"github.com/juju/errors"
 )
 
-//go:generate stringer -type=Role -trimprefix=Role -output=role_string.go
-//go:generate stringer -type=BackendKind -trimprefix=BackendKind -output=backendkind_string.go
-//go:generate stringer -type=Policy -trimprefix=Policy -output=policy_string.go
-//go:generate stringer -type=LogLevel -trimprefix=LogLevel -output=loglevel_string.go
-//go:generate stringer -type=LogFormat -trimprefix=LogFormat -output=logformat_string.go
+//go:generate stringer -type=Role -trimprefix=Role
+//go:generate stringer -type=BackendKind -trimprefix=BackendKind
+//go:generate stringer -type=Policy -trimprefix=Policy
+//go:generate stringer -type=LogLevel -trimprefix=LogLevel
+//go:generate stringer -type=LogFormat -trimprefix=LogFormat
 
 // Role is a part that a process plays in a deployment.
 type Role int
--- a/internal/state/configurer/size.go
+++ b/internal/state/configurer/size.go
@@ -1,8 +1,6 @@
 package configurer
 
 import (
-	"encoding/json"
-	"math"
 	"strconv"
 	"strings"
 
@@ -55,21 +53,12 @@
 	return nil
 }
 
-// UnmarshalJSON sets s from a JSON string such as "64MiB".
-func (s *Size) UnmarshalJSON(data []byte) error {
-	var t string
-	if json.Unmarshal(data, &t) != nil {
-		return errors.Errorf(`%s is no size, which is a string with its unit, such as "64MiB"`, data)
-	}
-	return errors.Trace(s.UnmarshalText([]byte(t)))
-}
-
 // ParseSize reads a size with its unit, decimal ("64MB") or binary ("64MiB"). It
 // refuses a number without a unit, a fraction of a byte, and what exceeds 2^53
 // bytes.
 func ParseSize(s string) (Size, error) {
 	v, err := humanize.ParseBytes(s)
-	if err != nil || !strings.HasSuffix(s, "B") || v > min(maxSize, math.MaxInt64) {
+	if err != nil || !strings.HasSuffix(s, "B") || v > maxSize {
 		return 0, errors.Errorf(`%q is no size with its unit, such as "64MiB"`, s)
 	}
 	return Size(v), nil
