--- /dev/null
+++ b/internal/protocol/messenger/conn.go
@@ -0,0 +1,271 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+)
+
+// The defaults of a connection.
+const (
+	// DefaultHeartbeatInterval is the time between two heartbeats.
+	DefaultHeartbeatInterval = 500 * time.Millisecond
+	// DefaultSilenceLimit is the silence after which a connection is given up.
+	DefaultSilenceLimit = 2 * time.Second
+	// refusalCode is the JSON-RPC error code of a Refusal.
+	refusalCode = -32050
+)
+
+// Handler serves what the other end sends. A notification's result is dropped;
+// its handling must be quick, since it holds up what comes after. An error that
+// is not a *Refusal crosses as ReasonInternal.
+type Handler interface {
+	Handle(ctx context.Context, c *Conn, method Method, params json.RawMessage) (any, error)
+}
+
+// HandlerFunc is a Handler made of a function.
+type HandlerFunc func(ctx context.Context, c *Conn, method Method, params json.RawMessage) (any, error)
+
+// Handle calls the function.
+func (f HandlerFunc) Handle(ctx context.Context, c *Conn, m Method, p json.RawMessage) (any, error) {
+	return f(ctx, c, m, p)
+}
+
+// Settings are a connection's options.
+type Settings struct {
+	// HeartbeatInterval is the time between heartbeats; 0 means
+	// DefaultHeartbeatInterval.
+	HeartbeatInterval time.Duration
+	// SilenceLimit is the silence after which the connection is closed; 0 means
+	// DefaultSilenceLimit. It must exceed twice the HeartbeatInterval.
+	SilenceLimit time.Duration
+	// Recorder stamps messages and records silent connections; it may be nil.
+	Recorder *recorder.Recorder
+	// Handler serves the other end's calls; nil refuses them all.
+	Handler Handler
+	Log     zerolog.Logger
+}
+
+// Conn is one connection between two processes. It may be used by several
+// goroutines.
+type Conn struct {
+	settings Settings
+	rpc      *jsonrpc2.Conn
+	network  net.Conn
+	// heard is the time of the last message received, in nanoseconds since
+	// began.
+	heard atomic.Int64
+	// worked is the time of the last message either way which was no heartbeat,
+	// in nanoseconds since began.
+	worked atomic.Int64
+	began  time.Time
+	// ready is closed once rpc is set, since the read loop starts before that.
+	ready  chan struct{}
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// closing means that no handler begins any more; guarded by mu, so that
+	// none begins while Close waits.
+	closing bool
+	serving sync.WaitGroup
+}
+
+// NewConn serves and uses an open network connection until it closes.
+func NewConn(network net.Conn, s Settings) *Conn {
+	if s.HeartbeatInterval <= 0 {
+		s.HeartbeatInterval = DefaultHeartbeatInterval
+	}
+	if s.SilenceLimit <= 0 {
+		s.SilenceLimit = DefaultSilenceLimit
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Conn{settings: s, network: network, began: time.Now(), ready: make(chan struct{}), cancel: cancel}
+	stream := jsonrpc2.NewBufferedStream(network, jsonrpc2.VarintObjectCodec{})
+	c.rpc = jsonrpc2.NewConn(
+		ctx, stream, rpcHandler{c},
+		jsonrpc2.OnRecv(c.received), jsonrpc2.OnSend(c.stamp), jsonrpc2.SetLogger(quietLogger{s.Log}),
+	)
+	close(c.ready)
+	c.serving.Add(1)
+	go c.beat(ctx)
+	return c
+}
+
+// Peer returns the other end's address.
+func (c *Conn) Peer() string { return c.network.RemoteAddr().String() }
+
+// Idle returns the time since the last message either way, heartbeats left out.
+func (c *Conn) Idle() time.Duration {
+	return time.Since(c.began) - time.Duration(c.worked.Load())
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Close ends the connection and waits for its handlers. A handler must not call
+// it.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	err := c.abort()
+	c.serving.Wait()
+	return err
+}
+
+// begin counts a handler in, unless the connection is closing.
+func (c *Conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.serving.Add(1)
+	return true
+}
+
+func (c *Conn) abort() error {
+	c.cancel()
+	if err := c.rpc.Close(); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
+		return errors.Trace(err)
+	}
+	return nil
+}
+
+// Call sends a request and waits for its answer. Its errors are a *Refusal, a
+// *BrokenError, or the context's error; after the latter the call may still
+// take effect.
+func (c *Conn) Call(ctx context.Context, method Method, params, result any) error {
+	waiter, err := c.rpc.DispatchCall(ctx, string(method), params)
+	if err != nil {
+		return &BrokenError{Sent: !errors.Is(err, jsonrpc2.ErrClosed), Cause: err}
+	}
+	return callError(waiter.Wait(ctx, result))
+}
+
+func callError(err error) error {
+	if err == nil {
+		return nil
+	}
+	var remote *jsonrpc2.Error
+	if !errors.As(err, &remote) {
+		if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
+		return &BrokenError{Sent: true, Cause: err}
+	}
+	refusal := &Refusal{Reason: ReasonInternal, Detail: remote.Message}
+	if remote.Code == refusalCode && remote.Data != nil {
+		if err := json.Unmarshal(*remote.Data, refusal); err != nil {
+			return &BrokenError{Sent: true, Cause: err}
+		}
+	}
+	return refusal
+}
+
+// Notify sends a message without waiting for its effect.
+func (c *Conn) Notify(ctx context.Context, method Method, params any) error {
+	if err := c.rpc.Notify(ctx, string(method), params); err != nil {
+		return &BrokenError{Sent: !errors.Is(err, jsonrpc2.ErrClosed), Cause: err}
+	}
+	return nil
+}
+
+// beat sends heartbeats and closes the connection once it has been silent for
+// the limit. Without it a call on a connection which a middle box has forgotten
+// would hang until its deadline, although a new connection would serve it.
+func (c *Conn) beat(ctx context.Context) {
+	defer c.serving.Done()
+	ticker := time.NewTicker(c.settings.HeartbeatInterval)
+	defer ticker.Stop()
+	go c.sendHeartbeats(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Done():
+			c.cancel()
+			return
+		case <-ticker.C:
+			if time.Since(c.began)-time.Duration(c.heard.Load()) > c.settings.SilenceLimit {
+				c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindConnectionSilent, Detail: c.Peer()})
+				if err := c.abort(); err != nil {
+					c.settings.Log.Debug().Err(err).Str("Peer", c.Peer()).Msg("closing a silent connection")
+				}
+				return
+			}
+		}
+	}
+}
+
+// sendHeartbeats runs apart from the silence check: a write to a silent
+// connection blocks once its buffer is full.
+func (c *Conn) sendHeartbeats(ctx context.Context) {
+	ticker := time.NewTicker(c.settings.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if err := c.Notify(ctx, MethodHeartbeat, nil); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// noteWork notes a message which is no heartbeat.
+func (c *Conn) noteWork(request *jsonrpc2.Request) {
+	if request == nil || Method(request.Method) != MethodHeartbeat {
+		c.worked.Store(int64(time.Since(c.began)))
+	}
+}
+
+// received notes the arrival of a message and observes its timestamp.
+func (c *Conn) received(request *jsonrpc2.Request, response *jsonrpc2.Response) {
+	c.heard.Store(int64(time.Since(c.began)))
+	c.noteWork(request)
+	meta := (*json.RawMessage)(nil)
+	switch {
+	case response != nil:
+		meta = response.Meta
+	case request != nil:
+		meta = request.Meta
+	}
+	if meta == nil || c.settings.Recorder == nil {
+		return
+	}
+	var t recorder.Timestamp
+	if err := json.Unmarshal(*meta, &t); err == nil {
+		c.settings.Recorder.Clock().Observe(t)
+	}
+}
+
+// stamp puts the hybrid logical clock's reading on a message.
+func (c *Conn) stamp(request *jsonrpc2.Request, response *jsonrpc2.Response) {
+	c.noteWork(request)
+	if c.settings.Recorder == nil {
+		return
+	}
+	data, err := json.Marshal(c.settings.Recorder.Clock().Now())
+	if err != nil {
+		return
+	}
+	meta := json.RawMessage(data)
+	switch {
+	case request != nil:
+		request.Meta = &meta
+	case response != nil:
+		response.Meta = &meta
+	}
+}
--- /dev/null
+++ b/internal/protocol/messenger/conn_test.go
@@ -0,0 +1,94 @@
+package messenger_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+)
+
+// forgetful is a connection which, once forgotten, swallows what is written to
+// it and delivers nothing, as after a middle box lost track of it.
+type forgetful struct {
+	net.Conn
+	forgotten atomic.Bool
+}
+
+func (f *forgetful) Write(b []byte) (int, error) {
+	if f.forgotten.Load() {
+		return len(b), nil
+	}
+	return f.Conn.Write(b)
+}
+
+func pair(handler messenger.Handler, left, right *recorder.Recorder) (a, b *messenger.Conn, box *forgetful) {
+	near, far := net.Pipe()
+	box = &forgetful{Conn: near}
+	a = messenger.NewConn(box, messenger.Settings{Recorder: left})
+	b = messenger.NewConn(far, messenger.Settings{Handler: handler, Recorder: right})
+	return a, b, box
+}
+
+var echo = messenger.HandlerFunc(func(_ context.Context, _ *messenger.Conn, m messenger.Method, p json.RawMessage) (any, error) {
+	if m == messenger.MethodCancel {
+		return nil, &messenger.Refusal{Reason: messenger.ReasonNotLeader, Leader: "127.0.0.1:7"}
+	}
+	return p, nil
+})
+
+var _ = Describe("Conn", func() {
+	It("carries typed answers, refusals and the clock", func() {
+		ahead := func() time.Time { return time.Now().Add(time.Hour) }
+		left := recorder.NewRecorder(recorder.Settings{})
+		right := recorder.NewRecorder(recorder.Settings{Now: ahead})
+		a, b, _ := pair(echo, left, right)
+		var back messenger.Resume
+		Expect(a.Call(context.Background(), messenger.MethodResume, messenger.Resume{Request: "r", Offset: 7}, &back)).To(Succeed())
+		Expect(back).To(Equal(messenger.Resume{Request: "r", Offset: 7}))
+		Expect(left.Clock().Now().Time()).To(BeTemporally(">", time.Now().Add(59*time.Minute)))
+
+		var refusal *messenger.Refusal
+		Expect(errors.As(a.Call(context.Background(), messenger.MethodCancel, nil, nil), &refusal)).To(BeTrue())
+		Expect(*refusal).To(Equal(messenger.Refusal{Reason: messenger.ReasonNotLeader, Leader: "127.0.0.1:7"}))
+
+		Expect(b.Close()).To(Succeed())
+		Expect(a.Close()).To(Succeed())
+		var broken *messenger.BrokenError
+		Expect(errors.As(a.Call(context.Background(), messenger.MethodResume, nil, nil), &broken)).To(BeTrue())
+		Expect(broken.Sent).To(BeFalse())
+	})
+})
+
+// Symptom: a call on an open connection never returns, while new connections to
+// the same host work. Sequence: the connection is in use; a middle box forgets
+// it; writes still succeed and nothing comes back. Cause: without application
+// heartbeats neither end can tell silence from a slow answer.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a, b, box := pair(echo, recorder.NewRecorder(recorder.Settings{}), nil)
+		g.Expect(a.Call(context.Background(), messenger.MethodResume, messenger.Resume{}, nil)).To(Succeed())
+		time.Sleep(10 * messenger.DefaultSilenceLimit)
+		g.Expect(a.Call(context.Background(), messenger.MethodResume, messenger.Resume{}, nil)).To(Succeed(), "heartbeats keep an idle connection open")
+
+		box.forgotten.Store(true)
+		began := time.Now()
+		err := a.Call(context.Background(), messenger.MethodResume, messenger.Resume{}, nil)
+		var broken *messenger.BrokenError
+		g.Expect(errors.As(err, &broken)).To(BeTrue())
+		g.Expect(broken.Sent).To(BeTrue(), "the call may have arrived")
+		g.Expect(time.Since(began)).To(BeNumerically("<=", messenger.DefaultSilenceLimit+2*messenger.DefaultHeartbeatInterval))
+		g.Expect(a.Close()).To(Succeed())
+		g.Expect(b.Close()).To(Succeed())
+	})
+}
--- /dev/null
+++ b/internal/protocol/messenger/handler.go
@@ -0,0 +1,79 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// rpcHandler hands the messages of one connection to its Handler.
+type rpcHandler struct{ conn *Conn }
+
+// Handle serves one message; the library calls it from the read loop.
+func (h rpcHandler) Handle(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	<-h.conn.ready
+	if Method(request.Method) == MethodHeartbeat {
+		return
+	}
+	if request.Notif {
+		h.notified(ctx, request)
+		return
+	}
+	if !h.conn.begin() {
+		return
+	}
+	go func() {
+		defer h.conn.serving.Done()
+		h.called(ctx, request)
+	}()
+}
+
+func (h rpcHandler) notified(ctx context.Context, request *jsonrpc2.Request) {
+	if _, err := h.run(ctx, request); err != nil {
+		h.conn.settings.Log.Debug().Err(err).Str("Method", request.Method).Msg("notification failed")
+	}
+}
+
+func (h rpcHandler) called(ctx context.Context, request *jsonrpc2.Request) {
+	response := &jsonrpc2.Response{ID: request.ID}
+	result, err := h.run(ctx, request)
+	if err == nil {
+		err = response.SetResult(result)
+	}
+	if err != nil {
+		response.Error = refusalError(err)
+	}
+	if err := h.conn.rpc.SendResponse(ctx, response); err != nil {
+		h.conn.settings.Log.Debug().Err(err).Str("Method", request.Method).Msg("answer not sent")
+	}
+}
+
+func (h rpcHandler) run(ctx context.Context, request *jsonrpc2.Request) (any, error) {
+	if h.conn.settings.Handler == nil {
+		return nil, NewRefusal(ReasonUnsupported, request.Method)
+	}
+	params := json.RawMessage("null")
+	if request.Params != nil {
+		params = *request.Params
+	}
+	return h.conn.settings.Handler.Handle(ctx, h.conn, Method(request.Method), params)
+}
+
+func refusalError(err error) *jsonrpc2.Error {
+	var refusal *Refusal
+	if !errors.As(err, &refusal) {
+		refusal = NewRefusal(ReasonInternal, err.Error())
+	}
+	e := &jsonrpc2.Error{Code: refusalCode, Message: refusal.Error()}
+	e.SetError(refusal)
+	return e
+}
+
+// quietLogger takes the library's complaints about a peer's bytes.
+type quietLogger struct{ log zerolog.Logger }
+
+// Printf logs at debug level.
+func (q quietLogger) Printf(format string, v ...any) { q.log.Debug().Msgf(format, v...) }
--- /dev/null
+++ b/internal/protocol/messenger/method.go
@@ -0,0 +1,59 @@
+package messenger
+
+// Method names a message between processes.
+type Method string
+
+// The methods, by the role that serves them. The owner of each parameter type
+// is the package named in the comment.
+const (
+	// MethodHeartbeat is a notification without parameters, both ways.
+	MethodHeartbeat Method = "Heartbeat"
+
+	// MethodDispatch hands a request to a companion: Dispatch, answered by
+	// Accepted.
+	MethodDispatch Method = "Companion.Dispatch"
+	// MethodResume asks for an answer from an offset on: Resume, answered by
+	// Accepted.
+	MethodResume Method = "Companion.Resume"
+	// MethodAcknowledge frees the buffered part of an answer: Acknowledge.
+	MethodAcknowledge Method = "Companion.Acknowledge"
+	// MethodCancel gives up a request: Cancel.
+	MethodCancel Method = "Companion.Cancel"
+	// MethodPiece carries a part of an answer to an entry: Piece.
+	MethodPiece Method = "Entry.Piece"
+
+	// MethodReplicate carries messages of the replicated log between control
+	// hosts (package replicator).
+	MethodReplicate Method = "Control.Replicate"
+	// MethodPropose submits a change to the replicated log (package
+	// distributor).
+	MethodPropose Method = "Control.Propose"
+	// MethodSubscribe begins the flow of deltas to a node (package
+	// distributor).
+	MethodSubscribe Method = "Control.Subscribe"
+	// MethodDelta carries changes to a node (package distributor).
+	MethodDelta Method = "Node.Delta"
+	// MethodApplied tells how far a node has come (package distributor).
+	MethodApplied Method = "Control.Applied"
+	// MethodInForce asks how far a revision is in force (package distributor).
+	MethodInForce Method = "Control.InForce"
+	// MethodRead reads resources behind a read barrier (package distributor).
+	MethodRead Method = "Control.Read"
+
+	// MethodJoin begins a backend server's membership (package registrar).
+	MethodJoin Method = "Control.Join"
+	// MethodRenew renews memberships (package registrar).
+	MethodRenew Method = "Control.Renew"
+	// MethodLeave marks or ends a membership (package registrar).
+	MethodLeave Method = "Control.Leave"
+	// MethodVoid tells a companion that its membership ended (package
+	// registrar).
+	MethodVoid Method = "Companion.Void"
+	// MethodDigest carries residency and load changes (package registrar).
+	MethodDigest Method = "Node.Digest"
+
+	// MethodRequestPermit asks for a load permit (package permitter).
+	MethodRequestPermit Method = "Control.RequestPermit"
+	// MethodFinishPermit returns a load permit (package permitter).
+	MethodFinishPermit Method = "Control.FinishPermit"
+)
--- /dev/null
+++ b/internal/transport/listener/listener.go
@@ -0,0 +1,97 @@
+// Package listener accepts messenger connections and HTTP requests of one
+// process, and ends them at a planned stop.
+package listener
+
+import (
+	"net"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+)
+
+// Listener serves messenger connections.
+type Listener struct {
+	network  net.Listener
+	settings messenger.Settings
+
+	mu sync.Mutex
+	// conns holds the open connections; guarded by mu.
+	conns map[*messenger.Conn]struct{}
+	// closed refuses further connections; guarded by mu.
+	closed bool
+	done   sync.WaitGroup
+}
+
+// NewListener accepts on network until Close.
+func NewListener(network net.Listener, s messenger.Settings) *Listener {
+	l := &Listener{network: network, settings: s, conns: make(map[*messenger.Conn]struct{})}
+	l.done.Add(1)
+	go l.accept()
+	return l
+}
+
+// Address returns the address listened on.
+func (l *Listener) Address() string { return l.network.Addr().String() }
+
+func (l *Listener) accept() {
+	defer l.done.Done()
+	for {
+		network, err := l.network.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				l.settings.Log.Error().Err(err).Msg("accepting connections ended")
+			}
+			return
+		}
+		l.serve(network)
+	}
+}
+
+func (l *Listener) serve(network net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		network.Close() //nolint:errcheck // The process is stopping.
+		return
+	}
+	c := messenger.NewConn(network, l.settings)
+	l.conns[c] = struct{}{}
+	l.done.Add(1)
+	go l.forget(c)
+}
+
+// forget waits for a connection's end.
+func (l *Listener) forget(c *messenger.Conn) {
+	defer l.done.Done()
+	<-c.Done()
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	if err := c.Close(); err != nil {
+		l.settings.Log.Debug().Err(err).Str("Peer", c.Peer()).Msg("closing a connection")
+	}
+}
+
+// Close stops accepting, ends all connections and waits for their handlers.
+func (l *Listener) Close() error {
+	err := l.network.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	l.mu.Lock()
+	l.closed = true
+	open := make([]*messenger.Conn, 0, len(l.conns))
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		if err := c.Close(); err != nil {
+			l.settings.Log.Debug().Err(err).Str("Peer", c.Peer()).Msg("closing a connection")
+		}
+	}
+	l.done.Wait()
+	return errors.Trace(err)
+}
