orderer, generator, weigher, responder: engine protocol, its client and the stand-ins

Cause: the companion, the demo and the load tool need an engine to order about, a rate-limited weight store and a plain service, and a client that tells a call that can't have run from one that may have.

--- /dev/null
+++ b/internal/protocol/orderer/header.go
@@ -0,0 +1,29 @@
+package orderer
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop are the header fields that concern one connection only (RFC 9110,
+// section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyEndToEnd copies the header fields that concern more than one connection.
+func copyEndToEnd(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, list := range from["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(to, name)
+	}
+}
--- /dev/null
+++ b/internal/standin/generator/loop.go
@@ -0,0 +1,142 @@
+package generator
+
+import (
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+)
+
+// maxLateness bounds how far the steps may lag behind their times before the
+// engine lets the lost time go, as on a machine that is short of processor time.
+const maxLateness = 100 * time.Millisecond
+
+// loop runs the batch step by step until the engine closes. Steps are due at
+// moments that don't drift, because a timer's error may exceed a scaled step.
+func (e *Engine) loop() {
+	due := time.Now()
+	for e.awaitThaw() {
+		now := time.Now()
+		if now.Sub(due) > maxLateness {
+			due = now
+		}
+		length, ok := e.beginStep(now)
+		if !ok {
+			select {
+			case <-e.work:
+			case <-e.context.Done():
+				return
+			}
+			due = time.Now()
+			continue
+		}
+		due = due.Add(length)
+		if !e.pause(time.Until(due)) {
+			return
+		}
+		e.endStep(time.Now())
+	}
+}
+
+// pause waits and returns false if the engine closed meanwhile.
+func (e *Engine) pause(length time.Duration) bool {
+	if length <= 0 {
+		return e.context.Err() == nil
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-e.context.Done():
+		return false
+	}
+}
+
+// beginStep admits waiting sequences and returns the time that the step takes, or
+// false if there is nothing to run.
+func (e *Engine) beginStep(now time.Time) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	prefill := 0
+	for _, s := range e.batch.admit() {
+		prefill += e.start(now, s)
+	}
+	running := len(e.batch.running)
+	if running == 0 {
+		return 0, false
+	}
+	e.steps++
+	e.seqSteps += int64(running)
+	e.record.Steps++
+	e.record.SequenceSteps += int64(running)
+	e.note(now)
+	length := e.settings.stepTime(running, prefill)
+	if e.faults.Slowdown > 0 {
+		length = time.Duration(float64(length) * e.faults.Slowdown)
+	}
+	return length, true
+}
+
+// start begins a sequence and returns the number of prompt tokens to compute. It
+// needs mu.
+func (e *Engine) start(now time.Time, s *sequence) int {
+	if s.began {
+		return 0
+	}
+	s.began = true
+	e.record.Runs[s.run-1].Started = now
+	if s.generated > 0 {
+		return 0 // Its KV cache was imported.
+	}
+	e.hashes = orderer.BlockHashes(e.hashes[:0], s.Model, s.Prompt, e.settings.BlockTokens)
+	cached, stored, evicted := e.cache.use(s.Model, e.hashes)
+	if len(stored) > 0 {
+		e.events.add(now, orderer.CacheEvent{Kind: orderer.Stored, Model: s.Model, Hashes: stored})
+	}
+	for _, b := range evicted {
+		e.events.add(now, orderer.CacheEvent{Kind: orderer.Evicted, Model: b.model, Hashes: []uint64{b.hash}})
+	}
+	s.cached = cached * e.settings.BlockTokens
+	return s.PromptTokens - s.cached
+}
+
+// endStep gives each running sequence its token.
+func (e *Engine) endStep(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range append([]*sequence(nil), e.batch.running...) {
+		s.generated++
+		e.record.Runs[s.run-1].Tokens++
+		if s.generated == s.MaxTokens {
+			e.end(s, Completed, nil)
+			continue
+		}
+		if e.role == orderer.Prefill {
+			s.held = true
+			e.batch.remove(s)
+		}
+		s.notify()
+	}
+	e.note(now)
+}
+
+// end finishes a sequence and keeps its stream for a while. It needs mu.
+func (e *Engine) end(s *sequence, o Outcome, failure *orderer.ErrorDetail) {
+	e.batch.remove(s)
+	s.outcome = o
+	s.failure = failure
+	run := &e.record.Runs[s.run-1]
+	run.Finished = time.Now()
+	run.Outcome = o
+	if s.grace != nil {
+		s.grace.Stop()
+	}
+	s.notify()
+	time.AfterFunc(e.settings.StreamKept, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.sequences[s.Request] == s {
+			delete(e.sequences, s.Request)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/generator/sequence.go
@@ -0,0 +1,195 @@
+package generator
+
+import (
+	"encoding/json"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+)
+
+const (
+	objectCompletion = "text_completion"
+	objectChat       = "chat.completion"
+	objectChatChunk  = "chat.completion.chunk"
+	roleAssistant    = "assistant"
+	finishLength     = "length"
+)
+
+// question is the part of a sequence that never changes and moves with it.
+type question struct {
+	Request      string
+	Key          string
+	Endpoint     orderer.Endpoint
+	Model        string
+	Prompt       string
+	PromptTokens int
+	// MaxTokens is the number of tokens of the whole answer; it is positive.
+	MaxTokens int
+	Priority  int
+	// Created is the moment of acceptance in Unix seconds.
+	Created int64
+	// Usage asks for the usage at the end of a stream.
+	Usage bool
+}
+
+// sequence is one accepted generation request. Its changing fields are guarded by
+// Engine.mu.
+type sequence struct {
+	question
+	priority int
+	seed     uint64
+	// run is the Sequence of the request in the record.
+	run int64
+	// imported is set where another engine began the sequence.
+	imported  bool
+	generated int
+	// cached counts the prompt tokens found in the prefix cache.
+	cached int
+	// began is set when the sequence enters the batch for the first time.
+	began bool
+	// held is set after the prefill on an engine of the prefill role.
+	held    bool
+	outcome Outcome
+	// failure is the error that the stream ends in, if it does.
+	failure *orderer.ErrorDetail
+	// changed is closed and replaced whenever the sequence makes progress.
+	changed chan struct{}
+	// listeners counts the connections that wait for the answer.
+	listeners int
+	// grace ends the sequence when nobody has listened for long enough.
+	grace *time.Timer
+}
+
+func newSequence(q question) *sequence {
+	return &sequence{
+		question: q,
+		priority: q.Priority,
+		seed:     textSeed(q.Model, q.Prompt),
+		changed:  make(chan struct{}),
+	}
+}
+
+// notify wakes the listeners.
+func (s *sequence) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// progress is a copy of what listeners need to know of a sequence.
+type progress struct {
+	generated int
+	cached    int
+	outcome   Outcome
+	failure   *orderer.ErrorDetail
+	changed   <-chan struct{}
+}
+
+// preamble returns the number of events before the first token.
+func (q *question) preamble() int64 {
+	if q.Endpoint == orderer.ChatCompletions {
+		return 1
+	}
+	return 0
+}
+
+// available returns the number of events that the stream has so far.
+func (q *question) available(p progress) int64 {
+	count := int64(p.generated)
+	if count > 0 {
+		count += q.preamble()
+	}
+	switch {
+	case p.failure != nil:
+		count++
+	case p.outcome == Completed && q.Usage:
+		count += 2
+	case p.outcome == Completed:
+		count++
+	}
+	return count
+}
+
+// event returns the data of the numbered event, which must be available.
+func (q *question) event(seed uint64, number int64, p progress) []byte {
+	last := q.available(p)
+	switch {
+	case p.failure != nil && number == last:
+		return mustMarshal(orderer.ErrorBody{Error: *p.failure})
+	case p.outcome == Completed && number == last:
+		return []byte(orderer.DoneMark)
+	case p.outcome == Completed && q.Usage && number == last-1:
+		chunk := q.chunk()
+		chunk.Choices = []orderer.Choice{}
+		chunk.Usage = q.usage(p)
+		return mustMarshal(chunk)
+	}
+	chunk := q.chunk()
+	chunk.Choices = []orderer.Choice{q.choice(seed, int(number-q.preamble()-1))}
+	return mustMarshal(chunk)
+}
+
+// choice returns the choice with the token at the index; -1 is the preamble of a
+// chat.
+func (q *question) choice(seed uint64, index int) orderer.Choice {
+	var c orderer.Choice
+	text := ""
+	if index >= 0 {
+		text = tokenText(seed, index)
+	}
+	if index == q.MaxTokens-1 {
+		reason := finishLength
+		c.FinishReason = &reason
+	}
+	if q.Endpoint == orderer.Completions {
+		c.Text = &text
+		return c
+	}
+	c.Delta = &orderer.Delta{Content: text}
+	if index < 0 {
+		c.Delta.Role = roleAssistant
+	}
+	return c
+}
+
+func (q *question) chunk() orderer.Chunk {
+	object := objectCompletion
+	if q.Endpoint == orderer.ChatCompletions {
+		object = objectChatChunk
+	}
+	return orderer.Chunk{ID: q.Request, Object: object, Created: q.Created, Model: q.Model}
+}
+
+// whole returns the answer of a completed request in one piece.
+func (q *question) whole(p progress) orderer.Chunk {
+	answer := q.chunk()
+	answer.Usage = q.usage(p)
+	text := Expected(q.Model, q.Prompt, q.MaxTokens)
+	reason := finishLength
+	choice := orderer.Choice{FinishReason: &reason}
+	if q.Endpoint == orderer.ChatCompletions {
+		answer.Object = objectChat
+		choice.Message = &orderer.Delta{Role: roleAssistant, Content: text}
+	} else {
+		choice.Text = &text
+	}
+	answer.Choices = []orderer.Choice{choice}
+	return answer
+}
+
+func (q *question) usage(p progress) *orderer.Usage {
+	return &orderer.Usage{
+		PromptTokens:     q.PromptTokens,
+		CompletionTokens: p.generated,
+		TotalTokens:      q.PromptTokens + p.generated,
+		PromptDetails:    &orderer.PromptTokenDetails{CachedTokens: p.cached},
+	}
+}
+
+// mustMarshal encodes one of the package's own messages, none of which can fail.
+func mustMarshal(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("generator: message that can't be encoded")
+	}
+	return data
+}
