storer: the state machine of resources, claims, memberships and records

Cause: the replicated log needs a machine that turns committed commands into the same state on every host.

--- a/internal/state/storer/command.go
+++ b/internal/state/storer/command.go
@@ -2,8 +2,8 @@
 
 // Envelope carries one command through the replicated log.
 type Envelope struct {
-	// Time is the proposer's clock. The state machine never lets its own time
-	// go back: it applies max(Time, latest applied).
+	// Time is the proposer's clock. The state's own time follows it, but never
+	// goes back and never leaps: see Retention.
 	Time Instant
 	// IdempotencyKey identifies a resent change; empty means none.
 	IdempotencyKey string
@@ -14,33 +14,34 @@
 }
 
 // Command changes the replicated state: one of PutResource, DeleteResource,
-// ClaimCall, SettleClaim, JoinMember, LeaveMember and ExpireMembers.
+// ClaimCall, SettleClaim, JoinMember, LeaveMember, ExpireMembers and
+// SetRetention.
 type Command interface{ command() }
 
 // PutResource writes a resource.
 type PutResource struct {
-	Resource Resource
+	Resource Resource `cbor:"1,keyasint,omitempty"`
 	// IfMatch is the revision the writer last read; 0 means no condition.
-	IfMatch uint64
+	IfMatch uint64 `cbor:"2,keyasint,omitempty"`
 	// IfNoneMatch makes the write create, and fail where the resource exists.
-	IfNoneMatch bool
+	IfNoneMatch bool `cbor:"3,keyasint,omitempty"`
 }
 
 // DeleteResource ends a resource.
 type DeleteResource struct {
-	Key     Key
-	IfMatch uint64
+	Key     Key    `cbor:"1,keyasint,omitempty"`
+	IfMatch uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ClaimCall reserves the single run of a non-idempotent call for its holder.
 type ClaimCall struct {
-	Workspace string
+	Workspace string `cbor:"1,keyasint,omitempty"`
 	// Key is the caller's idempotency key.
-	Key string
+	Key string `cbor:"2,keyasint,omitempty"`
 	// Digest is the SHA-256 of the call.
-	Digest []byte
+	Digest []byte `cbor:"3,keyasint,omitempty"`
 	// Holder names the entry and request which may dispatch the call.
-	Holder string
+	Holder string `cbor:"4,keyasint,omitempty"`
 }
 
 //go:generate stringer -type=ClaimState -trimprefix=ClaimState
@@ -63,40 +64,48 @@
 
 // SettleClaim records the outcome of a claimed call. Only the holder may.
 type SettleClaim struct {
-	Workspace string
-	Key       string
-	Holder    string
-	State     ClaimState
+	Workspace string     `cbor:"1,keyasint,omitempty"`
+	Key       string     `cbor:"2,keyasint,omitempty"`
+	Holder    string     `cbor:"3,keyasint,omitempty"`
+	State     ClaimState `cbor:"4,keyasint,omitempty"`
 	// Backend names the member which may hold the kept answer, Request the id
 	// under which it is kept there.
-	Backend string
-	Request string
+	Backend string `cbor:"5,keyasint,omitempty"`
+	Request string `cbor:"6,keyasint,omitempty"`
 }
 
 // JoinMember begins or renews a backend server's membership under a name. A
 // join with another incarnation or another companion ends the former one.
 type JoinMember struct {
-	Name   string
-	Member MemberSpec
+	Name   string     `cbor:"1,keyasint,omitempty"`
+	Member MemberSpec `cbor:"2,keyasint,omitempty"`
 }
 
 // LeaveMember marks a membership as leaving, or ends it.
 type LeaveMember struct {
-	Name string
+	Name string `cbor:"1,keyasint,omitempty"`
 	// Epoch is the membership meant; a later one is left alone.
-	Epoch uint64
+	Epoch uint64 `cbor:"2,keyasint,omitempty"`
 	// Ended removes the membership instead of marking it.
-	Ended bool
+	Ended bool `cbor:"3,keyasint,omitempty"`
 }
 
 // MemberEpoch names one membership.
 type MemberEpoch struct {
-	Name  string
-	Epoch uint64
+	Name  string `cbor:"1,keyasint,omitempty"`
+	Epoch uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ExpireMembers ends the memberships whose leases ran out.
-type ExpireMembers struct{ Members []MemberEpoch }
+type ExpireMembers struct {
+	Members []MemberEpoch `cbor:"1,keyasint,omitempty"`
+}
+
+// SetRetention writes the bounds of what the state remembers. The leader
+// proposes it when its settings differ from what the state holds.
+type SetRetention struct {
+	Retention Retention `cbor:"1,keyasint"`
+}
 
 func (PutResource) command()    {}
 func (DeleteResource) command() {}
@@ -105,3 +114,4 @@
 func (JoinMember) command()     {}
 func (LeaveMember) command()    {}
 func (ExpireMembers) command()  {}
+func (SetRetention) command()   {}
--- /dev/null
+++ b/internal/state/storer/members.go
@@ -0,0 +1,106 @@
+package storer
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// joinMember begins a membership, or renews it for the same incarnation behind
+// the same companion. A renewed one keeps its epoch, so that what fences by the
+// epoch and what is known to be resident stay valid.
+func (s *Store) joinMember(index uint64, c JoinMember) Result {
+	r := Resource{Kind: KindMember, Metadata: Metadata{Name: c.Name}, Spec: c.Member}
+	if err := Validate(r); err != nil {
+		return invalid(err)
+	}
+	h := s.shard("")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.space("")
+	c.Member.Epoch = index
+	old, exists := p.get(KindMember, c.Name)
+	if exists {
+		was := old.Spec.(MemberSpec)
+		switch {
+		case was.Incarnation == c.Member.Incarnation && was.Address == c.Member.Address:
+			c.Member.Epoch = was.Epoch
+			if equalSpecs(was, c.Member) {
+				return accepted(old)
+			}
+		case slices.Contains(p.superseded[c.Name], c.Member.Incarnation):
+			return refused(VerdictStale, "a later incarnation has joined", old)
+		case was.Incarnation != c.Member.Incarnation:
+			p.supersede(c.Name, was.Incarnation)
+		}
+	}
+	r.Spec = c.Member
+	r.Metadata.Revision = index
+	p.put(r)
+	s.publish(index, Change{Revision: index, Resource: r})
+	return accepted(r)
+}
+
+// supersede remembers a replaced incarnation, forgetting the oldest when there
+// are too many.
+func (p *space) supersede(name, incarnation string) {
+	known := append(slices.Clone(p.superseded[name]), incarnation)
+	p.superseded[name] = known[max(0, len(known)-maxSupersededPerMember):]
+}
+
+// leaveMember marks a membership as leaving, or ends it.
+func (s *Store) leaveMember(index uint64, c LeaveMember) Result {
+	h := s.shard("")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.space("")
+	old, ok := p.get(KindMember, c.Name)
+	if !ok {
+		return Result{Verdict: VerdictStale, Reason: "the membership has ended"}
+	}
+	m := old.Spec.(MemberSpec)
+	if m.Epoch != c.Epoch {
+		return refused(VerdictStale, "a later membership has begun", old)
+	}
+	if c.Ended {
+		s.publish(index, p.endMember(index, old))
+		return Result{Revision: index, Resource: &old}
+	}
+	if m.State == MemberStateLeaving {
+		return accepted(old)
+	}
+	m.State = MemberStateLeaving
+	r := old
+	r.Spec = m
+	r.Metadata.Revision = index
+	p.put(r)
+	s.publish(index, Change{Revision: index, Resource: r})
+	return accepted(r)
+}
+
+// endMember removes a member and returns the change that tells of it.
+func (p *space) endMember(index uint64, r Resource) Change {
+	p.remove(KindMember, r.Metadata.Name)
+	delete(p.superseded, r.Metadata.Name)
+	return Change{Revision: index, Resource: r, Deleted: true}
+}
+
+// expireMembers ends the memberships named, as far as they still last.
+func (s *Store) expireMembers(index uint64, c ExpireMembers) Result {
+	h := s.shard("")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.space("")
+	var changes []Change
+	for _, e := range c.Members {
+		old, ok := p.get(KindMember, e.Name)
+		if ok && old.Spec.(MemberSpec).Epoch == e.Epoch {
+			changes = append(changes, p.endMember(index, old))
+		}
+	}
+	if len(changes) == 0 {
+		return Result{Verdict: VerdictStale, Reason: errors.NotFoundf("membership").Error()}
+	}
+	s.publish(index, changes...)
+	return Result{Revision: index}
+}
--- /dev/null
+++ b/internal/state/storer/reader.go
@@ -0,0 +1,116 @@
+package storer
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Revision returns the index of the last command that changed a resource.
+func (s *Store) Revision() uint64 { return s.revision.Load() }
+
+// Applied returns the index of the last command applied.
+func (s *Store) Applied() uint64 {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	return s.applied
+}
+
+// Retention returns the bounds in force of what the state remembers.
+func (s *Store) Retention() Retention {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	return s.retention
+}
+
+// Get returns a resource.
+func (s *Store) Get(k Key) (Resource, bool) {
+	k = k.normalized()
+	if k.Kind <= KindNone || k.Kind > KindMember {
+		return Resource{}, false
+	}
+	h := s.shard(k.Workspace)
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	p, ok := h.spaces[k.Workspace]
+	if !ok {
+		return Resource{}, false
+	}
+	return p.get(k.Kind, k.Name)
+}
+
+// List returns the resources of a kind in a workspace, sorted by name, and a
+// revision from which a watcher may go on. Members and workspaces are listed
+// over the whole state, whatever the workspace; an empty workspace lists any
+// other kind over all workspaces.
+func (s *Store) List(kind Kind, workspace string) (rs []Resource, revision uint64) {
+	if kind <= KindNone || kind > KindMember {
+		return nil, s.Revision()
+	}
+	if workspace == "" || kind == KindWorkspace || kind == KindMember {
+		return s.collect(kind, kind)
+	}
+	h := s.shard(workspace)
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if p, ok := h.spaces[workspace]; ok {
+		rs = p.appendResources(rs, kind)
+	}
+	return rs, s.Revision()
+}
+
+// All returns all resources, sorted by kind, workspace and name, and the
+// revision which they are at.
+func (s *Store) All() (rs []Resource, revision uint64) { return s.collect(KindWorkspace, KindMember) }
+
+// collect returns the resources of the kinds from first to last at one
+// revision.
+func (s *Store) collect(first, last Kind) (rs []Resource, revision uint64) {
+	s.lockShards()
+	for i := range s.shards {
+		for _, p := range s.shards[i].spaces {
+			for kind := first; kind <= last; kind++ {
+				for _, r := range p.resources[kind] {
+					rs = append(rs, r)
+				}
+			}
+		}
+	}
+	revision = s.Revision()
+	s.unlockShards()
+	slices.SortFunc(rs, compareResources)
+	return rs, revision
+}
+
+// lockShards takes all shards for reading, which makes one consistent cut.
+func (s *Store) lockShards() {
+	for i := range s.shards {
+		s.shards[i].mu.RLock()
+	}
+}
+
+func (s *Store) unlockShards() {
+	for i := range s.shards {
+		s.shards[i].mu.RUnlock()
+	}
+}
+
+func compareResources(a, b Resource) int {
+	return cmp.Or(
+		cmp.Compare(a.Kind, b.Kind),
+		cmp.Compare(a.Metadata.Workspace, b.Metadata.Workspace),
+		cmp.Compare(a.Metadata.Name, b.Metadata.Name),
+	)
+}
+
+// Claim returns the claim of a call.
+func (s *Store) Claim(workspace, key string) (Claim, bool) {
+	h := s.shard(workspace)
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	p, ok := h.spaces[workspace]
+	if !ok {
+		return Claim{}, false
+	}
+	c, ok := p.claims[key]
+	return c, ok
+}
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -6,12 +6,12 @@
 
 // Key names one resource.
 type Key struct {
-	Kind Kind
+	Kind Kind `cbor:"1,keyasint,omitempty"`
 	// Workspace is empty for a member: backend servers are shared.
-	Workspace string
+	Workspace string `cbor:"2,keyasint,omitempty"`
 	// Name is unique within the kind and the workspace. A version's name is
-	// ADAPTER@VERSION; a workspace's name is the workspace itself.
-	Name string
+	// ADAPTER@VERSION; a workspace's own Workspace and Name are equal.
+	Name string `cbor:"3,keyasint,omitempty"`
 }
 
 // Metadata is the part of a resource which every kind has.
@@ -43,28 +43,28 @@
 // WorkspaceSpec declares a workspace and its share of the engines.
 type WorkspaceSpec struct {
 	// Share weighs the workspace in queues, slots and load permits; 0 means 1.
-	Share int
+	Share int `cbor:"1,keyasint,omitempty"`
 	// MaxInFlight bounds the workspace's requests in progress at one entry; 0
 	// means the entry's own limit.
-	MaxInFlight int
+	MaxInFlight int `cbor:"2,keyasint,omitempty"`
 }
 
 // AdapterSpec declares an adapter of a base model.
 type AdapterSpec struct {
-	BaseModel string
+	BaseModel string `cbor:"1,keyasint,omitempty"`
 	// Current is the version which answers calls naming no version. It may be
 	// empty; then such calls are refused.
-	Current string
+	Current string `cbor:"2,keyasint,omitempty"`
 }
 
 // VersionSpec declares one immutable version of an adapter.
 type VersionSpec struct {
 	// Source is the path of the weights in the weight store.
-	Source string
+	Source string `cbor:"1,keyasint,omitempty"`
 	// Digest is the hexadecimal SHA-256 of the weights; it may be empty.
-	Digest string
+	Digest string `cbor:"2,keyasint,omitempty"`
 	// SizeBytes is the size of the weights.
-	SizeBytes int64
+	SizeBytes int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // PriorityRuleSpec decides whose work comes first inside a workspace. The rule
@@ -72,29 +72,29 @@
 // among equals the one with the smaller name.
 type PriorityRuleSpec struct {
 	// Adapter limits the rule to one adapter; empty means all.
-	Adapter string
+	Adapter string `cbor:"1,keyasint,omitempty"`
 	// Key limits the rule to callers with one key's name; empty means all.
-	Key string
+	Key string `cbor:"2,keyasint,omitempty"`
 	// Priority ranges from 0, last, to 9, first.
-	Priority int
+	Priority int `cbor:"3,keyasint,omitempty"`
 	// DeadlineMillis is the deadline given to calls which bring none; 0 means
 	// the entry's own.
-	DeadlineMillis int64
+	DeadlineMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ServiceSpec declares a plain service. Calls which match neither list are
 // non-idempotent.
 type ServiceSpec struct {
-	IdempotentMethods []string
+	IdempotentMethods []string `cbor:"1,keyasint,omitempty"`
 	// IdempotentPaths are path prefixes below the service.
-	IdempotentPaths []string
+	IdempotentPaths []string `cbor:"2,keyasint,omitempty"`
 }
 
 // KeySpec declares a caller's bearer key by its hash.
 type KeySpec struct {
 	// Hash is the hexadecimal SHA-256 of the bearer key.
-	Hash     string
-	Disabled bool
+	Hash     string `cbor:"1,keyasint,omitempty"`
+	Disabled bool   `cbor:"2,keyasint,omitempty"`
 }
 
 //go:generate stringer -type=MemberKind -trimprefix=MemberKind
@@ -123,23 +123,23 @@
 
 // MemberSpec is the announcement of a backend server by its companion.
 type MemberSpec struct {
-	Kind  MemberKind
-	State MemberState
+	Kind  MemberKind  `cbor:"1,keyasint,omitempty"`
+	State MemberState `cbor:"2,keyasint,omitempty"`
 	// Address is the companion's address for entries, IP:port.
-	Address       string
-	Region        string
-	FailureDomain string
-	BaseModel     string
+	Address       string `cbor:"3,keyasint,omitempty"`
+	Region        string `cbor:"4,keyasint,omitempty"`
+	FailureDomain string `cbor:"5,keyasint,omitempty"`
+	BaseModel     string `cbor:"6,keyasint,omitempty"`
 	// Service is the name of the plain service as WORKSPACE/NAME or, where all
 	// workspaces share it, NAME; empty for an engine.
-	Service       string
-	Slots         int
-	MaxBatch      int
-	ChecksFencing bool
-	Incarnation   string
+	Service       string `cbor:"7,keyasint,omitempty"`
+	Slots         int    `cbor:"8,keyasint,omitempty"`
+	MaxBatch      int    `cbor:"9,keyasint,omitempty"`
+	ChecksFencing bool   `cbor:"10,keyasint,omitempty"`
+	Incarnation   string `cbor:"11,keyasint,omitempty"`
 	// Epoch is the log index of the command which began this membership. It
 	// fences orders: a later membership has a higher epoch.
-	Epoch uint64
+	Epoch uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 func (WorkspaceSpec) spec()    {}
@@ -153,11 +153,11 @@
 // Change is one step of the resource history: a resource as written, or its
 // deletion.
 type Change struct {
-	Revision uint64
-	Resource Resource
+	Revision uint64   `cbor:"1,keyasint,omitempty"`
+	Resource Resource `cbor:"2,keyasint,omitempty"`
 	// Deleted means that the resource ended at Revision; Resource then holds
 	// its last content.
-	Deleted bool
+	Deleted bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Instant is a proposer's wall clock reading in nanoseconds since 1970, UTC.
--- /dev/null
+++ b/internal/state/storer/resources.go
@@ -0,0 +1,207 @@
+package storer
+
+import (
+	"crypto/sha256"
+	"reflect"
+
+	"github.com/juju/errors"
+)
+
+// putResource writes a resource. Members are written by the registrar's
+// commands only.
+func (s *Store) putResource(index uint64, c PutResource) Result {
+	r := c.Resource
+	r.Metadata.Workspace = r.Key().normalized().Workspace
+	if r.Kind == KindMember {
+		return invalid(errors.NotValidf("write of a member, which announces itself,"))
+	}
+	if err := Validate(r); err != nil {
+		return invalid(err)
+	}
+	h := s.shard(r.Metadata.Workspace)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.space(r.Metadata.Workspace)
+	defer h.sweep(r.Metadata.Workspace)
+	old, exists := p.get(r.Kind, r.Metadata.Name)
+	if result, ok := checkCondition(c, old, exists); !ok {
+		return result
+	}
+	if exists && r.Kind == KindVersion {
+		if old.Spec != r.Spec {
+			return refused(VerdictInvalid, "a version's content can't change; declare a new version", old)
+		}
+		return accepted(old)
+	}
+	if result, ok := s.checkReferences(p, r, old, exists); !ok {
+		return result
+	}
+	return s.write(index, p, r)
+}
+
+// checkCondition checks the revision on which the writer based the write.
+func checkCondition(c PutResource, old Resource, exists bool) (Result, bool) {
+	switch {
+	case c.IfNoneMatch && exists:
+		return refused(VerdictConflict, "the resource exists", old), false
+	case c.IfMatch != 0 && !exists:
+		return Result{Verdict: VerdictConflict, Reason: "the resource does not exist"}, false
+	case c.IfMatch != 0 && c.IfMatch != old.Metadata.Revision:
+		return refused(VerdictConflict, "the resource was changed since it was read", old), false
+	default:
+		return Result{}, true
+	}
+}
+
+// checkReferences checks a write against other resources.
+func (s *Store) checkReferences(p *space, r, old Resource, exists bool) (Result, bool) {
+	switch spec := r.Spec.(type) {
+	case AdapterSpec:
+		if spec.Current != "" {
+			if _, ok := p.get(KindVersion, VersionName(r.Metadata.Name, spec.Current)); !ok {
+				return invalid(errors.NotFoundf("Spec.Current: version %q of adapter %q", spec.Current, r.Metadata.Name)), false
+			}
+		}
+		if was, ok := old.Spec.(AdapterSpec); ok && exists && was.BaseModel != spec.BaseModel && p.versions[r.Metadata.Name] > 0 {
+			return refused(VerdictInUse, "the adapter has versions of its base model", old), false
+		}
+	case VersionSpec:
+		adapter, _, _ := SplitVersionName(r.Metadata.Name)
+		a, ok := p.get(KindAdapter, adapter)
+		if !ok {
+			return invalid(errors.NotFoundf("adapter %q", adapter)), false
+		}
+		if was, ok := p.retired[r.Metadata.Name]; ok && string(was.Content) != string(versionContent(a, spec)) {
+			return invalid(errors.NotValidf("content: a deleted version of this name held another one; it")), false
+		}
+	case KeySpec:
+		return s.checkHash(r, spec)
+	}
+	return Result{}, true
+}
+
+// checkHash refuses a bearer key which another resource declares: with two
+// holders it would be open to which workspace a caller belongs.
+func (s *Store) checkHash(r Resource, spec KeySpec) (Result, bool) {
+	hash, err := ParseHash(spec.Hash)
+	if err != nil {
+		return invalid(err), false
+	}
+	if holder, ok := s.hashes[hash]; ok && holder != r.Key() {
+		return invalid(errors.NotValidf("Spec.Hash, which another key has,")), false
+	}
+	return Result{}, true
+}
+
+// versionContent returns a digest of all that decides a version's answers.
+func versionContent(adapter Resource, spec VersionSpec) []byte {
+	base, _ := adapter.Spec.(AdapterSpec)
+	data, err := encoding.Marshal([]any{base.BaseModel, spec})
+	if err != nil {
+		panic("storer: a version's content can't be encoded")
+	}
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+// write stores r, and the workspace too where r is the first thing in it. The
+// caller holds the lock of p's shard.
+func (s *Store) write(index uint64, p *space, r Resource) Result {
+	changes := make([]Change, 0, 2)
+	workspace := r.Metadata.Workspace
+	if _, ok := p.get(KindWorkspace, workspace); !ok && r.Kind != KindWorkspace {
+		w := Resource{
+			Kind:     KindWorkspace,
+			Metadata: Metadata{Workspace: workspace, Name: workspace, Revision: index},
+			Spec:     WorkspaceSpec{Share: 1},
+		}
+		p.put(w)
+		changes = append(changes, Change{Revision: index, Resource: w})
+	}
+	r.Metadata.Revision = index
+	s.rehash(p, r.Key(), r.Spec)
+	p.put(r)
+	s.publish(index, append(changes, Change{Revision: index, Resource: r})...)
+	return accepted(r)
+}
+
+// rehash keeps hashes in step with a key's spec; nil means that the key ends.
+func (s *Store) rehash(p *space, k Key, spec Spec) {
+	if k.Kind != KindKey {
+		return
+	}
+	if old, ok := p.get(k.Kind, k.Name); ok {
+		if hash, err := ParseHash(old.Spec.(KeySpec).Hash); err == nil {
+			delete(s.hashes, hash)
+		}
+	}
+	if declared, ok := spec.(KeySpec); ok {
+		if hash, err := ParseHash(declared.Hash); err == nil {
+			s.hashes[hash] = k
+		}
+	}
+}
+
+// deleteResource ends a resource that nothing refers to.
+func (s *Store) deleteResource(index uint64, c DeleteResource) Result {
+	k := c.Key.normalized()
+	if k.Kind == KindMember {
+		return invalid(errors.NotValidf("deletion of a member, which leaves by itself,"))
+	}
+	if err := validateKey(k); err != nil {
+		return invalid(err)
+	}
+	h := s.shard(k.Workspace)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.space(k.Workspace)
+	defer h.sweep(k.Workspace)
+	old, ok := p.get(k.Kind, k.Name)
+	if !ok {
+		return Result{Verdict: VerdictNotFound, Reason: "the resource does not exist"}
+	}
+	if c.IfMatch != 0 && c.IfMatch != old.Metadata.Revision {
+		return refused(VerdictConflict, "the resource was changed since it was read", old)
+	}
+	if reason := p.referrer(k); reason != "" {
+		return refused(VerdictInUse, reason, old)
+	}
+	if k.Kind == KindVersion {
+		s.retire(index, p, old)
+	}
+	s.rehash(p, k, nil)
+	p.remove(k.Kind, k.Name)
+	s.publish(index, Change{Revision: index, Resource: old, Deleted: true})
+	return Result{Revision: index, Resource: &old}
+}
+
+// referrer tells what still needs the resource, or nothing.
+func (p *space) referrer(k Key) string {
+	switch k.Kind {
+	case KindWorkspace:
+		if p.inUse() {
+			return "the workspace holds resources"
+		}
+	case KindAdapter:
+		if p.versions[k.Name] > 0 {
+			return "the adapter has versions"
+		}
+	case KindVersion:
+		adapter, version, _ := SplitVersionName(k.Name)
+		if a, ok := p.get(KindAdapter, adapter); ok && a.Spec.(AdapterSpec).Current == version {
+			return "the version is its adapter's current one"
+		}
+	}
+	return ""
+}
+
+// accepted answers a command which left r as it is now.
+func accepted(r Resource) Result { return Result{Revision: r.Metadata.Revision, Resource: &r} }
+
+// refused answers a command which had no effect on r.
+func refused(v Verdict, reason string, r Resource) Result {
+	return Result{Verdict: v, Reason: reason, Revision: r.Metadata.Revision, Resource: &r}
+}
+
+// equalSpecs reports whether two specs are the same.
+func equalSpecs(a, b Spec) bool { return reflect.DeepEqual(a, b) }
--- /dev/null
+++ b/internal/state/storer/snapshot.go
@@ -0,0 +1,248 @@
+package storer
+
+import (
+	"bufio"
+	"cmp"
+	"io"
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// snapshotFormat is the version of the snapshot's form. A host refuses a form
+// which it does not know.
+const snapshotFormat = 1
+
+// snapshotMagic begins a snapshot.
+const snapshotMagic = "marigoldpoint state"
+
+// snapshotHeader is the first of the CBOR items (RFC 8742) that make up a
+// snapshot. The items counted here follow in the order of the fields.
+type snapshotHeader struct {
+	Magic      string    `cbor:"1,keyasint"`
+	Format     int       `cbor:"2,keyasint"`
+	Applied    uint64    `cbor:"3,keyasint"`
+	Revision   uint64    `cbor:"4,keyasint"`
+	Now        Instant   `cbor:"5,keyasint"`
+	Retention  Retention `cbor:"6,keyasint"`
+	Floor      uint64    `cbor:"7,keyasint"`
+	Resources  int       `cbor:"8,keyasint"`
+	Claims     int       `cbor:"9,keyasint"`
+	Records    int       `cbor:"10,keyasint"`
+	Retired    int       `cbor:"11,keyasint"`
+	Superseded int       `cbor:"12,keyasint"`
+	Changes    int       `cbor:"13,keyasint"`
+}
+
+// supersededMember is the memory of a member name's replaced incarnations.
+type supersededMember struct {
+	Name         string   `cbor:"1,keyasint"`
+	Incarnations []string `cbor:"2,keyasint"`
+}
+
+// snapshotContent is the state at one index, sorted so that equal states have
+// equal snapshots.
+type snapshotContent struct {
+	header     snapshotHeader
+	resources  []Resource
+	claims     []Claim
+	records    []record
+	retired    []retiredVersion
+	superseded []supersededMember
+	changes    []Change
+}
+
+// Snapshot writes the state. Stores which applied the same commands write the
+// same bytes. Readers are held up only while the state is copied, not while it
+// is written.
+func (s *Store) Snapshot(w io.Writer) error {
+	c := s.content()
+	b := bufio.NewWriterSize(w, 1<<16)
+	e := encoding.NewEncoder(b)
+	if err := e.Encode(c.header); err != nil {
+		return errors.Annotate(err, "write snapshot header")
+	}
+	if err := firstError(
+		encodeAll(e, c.resources),
+		encodeAll(e, c.claims),
+		encodeAll(e, c.records),
+		encodeAll(e, c.retired),
+		encodeAll(e, c.superseded),
+		encodeAll(e, c.changes),
+	); err != nil {
+		return errors.Annotate(err, "write snapshot")
+	}
+	return errors.Annotate(b.Flush(), "write snapshot")
+}
+
+func firstError(errs ...error) error { return cmp.Or(errs...) }
+
+type itemEncoder interface{ Encode(v any) error }
+
+type itemDecoder interface{ Decode(v any) error }
+
+func encodeAll[T any](e itemEncoder, items []T) error {
+	for i := range items {
+		if err := e.Encode(items[i]); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func decodeAll[T any](d itemDecoder, n int) ([]T, error) {
+	if n < 0 {
+		return nil, errors.NotValidf("count %d", n)
+	}
+	// The count comes from outside: it must not reserve memory by itself.
+	items := make([]T, 0, min(n, 1<<16))
+	for range n {
+		var item T
+		if err := d.Decode(&item); err != nil {
+			return nil, errors.Trace(err)
+		}
+		items = append(items, item)
+	}
+	return items, nil
+}
+
+// content copies the state at one index.
+func (s *Store) content() snapshotContent {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	c := snapshotContent{header: snapshotHeader{
+		Magic:     snapshotMagic,
+		Format:    snapshotFormat,
+		Applied:   s.applied,
+		Revision:  s.Revision(),
+		Now:       s.now,
+		Retention: s.retention,
+	}}
+	c.resources, _ = s.All()
+	for i := range s.shards {
+		s.shards[i].copyRecords(&c)
+	}
+	c.changes, c.header.Floor = s.history.content()
+	c.sort()
+	c.header.Resources, c.header.Claims, c.header.Records = len(c.resources), len(c.claims), len(c.records)
+	c.header.Retired, c.header.Superseded, c.header.Changes = len(c.retired), len(c.superseded), len(c.changes)
+	return c
+}
+
+func (h *shard) copyRecords(c *snapshotContent) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, p := range h.spaces {
+		for _, claim := range p.claims {
+			c.claims = append(c.claims, claim)
+		}
+		for _, r := range p.records {
+			c.records = append(c.records, r)
+		}
+		for _, r := range p.retired {
+			c.retired = append(c.retired, r)
+		}
+		for name, incarnations := range p.superseded {
+			c.superseded = append(c.superseded, supersededMember{Name: name, Incarnations: incarnations})
+		}
+	}
+}
+
+// sort orders what expires by index, which is the order of the queues too.
+func (c *snapshotContent) sort() {
+	slices.SortFunc(c.claims, func(a, b Claim) int { return cmp.Compare(a.Index, b.Index) })
+	slices.SortFunc(c.records, func(a, b record) int { return cmp.Compare(a.Index, b.Index) })
+	slices.SortFunc(c.retired, func(a, b retiredVersion) int { return cmp.Compare(a.Index, b.Index) })
+	slices.SortFunc(c.superseded, func(a, b supersededMember) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Restore replaces the state by a snapshot's. A snapshot that is damaged or cut
+// short leaves the state as it was. index is the position which the log gives
+// the snapshot; it must not lie before the last command that the snapshot holds.
+func (s *Store) Restore(r io.Reader, index uint64) error {
+	c, err := readContent(r)
+	if err != nil {
+		return errors.Annotate(err, "read snapshot")
+	}
+	if c.header.Applied > index {
+		return errors.NotValidf("snapshot of index %d, which holds the command of index %d,", index, c.header.Applied)
+	}
+	fresh := NewStore(Settings{Retention: c.header.Retention})
+	fresh.fill(c)
+	s.adopt(fresh, c)
+	return nil
+}
+
+func readContent(r io.Reader) (snapshotContent, error) {
+	var c snapshotContent
+	d := decoding.NewDecoder(bufio.NewReaderSize(r, 1<<16))
+	if err := d.Decode(&c.header); err != nil {
+		return c, errors.Annotate(err, "header")
+	}
+	if c.header.Magic != snapshotMagic || c.header.Format != snapshotFormat {
+		return c, errors.NotSupportedf("snapshot %.20q of format %d", c.header.Magic, c.header.Format)
+	}
+	return c, firstError(
+		decodeInto(d, c.header.Resources, &c.resources),
+		decodeInto(d, c.header.Claims, &c.claims),
+		decodeInto(d, c.header.Records, &c.records),
+		decodeInto(d, c.header.Retired, &c.retired),
+		decodeInto(d, c.header.Superseded, &c.superseded),
+		decodeInto(d, c.header.Changes, &c.changes),
+	)
+}
+
+func decodeInto[T any](d itemDecoder, n int, items *[]T) (err error) {
+	*items, err = decodeAll[T](d, n)
+	return err
+}
+
+// fill writes the content into an empty store which nobody else holds yet.
+func (s *Store) fill(c snapshotContent) {
+	for _, r := range c.resources {
+		p := s.shard(r.Metadata.Workspace).space(r.Metadata.Workspace)
+		s.rehash(p, r.Key(), r.Spec)
+		p.put(r)
+	}
+	for _, claim := range c.claims {
+		s.shard(claim.Workspace).space(claim.Workspace).claims[claim.Key] = claim
+		s.claims.restore(aged{workspace: claim.Workspace, key: claim.Key, index: claim.Index, time: claim.Time})
+	}
+	for _, r := range c.records {
+		s.shard(r.Workspace).space(r.Workspace).records[r.Key] = r
+		s.records.restore(aged{workspace: r.Workspace, key: r.Key, index: r.Index, time: r.Time})
+	}
+	for _, r := range c.retired {
+		s.shard(r.Workspace).space(r.Workspace).retired[r.Name] = r
+		s.retired.restore(aged{workspace: r.Workspace, key: r.Name, index: r.Index, time: r.Time})
+	}
+	for _, m := range c.superseded {
+		s.shard("").space("").superseded[m.Name] = m.Incarnations
+	}
+}
+
+func (a *aging) restore(e aged) {
+	a.push(e)
+	a.live++
+}
+
+// adopt takes over the parts of fresh in one step, as readers see it.
+func (s *Store) adopt(fresh *Store, c snapshotContent) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	for i := range s.shards {
+		s.shards[i].mu.Lock()
+	}
+	for i := range s.shards {
+		s.shards[i].spaces = fresh.shards[i].spaces
+	}
+	s.applied, s.now = c.header.Applied, c.header.Now
+	s.retention, s.hashes = fresh.retention, fresh.hashes
+	s.claims, s.records, s.retired = fresh.claims, fresh.records, fresh.retired
+	s.history.replace(c.changes, c.header.Floor)
+	s.revision.Store(c.header.Revision)
+	for i := range s.shards {
+		s.shards[i].mu.Unlock()
+	}
+	s.history.wake()
+}
--- a/internal/state/storer/verdict_string.go
+++ b/internal/state/storer/verdict_string.go
@@ -16,11 +16,12 @@
 	_ = x[VerdictKeyReused-5]
 	_ = x[VerdictHeld-6]
 	_ = x[VerdictStale-7]
+	_ = x[VerdictFull-8]
 }
 
-const _Verdict_name = "AcceptedConflictNotFoundInvalidInUseKeyReusedHeldStale"
+const _Verdict_name = "AcceptedConflictNotFoundInvalidInUseKeyReusedHeldStaleFull"
 
-var _Verdict_index = [...]uint8{0, 8, 16, 24, 31, 36, 45, 49, 54}
+var _Verdict_index = [...]uint8{0, 8, 16, 24, 31, 36, 45, 49, 54, 58}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
