--- /dev/null
+++ b/internal/coordination/loader/plan.go
@@ -0,0 +1,202 @@
+package loader
+
+import "time"
+
+// plan asks for permits as far as slots can be had for them, and closes
+// residents where patience has run out.
+func (t *Table) plan(now time.Time, actions []Action) []Action {
+	for {
+		v := t.nextPending(now)
+		if v == nil {
+			break
+		}
+		t.setPermit(v, true)
+		actions = append(actions, PermitAction{
+			Version: v.name, Workspace: v.workspace, Share: v.share,
+			Waiters: len(v.waiters), Oldest: v.oldest(),
+		})
+	}
+	return t.settleClosing(now, actions)
+}
+
+// nextPending returns the version to ask a permit for, or nil.
+func (t *Table) nextPending(now time.Time) *version {
+	if t.permits() >= t.settings.MaxPermits {
+		return nil
+	}
+	f := t.fairness(now)
+	var best *version
+	for _, v := range t.waiting {
+		if v.pending(now) && t.obtainable(v, f) && (best == nil || t.goesBefore(now, v, best, f)) {
+			best = v
+		}
+	}
+	return best
+}
+
+// goesBefore orders pending versions: first the workspace that holds the least
+// for its share, then the longest waits in sum.
+func (t *Table) goesBefore(now time.Time, a, b *version, f fairness) bool {
+	if t.settings.Policy == PolicyDemand {
+		x, y := f.load(a), f.load(b)
+		if x != y {
+			return x < y
+		}
+		x, y = urgency(now, a), urgency(now, b)
+		if x != y {
+			return x > y
+		}
+	}
+	if !a.oldest().Equal(b.oldest()) {
+		return a.oldest().Before(b.oldest())
+	}
+	return a.name < b.name
+}
+
+func urgency(now time.Time, v *version) float64 {
+	return float64(len(v.waiters)) * (now.Sub(v.oldest()).Seconds() + 1)
+}
+
+// permits counts the loads asked for or under way.
+func (t *Table) permits() int {
+	n := 0
+	for _, v := range t.slotted {
+		if v.permit || v.phase == PhaseLoading {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *Table) occupied() int {
+	n := 0
+	for _, v := range t.slotted {
+		if v.phase != PhaseEmpty {
+			n++
+		}
+	}
+	return n
+}
+
+// obtainable tells whether a slot can be had for v beyond those already
+// promised to permits that are out.
+func (t *Table) obtainable(v *version, f fairness) bool {
+	promised := 0
+	for _, other := range t.slotted {
+		if other.permit && other.victim == nil {
+			promised++
+		}
+	}
+	free := t.settings.Slots - t.occupied()
+	if f.mayGrow(v) && free > promised {
+		return true
+	}
+	for _, other := range t.slotted {
+		if other.evictable() && f.mayTake(v, other) {
+			free++
+		}
+	}
+	return free > promised
+}
+
+// victimFor returns the version to evict for v, or nil.
+func (t *Table) victimFor(now time.Time, v *version) *version {
+	f := t.fairness(now)
+	var best *version
+	for _, other := range t.slotted {
+		if other.evictable() && f.mayTake(v, other) && (best == nil || t.evictsBefore(now, other, best, f)) {
+			best = other
+		}
+	}
+	return best
+}
+
+// evictsBefore orders victims: first those that close, then those of workspaces
+// over their cap, then the least valuable.
+func (t *Table) evictsBefore(now time.Time, a, b *version, f fairness) bool {
+	if a.closing != b.closing {
+		return a.closing
+	}
+	if t.settings.Policy == PolicyLeastRecentlyUsed {
+		if !a.lastUsed.Equal(b.lastUsed) {
+			return a.lastUsed.Before(b.lastUsed)
+		}
+		return a.name < b.name
+	}
+	if x, y := f.over(a), f.over(b); x != y {
+		return x
+	}
+	if x, y := a.value(now, t.settings), b.value(now, t.settings); x != y {
+		return x < y
+	}
+	return a.name < b.name
+}
+
+// settleClosing closes a resident for each pending version whose patience has
+// run out, and opens those that no one needs closed any more.
+//
+// Without it, versions with a steady stream of requests would keep their slots
+// for ever, and a request for any other version would never run.
+func (t *Table) settleClosing(now time.Time, actions []Action) []Action {
+	f := t.fairness(now)
+	needed := 0
+	for _, name := range sortedKeys(t.waiting) {
+		v := t.waiting[name]
+		if !v.pending(now) || now.Sub(v.oldest()) < t.settings.Patience {
+			continue
+		}
+		needed++
+		if t.closings() >= min(needed, t.settings.MaxPermits) {
+			continue
+		}
+		if c := t.closable(now, v, f); c != nil {
+			c.closing = true
+		}
+	}
+	if needed > 0 || t.permits() > 0 {
+		return actions
+	}
+	for _, name := range sortedKeys(t.slotted) {
+		if v := t.slotted[name]; v.closing {
+			v.closing = false
+			actions = append(actions, ReadyAction{Version: name})
+		}
+	}
+	return actions
+}
+
+func (t *Table) closings() int {
+	n := 0
+	for _, v := range t.slotted {
+		if v.closing {
+			n++
+		}
+	}
+	return n
+}
+
+// closable returns the resident to close for v: one that v may take, resident
+// for a patience at least, the longest resident first.
+func (t *Table) closable(now time.Time, v *version, f fairness) *version {
+	var best *version
+	for _, other := range t.slotted {
+		if other.phase != PhaseResident || other.closing || !f.mayTake(v, other) ||
+			now.Sub(other.residentSince) < t.settings.Patience {
+			continue
+		}
+		if best == nil || closesBefore(other, best, f) {
+			best = other
+		}
+	}
+	return best
+}
+
+func closesBefore(a, b *version, f fairness) bool {
+	if x, y := f.over(a), f.over(b); x != y {
+		return x
+	}
+	if !a.residentSince.Equal(b.residentSince) {
+		return a.residentSince.Before(b.residentSince)
+	}
+	return a.name < b.name
+}
--- /dev/null
+++ b/internal/coordination/loader/table.go
@@ -0,0 +1,268 @@
+package loader
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Table is the slot table of one engine.
+type Table struct {
+	settings Settings
+	random   *rand.Rand
+
+	versions map[string]*version
+	// slotted are the versions which have a slot or are promised one by a
+	// permit, waiting those with waiters. Both are small beside versions, and
+	// every decision but a prefetch looks at them alone.
+	slotted map[string]*version
+	waiting map[string]*version
+	// workspaces remember how lately each workspace asked for anything.
+	workspaces map[string]*workspaceActivity
+	// holders maps each request to the version that it waits for or pins.
+	holders map[string]*version
+	// fence is the last fencing number given; it only rises.
+	fence uint64
+	// sequence rises with each change of a phase.
+	sequence uint64
+	stats    Stats
+}
+
+// Stats count what a table has done.
+type Stats struct {
+	Loads     uint64
+	Failures  uint64
+	Evictions uint64
+	// Regrets counts evictions of a version that was wanted again within the
+	// regret window.
+	Regrets uint64
+	// Prefetches counts the loads that no request waited for when they began.
+	Prefetches uint64
+}
+
+// Want is a request that needs a version.
+type Want struct {
+	Request   string
+	Workspace string
+	// Share weighs the workspace; less than 1 means 1.
+	Share   int
+	Version string
+	Source  string
+}
+
+// Residency is one version's place in the table.
+type Residency struct {
+	Version string
+	Phase   Phase
+	Closing bool
+	Pins    int
+	Waiters int
+}
+
+// NewTable returns a table of empty slots. Its fencing numbers begin above
+// epoch<<32, so that those of a later membership are higher. It panics if
+// s.Slots is not positive or random is nil.
+func NewTable(s Settings, epoch uint64, random *rand.Rand) *Table {
+	if random == nil {
+		panic("loader: no random source")
+	}
+	return &Table{
+		settings: s.withDefaults(),
+		random:   random,
+		versions: map[string]*version{}, slotted: map[string]*version{}, waiting: map[string]*version{},
+		workspaces: map[string]*workspaceActivity{},
+		holders:    map[string]*version{},
+		fence:      epoch << epochShift,
+	}
+}
+
+// epochShift leaves a membership 2^32 orders.
+const epochShift = 32
+
+// Raise lifts the fencing numbers above those of the epoch, and above seen, the
+// highest that the engine reports. They never sink.
+func (t *Table) Raise(epoch, seen uint64) {
+	t.fence = max(t.fence, epoch<<epochShift, seen)
+}
+
+// Slots returns the number of slots.
+func (t *Table) Slots() int { return t.settings.Slots }
+
+// Stats returns the counts since the table began.
+func (t *Table) Stats() Stats { return t.stats }
+
+// Sequence returns a number that rises with each change of a phase. Read it
+// before asking the engine for the state that Observe gets.
+func (t *Table) Sequence() uint64 { return t.sequence }
+
+// Phase returns the phase of the version.
+func (t *Table) Phase(name string) Phase {
+	if v := t.versions[name]; v != nil {
+		return v.phase
+	}
+	return PhaseEmpty
+}
+
+// Ready tells whether the version can be pinned.
+func (t *Table) Ready(name string) bool {
+	v := t.versions[name]
+	return v != nil && v.phase == PhaseResident && !v.closing
+}
+
+// LoadTime returns the expected time of a load of the version.
+func (t *Table) LoadTime(name string) time.Duration {
+	if v := t.versions[name]; v != nil && v.loadTime > 0 {
+		return v.loadTime
+	}
+	return t.settings.AssumedLoadTime
+}
+
+// Residencies appends the versions that occupy slots to dst, sorted by name,
+// and returns it.
+func (t *Table) Residencies(dst []Residency) []Residency {
+	from := len(dst)
+	for _, v := range t.slotted {
+		if v.phase != PhaseEmpty {
+			dst = append(dst, Residency{
+				Version: v.name, Phase: v.phase, Closing: v.closing,
+				Pins: len(v.pins) + v.foreign, Waiters: len(v.waiters),
+			})
+		}
+	}
+	slices.SortFunc(dst[from:], func(a, b Residency) int { return cmp.Compare(a.Version, b.Version) })
+	return dst
+}
+
+// Want makes the request wait for its version. A FailAction among the actions
+// means that it need not wait: the last load failed too short a time ago. It
+// panics if the request already waits or pins.
+func (t *Table) Want(now time.Time, w Want) []Action {
+	if t.holders[w.Request] != nil {
+		panic("loader: request wants a second version")
+	}
+	v := t.version(w)
+	v.note(now, t.settings.HalfLife)
+	v.lastUsed = now
+	t.activity(v).note(now, t.settings.HalfLife)
+	if !v.evictedAt.IsZero() && now.Sub(v.evictedAt) < t.settings.RegretWindow {
+		t.stats.Regrets++
+	}
+	v.evictedAt = time.Time{}
+	if v.phase == PhaseEmpty && now.Before(v.retryAt) {
+		return []Action{FailAction{
+			Request: w.Request, Version: v.name, RetryAfter: v.retryAt.Sub(now), Cause: "load failed before",
+		}}
+	}
+	v.waiters[w.Request] = now
+	t.track(v)
+	t.holders[w.Request] = v
+	return t.plan(now, nil)
+}
+
+// Pin lets the waiting request use its version, and reports whether it may: not
+// if the version isn't resident or is closing.
+func (t *Table) Pin(request string) bool {
+	v := t.holders[request]
+	if v == nil || v.phase != PhaseResident || v.closing {
+		return false
+	}
+	if _, waits := v.waiters[request]; !waits {
+		return false
+	}
+	delete(v.waiters, request)
+	v.pins[request] = struct{}{}
+	t.track(v)
+	return true
+}
+
+// Drop ends the request's wait or its pin. Call it for a pin only when the
+// engine can no longer be working on the request. A load under way goes on.
+func (t *Table) Drop(now time.Time, request string) []Action {
+	v := t.holders[request]
+	if v == nil {
+		return nil
+	}
+	delete(t.holders, request)
+	delete(v.waiters, request)
+	t.track(v)
+	if _, pinned := v.pins[request]; pinned {
+		delete(v.pins, request)
+		v.lastUsed = now
+	}
+	return t.plan(now, nil)
+}
+
+// Tick does what has become due: loads after a back-off, closing, prefetches.
+// Call it about once a second.
+func (t *Table) Tick(now time.Time) []Action {
+	for name, v := range t.versions {
+		if v.forgettable(now, t.settings.HalfLife) {
+			delete(t.versions, name)
+		}
+	}
+	for name, a := range t.workspaces {
+		if a.demandNow(now, t.settings.HalfLife) < leastDemand {
+			delete(t.workspaces, name)
+		}
+	}
+	return t.prefetch(now, t.plan(now, nil))
+}
+
+// leastDemand is the demand below which an unused version is forgotten.
+const leastDemand = 1.0 / 64
+
+func (v *version) forgettable(now time.Time, halfLife time.Duration) bool {
+	return v.phase == PhaseEmpty && !v.permit && len(v.waiters) == 0 &&
+		!now.Before(v.retryAt) && v.demandNow(now, halfLife) < leastDemand
+}
+
+func (t *Table) version(w Want) *version {
+	v := t.versions[w.Version]
+	if v == nil {
+		v = newVersion(w.Version)
+		t.versions[w.Version] = v
+	}
+	v.source = w.Source
+	v.workspace = w.Workspace
+	v.share = max(1, w.Share)
+	return v
+}
+
+func newVersion(name string) *version {
+	return &version{name: name, share: 1, pins: map[string]struct{}{}, waiters: map[string]time.Time{}}
+}
+
+func (t *Table) setPhase(v *version, p Phase) {
+	t.sequence++
+	v.phase = p
+	v.changed = t.sequence
+	if p != PhaseResident {
+		v.closing = false
+	}
+	t.track(v)
+}
+
+// track keeps slotted and waiting in line with v.
+func (t *Table) track(v *version) {
+	if v.phase != PhaseEmpty || v.permit {
+		t.slotted[v.name] = v
+	} else {
+		delete(t.slotted, v.name)
+	}
+	if len(v.waiters) > 0 {
+		t.waiting[v.name] = v
+	} else {
+		delete(t.waiting, v.name)
+	}
+}
+
+func (t *Table) setPermit(v *version, out bool) {
+	v.permit = out
+	t.track(v)
+}
+
+func (t *Table) nextFence() uint64 {
+	t.fence++
+	return t.fence
+}
