--- a/internal/state/configurer/decoder.go
+++ b/internal/state/configurer/decoder.go
@@ -46,7 +46,7 @@
 func (d *decoder) value(path string, v hujson.Value, into reflect.Value) {
 	d.places[path] = v.StartOffset
 	if want := wanted(into); want != given(v.Value.Kind()) {
-		d.fault(path, v.StartOffset, "%s where %s is wanted", given(v.Value.Kind()), want)
+		d.fault(path, v.StartOffset, "%s where %s%s is wanted", given(v.Value.Kind()), want, unit(into))
 		return
 	}
 	switch n := v.Value.(type) {
@@ -145,6 +145,18 @@
 	}
 }
 
+// unit tells, after kindString, how a value of the type of v is written.
+func unit(v reflect.Value) string {
+	switch v.Interface().(type) {
+	case Duration:
+		return ` with its unit, such as "250ms",`
+	case Size:
+		return ` with its unit, such as "64MiB",`
+	default:
+		return ""
+	}
+}
+
 // syntaxProblem returns the problem for an error of hujson.Parse, which carries
 // the place only in its text.
 func syntaxProblem(err error) Problem {
--- a/internal/state/configurer/duration.go
+++ b/internal/state/configurer/duration.go
@@ -11,9 +11,17 @@
 // "250ms" or "1m30s".
 type Duration time.Duration
 
-// String returns d in the form that ParseDuration reads.
+// String returns d in the form that ParseDuration reads, without the zero seconds
+// and minutes at the end that time.Duration writes.
 func (d Duration) String() string {
-	return time.Duration(d).String()
+	s := time.Duration(d).String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
 }
 
 // MarshalText returns d with its unit.
--- a/internal/state/configurer/parse.go
+++ b/internal/state/configurer/parse.go
@@ -39,7 +39,11 @@
 	d := &decoder{data: data, places: make(map[string]int)}
 	d.value("", root, reflect.ValueOf(&s).Elem())
 	found := d.problems
-	for _, p := range append(s.Check(), d.unread(s)...) {
+	checked := s.Check()
+	if !touches(found, "Roles") {
+		checked = append(checked, d.unread(s)...)
+	}
+	for _, p := range checked {
 		if !touches(found, p.Path) {
 			d.problems = append(d.problems, d.locate(p))
 		}
