--- /dev/null
+++ b/internal/coordination/replicator/applier.go
@@ -0,0 +1,93 @@
+package replicator
+
+import (
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/snapshotter"
+)
+
+// applier applies committed entries to the state machine and takes snapshots
+// of it. It is used by one goroutine.
+type applier struct {
+	machine StateMachine
+	store   *snapshotter.Store
+	observe func(Observation)
+
+	// applied and term are those of the last entry applied.
+	applied, term uint64
+	// configuration is the committed one as of applied.
+	configuration Configuration
+	// snapshot is the index of the last snapshot, bytes the size of the
+	// entries applied since.
+	snapshot uint64
+	bytes    int64
+}
+
+// restore replaces the state by the latest snapshot, if it is newer.
+func (a *applier) restore() error {
+	r, err := a.store.OpenLatest()
+	if err != nil || r == nil {
+		return errors.Annotate(err, "open snapshot")
+	}
+	defer func() { _ = r.Close() }()
+	if r.Metadata.Index <= a.applied {
+		return nil
+	}
+	configuration, err := decodeConfiguration(r.Metadata.Extra)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := a.machine.Restore(r, r.Metadata.Index); err != nil {
+		return errors.Annotatef(err, "restore snapshot at %d", r.Metadata.Index)
+	}
+	a.applied, a.term = r.Metadata.Index, r.Metadata.Term
+	a.configuration = configuration
+	a.snapshot, a.bytes = a.applied, 0
+	return nil
+}
+
+// apply applies one entry. Entries that a snapshot has overtaken are skipped.
+func (a *applier) apply(e Entry) (any, error) {
+	if e.Index <= a.applied {
+		return nil, nil
+	}
+	if e.Index != a.applied+1 {
+		return nil, errors.Errorf("entry %d follows entry %d", e.Index, a.applied)
+	}
+	var result any
+	switch e.Kind {
+	case EntryCommand:
+		result = a.machine.Apply(e.Index, e.Data)
+	case EntryMembership:
+		configuration, err := decodeConfiguration(e.Data)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		a.configuration = configuration
+		a.observe(MembershipChanged{Index: e.Index, Configuration: configuration})
+	}
+	a.applied, a.term = e.Index, e.Term
+	a.bytes += int64(entrySize(e))
+	return result, nil
+}
+
+// due reports whether it is time for a snapshot.
+func (a *applier) due(s Settings) bool {
+	return a.applied-a.snapshot >= s.SnapshotEvery || a.bytes >= s.SnapshotBytes
+}
+
+// take writes a snapshot of the present state.
+func (a *applier) take(now func() time.Time) (snapshotter.Metadata, error) {
+	start := now()
+	m := snapshotter.Metadata{Index: a.applied, Term: a.term, Extra: encodeConfiguration(a.configuration)}
+	m, err := a.store.Create(m, func(w io.Writer) error { return a.machine.Snapshot(w) })
+	if err != nil {
+		return m, errors.Annotate(err, "take snapshot")
+	}
+	a.snapshot, a.bytes = m.Index, 0
+	a.observe(SnapshotTaken{Index: m.Index, Bytes: m.Size, Took: now().Sub(start)})
+	return m, nil
+}
--- /dev/null
+++ b/internal/coordination/replicator/change.go
@@ -0,0 +1,125 @@
+package replicator
+
+// Change is a change of the membership by one member.
+type Change interface{ change() }
+
+// AddLearner adds a member that receives the log and doesn't vote. Where the
+// member is there already, only its address and failure domain change.
+type AddLearner struct{ Member Member }
+
+// PromoteLearner gives a learner its vote.
+type PromoteLearner struct{ ID HostID }
+
+// RemoveMember removes a member.
+type RemoveMember struct{ ID HostID }
+
+func (AddLearner) change()     {}
+func (PromoteLearner) change() {}
+func (RemoveMember) change()   {}
+
+// ProposeChange appends a change of the membership, which is in force from now
+// on and committed separately. Two majorities of configurations that differ by
+// one voter always meet, so that two leaders can't be elected, provided that
+// only one change is under way and that the leader has committed an entry of
+// its own term: else a change of an older leader might still be in some logs.
+func (c *Core) ProposeChange(change Change) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, c.notLeader()
+	}
+	if c.transferTo != 0 {
+		return 0, 0, ErrChangeRefused{Reason: "leadership is being handed over"}
+	}
+	if c.commit < c.opened {
+		return 0, 0, ErrChangeRefused{Reason: "the leader has not committed an entry of its term yet"}
+	}
+	if c.changeIndex() > c.commit {
+		return 0, 0, ErrChangeRefused{Reason: "another change is in progress"}
+	}
+	next, err := c.changed(change)
+	if err != nil {
+		return 0, 0, err
+	}
+	index = c.appendOwn(EntryMembership, encodeConfiguration(next))
+	c.syncPeers()
+	return index, c.hard.Term, nil
+}
+
+// changed returns the configuration after a change.
+func (c *Core) changed(change Change) (Configuration, error) {
+	now := c.Configuration()
+	switch t := change.(type) {
+	case AddLearner:
+		m := t.Member
+		m.Voter, m.Incarnation = false, 0
+		if old, ok := now.Find(m.ID); ok {
+			m.Voter, m.Incarnation = old.Voter, old.Incarnation
+		}
+		return now.with(m), nil
+	case PromoteLearner:
+		m, ok := now.Find(t.ID)
+		if !ok || m.Voter {
+			return now, ErrChangeRefused{Reason: "not a learner"}
+		}
+		if !c.CaughtUp(t.ID) {
+			return now, ErrChangeRefused{Reason: "the learner is not caught up"}
+		}
+		m.Voter, m.Incarnation = true, c.peers[t.ID].incarnation
+		return now.with(m), nil
+	case RemoveMember:
+		m, ok := now.Find(t.ID)
+		if !ok {
+			return now, ErrChangeRefused{Reason: "not a member"}
+		}
+		if m.Voter && now.Voters() == 1 {
+			return now, ErrChangeRefused{Reason: "the last voter can't be removed"}
+		}
+		return now.without(t.ID), nil
+	default:
+		panic("replicator: unknown change")
+	}
+}
+
+// CaughtUp reports whether a member's disk holds nearly all of the log, so that
+// the group isn't held up when commits begin to need it.
+func (c *Core) CaughtUp(id HostID) bool {
+	p := c.peers[id]
+	return c.role == Leader && p != nil && p.incarnation != 0 && p.state == replicating &&
+		p.match >= c.opened && p.match+c.settings.CatchUpEntries >= c.log.last()
+}
+
+// Transfer begins to hand leadership to the voter that holds most of the log.
+// No proposals are accepted meanwhile.
+func (c *Core) Transfer() error {
+	if c.role != Leader {
+		return c.notLeader()
+	}
+	if c.transferTo != 0 {
+		return nil
+	}
+	var best HostID
+	for _, m := range c.Configuration().Members {
+		if m.Voter && m.ID != c.settings.Self && (best == 0 || c.peers[m.ID].match > c.peers[best].match) {
+			best = m.ID
+		}
+	}
+	if best == 0 {
+		return ErrNotAccepted{Reason: "there is no other voter"}
+	}
+	c.transferTo = best
+	c.transferEnd = c.clock + c.settings.ElectionTimeout
+	c.continueTransfer()
+	return nil
+}
+
+// continueTransfer asks the target to campaign once it holds the whole log.
+func (c *Core) continueTransfer() {
+	if c.role != Leader || c.transferTo == 0 {
+		return
+	}
+	p := c.peers[c.transferTo]
+	if p == nil || p.match < c.log.last() {
+		return
+	}
+	c.transferAsked = true
+	c.send(Message{Kind: TimeoutNow, To: c.transferTo})
+}
--- /dev/null
+++ b/internal/coordination/replicator/event.go
@@ -0,0 +1,41 @@
+package replicator
+
+import "marigoldpoint.example/marigoldpoint/internal/state/snapshotter"
+
+// event is what the loop takes in.
+type event interface{ event() }
+
+type (
+	delivered struct{ message Message }
+
+	// proposal is a command or, where change is set, a change of the
+	// membership.
+	proposal struct {
+		data   []byte
+		change Change
+		done   chan outcome
+	}
+
+	readRequest struct {
+		done chan ReadState
+	}
+
+	transferRequest struct {
+		done chan error
+	}
+
+	snapshotTaken struct{ metadata snapshotter.Metadata }
+)
+
+func (delivered) event()       {}
+func (proposal) event()        {}
+func (readRequest) event()     {}
+func (transferRequest) event() {}
+func (snapshotTaken) event()   {}
+
+// outcome is what became of a proposal.
+type outcome struct {
+	index  uint64
+	result any
+	err    error
+}
--- /dev/null
+++ b/internal/coordination/replicator/membership.go
@@ -0,0 +1,78 @@
+package replicator
+
+import (
+	"context"
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// AddMember adds a host. It becomes a learner first and, where m.Voter is set,
+// a voter by a second committed change once it has caught up, for which
+// AddMember waits. When ctx ends before, the host stays a learner and the call
+// can be repeated. It returns ErrChangeRefused while another change is in
+// progress.
+func (r *Replicator) AddMember(ctx context.Context, m Member) error {
+	if m.ID == 0 || m.Address == "" {
+		return errors.Trace(ErrChangeRefused{Reason: "the member has no number or no address"})
+	}
+	old, found := Configuration{Members: r.Status().Members}.Find(m.ID)
+	if found && old.Voter && old.Address == m.Address && old.FailureDomain == m.FailureDomain {
+		return r.ReadBarrier(ctx)
+	}
+	if err := r.change(ctx, AddLearner{Member: m}); err != nil || !m.Voter || old.Voter {
+		return errors.Trace(err)
+	}
+	for !slices.Contains(r.shown().caughtUp, m.ID) {
+		if !r.pause(ctx, r.settings.HeartbeatInterval) {
+			return errors.Trace(ErrOutcomeUnknown{Reason: "the new member has not caught up; it stays a learner"})
+		}
+		if r.Status().Role != Leader {
+			leader, _ := r.Leader()
+			return errors.Trace(ErrNotLeader{Leader: leader})
+		}
+	}
+	return errors.Trace(r.change(ctx, PromoteLearner{ID: m.ID}))
+}
+
+// RemoveMember removes a host and returns when that is committed. A leader that
+// removes itself steps down then.
+func (r *Replicator) RemoveMember(ctx context.Context, id HostID) error {
+	return errors.Trace(r.change(ctx, RemoveMember{ID: id}))
+}
+
+func (r *Replicator) change(ctx context.Context, c Change) error {
+	return r.submit(ctx, proposal{change: c, done: make(chan outcome, 1)}).err
+}
+
+// TransferLeadership hands leadership to the voter that holds most of the log,
+// and returns when this host no longer leads. On a host that doesn't lead it
+// returns nil at once.
+func (r *Replicator) TransferLeadership(ctx context.Context) error {
+	for r.Status().Role == Leader {
+		request := transferRequest{done: make(chan error, 1)}
+		select {
+		case r.inbox <- request:
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-r.stopped:
+			return r.Err()
+		}
+		select {
+		case err := <-request.done:
+			var notLeader ErrNotLeader
+			if errors.As(err, &notLeader) {
+				return nil
+			}
+			if err != nil {
+				return errors.Trace(err)
+			}
+		case <-r.stopped:
+			return r.Err()
+		}
+		if !r.pause(ctx, r.settings.TickInterval) {
+			return errors.Trace(ErrOutcomeUnknown{Reason: "leadership was not handed over in time"})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/replicator/piecer.go
@@ -0,0 +1,55 @@
+package replicator
+
+import (
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/snapshotter"
+)
+
+// sendPieces fills in and sends the pieces which the core asks for.
+func (r *replica) sendPieces(ms []Message) error {
+	for _, m := range ms {
+		p, err := r.store.ReadPiece(m.Snapshot.Index, m.Snapshot.Offset, r.settings.PieceBytes)
+		var gone snapshotter.ErrGone
+		if errors.As(err, &gone) {
+			r.core.SnapshotGone(m.To)
+			continue
+		}
+		if err != nil {
+			return errors.Annotate(err, "read piece of snapshot")
+		}
+		m.Snapshot = &p
+		r.emit([]Message{m})
+	}
+	return nil
+}
+
+// storePiece takes in a piece, and the snapshot where it was the last one.
+func (r *replica) storePiece(m Message) error {
+	next, complete, err := r.store.Receive(*m.Snapshot)
+	if err != nil {
+		return errors.Annotate(err, "store piece of snapshot")
+	}
+	if !complete {
+		r.core.PieceStored(m, next)
+		return nil
+	}
+	latest, _ := r.store.Latest()
+	configuration, err := decodeConfiguration(latest.Extra)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if latest.Index <= r.core.commit {
+		return nil
+	}
+	// The snapshot lasts already; a crash before the journal is emptied is
+	// mended by fit.
+	if r.core.Install(m, latest, configuration) {
+		if err := r.journal.Reset(latest.Index + 1); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	r.settings.Observe(SnapshotInstalled{Index: latest.Index, Bytes: latest.Size})
+	r.install(latest)
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/replicator/replica.go
@@ -0,0 +1,255 @@
+package replicator
+
+import (
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
+	"marigoldpoint.example/marigoldpoint/internal/state/snapshotter"
+)
+
+// Names within the data folder.
+const (
+	journalFolder = "journal"
+	stateFolder   = "state"
+	lockName      = "lock"
+)
+
+// replica joins a Core with its files. It is synchronous and used by one
+// goroutine: its methods return when all they had to persist lasts. An error
+// means that the process must stop.
+type replica struct {
+	settings Settings
+	core     *Core
+	journal  *journaler.Journal
+	store    *snapshotter.Store
+	identity snapshotter.Identity
+	// founder is set while this host tries to form a group.
+	founder *founder
+
+	// send passes messages to the transport.
+	send func([]Message)
+	// commit passes committed entries to the applier.
+	commit func([]Entry)
+	// install tells the applier of a new latest snapshot.
+	install func(snapshotter.Metadata)
+	// answer passes on answers to reads.
+	answer func(ReadState)
+}
+
+// openReplica opens the files, and returns a replica whose functions the caller
+// sets before its first use.
+func openReplica(s Settings) (*replica, error) {
+	r := &replica{settings: s}
+	var err error
+	var damaged []error
+	r.store, damaged, err = snapshotter.OpenStore(snapshotter.Settings{
+		Folder: filepath.Join(s.DataFolder, stateFolder), FileSystem: s.FileSystem,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	for _, d := range damaged {
+		s.Log.Error().Err(d).Msg("snapshot put aside; the one before it is used")
+	}
+	var entries []Entry
+	r.journal, err = journaler.Open(r.journalSettings(), func(index uint64, record []byte) error {
+		e, err := decodeEntry(index, record)
+		entries = append(entries, e)
+		return err
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := r.recover(entries); err != nil {
+		_ = r.close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *replica) journalSettings() journaler.Settings {
+	return journaler.Settings{
+		Folder:       filepath.Join(r.settings.DataFolder, journalFolder),
+		FileSystem:   r.settings.FileSystem,
+		MaximumBytes: r.settings.JournalBytes,
+		ObserveSync:  func(took time.Duration) { r.settings.Observe(Synced{Took: took}) },
+	}
+}
+
+// recover makes the core from what the files hold.
+func (r *replica) recover(entries []Entry) error {
+	if err := r.loadIdentity(len(entries) > 0); err != nil {
+		return err
+	}
+	hard, err := r.store.HardState()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	snapshot, _ := r.store.Latest()
+	if r.identity.Formation == 0 {
+		// A crash while the group was formed may have left its first entry.
+		if err := r.journal.Reset(1); err != nil {
+			return errors.Trace(err)
+		}
+		hard, entries = snapshotter.HardState{}, nil
+		r.founder = newFounder(r.settings, r.identity.Incarnation)
+	}
+	if entries, err = r.fit(entries, snapshot); err != nil {
+		return err
+	}
+	base := Configuration{}
+	if snapshot.Index > 0 {
+		if base, err = decodeConfiguration(snapshot.Extra); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	r.core, err = NewCore(r.settings.core(r.identity.Incarnation), hard, snapshot, base, entries)
+	return errors.Trace(err)
+}
+
+// loadIdentity reads the identity, or draws a new one in an empty folder.
+func (r *replica) loadIdentity(hasEntries bool) error {
+	id, found, err := r.store.Identity()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if found {
+		r.identity = id
+		if id.Group != r.settings.Group || id.Host != uint64(r.settings.Self.ID) {
+			return errors.Errorf("data folder %s belongs to host %d of group %q, not to host %d of group %q",
+				r.settings.DataFolder, id.Host, id.Group, r.settings.Self.ID, r.settings.Group)
+		}
+		return nil
+	}
+	if _, snapshots := r.store.Latest(); snapshots || hasEntries {
+		return errors.Errorf("data folder %s holds a log but no identity: remove the host, empty the folder and add it again",
+			r.settings.DataFolder)
+	}
+	r.identity = snapshotter.Identity{
+		Group: r.settings.Group, Host: uint64(r.settings.Self.ID), Incarnation: r.settings.Random.Uint64() | 1,
+	}
+	return errors.Trace(r.store.SaveIdentity(r.identity))
+}
+
+// fit returns the entries that follow the snapshot, and drops the journal's
+// contents where they end before it or are of another history.
+func (r *replica) fit(entries []Entry, snapshot snapshotter.Metadata) ([]Entry, error) {
+	if snapshot.Index == 0 && r.journal.First() == 1 {
+		return entries, nil
+	}
+	if first := r.journal.First(); first > snapshot.Index+1 {
+		return nil, journaler.ErrDamaged{
+			File:   r.settings.DataFolder,
+			Reason: "the journal begins after the latest readable snapshot",
+		}
+	}
+	drop := r.journal.Last() < snapshot.Index
+	for len(entries) > 0 && entries[0].Index <= snapshot.Index {
+		drop = drop || (entries[0].Index == snapshot.Index && entries[0].Term != snapshot.Term)
+		entries = entries[1:]
+	}
+	if !drop {
+		return entries, nil
+	}
+	return nil, errors.Trace(r.journal.Reset(snapshot.Index + 1))
+}
+
+// close closes the files.
+func (r *replica) close() error {
+	if err := r.store.Close(); err != nil {
+		_ = r.journal.Close()
+		return errors.Trace(err)
+	}
+	return errors.Trace(r.journal.Close())
+}
+
+// emit stamps messages with the group and sends them.
+func (r *replica) emit(ms []Message) {
+	if len(ms) == 0 {
+		return
+	}
+	for i := range ms {
+		ms[i].Group, ms[i].Formation = r.identity.Group, r.identity.Formation
+		ms[i].From, ms[i].FromIncarnation = r.settings.Self.ID, r.identity.Incarnation
+	}
+	r.send(ms)
+}
+
+// advance carries out what the core wants until it wants nothing more.
+func (r *replica) advance() error {
+	r.core.Flush()
+	for {
+		rd, busy := r.core.Ready()
+		if !busy {
+			return nil
+		}
+		if rd.HardState == nil {
+			r.emit(rd.Early)
+			rd.Early = nil
+		}
+		if err := r.persist(rd); err != nil {
+			return err
+		}
+		r.emit(rd.Early)
+		r.emit(rd.Messages)
+		if err := r.sendPieces(rd.SnapshotSends); err != nil {
+			return err
+		}
+		if len(rd.Committed) > 0 {
+			r.commit(rd.Committed)
+		}
+		for _, s := range rd.Reads {
+			r.answer(s)
+		}
+		r.core.Advance(rd)
+		for _, m := range rd.Pieces {
+			if err := r.storePiece(m); err != nil {
+				return err
+			}
+		}
+		r.core.Flush()
+	}
+}
+
+// persist makes last what the messages of rd promise.
+func (r *replica) persist(rd Ready) error {
+	if rd.HardState != nil {
+		if err := r.store.SaveHardState(*rd.HardState); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if rd.TruncateFrom != 0 {
+		if err := r.journal.TruncateSuffix(rd.TruncateFrom); err != nil {
+			return errors.Annotate(err, "truncate journal")
+		}
+	}
+	if len(rd.Entries) == 0 {
+		return nil
+	}
+	records := make([][]byte, len(rd.Entries))
+	for i, e := range rd.Entries {
+		records[i] = encodeEntry(e)
+	}
+	first, err := r.journal.Append(records)
+	if err != nil {
+		return errors.Annotate(err, "append to journal")
+	}
+	if first != rd.Entries[0].Index {
+		return errors.Errorf("journal put entry %d at %d", rd.Entries[0].Index, first)
+	}
+	return nil
+}
+
+// compact lets go of what the two latest snapshots make superfluous. Until
+// there are two the whole log stays, for a damaged snapshot to be replaced.
+func (r *replica) compact(taken snapshotter.Metadata) error {
+	oldest, _ := r.store.Oldest()
+	if oldest.Index >= taken.Index {
+		oldest.Index = 0
+	}
+	r.core.Compact(taken, oldest.Index)
+	return errors.Annotate(r.journal.TruncatePrefix(min(oldest.Index, r.core.log.base)), "compact journal")
+}
--- /dev/null
+++ b/internal/coordination/replicator/settings.go
@@ -0,0 +1,191 @@
+package replicator
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
+)
+
+// Defaults of Settings.
+const (
+	DefaultTickInterval      = 10 * time.Millisecond
+	DefaultHeartbeatInterval = 100 * time.Millisecond
+	DefaultElectionTimeout   = 600 * time.Millisecond
+	DefaultSnapshotEvery     = 100_000
+	DefaultSnapshotBytes     = 64 << 20
+	DefaultMessageBytes      = 256 << 10
+	DefaultWindowMessages    = 64
+	DefaultWindowBytes       = 4 << 20
+	DefaultPendingBytes      = 32 << 20
+	DefaultEntryBytes        = 4 << 20
+	DefaultCatchUpEntries    = 100
+	DefaultPieceBytes        = 256 << 10
+)
+
+// Transport sends messages to the other hosts of the group.
+type Transport interface {
+	// Send is best effort: it may lose, double and reorder messages. It never
+	// blocks for long, and doesn't change the messages.
+	Send(to HostID, ms []Message)
+}
+
+// StateMachine is what the log's commands are applied to. Its methods are
+// called from one goroutine.
+type StateMachine interface {
+	// Apply carries out a committed command, in the order of the log, without
+	// gaps. Its result must depend on nothing but the commands so far. It goes
+	// to the caller of Propose.
+	Apply(index uint64, data []byte) any
+	// Snapshot writes the state after all commands so far.
+	Snapshot(w io.Writer) error
+	// Restore replaces the state by one that Snapshot wrote at index.
+	Restore(r io.Reader, index uint64) error
+}
+
+// Settings are the options of a Replicator.
+type Settings struct {
+	// Group is the name of the group. It must be the same on all hosts.
+	Group string
+	// Self describes this host.
+	Self Member
+	// DataFolder holds all of the host's durable state.
+	DataFolder string
+	// Bootstrap lists the first voters, the same on all of them, Self among
+	// them. It is used only while the host belongs to no group. The host with
+	// the lowest ID forms the group, once all others have told it that they
+	// are new; after that all but it could be lost without a second group
+	// coming up.
+	Bootstrap []Member
+	// Join says that the host waits to be added to a group.
+	Join bool
+
+	// TickInterval is the resolution of all times; 0 means
+	// DefaultTickInterval.
+	TickInterval time.Duration
+	// ElectionTimeout is how long a leader may be silent; 0 means
+	// DefaultElectionTimeout.
+	ElectionTimeout time.Duration
+	// HeartbeatInterval is the time between heartbeat rounds; 0 means
+	// DefaultHeartbeatInterval.
+	HeartbeatInterval time.Duration
+	// LeaseDrift bounds how much two hosts' clocks may drift apart during one
+	// ElectionTimeout; 0 means a fifth of it. Reads under the lease are
+	// linearizable only while this holds; writes don't depend on clocks.
+	LeaseDrift time.Duration
+
+	// SnapshotEvery is the number of entries and SnapshotBytes the size of
+	// entries after which a snapshot is taken; 0 means DefaultSnapshotEvery
+	// and DefaultSnapshotBytes. Up to three times as much stays in the journal
+	// and twice as much in memory.
+	SnapshotEvery uint64
+	SnapshotBytes int64
+	// JournalBytes bounds the journal's use of the disk; 0 means
+	// journaler.DefaultMaximumBytes.
+	JournalBytes int64
+	// PieceBytes is the size of the pieces in which snapshots travel; 0 means
+	// DefaultPieceBytes.
+	PieceBytes int
+	// EntryBytes bounds the data of one proposal; 0 means DefaultEntryBytes.
+	EntryBytes int
+	// PendingBytes bounds the entries not committed, and those not applied;
+	// 0 means DefaultPendingBytes.
+	PendingBytes int
+	// MessageBytes, WindowMessages and WindowBytes bound what goes to one
+	// member without an answer; 0 means their defaults.
+	MessageBytes   int
+	WindowMessages int
+	WindowBytes    int
+	// CatchUpEntries is how far behind a learner may be to become a voter; 0
+	// means DefaultCatchUpEntries.
+	CatchUpEntries uint64
+
+	// Now reads the clock; nil means time.Now, whose readings are monotonic.
+	Now func() time.Time
+	// Random draws election timeouts and incarnations; nil means a random
+	// seed.
+	Random *rand.Rand
+	// FileSystem is used for all files; nil means journaler.Disk.
+	FileSystem journaler.FileSystem
+	// Log gets what operators should read.
+	Log zerolog.Logger
+	// Observe gets typed events, from one goroutine at a time; it must not
+	// block, nor call the Replicator. It may be nil.
+	Observe func(Observation)
+}
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.TickInterval, DefaultTickInterval)
+	setDefault(&s.ElectionTimeout, DefaultElectionTimeout)
+	setDefault(&s.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&s.LeaseDrift, s.ElectionTimeout/5)
+	setDefault(&s.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&s.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&s.PieceBytes, DefaultPieceBytes)
+	setDefault(&s.EntryBytes, DefaultEntryBytes)
+	setDefault(&s.PendingBytes, DefaultPendingBytes)
+	setDefault(&s.MessageBytes, DefaultMessageBytes)
+	setDefault(&s.WindowMessages, DefaultWindowMessages)
+	setDefault(&s.WindowBytes, DefaultWindowBytes)
+	setDefault(&s.CatchUpEntries, DefaultCatchUpEntries)
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.Random == nil {
+		s.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if s.FileSystem == nil {
+		s.FileSystem = journaler.Disk{}
+	}
+	if s.Observe == nil {
+		s.Observe = func(Observation) {}
+	}
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// check returns an error for settings that can't work.
+func (s Settings) check() error {
+	switch {
+	case s.Group == "":
+		return errors.New("the group has no name")
+	case s.Self.ID == 0:
+		return errors.New("the host has no number")
+	case s.DataFolder == "":
+		return errors.New("there is no data folder")
+	case s.HeartbeatInterval*2 > s.ElectionTimeout:
+		return errors.Errorf("heartbeat interval %s is over half of the election timeout %s", s.HeartbeatInterval, s.ElectionTimeout)
+	case s.LeaseDrift >= s.ElectionTimeout:
+		return errors.Errorf("lease drift %s is not under the election timeout %s", s.LeaseDrift, s.ElectionTimeout)
+	case s.Join && len(s.Bootstrap) > 0:
+		return errors.New("a host can't both bootstrap and join")
+	case len(s.Bootstrap) > 0 && !containsMember(s.Bootstrap, s.Self.ID):
+		return errors.Errorf("host %d is not in its bootstrap list", s.Self.ID)
+	}
+	return nil
+}
+
+func containsMember(members []Member, id HostID) bool {
+	_, ok := Configuration{Members: members}.Find(id)
+	return ok
+}
+
+// core returns the options of the Core.
+func (s Settings) core(incarnation uint64) CoreSettings {
+	return CoreSettings{
+		Self: s.Self.ID, Incarnation: incarnation,
+		ElectionTimeout: s.ElectionTimeout, HeartbeatInterval: s.HeartbeatInterval, LeaseDrift: s.LeaseDrift,
+		MessageBytes: s.MessageBytes, WindowMessages: s.WindowMessages, WindowBytes: s.WindowBytes,
+		PendingBytes: s.PendingBytes, CatchUpEntries: s.CatchUpEntries, Random: s.Random,
+	}
+}
