--- /dev/null
+++ b/internal/transport/inspector/format.go
@@ -0,0 +1,75 @@
+package inspector
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+)
+
+// clockLayout shows microseconds, the least that tells two hops apart.
+const clockLayout = "15:04:05.000000"
+
+// WriteText writes one line per event for people.
+func (t Timeline) WriteText(w io.Writer) error {
+	for i := range t.Events {
+		if _, err := fmt.Fprintln(w, line(&t.Events[i])); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	for _, m := range t.Missing {
+		if _, err := fmt.Fprintf(w, "no events from %s: %s\n", m.Address, m.Cause); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// WriteJSON writes the time line as one JSON document.
+func (t Timeline) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Trace(encoder.Encode(t))
+}
+
+func line(e *recorder.Event) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s.%03d %-20s %-26s", e.Time.Time().Format(clockLayout), e.Time.Logical, e.Node, e.Kind)
+	field(&b, "request", e.Request)
+	field(&b, "workspace", e.Workspace)
+	field(&b, "version", e.Version)
+	field(&b, "backend", e.Backend)
+	if e.Revision != 0 {
+		fmt.Fprintf(&b, " revision=%d", e.Revision)
+	}
+	if e.Detail != "" {
+		fmt.Fprintf(&b, " %s", e.Detail)
+	}
+	for _, c := range e.Choices {
+		mark := "-"
+		if c.Taken {
+			mark = "+"
+		}
+		fmt.Fprintf(&b, "\n%s%s %s score=%.3f %s", strings.Repeat(" ", len(clockLayout)+6), mark, c.Backend, c.Score, c.Reason)
+	}
+	return b.String()
+}
+
+func field(b *strings.Builder, name, value string) {
+	if value != "" {
+		fmt.Fprintf(b, " %s=%s", name, value)
+	}
+}
+
+// Span returns the time from the first event to the last.
+func (t Timeline) Span() time.Duration {
+	if len(t.Events) == 0 {
+		return 0
+	}
+	return t.Events[len(t.Events)-1].Time.Time().Sub(t.Events[0].Time.Time())
+}
