indexer: the compact replica of the configuration

Cause: every node resolves calls from its own memory, within 16 MB for 61,000 adapters, and must never go back to an earlier revision.

--- /dev/null
+++ b/internal/state/indexer/adapters.go
@@ -0,0 +1,291 @@
+package indexer
+
+import (
+	"math"
+	"strings"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/zeebo/xxh3"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
+
+// none is the position of no record.
+const none = ^uint32(0)
+
+// adapterRecord is one adapter.
+type adapterRecord struct {
+	// text begins with WORKSPACE/ADAPTER. It may be the name of a version.
+	text textRef
+	// first is the adapter's first version, or none.
+	first uint32
+	// current is the version of calls which name none, or none.
+	current uint32
+	// base is the position of the base model's name in bases.
+	base         uint16
+	workspaceLen uint8
+	// adapterLen is zero in a record that is free.
+	adapterLen uint8
+}
+
+// versionRecord is one version.
+type versionRecord struct {
+	// text is WORKSPACE/ADAPTER@VERSION.
+	text   textRef
+	source textRef
+	// next is the adapter's next version, or none.
+	next       uint32
+	sourceLen  uint16
+	versionLen uint8
+}
+
+// adapters is one shard of the adapters with their versions.
+type adapters struct {
+	mu sync.RWMutex
+	// data is guarded by mu. Only the index's writer writes.
+	data adapterData
+}
+
+// adapterData is the content of a shard.
+type adapterData struct {
+	texts        arena
+	table        table
+	adapters     []adapterRecord
+	freeAdapters []uint32
+	versions     []versionRecord
+	freeVersions []uint32
+	// bases are the names of the base models; there are few.
+	bases []string
+}
+
+func hashOf(workspace, adapter string) uint64 {
+	return xxh3.HashString(workspace)*0x9e3779b97f4a7c15 + xxh3.HashString(adapter)
+}
+
+// workspace and the like return a record's texts.
+func (d *adapterData) workspace(a *adapterRecord) string {
+	return d.texts.text(a.text, int(a.workspaceLen))
+}
+
+func (d *adapterData) prefixLen(a *adapterRecord) int {
+	return int(a.workspaceLen) + 1 + int(a.adapterLen)
+}
+
+func (d *adapterData) adapter(a *adapterRecord) string {
+	return d.texts.text(a.text, d.prefixLen(a))[int(a.workspaceLen)+1:]
+}
+
+func (d *adapterData) name(a *adapterRecord, v *versionRecord) string {
+	return d.texts.text(v.text, d.prefixLen(a)+1+int(v.versionLen))
+}
+
+func (d *adapterData) hash(position uint32) uint64 {
+	a := &d.adapters[position]
+	return hashOf(d.workspace(a), d.adapter(a))
+}
+
+func (d *adapterData) find(hash uint64, workspace, adapter string) (uint32, bool) {
+	return d.table.find(hash, func(position uint32) bool {
+		a := &d.adapters[position]
+		return int(a.adapterLen) == len(adapter) && int(a.workspaceLen) == len(workspace) &&
+			d.adapter(a) == adapter && d.workspace(a) == workspace
+	})
+}
+
+// findVersion returns a version of the adapter and the link that leads to it.
+func (d *adapterData) findVersion(a *adapterRecord, version string) (position uint32, link *uint32) {
+	link = &a.first
+	for *link != none {
+		v := &d.versions[*link]
+		if int(v.versionLen) == len(version) && d.name(a, v)[d.prefixLen(a)+1:] == version {
+			return *link, link
+		}
+		link = &v.next
+	}
+	return none, link
+}
+
+// target fills in what a call needs of a version.
+func (d *adapterData) target(a *adapterRecord, position uint32) Target {
+	v := &d.versions[position]
+	name := d.name(a, v)
+	prefix := d.prefixLen(a)
+	return Target{
+		Workspace: name[:a.workspaceLen],
+		Adapter:   name[int(a.workspaceLen)+1 : prefix],
+		Version:   name[prefix+1:],
+		Name:      name,
+		Source:    d.texts.text(v.source, int(v.sourceLen)),
+		BaseModel: d.bases[a.base],
+	}
+}
+
+func (d *adapterData) resolve(hash uint64, workspace, adapter, version string) (Target, error) {
+	position, ok := d.find(hash, workspace, adapter)
+	if !ok {
+		return Target{}, ErrUnknownAdapter
+	}
+	a := &d.adapters[position]
+	if version == "" {
+		if a.current == none {
+			return Target{}, ErrNoCurrent
+		}
+		return d.target(a, a.current), nil
+	}
+	found, _ := d.findVersion(a, version)
+	if found == none {
+		return Target{}, ErrUnknownVersion
+	}
+	return d.target(a, found), nil
+}
+
+// base returns the position of a base model's name.
+func (d *adapterData) base(name string) (uint16, error) {
+	for i, b := range d.bases {
+		if b == name {
+			return uint16(i), nil
+		}
+	}
+	if len(d.bases) > math.MaxUint16 {
+		return 0, errors.Errorf("more than %d base models in one shard", len(d.bases))
+	}
+	d.bases = append(d.bases, strings.Clone(name))
+	return uint16(len(d.bases) - 1), nil
+}
+
+// putAdapter adds or changes an adapter.
+func (d *adapterData) putAdapter(hash uint64, m storer.Metadata, s storer.AdapterSpec) error {
+	base, err := d.base(s.BaseModel)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	position, ok := d.find(hash, m.Workspace, m.Name)
+	if !ok {
+		position = d.addAdapter(hash, m, d.texts.add(m.Workspace, "/", m.Name))
+	}
+	a := &d.adapters[position]
+	a.base = base
+	a.current = none
+	if s.Current == "" {
+		return nil
+	}
+	if a.current, _ = d.findVersion(a, s.Current); a.current == none {
+		return errors.NotFoundf("current version %q of adapter %s/%s", s.Current, m.Workspace, m.Name)
+	}
+	return nil
+}
+
+// addAdapter adds an adapter whose name stands at text.
+func (d *adapterData) addAdapter(hash uint64, m storer.Metadata, text textRef) uint32 {
+	r := adapterRecord{
+		text:         text,
+		first:        none,
+		current:      none,
+		workspaceLen: uint8(len(m.Workspace)),
+		adapterLen:   uint8(len(m.Name)),
+	}
+	var position uint32
+	d.adapters, d.freeAdapters, position = place(d.adapters, d.freeAdapters, r)
+	d.table.insert(hash, position, d.hash)
+	return position
+}
+
+// place writes r into a free position or behind the last one.
+func place[T any](records []T, free []uint32, r T) ([]T, []uint32, uint32) {
+	if n := len(free); n > 0 {
+		position := free[n-1]
+		records[position] = r
+		return records, free[:n-1], position
+	}
+	return append(records, r), free, uint32(len(records))
+}
+
+func (d *adapterData) deleteAdapter(hash uint64, m storer.Metadata) {
+	position, ok := d.find(hash, m.Workspace, m.Name)
+	if !ok {
+		return
+	}
+	a := &d.adapters[position]
+	for a.first != none {
+		d.dropVersion(a, a.first, &a.first)
+	}
+	d.table.remove(hash, position)
+	d.texts.drop(d.prefixLen(a))
+	*a = adapterRecord{first: none, current: none}
+	d.freeAdapters = append(d.freeAdapters, position)
+}
+
+func (d *adapterData) putVersion(hash uint64, m storer.Metadata, s storer.VersionSpec) error {
+	adapter, version, _ := storer.SplitVersionName(m.Name)
+	position, ok := d.find(hash, m.Workspace, adapter)
+	if !ok {
+		return errors.NotFoundf("adapter of version %s/%s", m.Workspace, m.Name)
+	}
+	a := &d.adapters[position]
+	if known, _ := d.findVersion(a, version); known != none {
+		v := &d.versions[known]
+		d.texts.drop(int(v.sourceLen))
+		v.source, v.sourceLen = d.texts.add(s.Source), uint16(len(s.Source))
+		return nil
+	}
+	d.addVersion(a, version, d.texts.add(m.Workspace, "/", m.Name), s.Source)
+	return nil
+}
+
+// addVersion adds a version whose name stands at text.
+func (d *adapterData) addVersion(a *adapterRecord, version string, text textRef, source string) {
+	r := versionRecord{
+		text:       text,
+		source:     d.texts.add(source),
+		next:       a.first,
+		sourceLen:  uint16(len(source)),
+		versionLen: uint8(len(version)),
+	}
+	d.versions, d.freeVersions, a.first = place(d.versions, d.freeVersions, r)
+}
+
+func (d *adapterData) deleteVersion(hash uint64, m storer.Metadata) {
+	adapter, version, _ := storer.SplitVersionName(m.Name)
+	position, ok := d.find(hash, m.Workspace, adapter)
+	if !ok {
+		return
+	}
+	a := &d.adapters[position]
+	if found, link := d.findVersion(a, version); found != none {
+		d.dropVersion(a, found, link)
+	}
+}
+
+// dropVersion takes the version out of its adapter's list.
+func (d *adapterData) dropVersion(a *adapterRecord, position uint32, link *uint32) {
+	v := &d.versions[position]
+	*link = v.next
+	if a.current == position {
+		a.current = none
+	}
+	d.texts.drop(int(v.sourceLen) + d.prefixLen(a) + 1 + int(v.versionLen))
+	*v = versionRecord{next: none}
+	d.freeVersions = append(d.freeVersions, position)
+}
+
+// appendModels appends the models of a workspace.
+func (d *adapterData) appendModels(models []Model, workspace string) []Model {
+	for i := range d.adapters {
+		a := &d.adapters[i]
+		if a.adapterLen == 0 || d.workspace(a) != workspace {
+			continue
+		}
+		for position := a.first; position != none; position = d.versions[position].next {
+			t := d.target(a, position)
+			models = append(models, Model{
+				Name:      t.Name,
+				Adapter:   t.Adapter,
+				Version:   t.Version,
+				BaseModel: t.BaseModel,
+				Current:   position == a.current,
+			})
+		}
+	}
+	return models
+}
--- /dev/null
+++ b/internal/state/indexer/arena.go
@@ -0,0 +1,77 @@
+package indexer
+
+import "strings"
+
+const (
+	// chunkBits is the number of bits of a text's place within its chunk.
+	chunkBits = 14
+	// maxChunk is the size of a full chunk in bytes. A text never crosses a
+	// chunk's end, so it bounds the length of a text.
+	maxChunk = 1 << chunkBits
+	minChunk = 1 << 10
+)
+
+// textRef is the place of a text in an arena: chunk and offset.
+type textRef uint32
+
+// arena holds texts. It only grows; a shard which has dropped much is built
+// anew. It is guarded by the lock of what holds it.
+//
+// A chunk is a strings.Builder which is never written beyond the capacity it
+// began with. Its buffer therefore never moves, and a part of it that was
+// handed out is never written again.
+type arena struct {
+	chunks []*strings.Builder
+	// live and dead are the bytes of texts in use and of texts dropped.
+	live, dead int
+}
+
+// add copies the parts, joined, into the arena.
+func (a *arena) add(parts ...string) textRef {
+	length := 0
+	for _, p := range parts {
+		length += len(p)
+	}
+	if length > maxChunk {
+		panic("indexer: text longer than a chunk")
+	}
+	c := a.room(length)
+	ref := textRef((len(a.chunks)-1)<<chunkBits | c.Len())
+	for _, p := range parts {
+		c.WriteString(p)
+	}
+	a.live += length
+	return ref
+}
+
+// room returns a chunk, the last one, with room for length bytes.
+func (a *arena) room(length int) *strings.Builder {
+	size := minChunk
+	if n := len(a.chunks); n > 0 {
+		c := a.chunks[n-1]
+		// An offset must fit its bits, also that of an empty text.
+		if c.Cap()-c.Len() >= length && c.Len() < maxChunk {
+			return c
+		}
+		size = min(2*c.Cap(), maxChunk)
+	}
+	c := &strings.Builder{}
+	c.Grow(max(size, length))
+	a.chunks = append(a.chunks, c)
+	return c
+}
+
+// text returns length bytes at ref.
+func (a *arena) text(ref textRef, length int) string {
+	offset := int(ref & (maxChunk - 1))
+	return a.chunks[ref>>chunkBits].String()[offset : offset+length]
+}
+
+// drop counts a text of length bytes as no longer in use.
+func (a *arena) drop(length int) {
+	a.live -= length
+	a.dead += length
+}
+
+// wasteful reports whether so much was dropped that building anew pays.
+func (a *arena) wasteful() bool { return a.dead > minChunk && a.dead > a.live/2 }
--- /dev/null
+++ b/internal/state/indexer/rules.go
@@ -0,0 +1,158 @@
+package indexer
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
+
+// ruleRecord is one priority rule.
+type ruleRecord struct {
+	// text is ADAPTER, KEY and NAME, joined.
+	text           textRef
+	deadlineMillis uint32
+	adapterLen     uint8
+	keyLen         uint8
+	nameLen        uint8
+	priority       uint8
+}
+
+// rules are the priority rules of one workspace, sorted by adapter, key and
+// name, so that the first of those with one match is the one that counts.
+type rules struct {
+	texts   arena
+	records []ruleRecord
+}
+
+func (r *rules) adapter(i int) string {
+	return r.texts.text(r.records[i].text, int(r.records[i].adapterLen))
+}
+
+func (r *rules) key(i int) string {
+	return r.whole(i)[int(r.records[i].adapterLen) : int(r.records[i].adapterLen)+int(r.records[i].keyLen)]
+}
+
+func (r *rules) name(i int) string {
+	return r.whole(i)[int(r.records[i].adapterLen)+int(r.records[i].keyLen):]
+}
+
+func (r *rules) whole(i int) string { return r.texts.text(r.records[i].text, r.records[i].length()) }
+
+func (r ruleRecord) length() int { return int(r.adapterLen) + int(r.keyLen) + int(r.nameLen) }
+
+// spec returns the rule at i.
+func (r *rules) spec(i int) storer.PriorityRuleSpec {
+	return storer.PriorityRuleSpec{
+		Adapter:        r.adapter(i),
+		Key:            r.key(i),
+		Priority:       int(r.records[i].priority),
+		DeadlineMillis: int64(r.records[i].deadlineMillis),
+	}
+}
+
+// position returns the place of the first rule not before adapter, key and name.
+func (r *rules) position(adapter, key, name string) int {
+	low, high := 0, len(r.records)
+	for low < high {
+		middle := (low + high) / 2
+		if cmp.Or(strings.Compare(r.adapter(middle), adapter), strings.Compare(r.key(middle), key), strings.Compare(r.name(middle), name)) < 0 {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// match returns the first rule for exactly this adapter and key.
+func (r *rules) match(adapter, key string) (int, bool) {
+	i := r.position(adapter, key, "")
+	return i, i < len(r.records) && r.adapter(i) == adapter && r.key(i) == key
+}
+
+// find returns the most specific rule for a call.
+func (r *rules) find(adapter, key string) (storer.PriorityRuleSpec, bool) {
+	if len(r.records) == 0 {
+		return storer.PriorityRuleSpec{}, false
+	}
+	if i, ok := r.match(adapter, key); ok {
+		return r.spec(i), true
+	}
+	if i, ok := r.match(adapter, ""); ok {
+		return r.spec(i), true
+	}
+	if i, ok := r.match("", key); ok {
+		return r.spec(i), true
+	}
+	if i, ok := r.match("", ""); ok {
+		return r.spec(i), true
+	}
+	return storer.PriorityRuleSpec{}, false
+}
+
+// record adds the rule's text.
+func (r *rules) record(name string, s storer.PriorityRuleSpec) ruleRecord {
+	return ruleRecord{
+		text:           r.texts.add(s.Adapter, s.Key, name),
+		deadlineMillis: uint32(s.DeadlineMillis),
+		adapterLen:     uint8(len(s.Adapter)),
+		keyLen:         uint8(len(s.Key)),
+		nameLen:        uint8(len(name)),
+		priority:       uint8(s.Priority),
+	}
+}
+
+func (r *rules) put(name string, s storer.PriorityRuleSpec) {
+	r.remove(name)
+	i := r.position(s.Adapter, s.Key, name)
+	r.records = slices.Insert(r.records, i, r.record(name, s))
+}
+
+// remove takes out the rule with a name. Changes are rare and a workspace's
+// rules few, so it looks through them.
+func (r *rules) remove(name string) {
+	for i := range r.records {
+		if r.name(i) == name {
+			r.texts.drop(r.records[i].length())
+			r.records = slices.Delete(r.records, i, i+1)
+			break
+		}
+	}
+	if r.texts.wasteful() {
+		*r = r.rebuilt()
+	}
+}
+
+// add appends a rule out of order; sort follows.
+func (r *rules) add(name string, s storer.PriorityRuleSpec) {
+	r.records = append(r.records, r.record(name, s))
+}
+
+func (r *rules) sort() {
+	type named struct {
+		record             ruleRecord
+		adapter, key, name string
+	}
+	sorted := make([]named, len(r.records))
+	for i := range r.records {
+		sorted[i] = named{record: r.records[i], adapter: r.adapter(i), key: r.key(i), name: r.name(i)}
+	}
+	slices.SortFunc(sorted, func(a, b named) int {
+		return cmp.Or(strings.Compare(a.adapter, b.adapter), strings.Compare(a.key, b.key), strings.Compare(a.name, b.name))
+	})
+	r.records = make([]ruleRecord, len(sorted))
+	for i := range sorted {
+		r.records[i] = sorted[i].record
+	}
+}
+
+// rebuilt returns the same rules without dropped texts.
+func (r *rules) rebuilt() rules {
+	fresh := rules{records: make([]ruleRecord, 0, len(r.records))}
+	for i := range r.records {
+		fresh.records = append(fresh.records, fresh.record(r.name(i), r.spec(i)))
+	}
+	return fresh
+}
--- /dev/null
+++ b/internal/state/indexer/target.go
@@ -0,0 +1,40 @@
+package indexer
+
+import "github.com/juju/errors"
+
+// Errors of Resolve.
+const (
+	// ErrUnknownAdapter means that the workspace has no such adapter.
+	ErrUnknownAdapter = errors.ConstError("unknown adapter")
+	// ErrUnknownVersion means that the adapter has no such version.
+	ErrUnknownVersion = errors.ConstError("unknown version")
+	// ErrNoCurrent means that the call names no version and the adapter
+	// declares none as current.
+	ErrNoCurrent = errors.ConstError("adapter without a current version")
+	// ErrOlder means that a snapshot is older than the replica.
+	ErrOlder = errors.ConstError("snapshot older than the replica")
+)
+
+// Target is one adapter version as a call resolves to it. Its texts are parts
+// of the replica's own and stay valid.
+type Target struct {
+	Workspace string
+	Adapter   string
+	Version   string
+	// Name is WORKSPACE/ADAPTER@VERSION.
+	Name string
+	// Source is the path of the weights in the weight store.
+	Source    string
+	BaseModel string
+}
+
+// Model is one line of a workspace's list of models.
+type Model struct {
+	// Name is WORKSPACE/ADAPTER@VERSION.
+	Name      string
+	Adapter   string
+	Version   string
+	BaseModel string
+	// Current means that calls which name no version get this one.
+	Current bool
+}
--- a/internal/state/storer/validator.go
+++ b/internal/state/storer/validator.go
@@ -10,14 +10,16 @@
 
 // Bounds of what operators and companions declare.
 const (
-	MaxName          = 128
-	MaxText          = 1024
-	MaxPriority      = 9
-	MaxShare         = 1000
-	MaxPaths         = 256
-	maxClaimKey      = 512
-	hashLength       = 32
-	versionSeparator = "@"
+	MaxName     = 128
+	MaxText     = 1024
+	MaxPriority = 9
+	MaxShare    = 1000
+	MaxPaths    = 256
+	// MaxDeadlineMillis is a week.
+	MaxDeadlineMillis = 7 * 24 * 60 * 60 * 1000
+	maxClaimKey       = 512
+	hashLength        = 32
+	versionSeparator  = "@"
 )
 
 // VersionName returns the name of a version's resource, ADAPTER@VERSION.
@@ -199,8 +201,8 @@
 	switch {
 	case s.Priority < 0 || s.Priority > MaxPriority:
 		return errors.NotValidf("Spec.Priority %d, which is not within 0 to %d,", s.Priority, MaxPriority)
-	case s.DeadlineMillis < 0:
-		return errors.NotValidf("negative Spec.DeadlineMillis %d", s.DeadlineMillis)
+	case s.DeadlineMillis < 0 || s.DeadlineMillis > MaxDeadlineMillis:
+		return errors.NotValidf("Spec.DeadlineMillis %d, which is not within 0 to %d,", s.DeadlineMillis, MaxDeadlineMillis)
 	default:
 		return nil
 	}
