router, limiter, retrier, claimer, translator: the entry's decisions

First versions of the decisions that an entry takes for each call: choice of the backend server, admission by weighted shares, retries from a budget, the claim of a non-idempotent call, and the caller's HTTP in OpenAI's shape. All take time and random numbers as arguments and open no socket.

--- /dev/null
+++ b/internal/coordination/router/pool.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
+
+// Pool names the backend servers which can run the same calls.
+type Pool struct {
+	Kind storer.MemberKind
+	// Name is the base model of engines, or the announced name of a service.
+	Name string
+}
+
+// smoothing is the weight of one new sample in a pool's averages.
+const smoothing = 0.05
+
+// averages are what a pool has shown lately. They outlive member changes.
+type averages struct {
+	mu sync.Mutex
+	// loadTime and serviceTime are smoothed seconds; guarded by mu.
+	loadTime    float64
+	serviceTime float64
+	// depth is the smoothed number of calls that reports show at one backend
+	// server; guarded by mu.
+	depth float64
+}
+
+// estimate is a copy of the averages at one moment.
+type estimate struct{ loadTime, serviceTime, depth float64 }
+
+func newAverages(s *Settings) *averages {
+	return &averages{loadTime: s.LoadTime.Seconds(), serviceTime: s.ServiceTime.Seconds()}
+}
+
+func (a *averages) read() estimate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return estimate{loadTime: a.loadTime, serviceTime: a.serviceTime, depth: a.depth}
+}
+
+// sampleReport takes in the depth and the load time of a report.
+func (a *averages) sampleReport(depth float64, load time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.depth += smoothing * (depth - a.depth)
+	if load > 0 {
+		a.loadTime += smoothing * (load.Seconds() - a.loadTime)
+	}
+}
+
+// sampleCall takes in the stall of a cold start, where there was one, and the
+// time that the call ran.
+func (a *averages) sampleCall(stall, ran time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if stall > 0 {
+		a.loadTime += 2 * smoothing * (stall.Seconds() - a.loadTime)
+	}
+	if ran > 0 {
+		a.serviceTime += smoothing * (ran.Seconds() - a.serviceTime)
+	}
+}
+
+// pool is one pool's serving members in one view. It never changes.
+type pool struct {
+	key Pool
+	// number is unique among all member sets of all pools; homes computed for
+	// one number hold as long as the pool has it.
+	number   uint64
+	members  []*backend
+	averages *averages
+}
+
+// halved returns the share of something that is left after age.
+func halved(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
--- /dev/null
+++ b/internal/coordination/router/router.go
@@ -0,0 +1,183 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// shardCount is the number of shards; a power of two.
+const shardCount = 16
+
+// Router chooses backend servers. It may be used by several goroutines.
+type Router struct {
+	settings Settings
+	view     atomic.Pointer[view]
+	shards   [shardCount]shard
+
+	mu sync.Mutex
+	// averages outlive the views; guarded by mu.
+	averages map[Pool]*averages
+	// generation and number are the last ones given out; guarded by mu.
+	generation uint32
+	number     uint64
+}
+
+// shard holds the versions whose hash falls to it.
+type shard struct {
+	mu sync.Mutex
+	// random draws candidates; guarded by mu.
+	random *rand.Rand
+	// versions are the versions known; guarded by mu.
+	versions map[string]*version
+	// prefixes remember where a prompt's prefix was computed last; guarded by
+	// mu.
+	prefixes [prefixCount]prefixPlace
+}
+
+// NewRouter returns a router without members.
+func NewRouter(s Settings) *Router {
+	r := &Router{settings: s.withDefaults(), averages: make(map[Pool]*averages)}
+	r.view.Store(&view{})
+	for i := range r.shards {
+		r.shards[i].random = rand.New(rand.NewPCG(r.settings.Seed, uint64(i)))
+		r.shards[i].versions = make(map[string]*version)
+	}
+	return r
+}
+
+// SetMembers replaces the membership. What is known of a membership that goes
+// on is kept; a leaving one gets nothing new from here on.
+func (r *Router) SetMembers(members []Member) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := builder{
+		settings: &r.settings, last: r.view.Load(), averages: r.averages,
+		generation: &r.generation, number: &r.number,
+	}
+	if err := u.build(members); err != nil {
+		return err
+	}
+	r.view.Store(u.next)
+	return nil
+}
+
+// Serves reports whether some backend server serves the pool.
+func (r *Router) Serves(p Pool) bool { return r.view.Load().pools[p] != nil }
+
+// Address returns the companion's address and incarnation of a member, also of
+// a leaving one.
+func (r *Router) Address(backend string) (address, incarnation string, ok bool) {
+	b := r.view.Load().byName[backend]
+	if b == nil {
+		return "", "", false
+	}
+	return b.member.Spec.Address, b.member.Spec.Incarnation, true
+}
+
+func (r *Router) shard(hash uint64) *shard { return &r.shards[hash%shardCount] }
+
+// version returns what is known of the version, made where nothing is. The
+// caller holds the shard's lock.
+func (s *shard) version(w *view, name string, hash uint64, limit int, now time.Time) *version {
+	v := s.versions[name]
+	if v == nil {
+		if len(s.versions) >= limit {
+			s.evict(w, now)
+		}
+		v = &version{hash: mix(hash), ratedAt: now.UnixNano()}
+		s.versions[name] = v
+	}
+	return v
+}
+
+// evict drops the longest idle of a few versions, the map's order being
+// random. Without it a walk over very many names would fill the memory.
+func (s *shard) evict(w *view, now time.Time) {
+	const drawn = 8
+	oldest, at, n := "", now.UnixNano()+1, 0
+	for name, v := range s.versions {
+		pinned := false
+		for i := range v.places {
+			pinned = pinned || v.places[i].pinned > 0
+		}
+		if !pinned && v.ratedAt < at {
+			oldest, at = name, v.ratedAt
+		}
+		if n++; n >= drawn && oldest != "" {
+			break
+		}
+	}
+	if oldest == "" {
+		return
+	}
+	for _, p := range s.versions[oldest].places {
+		if b := w.at(p.index, p.generation); b != nil {
+			b.countResidents(-1)
+		}
+	}
+	delete(s.versions, oldest)
+}
+
+// Report takes in a backend server's load, from a digest or from an answer.
+func (r *Router) Report(now time.Time, backend string, report Report) {
+	if b := r.view.Load().byName[backend]; b != nil {
+		b.report(now, report)
+	}
+}
+
+// Suspect makes the entry avoid the backend server for a while: its connection
+// was refused, or its heartbeats stopped. The membership may still hold it for
+// the rest of its lease, and calls sent to it meanwhile would be lost time.
+func (r *Router) Suspect(now time.Time, backend string, wait time.Duration) {
+	if b := r.view.Load().byName[backend]; b != nil {
+		b.suspect(now.Add(max(wait, r.settings.SuspectFor)))
+	}
+}
+
+// Resident takes in a hint that the version is resident at the backend server,
+// or no longer.
+func (r *Router) Resident(now time.Time, backend, version string, resident bool) {
+	w := r.view.Load()
+	b := w.byName[backend]
+	if b == nil {
+		return
+	}
+	hash := xxhash.Sum64String(version)
+	s := r.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !resident {
+		if v := s.versions[version]; v != nil {
+			v.evicted(b)
+		}
+		return
+	}
+	v := s.version(w, version, hash, r.settings.MaxVersions/shardCount, now)
+	p, made := v.ensure(w, b, now)
+	if made {
+		b.countResidents(1)
+	}
+	if p.evidence == evidenceLoading {
+		p.evidence = evidenceHint
+	}
+	p.at = now.UnixNano()
+}
+
+// evicted drops the belief, unless the entry knows better: a call of its own
+// that is in flight there is either served by the version, and then the
+// companion doesn't evict it, or waits for it to be loaded again.
+func (v *version) evicted(b *backend) {
+	p := v.find(b)
+	if p == nil {
+		return
+	}
+	if p.pinned > 0 {
+		return
+	}
+	v.remove(b)
+	b.countResidents(-1)
+}
--- /dev/null
+++ b/internal/coordination/router/score.go
@@ -0,0 +1,138 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+// Shares of a load's time that belong to a score.
+const (
+	// strayShare is added for a cold start away from the version's homes:
+	// other entries wouldn't find it there.
+	strayShare = 0.25
+	// evictShare is added where a cold start needs another version evicted.
+	evictShare = 0.5
+	// batchShare is the worst that a bad fill costs. It is under one load, so
+	// that with equal weights the wish to pack never loads a version that is
+	// resident elsewhere.
+	batchShare = 0.5
+	// lastShare is what is always left of a load in progress.
+	lastShare = 0.1
+)
+
+// pass notes a candidate that wasn't weighed.
+func (d *Decision) pass(b *backend, reason Reason) {
+	if d.count < maxCandidates && !d.has(b) {
+		d.candidates[d.count] = Candidate{Backend: b.member.Name, Reason: reason}
+		d.count++
+	}
+}
+
+// weigh scores the backend server, and keeps it as the best where it is.
+func (h *choice) weigh(b *backend, reason Reason) {
+	d, s := h.decision, &h.router.settings
+	if d.has(b) {
+		return
+	}
+	if slices.Contains(h.call.Avoid, b.member.Name) {
+		d.pass(b, ReasonTried)
+		return
+	}
+	c := b.condition(h.now, s.ReportHalfLife, h.mean.depth)
+	if c.suspect {
+		d.pass(b, ReasonSuspect)
+		return
+	}
+	k := Candidate{Backend: b.member.Name, Reason: reason, Wait: h.wait(c)}
+	switch s.Policy {
+	case PolicyMarigold:
+		k.Stall = h.stall(b, c, reason)
+		k.Batch = h.batch(c)
+		k.Score = s.StallWeight*(k.Stall+k.Wait) + s.BatchWeight*k.Batch + b.distance - h.cached(b)
+	case PolicyLeastLoaded:
+		k.Score = c.depth
+	default:
+		// The other baselines take what they look at first.
+		k.Score = float64(d.count)
+	}
+	h.keep(b, k)
+}
+
+// keep notes the candidate. Where all storage is used, the worse of it and the
+// last one noted is dropped.
+func (h *choice) keep(b *backend, k Candidate) {
+	d := h.decision
+	better := h.best < 0 || k.Score < d.candidates[h.best].Score
+	if d.count == maxCandidates {
+		if !better {
+			return
+		}
+		d.count--
+		if h.best == d.count {
+			d.candidates[0], d.candidates[d.count] = d.candidates[d.count], d.candidates[0]
+		}
+	}
+	d.candidates[d.count] = k
+	if better {
+		h.best, h.chosen = d.count, b
+	}
+	d.count++
+}
+
+// wait is the expected time in the queue: each place in a full batch becomes
+// free once in the time that a call runs.
+func (h *choice) wait(c condition) float64 {
+	over := c.depth + 1 - c.maxBatch
+	if over <= 0 {
+		return 0
+	}
+	return over / c.maxBatch * h.mean.serviceTime
+}
+
+// stall is the expected time until the version is there, and what a cold start
+// costs others.
+func (h *choice) stall(b *backend, c condition, reason Reason) float64 {
+	if h.call.Version == "" {
+		return 0
+	}
+	load := h.mean.loadTime
+	cold := load * (1 + c.loads)
+	if c.full {
+		cold += evictShare * load
+	}
+	p := h.version.find(b)
+	switch {
+	case p == nil && reason == ReasonPioneer:
+		// The calls that this home will serve share the cost of its load.
+		return cold / (1 + h.worth)
+	case p == nil && reason != ReasonHome:
+		return cold + strayShare*load
+	case p == nil:
+		return cold
+	case p.evidence == evidenceLoading:
+		passed := time.Duration(h.now.UnixNano() - p.at).Seconds()
+		return max(load*max(c.loads, 1)-passed, lastShare*load)
+	default:
+		return (1 - p.certainty(h.now, h.router.settings.ResidencyHalfLife)) * cold
+	}
+}
+
+// batch is the engine time wasted by placing the call there: the emptier the
+// batch below the target the more, and past the target the fuller the more.
+func (h *choice) batch(c condition) float64 {
+	worst := batchShare * min(h.mean.loadTime, h.mean.serviceTime)
+	target := h.router.settings.TargetFill
+	fill := c.depth / c.maxBatch
+	if fill < target {
+		return worst * (1 - fill/target)
+	}
+	return worst * min((fill-target)/max(1-target, 0.01), 1)
+}
+
+// cached is the prompt's computation that a cached prefix saves.
+func (h *choice) cached(b *backend) float64 {
+	if h.shard.holder(h.view, h.call.Prefix) != b {
+		return 0
+	}
+	return float64(h.call.PromptTokens) / h.router.settings.PrefillRate
+}
--- /dev/null
+++ b/internal/protocol/translator/completion.go
@@ -0,0 +1,186 @@
+package translator
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/zeebo/xxh3"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+)
+
+// Bounds and estimates of a completion.
+const (
+	// MaxAnswerTokens is the largest max_tokens taken.
+	MaxAnswerTokens = 1 << 20
+	// MaxMessages is the largest number of messages taken.
+	MaxMessages = 4096
+	// DefaultAnswerTokens is the estimate of an answer without max_tokens.
+	DefaultAnswerTokens = 256
+	// bytesPerToken is the mean length of a token in ordinary text.
+	bytesPerToken = 4
+	// prefixBytes is the part of a prompt that the prefix hash is made of.
+	// Prompts with the same system message agree on it.
+	prefixBytes = 1024
+	// highestPriority is first; engines take the lowest number first.
+	highestPriority = 9
+)
+
+// Paths of the engine protocol by kind.
+const (
+	PathChat       = "/v1/chat/completions"
+	PathCompletion = "/v1/completions"
+)
+
+// fields is a JSON object whose values stay undecoded, so that what this package
+// knows nothing of reaches the engine as the caller wrote it. Of a name that
+// stands twice the last holds, for this package and, since the object is written
+// anew, for the engine too.
+type fields map[string]json.RawMessage
+
+// Completion is a parsed chat or completion request.
+type Completion struct {
+	Kind   messenger.CallKind
+	Model  Name
+	Stream bool
+	// MaxTokens is the most tokens that the answer may have; 0 means not told.
+	MaxTokens int64
+	// PromptTokens is the estimated length of the prompt.
+	PromptTokens int64
+	// Prefix is a hash of the prompt's beginning.
+	Prefix uint64
+
+	fields fields
+}
+
+// Tokens returns the estimate of prompt and answer together.
+func (c *Completion) Tokens() int64 {
+	if c.MaxTokens > 0 {
+		return c.PromptTokens + c.MaxTokens
+	}
+	return c.PromptTokens + DefaultAnswerTokens
+}
+
+// Path returns the engine's path.
+func (c *Completion) Path() string {
+	if c.Kind == messenger.CallKindChat {
+		return PathChat
+	}
+	return PathCompletion
+}
+
+// ParseCompletion reads the body of a chat or completion request.
+func ParseCompletion(kind messenger.CallKind, body []byte) (*Completion, error) {
+	c := &Completion{Kind: kind}
+	if err := json.Unmarshal(body, &c.fields); err != nil {
+		return nil, errors.NewNotValid(err, "the body is no JSON object")
+	}
+	if c.fields == nil {
+		return nil, errors.NotValidf("body, which is null,")
+	}
+	var model string
+	if err := c.fields.decode("model", &model); err != nil {
+		return nil, err
+	}
+	name, err := ParseName(model)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	c.Model = name
+	if err := c.fields.decode("stream", &c.Stream); err != nil {
+		return nil, err
+	}
+	if c.MaxTokens, err = c.fields.maxTokens(); err != nil {
+		return nil, err
+	}
+	prompt, err := c.prompt()
+	if err != nil {
+		return nil, err
+	}
+	c.PromptTokens = int64(len(prompt)/bytesPerToken + 1)
+	c.Prefix = xxh3.Hash(prompt[:min(len(prompt), prefixBytes)])
+	return c, nil
+}
+
+// decode reads a field into v, and leaves v where the field is missing or null.
+func (f fields) decode(name string, v any) error {
+	raw, ok := f[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return errors.NewNotValid(err, name)
+	}
+	return nil
+}
+
+func (f fields) maxTokens() (int64, error) {
+	most := int64(0)
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		var n *float64
+		if err := f.decode(name, &n); err != nil {
+			return 0, err
+		}
+		if n == nil {
+			continue
+		}
+		if *n < 1 || *n > MaxAnswerTokens || *n != math.Trunc(*n) {
+			return 0, errors.NotValidf("%s %v, which is no whole number from 1 to %d,", name, *n, MaxAnswerTokens)
+		}
+		most = max(most, int64(*n))
+	}
+	return most, nil
+}
+
+// prompt returns the bytes that stand for the prompt in estimates: its JSON.
+func (c *Completion) prompt() ([]byte, error) {
+	if c.Kind == messenger.CallKindChat {
+		return c.fields.messages()
+	}
+	raw := bytes.TrimSpace(c.fields["prompt"])
+	if len(raw) == 0 || raw[0] != '"' && raw[0] != '[' {
+		return nil, errors.NotValidf("prompt, which is neither text nor a list,")
+	}
+	return raw, nil
+}
+
+// message is what is checked of a chat message.
+type message struct {
+	Role string `json:"role"`
+}
+
+func (f fields) messages() ([]byte, error) {
+	var list []message
+	if err := f.decode("messages", &list); err != nil {
+		return nil, err
+	}
+	if len(list) == 0 || len(list) > MaxMessages {
+		return nil, errors.NotValidf("messages with %d entries; 1 to %d are allowed; they", len(list), MaxMessages)
+	}
+	for i := range list {
+		if list[i].Role == "" {
+			return nil, errors.NotValidf("messages[%d] without role", i)
+		}
+	}
+	return f["messages"], nil
+}
+
+// EngineBody returns the body for the engine: the caller's, with the version in
+// full as the model, and the priority in the engine's order.
+func (c *Completion) EngineBody(version string, priority int) ([]byte, error) {
+	model, err := json.Marshal(version)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	out := make(fields, len(c.fields)+2)
+	for name, raw := range c.fields {
+		out[name] = raw
+	}
+	out["model"] = model
+	out["priority"] = strconv.AppendInt(nil, int64(highestPriority-priority), 10)
+	body, err := json.Marshal(out)
+	return body, errors.Trace(err)
+}
--- /dev/null
+++ b/internal/protocol/translator/fault.go
@@ -0,0 +1,150 @@
+package translator
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+)
+
+// Code is the machine-readable cause of an error.
+type Code string
+
+// The codes. docs/CALLERS.md says what a caller does about each.
+const (
+	CodeInvalidKey       Code = "invalid_api_key"
+	CodeInvalidRequest   Code = "invalid_request"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeBodyTimeout      Code = "body_timeout"
+	CodeNotFound         Code = "not_found"
+	CodeMethod           Code = "method_not_allowed"
+	CodeModelNotFound    Code = "model_not_found"
+	CodeNoCurrentVersion Code = "no_current_version"
+	CodeServiceNotFound  Code = "service_not_found"
+	CodeWorkspaceLimit   Code = "workspace_limit"
+	CodeOverShare        Code = "over_share"
+	CodeEntryLimit       Code = "entry_limit"
+	CodeStopping         Code = "stopping"
+	CodeNotReady         Code = "configuration_lease_lost"
+	CodeNoBackend        Code = "no_backend"
+	CodeOverloaded       Code = "overloaded"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeLoadFailed       Code = "load_failed"
+	CodeRetriesSpent     Code = "retries_spent"
+	CodeEngineRefused    Code = "engine_refused"
+	CodeClaimUnavailable Code = "claim_unavailable"
+	CodeKeyInProgress    Code = "idempotency_key_in_progress"
+	CodeKeyUnknown       Code = "idempotency_key_outcome_unknown"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeAnswerNotKept    Code = "answer_not_kept"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeAnswerCut        Code = "answer_cut"
+	CodeWrongModel       Code = "wrong_model"
+	CodeAnswerTooLarge   Code = "answer_too_large"
+	CodeCancelled        Code = "cancelled"
+)
+
+// Type is OpenAI's coarse class of an error.
+type Type string
+
+// The types.
+const (
+	TypeInvalidRequest Type = "invalid_request_error"
+	TypeAuthentication Type = "authentication_error"
+	TypeRateLimit      Type = "rate_limit_error"
+	TypeServer         Type = "server_error"
+)
+
+// Fault is an error as the caller reads it.
+type Fault struct {
+	Status  int
+	Code    Code
+	Message string
+	// Param names the field of the request at fault; it may be empty.
+	Param   string
+	Outcome messenger.Outcome
+	// RetryAfter tells when to come back; 0 means that it is not told.
+	RetryAfter time.Duration
+}
+
+// NewFault returns a fault of a request that did not run.
+func NewFault(status int, code Code, format string, args ...any) *Fault {
+	return &Fault{Status: status, Code: code, Message: fmt.Sprintf(format, args...), Outcome: messenger.OutcomeNotRun}
+}
+
+// Error returns the code and message.
+func (f *Fault) Error() string { return string(f.Code) + ": " + f.Message }
+
+// Type returns the class that belongs to the status.
+func (f *Fault) Type() Type {
+	switch {
+	case f.Status == http.StatusUnauthorized:
+		return TypeAuthentication
+	case f.Status == http.StatusTooManyRequests:
+		return TypeRateLimit
+	case f.Status < http.StatusInternalServerError:
+		return TypeInvalidRequest
+	default:
+		return TypeServer
+	}
+}
+
+// errorBody is OpenAI's shape, with the outcome added.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    Type    `json:"type"`
+	Param   *string `json:"param"`
+	Code    Code    `json:"code"`
+	Outcome string  `json:"outcome"`
+	Request string  `json:"request,omitempty"`
+}
+
+// Body returns the fault in OpenAI's shape.
+func (f *Fault) Body(request string) []byte {
+	d := errorDetail{Message: f.Message, Type: f.Type(), Code: f.Code, Outcome: f.Outcome.String(), Request: request}
+	if f.Param != "" {
+		d.Param = &f.Param
+	}
+	data, err := json.Marshal(errorBody{Error: d})
+	if err != nil {
+		panic("translator: an error body can't be encoded")
+	}
+	return data
+}
+
+// Event returns the fault as the last event of a stream.
+func (f *Fault) Event(request string) []byte {
+	return fmt.Appendf(nil, "event: error\ndata: %s\n\n", f.Body(request))
+}
+
+// Write answers a request that has not been answered yet.
+func (f *Fault) Write(w http.ResponseWriter, request string) {
+	h := w.Header()
+	h.Set(HeaderContentType, "application/json")
+	h.Set(HeaderOutcome, f.Outcome.String())
+	h.Set("X-Content-Type-Options", "nosniff")
+	if f.RetryAfter > 0 {
+		h.Set(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+		h.Set(HeaderRetryAfterMillis, strconv.FormatInt(f.RetryAfter.Milliseconds(), 10))
+	}
+	if f.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(f.Status)
+	w.Write(append(f.Body(request), '\n'))
+}
+
+// Malformed returns the fault for an error of this package's parsing.
+func Malformed(err error) *Fault {
+	return NewFault(http.StatusBadRequest, CodeInvalidRequest, "%s", errors.Cause(err).Error())
+}
