indexer: rules and arenas without slack after a reset

Cause: 61,000 adapters with two versions and a rule each took 16.7 MB after a reset, because each workspace's rules lay in chunks grown by doubling.

--- a/internal/state/indexer/adapters.go
+++ b/internal/state/indexer/adapters.go
@@ -225,6 +225,9 @@
 	a := &d.adapters[position]
 	if known, _ := d.findVersion(a, version); known != none {
 		v := &d.versions[known]
+		if d.texts.text(v.source, int(v.sourceLen)) == s.Source {
+			return nil
+		}
 		d.texts.drop(int(v.sourceLen))
 		v.source, v.sourceLen = d.texts.add(s.Source), uint16(len(s.Source))
 		return nil
--- a/internal/state/indexer/arena.go
+++ b/internal/state/indexer/arena.go
@@ -8,7 +8,7 @@
 	// maxChunk is the size of a full chunk in bytes. A text never crosses a
 	// chunk's end, so it bounds the length of a text.
 	maxChunk = 1 << chunkBits
-	minChunk = 1 << 10
+	minChunk = 1 << 8
 )
 
 // textRef is the place of a text in an arena: chunk and offset.
@@ -22,6 +22,10 @@
 // handed out is never written again.
 type arena struct {
 	chunks []*strings.Builder
+	// expected is the number of bytes that are still to come, where they are
+	// known beforehand: the next chunk gets just that size, if it is less than
+	// a full one.
+	expected int
 	// live and dead are the bytes of texts in use and of texts dropped.
 	live, dead int
 }
@@ -41,22 +45,25 @@
 		c.WriteString(p)
 	}
 	a.live += length
+	a.expected = max(0, a.expected-length)
 	return ref
 }
 
 // room returns a chunk, the last one, with room for length bytes.
 func (a *arena) room(length int) *strings.Builder {
-	size := minChunk
 	if n := len(a.chunks); n > 0 {
 		c := a.chunks[n-1]
 		// An offset must fit its bits, also that of an empty text.
 		if c.Cap()-c.Len() >= length && c.Len() < maxChunk {
 			return c
 		}
-		size = min(2*c.Cap(), maxChunk)
+	}
+	size := a.expected
+	if size == 0 {
+		size = max(a.live/4, minChunk)
 	}
 	c := &strings.Builder{}
-	c.Grow(max(size, length))
+	c.Grow(max(min(size, maxChunk), length))
 	a.chunks = append(a.chunks, c)
 	return c
 }
@@ -74,4 +81,4 @@
 }
 
 // wasteful reports whether so much was dropped that building anew pays.
-func (a *arena) wasteful() bool { return a.dead > minChunk && a.dead > a.live/2 }
+func (a *arena) wasteful() bool { return a.dead > minChunk+a.live/4 }
--- a/internal/state/indexer/index_test.go
+++ b/internal/state/indexer/index_test.go
@@ -187,7 +187,7 @@
 }
 
 // BenchmarkIndexHeap gives the replica's heap in MB after a Reset, and after
-// every adapter was written once more by deltas.
+// every version and rule was deleted and declared again by deltas.
 func BenchmarkIndexHeap(b *testing.B) {
 	for _, m := range []mix{{"versions=1/rules=each", 1, 1}, {"versions=2/rules=tenth", 2, 10}, {"versions=2/rules=each", 2, 1}} {
 		for _, n := range []int{3000, 15000, 61000} {
@@ -208,9 +208,16 @@
 		b.Fatal(err)
 	}
 	b.ReportMetric(float64(heapInUse()-before)/1e6, "MB-reset")
-	for i, r := range deployment(n, m) {
-		if err := x.Apply([]storer.Change{{Revision: uint64(i + 2), Resource: r}}, uint64(i+2)); err != nil {
-			b.Fatal(err)
+	revision := uint64(1)
+	for _, r := range deployment(n, m) {
+		if r.Kind == storer.KindAdapter {
+			continue
+		}
+		for _, deleted := range []bool{true, false} {
+			revision++
+			if err := x.Apply([]storer.Change{{Revision: revision, Resource: r, Deleted: deleted}}, revision); err != nil {
+				b.Fatal(err)
+			}
 		}
 	}
 	b.ReportMetric(float64(heapInUse()-before)/1e6, "MB-deltas")
--- a/internal/state/indexer/rules.go
+++ b/internal/state/indexer/rules.go
@@ -105,8 +105,13 @@
 }
 
 func (r *rules) put(name string, s storer.PriorityRuleSpec) {
-	r.remove(name)
 	i := r.position(s.Adapter, s.Key, name)
+	if i < len(r.records) && r.adapter(i) == s.Adapter && r.key(i) == s.Key && r.name(i) == name {
+		r.records[i].priority, r.records[i].deadlineMillis = uint8(s.Priority), uint32(s.DeadlineMillis)
+		return
+	}
+	r.remove(name)
+	i = r.position(s.Adapter, s.Key, name)
 	r.records = slices.Insert(r.records, i, r.record(name, s))
 }
 
@@ -130,29 +135,40 @@
 	r.records = append(r.records, r.record(name, s))
 }
 
+// sort puts rules that were added into their order.
 func (r *rules) sort() {
 	type named struct {
-		record             ruleRecord
-		adapter, key, name string
+		name string
+		spec storer.PriorityRuleSpec
 	}
 	sorted := make([]named, len(r.records))
 	for i := range r.records {
-		sorted[i] = named{record: r.records[i], adapter: r.adapter(i), key: r.key(i), name: r.name(i)}
+		sorted[i] = named{name: r.name(i), spec: r.spec(i)}
 	}
 	slices.SortFunc(sorted, func(a, b named) int {
-		return cmp.Or(strings.Compare(a.adapter, b.adapter), strings.Compare(a.key, b.key), strings.Compare(a.name, b.name))
+		return cmp.Or(
+			strings.Compare(a.spec.Adapter, b.spec.Adapter),
+			strings.Compare(a.spec.Key, b.spec.Key),
+			strings.Compare(a.name, b.name),
+		)
 	})
-	r.records = make([]ruleRecord, len(sorted))
+	fresh := r.emptied()
 	for i := range sorted {
-		r.records[i] = sorted[i].record
+		fresh.add(sorted[i].name, sorted[i].spec)
 	}
+	*r = fresh
+}
+
+// emptied returns room for what r holds, without slack.
+func (r *rules) emptied() rules {
+	return rules{texts: arena{expected: r.texts.live}, records: make([]ruleRecord, 0, len(r.records))}
 }
 
 // rebuilt returns the same rules without dropped texts.
 func (r *rules) rebuilt() rules {
-	fresh := rules{records: make([]ruleRecord, 0, len(r.records))}
+	fresh := r.emptied()
 	for i := range r.records {
-		fresh.records = append(fresh.records, fresh.record(r.name(i), r.spec(i)))
+		fresh.add(r.name(i), r.spec(i))
 	}
 	return fresh
 }
