companion: requests, slots, loads and answers beside one backend server

Cause: the whole path needs the process beside the engine which takes dispatched requests and is the only giver of orders. Change: Companion with dispatch, resume, acknowledgement and cancel; adoption of a living engine, membership, permits with the static share as fall-back, runs at engine and plain service, drain, metrics and events. loader: orders of unknown outcome are settled by the engine's state alone, and no reload is ordered while a given-up unload may still arrive. Conclusion: a cold adapter is served, streamed and whole, through the stand-in engine (go test ./internal/transport/companion).

--- a/internal/coordination/loader/observe.go
+++ b/internal/coordination/loader/observe.go
@@ -26,6 +26,7 @@
 		if s.Loading {
 			p = PhaseLoading
 			v.fence = t.nextFence()
+			v.unsure = true
 		}
 		t.setPhase(v, p)
 	}
@@ -72,6 +73,9 @@
 
 // settle brings one version in line with what the engine says of it.
 func (t *Table) settle(now time.Time, v *version, s Observed, present bool, actions []Action) []Action {
+	if v.phase != PhaseResident && !v.unsure {
+		return actions
+	}
 	switch v.phase {
 	case PhaseLoading:
 		switch {
@@ -85,7 +89,8 @@
 		if !present {
 			return append(actions, t.unloaded(now, v)...)
 		}
-		// The order did not take effect, and can no longer: give it again.
+		// The order has not taken effect: give it again. It stays unsure, since the
+		// earlier one may still be on its way.
 		v.fence = t.nextFence()
 		t.setPhase(v, PhaseEvicting)
 		return append(actions, UnloadAction{Fence: v.fence, Version: v.name})
@@ -94,6 +99,7 @@
 			actions = t.lose(v, actions)
 			t.vacate(v)
 		}
+	case PhaseEmpty:
 	}
 	return actions
 }
@@ -111,6 +117,7 @@
 	v.lastUsed = now
 	if s.Loading {
 		v.fence = t.nextFence()
+		v.unsure = true
 		v.began = now
 		t.setPhase(v, PhaseLoading)
 		return actions
--- a/internal/coordination/loader/order.go
+++ b/internal/coordination/loader/order.go
@@ -64,6 +64,7 @@
 		t.vacate(v)
 		return t.fail(now, v, cause, []Action{FencedAction{}})
 	default:
+		v.unsure = true
 		return []Action{ReadStateAction{}}
 	}
 }
@@ -78,8 +79,10 @@
 	case OutcomeDone, OutcomeFailed:
 		return t.plan(now, t.unloaded(now, v))
 	case OutcomeFenced:
+		v.unsure = true
 		return []Action{FencedAction{}}
 	default:
+		v.unsure = true
 		return []Action{ReadStateAction{}}
 	}
 }
@@ -92,6 +95,7 @@
 func (t *Table) load(now time.Time, v *version, actions []Action) []Action {
 	t.setPermit(v, false)
 	v.fence = t.nextFence()
+	v.unsure = false
 	v.began = now
 	t.setPhase(v, PhaseLoading)
 	t.stats.Loads++
@@ -103,6 +107,7 @@
 
 func (t *Table) evict(v *version) []Action {
 	v.fence = t.nextFence()
+	v.unsure = false
 	t.setPhase(v, PhaseEvicting)
 	t.stats.Evictions++
 	return []Action{UnloadAction{Fence: v.fence, Version: v.name}}
@@ -110,6 +115,7 @@
 
 func (t *Table) resident(now time.Time, v *version, actions []Action) []Action {
 	v.fence = 0
+	v.unsure = false
 	v.failures = 0
 	v.retryAt = time.Time{}
 	v.residentSince = now
@@ -120,6 +126,12 @@
 // unloaded hands the slot of v to its heir.
 func (t *Table) unloaded(now time.Time, v *version) []Action {
 	heir := v.heir
+	if v.unsure {
+		// An unload that was given up may still reach an engine that ignores
+		// fencing numbers, and drop the version after it was loaded and pinned
+		// anew. No load is ordered while that is possible.
+		v.retryAt = now.Add(t.settings.OrderLife)
+	}
 	t.vacate(v)
 	v.evictedAt = now
 	if len(v.waiters) > 0 {
@@ -134,6 +146,7 @@
 
 func (t *Table) vacate(v *version) {
 	v.fence = 0
+	v.unsure = false
 	if v.heir != nil {
 		v.heir.victim = nil
 		v.heir = nil
--- a/internal/coordination/loader/settings.go
+++ b/internal/coordination/loader/settings.go
@@ -40,6 +40,10 @@
 	// MaxPermits is the number of loads that may be asked for or under way at
 	// once; DefaultMaxPermits by default.
 	MaxPermits int
+	// OrderLife is the longest time for which an order that was given up can still
+	// take effect at an engine that ignores fencing numbers; 0 for one that
+	// checks them.
+	OrderLife time.Duration
 	// Prefetch allows loads of versions that no request waits for.
 	Prefetch bool
 }
--- a/internal/coordination/loader/table.go
+++ b/internal/coordination/loader/table.go
@@ -266,3 +266,43 @@
 	t.fence++
 	return t.fence
 }
+
+// Pins returns the number of requests that pin the version.
+func (t *Table) Pins(name string) int {
+	if v := t.versions[name]; v != nil {
+		return len(v.pins)
+	}
+	return 0
+}
+
+// Foreign returns the number of requests of an earlier companion that still pin
+// versions.
+func (t *Table) Foreign() int {
+	n := 0
+	for _, v := range t.slotted {
+		n += v.foreign
+	}
+	return n
+}
+
+// Free returns the number of slots that are empty or could be evicted now.
+func (t *Table) Free() int {
+	n := t.settings.Slots - t.occupied()
+	for _, v := range t.slotted {
+		if v.evictable() {
+			n++
+		}
+	}
+	return n
+}
+
+// LoadsWaiting returns the number of versions that requests wait to be loaded.
+func (t *Table) LoadsWaiting() int {
+	n := 0
+	for _, v := range t.waiting {
+		if v.phase != PhaseResident {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/coordination/loader/version.go
+++ b/internal/coordination/loader/version.go
@@ -24,6 +24,9 @@
 	victim *version
 	// heir is the version that takes over this one's slot; it mirrors victim.
 	heir *version
+	// unsure tells that the outcome of the order in flight is not known, so that
+	// only the engine's own state settles it.
+	unsure bool
 	// fence is the number of the order in flight, or 0.
 	fence uint64
 	// began is the time of the load order in flight.
--- /dev/null
+++ b/internal/transport/companion/companion_test.go
@@ -0,0 +1,71 @@
+package companion
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
+)
+
+var _ = Describe("A companion", func() {
+	It("serves a cold adapter, streamed and whole, and reports it resident", func() {
+		b := newBench(generator.Settings{})
+		l := newLink(b.companion)
+		_, refusal := b.companion.dispatch(l, b.call("r1", "w/a@1", 20))
+		Expect(refusal).To(BeNil())
+		end := l.wait("r1")
+		Expect(end.Outcome).To(Equal(messenger.OutcomeCompleted), end.Detail)
+		Expect(end.Model).To(Equal("w/a@1"))
+		Expect(end.StallMillis).To(BeNumerically(">", 0))
+		Expect(end.AnswerTokens).To(Equal(int64(20)))
+		Expect(l.text("r1")).To(Equal(generator.Expected("w/a@1", "r1", 20)))
+		Expect(l.bytes("r1")).To(HaveSuffix("data: [DONE]\n\n"))
+
+		d := b.call("r2", "w/a@1", 20)
+		d.Stream = false
+		_, refusal = b.companion.dispatch(l, d)
+		Expect(refusal).To(BeNil())
+		Expect(l.wait("r2").StallMillis).To(BeZero())
+		var whole orderer.Chunk
+		Expect(json.Unmarshal([]byte(l.bytes("r2")), &whole)).To(Succeed())
+		Expect(*whole.Choices[0].Text).To(Equal(generator.Expected("w/a@1", "r2", 20)))
+		Expect(whole.Usage.CompletionTokens).To(Equal(20))
+		Expect(b.engine.Record().Loads).To(Equal(1))
+		Eventually(b.control.resident).WithTimeout(patience).Should(Equal([]string{"w/a@1"}))
+	})
+
+	It("refuses another life's dispatches and other base models", func() {
+		b := newBench(generator.Settings{})
+		d := b.call("r1", "w/a@1", 2)
+		d.Epoch++
+		_, refusal := b.companion.dispatch(newLink(b.companion), d)
+		Expect(refusal.Reason).To(Equal(messenger.ReasonStaleEpoch))
+		d = b.call("r2", "w/a@1", 2)
+		d.BaseModel = "other"
+		_, refusal = b.companion.dispatch(newLink(b.companion), d)
+		Expect(refusal.Reason).To(Equal(messenger.ReasonUnsupported))
+		Expect(b.engine.Record().Runs).To(BeEmpty())
+	})
+
+	It("drains without cutting a stream", func() {
+		b := newBench(generator.Settings{})
+		l := newLink(b.companion)
+		for i := range 8 {
+			_, refusal := b.companion.dispatch(l, b.call(fmt.Sprint("r", i), fmt.Sprintf("w/a@%d", i), 60))
+			Expect(refusal).To(BeNil())
+		}
+		Expect(b.companion.Drain(context.Background())).To(Succeed())
+		for i := range 8 {
+			Expect(l.wait(fmt.Sprint("r", i)).Outcome).To(Equal(messenger.OutcomeCompleted))
+		}
+		Expect(b.control.leaving).To(Equal([]bool{false, true}))
+		_, refusal := b.companion.dispatch(l, b.call("late", "w/a@1", 2))
+		Expect(refusal.Reason).To(Equal(messenger.ReasonStopping))
+	})
+})
--- /dev/null
+++ b/internal/transport/companion/member.go
@@ -0,0 +1,147 @@
+package companion
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
+
+// The pauses between attempts to join. They are jittered, since a failure domain
+// that comes back at once would otherwise join in one moment.
+const (
+	joinInitial = 100 * time.Millisecond
+	joinMax     = 5 * time.Second
+	joinLimit   = 5 * time.Second
+)
+
+// spec is the announcement of the backend server.
+func (c *Companion) spec() storer.MemberSpec {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.settings
+	m := storer.MemberSpec{
+		Address: s.Address, Region: s.Region, FailureDomain: s.FailureDomain,
+		MaxBatch: c.maxBatch, Incarnation: c.incarnation,
+	}
+	if s.Companion.Kind == configurer.BackendKindService {
+		m.Kind = storer.MemberKindService
+		m.Service = s.Companion.ServiceName
+		return m
+	}
+	m.BaseModel = s.Companion.BaseModel
+	m.Slots = c.table.Slots()
+	m.ChecksFencing = s.checksFencing(c.engine.EngineState)
+	return m
+}
+
+// join asks for a membership until it has one.
+func (c *Companion) join(ctx context.Context) error {
+	wait := joinInitial
+	for {
+		err := c.joinOnce(ctx)
+		if err == nil {
+			return nil
+		}
+		c.settings.Log.Warn().Err(err).Str("Backend", c.settings.Node).Msg("joining failed")
+		if !pause(ctx, c.jitter(wait)) {
+			return errors.Annotate(context.Cause(ctx), err.Error())
+		}
+		wait = min(2*wait, joinMax)
+	}
+}
+
+func (c *Companion) jitter(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return d/2 + time.Duration(c.settings.Random.Int64N(int64(d)))
+}
+
+func (c *Companion) joinOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, joinLimit)
+	defer cancel()
+	lease, err := c.settings.Control.Join(ctx, c.settings.Node, c.spec())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if lease.Epoch < c.lease.Epoch {
+		return errors.Errorf("membership went back from epoch %d to %d", c.lease.Epoch, lease.Epoch)
+	}
+	c.lease = lease
+	if c.table != nil {
+		c.table.Raise(lease.Epoch, c.engine.HighestFence)
+	}
+	c.settings.Recorder.Record(recorder.Event{
+		Kind: recorder.KindMemberJoined, Backend: c.settings.Node, Revision: lease.Epoch, Detail: c.incarnation,
+	})
+	return nil
+}
+
+// voided hears that a membership has ended.
+func (c *Companion) voided(name string, epoch uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if name != c.settings.Node || epoch != c.lease.Epoch {
+		return
+	}
+	c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindMemberExpired, Backend: name, Revision: epoch})
+	c.rejoin()
+}
+
+// rejoin joins again unless that is under way. The caller holds mu.
+func (c *Companion) rejoin() {
+	if c.joining || c.draining {
+		return
+	}
+	c.joining = true
+	c.spawnLocked(func(ctx context.Context) {
+		if err := c.join(ctx); err != nil {
+			c.settings.Log.Debug().Err(err).Msg("joining again ended")
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.joining = false
+	})
+}
+
+// renew sends heartbeats while the backend server can be reached.
+func (c *Companion) renew(ctx context.Context) {
+	interval := time.Duration(c.settings.Companion.HeartbeatInterval)
+	for pause(ctx, interval) {
+		if r, ok := c.renewal(); ok {
+			c.settings.Control.Renew(r)
+		}
+	}
+}
+
+func (c *Companion) renewal() (registrar.Renewal, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Entries must turn away from a backend server that does not answer, also
+	// when its companion does: the lease runs out.
+	if !c.reachable(c.settings.Now()) {
+		return registrar.Renewal{}, false
+	}
+	r := registrar.Renewal{
+		Name: c.settings.Node, Epoch: c.lease.Epoch,
+		Load: registrar.Load{
+			Running: c.running, Queued: c.queue.Len(), MaxBatch: c.maxBatch, QueuedTokens: c.queue.Tokens(),
+		},
+	}
+	if c.table != nil {
+		for _, slot := range c.table.Residencies(nil) {
+			if slot.Phase == loader.PhaseResident && !slot.Closing {
+				r.Resident = append(r.Resident, slot.Version)
+			}
+		}
+	}
+	return r, true
+}
--- /dev/null
+++ b/internal/transport/companion/order.go
@@ -0,0 +1,188 @@
+package companion
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+)
+
+// apply carries out the slot table's actions. The caller holds mu. It does not
+// pump: the caller does once it is done.
+func (c *Companion) apply(actions []loader.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case loader.PermitAction:
+			c.record(recorder.KindLoadRequested, a.Version, "")
+			began := c.settings.Now()
+			c.spawnLocked(func(ctx context.Context) { c.permit(ctx, a, began) })
+		case loader.ReturnPermitAction:
+			c.returnPermit(a.Version)
+		case loader.LoadAction:
+			c.record(recorder.KindLoadStarted, a.Version, "")
+			c.spawnLocked(func(ctx context.Context) { c.load(ctx, a) })
+		case loader.UnloadAction:
+			c.record(recorder.KindEvicted, a.Version, "")
+			c.spawnLocked(func(ctx context.Context) { c.unload(ctx, a) })
+		case loader.ReadyAction:
+			// The caller pumps, and so finds those that can now pin it.
+		case loader.FailAction:
+			c.record(recorder.KindLoadFailed, a.Version, a.Cause)
+			if w := c.works[a.Request]; w != nil {
+				c.withdraw(w, loadRefusal(a))
+			}
+		case loader.LostAction:
+			if w := c.works[a.Request]; w != nil && w.begun {
+				w.interrupt(errRestarted)
+			}
+		case loader.ReadStateAction:
+			c.read()
+		case loader.FencedAction:
+			c.fenced()
+		}
+	}
+}
+
+func (c *Companion) record(kind recorder.Kind, version, detail string) {
+	c.settings.Recorder.Record(recorder.Event{
+		Kind: kind, Backend: c.settings.Node, Version: version, Workspace: loader.WorkspaceOf(version), Detail: detail,
+	})
+}
+
+// tell passes an event on to the slot table and does what follows from it.
+func (c *Companion) tell(event func(now time.Time) []loader.Action) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.apply(event(c.settings.Now()))
+	c.pump()
+}
+
+// permit waits for the permit to load.
+func (c *Companion) permit(ctx context.Context, a loader.PermitAction, began time.Time) {
+	grant, err := c.settings.Control.RequestPermit(ctx, permitter.Request{
+		Companion: c.settings.Node, Workspace: a.Workspace, Version: a.Version, Waiters: a.Waiters, Share: a.Share,
+	})
+	if err != nil {
+		c.withoutPermit(ctx, a, err)
+		return
+	}
+	c.record(recorder.KindPermitGranted, a.Version, fmt.Sprintf("%d waiting since %v", a.Waiters, c.settings.Now().Sub(began)))
+	c.tell(func(now time.Time) []loader.Action {
+		c.grants[a.Version] = grant
+		return c.table.Permitted(now, a.Version)
+	})
+}
+
+// withoutPermit goes by the static share of the weight store's rate, which keeps
+// loads possible, if slow, while no control host can be reached.
+func (c *Companion) withoutPermit(ctx context.Context, a loader.PermitAction, cause error) {
+	c.settings.Log.Warn().Err(cause).Str("Version", a.Version).Msg("no load permit; going by the static share")
+	c.mu.Lock()
+	now := c.settings.Now()
+	at := now
+	if c.staticNext.After(at) {
+		at = c.staticNext
+	}
+	wait := at.Sub(now)
+	if wait <= staticPatience {
+		c.staticNext = at.Add(time.Duration(float64(time.Second) / c.settings.Companion.StaticLoadRate))
+	}
+	c.mu.Unlock()
+	if wait > staticPatience {
+		c.tell(func(now time.Time) []loader.Action {
+			return c.table.PermitDenied(now, a.Version, "no load permit: "+cause.Error())
+		})
+		return
+	}
+	if !pause(ctx, wait) {
+		return
+	}
+	c.tell(func(now time.Time) []loader.Action { return c.table.Permitted(now, a.Version) })
+}
+
+// returnPermit gives the version's permit back. The caller holds mu.
+func (c *Companion) returnPermit(version string) {
+	if grant, ok := c.grants[version]; ok {
+		delete(c.grants, version)
+		c.settings.Control.FinishPermit(grant)
+	}
+}
+
+// load orders the engine to load and tells the table how it went.
+func (c *Companion) load(ctx context.Context, a loader.LoadAction) {
+	began := c.settings.Now()
+	err := c.settings.Engine.Load(ctx, a.Fence, a.Version, a.Source)
+	outcome := loadOutcome(err)
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+		c.settings.Log.Warn().Err(err).Str("Version", a.Version).Uint64("Fence", a.Fence).Msg("load failed")
+	}
+	c.tell(func(now time.Time) []loader.Action {
+		c.returnPermit(a.Version)
+		if outcome == loader.OutcomeDone {
+			c.noteLoad(now.Sub(began))
+			c.record(recorder.KindLoadFinished, a.Version, now.Sub(began).String())
+		}
+		return c.table.Loaded(now, a.Version, a.Fence, outcome, cause)
+	})
+}
+
+// noteLoad keeps a moving mean of the time of a load. The caller holds mu.
+func (c *Companion) noteLoad(d time.Duration) {
+	if c.loadTime == 0 {
+		c.loadTime = d
+		return
+	}
+	c.loadTime += (d - c.loadTime) / 4
+}
+
+func loadOutcome(err error) loader.Outcome {
+	switch {
+	case err == nil:
+		return loader.OutcomeDone
+	case errors.Is(err, orderer.ErrFenced):
+		return loader.OutcomeFenced
+	case errors.Is(err, orderer.ErrAlreadyLoaded), errors.Is(err, orderer.ErrNoSlot):
+		// The engine's slots are not as the table has them.
+		return loader.OutcomeUnknown
+	case errors.Is(err, orderer.ErrLoadFailed), errors.Is(err, orderer.ErrNotRun):
+		return loader.OutcomeFailed
+	default:
+		return loader.OutcomeUnknown
+	}
+}
+
+// unload orders the engine to drop a version and tells the table how it went.
+func (c *Companion) unload(ctx context.Context, a loader.UnloadAction) {
+	err := c.settings.Engine.Unload(ctx, a.Fence, a.Version)
+	outcome := loader.OutcomeUnknown
+	switch {
+	case err == nil, errors.Is(err, orderer.ErrNotResident):
+		outcome = loader.OutcomeDone
+	case errors.Is(err, orderer.ErrFenced):
+		outcome = loader.OutcomeFenced
+	}
+	if err != nil {
+		c.settings.Log.Warn().Err(err).Str("Version", a.Version).Uint64("Fence", a.Fence).Msg("unload failed")
+	}
+	c.tell(func(now time.Time) []loader.Action { return c.table.Unloaded(now, a.Version, a.Fence, outcome) })
+}
+
+// fenced gives up the membership: the engine has obeyed a later giver of orders,
+// so that another companion has taken this one's place, or this one's epoch is
+// out of date. The caller holds mu.
+func (c *Companion) fenced() {
+	c.settings.Log.Error().Str("Backend", c.settings.Node).Msg("engine refuses the fencing number; joining again")
+	c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindFault, Backend: c.settings.Node, Detail: "fenced"})
+	c.rejoin()
+}
+
+var _ messenger.Handler = (*Companion)(nil)
--- /dev/null
+++ b/internal/transport/companion/suite_test.go
@@ -0,0 +1,249 @@
+package companion
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/streamer"
+)
+
+func TestCompanion(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Companion")
+}
+
+const patience = 20 * time.Second
+
+// fakeControl grants memberships and permits at once, unless lost.
+type fakeControl struct {
+	mu      sync.Mutex
+	epoch   uint64
+	lost    bool
+	leaving []bool
+	void    func(string, uint64)
+	renewal registrar.Renewal
+}
+
+func (f *fakeControl) Join(_ context.Context, name string, _ storer.MemberSpec) (registrar.Lease, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch++
+	return registrar.Lease{Name: name, Epoch: f.epoch, Until: time.Minute}, nil
+}
+
+func (f *fakeControl) Renew(r registrar.Renewal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renewal = r
+}
+
+func (f *fakeControl) resident() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.renewal.Resident
+}
+
+func (f *fakeControl) Leave(_ context.Context, _ string, _ uint64, ended bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = append(f.leaving, ended)
+	return nil
+}
+
+func (f *fakeControl) OnVoid(g func(string, uint64)) { f.void = g }
+
+func (f *fakeControl) RequestPermit(_ context.Context, r permitter.Request) (permitter.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		return permitter.Grant{}, fmt.Errorf("no control host")
+	}
+	return permitter.Grant{Number: 1, Companion: r.Companion, Version: r.Version}, nil
+}
+
+func (f *fakeControl) FinishPermit(permitter.Grant) {}
+
+// fakeLink is an entry's connection that puts answers together.
+type fakeLink struct {
+	companion *Companion
+	// take bounds the pieces taken before the link goes silent; 0 means all.
+	take int
+
+	mu    sync.Mutex
+	taken int
+	done  chan struct{}
+	calls map[streamer.ID]*answerOf
+}
+
+type answerOf struct {
+	text      strings.Builder
+	head      *messenger.Head
+	assembler *streamer.Assembler
+	end       *messenger.End
+	err       error
+}
+
+func newLink(c *Companion) *fakeLink {
+	return &fakeLink{companion: c, done: make(chan struct{}), calls: map[streamer.ID]*answerOf{}}
+}
+
+func (l *fakeLink) Done() <-chan struct{} { return l.done }
+
+func (l *fakeLink) Notify(_ context.Context, _ messenger.Method, params any) error {
+	p, ok := params.(messenger.Piece)
+	if !ok {
+		return fmt.Errorf("not a piece")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.taken++
+	if l.take > 0 && l.taken > l.take {
+		return nil
+	}
+	a := l.answer(streamer.ID{Request: p.Request, Attempt: p.Attempt})
+	ready, end, _, err := a.assembler.Add(p)
+	a.text.Write(ready)
+	a.head = a.assembler.Head()
+	if err != nil {
+		a.err = err
+	}
+	if end != nil {
+		a.end = end
+	}
+	l.companion.acknowledge(messenger.Acknowledge{
+		Request: p.Request, Attempt: p.Attempt, Offset: a.assembler.Next(), Ended: end != nil,
+	})
+	return nil
+}
+
+func (l *fakeLink) answer(id streamer.ID) *answerOf {
+	a := l.calls[id]
+	if a == nil {
+		a = &answerOf{assembler: streamer.NewAssembler(1 << 20)}
+		l.calls[id] = a
+	}
+	return a
+}
+
+// end returns the ending of an attempt, or nil.
+func (l *fakeLink) end(request string, attempt int) *messenger.End {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answer(streamer.ID{Request: request, Attempt: attempt}).end
+}
+
+func (l *fakeLink) bytes(request string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answer(streamer.ID{Request: request, Attempt: 1}).text.String()
+}
+
+// text returns the generated text of a streamed or whole answer.
+func (l *fakeLink) text(request string) string {
+	var text strings.Builder
+	for line := range strings.SplitSeq(l.bytes(request), "\n") {
+		line = strings.TrimPrefix(line, "data: ")
+		var chunk orderer.Chunk
+		if json.Unmarshal([]byte(line), &chunk) != nil {
+			continue
+		}
+		for _, c := range chunk.Choices {
+			if c.Text != nil {
+				text.WriteString(*c.Text)
+			}
+		}
+	}
+	return text.String()
+}
+
+// wait returns the ending of the first attempt once it is there.
+func (l *fakeLink) wait(request string) messenger.End {
+	GinkgoHelper()
+	Eventually(func() *messenger.End { return l.end(request, 1) }).WithTimeout(patience).ShouldNot(BeNil(), request)
+	return *l.end(request, 1)
+}
+
+// bench is an engine with its companion.
+type bench struct {
+	engine    *generator.Engine
+	address   string
+	control   *fakeControl
+	companion *Companion
+	recorder  *recorder.Recorder
+}
+
+func newBench(s generator.Settings) *bench {
+	GinkgoHelper()
+	s.TimeScale = max(s.TimeScale, 0.05)
+	b := &bench{engine: generator.NewEngine(s), control: &fakeControl{}}
+	address, err := b.engine.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	b.address = address
+	DeferCleanup(func() { Expect(b.engine.Close()).To(Succeed()) })
+	b.companion = b.start(s.ChecksFencing)
+	return b
+}
+
+// start starts a companion beside the engine.
+func (b *bench) start(checksFencing bool) *Companion {
+	GinkgoHelper()
+	client := orderer.NewEngine(orderer.Settings{Address: b.address, ResumePause: 5 * time.Millisecond})
+	b.recorder = recorder.NewRecorder(recorder.Settings{Node: "atl-a-1"})
+	settings := configurer.Settings{Companion: configurer.CompanionSettings{
+		BaseModel: "base", ChecksFencing: checksFencing,
+		OrderLife:         configurer.Duration(10 * time.Millisecond),
+		HeartbeatInterval: configurer.Duration(20 * time.Millisecond),
+		StaticLoadRate:    100,
+		LoadBackoff: configurer.BackoffSettings{
+			Initial: configurer.Duration(50 * time.Millisecond), Max: configurer.Duration(200 * time.Millisecond),
+		},
+	}}.WithDefaults()
+	c := NewCompanion(Settings{
+		Node: "atl-a-1", Region: "atl", FailureDomain: "atl-a", Address: "127.0.0.1:1",
+		Companion: settings.Companion, Stop: settings.Stop, Engine: client, Control: b.control,
+		Recorder: b.recorder, Registerer: prometheus.NewRegistry(), Log: zerolog.Nop(),
+		Now: time.Now, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	Expect(c.Start(context.Background())).To(Succeed())
+	DeferCleanup(func() {
+		Expect(c.Close()).To(Succeed())
+		client.Close()
+	})
+	return c
+}
+
+// call is a dispatch of a completion.
+func (b *bench) call(request, version string, tokens int) messenger.Dispatch {
+	workspace, _, _ := strings.Cut(version, "/")
+	return messenger.Dispatch{
+		Request: request, Attempt: 1, Kind: messenger.CallKindCompletion, Workspace: workspace,
+		Version: version, Source: "weights/" + version, BaseModel: "base", Tokens: int64(tokens), Idempotent: true,
+		Stream: true, Epoch: b.companion.epoch(),
+		Body: fmt.Appendf(nil, `{"model":"x","prompt":%q,"max_tokens":%d}`, request, tokens),
+	}
+}
+
+func (c *Companion) epoch() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Epoch
+}
