--- a/internal/protocol/orderer/caller.go
+++ b/internal/protocol/orderer/caller.go
@@ -123,6 +123,11 @@
 
 // repeatable sends the request on a pooled connection. It may be sent twice.
 func (c *caller) repeatable(r *http.Request) (*http.Response, error) {
+	if r.Header.Get(HeaderIdempotencyKey) == "" {
+		// An empty list sends no header and tells net/http that it may repeat a
+		// request that failed because its reused connection had been closed.
+		r.Header[HeaderIdempotencyKey] = []string{}
+	}
 	answer, err := send(c.pooled, r)
 	if err != nil {
 		// Whatever made this connection fail may have silenced the others of the
--- a/internal/protocol/orderer/engine.go
+++ b/internal/protocol/orderer/engine.go
@@ -51,15 +51,6 @@
 	return events, errors.Annotate(err, "cache events")
 }
 
-// Load orders the engine to load the adapter and waits until it is resident.
-// An error that matches ErrUnknown but not ErrLoadFailed leaves open whether the
-// load goes on; State tells.
-func (e *Engine) Load(ctx context.Context, fence uint64, name, path string) error {
-	order := AdapterOrder{Name: name, Path: path}
-	err := e.order(ctx, e.caller.settings.LoadTimeout, PathLoadAdapter, fence, order, nil)
-	return errors.Annotatef(err, "load %s", name)
-}
-
 // Unload orders the engine to drop the adapter. The engine obeys even while
 // requests use the adapter, and these fail. ErrNotResident means that there was
 // nothing to drop.
--- a/internal/protocol/orderer/generate.go
+++ b/internal/protocol/orderer/generate.go
@@ -122,7 +122,7 @@
 // has given nothing new for the allowed number of attempts.
 func (f *follower) resume(ctx context.Context, cause error) error {
 	s := &f.engine.caller.settings
-	for attempt := 0; attempt < s.ResumeAttempts; attempt++ {
+	for attempt := 0; attempt < s.ResumeAttempts && ctx.Err() == nil; attempt++ {
 		if attempt > 0 && !pause(ctx, s.ResumePause) {
 			break
 		}
@@ -185,6 +185,7 @@
 	// delivers nothing. The engine sends heartbeats, so that silence tells.
 	watchdog := time.AfterFunc(limit, func() { cancel(ErrSilent) })
 	defer watchdog.Stop()
+	alive := func() { watchdog.Reset(limit) }
 
 	answer, err := open(ctx)
 	if err != nil {
@@ -201,8 +202,13 @@
 	if f.incarnation != incarnation {
 		return true, f.unknown(ErrForgotten, errors.Errorf("engine restarted as %s", incarnation))
 	}
-	events := newEventReader(answer.Body, f.engine.caller.settings.MaxEventBytes, func() { watchdog.Reset(limit) })
-	end, err := f.take(events)
+	events := newEventReader(answer.Body, f.engine.caller.settings.MaxEventBytes, alive)
+	end, err := f.take(events, func(p Piece) error {
+		// A slow receiver is no silence of the engine.
+		watchdog.Stop()
+		defer alive()
+		return f.give(p)
+	})
 	if cause := context.Cause(ctx); !end && cause != nil {
 		err = cause
 	}
@@ -228,7 +234,7 @@
 
 // take gives the events of one connection. It returns true when the answer is
 // whole or the error final.
-func (f *follower) take(events *eventReader) (bool, error) {
+func (f *follower) take(events *eventReader, give func(Piece) error) (bool, error) {
 	for {
 		e, err := events.next()
 		if err != nil {
@@ -248,7 +254,7 @@
 			return true, err
 		}
 		f.last = e.number
-		if err := f.give(piece); err != nil {
+		if err := give(piece); err != nil {
 			return true, err
 		}
 		if piece.Done {
--- a/internal/protocol/orderer/header.go
+++ b/internal/protocol/orderer/header.go
@@ -7,9 +7,9 @@
 )
 
 // hopByHop are the header fields that concern one connection only (RFC 9110,
-// section 7.6.1).
+// section 7.6.1), and Expect, which is met once the body has been taken in.
 var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- a/internal/protocol/orderer/recorder.go
+++ b/internal/protocol/orderer/recorder.go
@@ -33,9 +33,16 @@
 		r.mu.Unlock()
 		return 0, errSealed
 	}
+	first := !r.wrote
 	r.wrote = true
 	r.mu.Unlock()
-	return r.Conn.Write(data)
+	n, err := r.Conn.Write(data)
+	if first && n == 0 && err != nil {
+		// The system took nothing, as on a connection that the peer reset. A seal
+		// that came in between has answered "may have left", which is only careful.
+		r.begin()
+	}
+	return n, err
 }
 
 // begin starts the record of a new request on the connection.
--- a/internal/protocol/orderer/service.go
+++ b/internal/protocol/orderer/service.go
@@ -7,6 +7,8 @@
 	"net/http"
 )
 
+const headerUserAgent = "User-Agent"
+
 // Service is the client of one plain service.
 type Service struct {
 	caller *caller
@@ -59,6 +61,9 @@
 	}
 	copyEndToEnd(r.Header, c.Header)
 	r.Header.Set(HeaderRequest, c.Request)
+	if r.Header.Get(headerUserAgent) == "" {
+		r.Header.Set(headerUserAgent, "") // Keeps net/http from adding its own.
+	}
 	exchange := s.caller.once
 	if c.Idempotent {
 		exchange = s.caller.repeatable
--- a/internal/standin/generator/connections.go
+++ b/internal/standin/generator/connections.go
@@ -57,6 +57,13 @@
 	}
 }
 
+// release closes all connections, the silent ones too.
+func (c *connections) release() {
+	for _, n := range c.all(nil) {
+		_ = n.release()
+	}
+}
+
 // listener wraps each connection it accepts.
 type listener struct {
 	net.Listener
@@ -102,6 +109,11 @@
 		return count, err
 	}
 	select {
+	case <-n.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	select {
 	case <-n.closed:
 		return 0, net.ErrClosed
 	case <-n.nudged:
@@ -125,18 +137,28 @@
 	default:
 	}
 	if !t.IsZero() && !t.After(time.Now()) {
-		n.nudged <- struct{}{}
+		select {
+		case n.nudged <- struct{}{}:
+		default:
+		}
 	}
 	return n.Conn.SetReadDeadline(t)
 }
 
-// Close closes the connection.
+// Close closes the connection. The other end of a silent one learns nothing of
+// that: the connection underneath stays until the engine closes.
 func (n *connection) Close() error {
-	n.closing.Do(func() {
-		close(n.closed)
-		n.owner.mu.Lock()
-		defer n.owner.mu.Unlock()
-		delete(n.owner.open, n)
-	})
+	n.closing.Do(func() { close(n.closed) })
+	if n.isSilent() {
+		return n.Conn.SetReadDeadline(time.Now()) // Ends a pending Read.
+	}
+	return n.release()
+}
+
+// release closes the connection underneath.
+func (n *connection) release() error {
+	n.owner.mu.Lock()
+	delete(n.owner.open, n)
+	n.owner.mu.Unlock()
 	return n.Conn.Close()
 }
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -85,6 +85,7 @@
 	e.cancel()
 	e.mu.Unlock()
 	err := e.server.Close()
+	e.conns.release()
 	e.running.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
