--- a/internal/state/storer/claims.go
+++ b/internal/state/storer/claims.go
@@ -98,10 +98,10 @@
 	if err := validateName(workspace); err != nil {
 		return errors.Annotate(err, "workspace")
 	}
-	if key == "" || len(key) > maxClaimKey {
+	if key == "" || len(key) > MaxIdempotencyKey {
 		return errors.NotValidf("key of %d bytes", len(key))
 	}
-	if holder == "" || len(holder) > maxClaimKey {
+	if holder == "" || len(holder) > MaxIdempotencyKey {
 		return errors.NotValidf("holder of %d bytes", len(holder))
 	}
 	return nil
--- a/internal/state/storer/store.go
+++ b/internal/state/storer/store.go
@@ -89,7 +89,7 @@
 	if r, ok := s.replay(workspace, e); ok {
 		return r
 	}
-	if len(e.IdempotencyKey) > maxClaimKey {
+	if len(e.IdempotencyKey) > MaxIdempotencyKey {
 		return invalid(errors.NotValidf("idempotency key of %d bytes", len(e.IdempotencyKey)))
 	}
 	if s.records.live >= s.retention.MaxRecords {
--- a/internal/state/storer/validator.go
+++ b/internal/state/storer/validator.go
@@ -17,7 +17,7 @@
 	MaxPaths    = 256
 	// MaxDeadlineMillis is a week.
 	MaxDeadlineMillis = 7 * 24 * 60 * 60 * 1000
-	maxClaimKey       = 512
+	MaxIdempotencyKey = 512
 	hashLength        = 32
 	versionSeparator  = "@"
 )
