--- /dev/null
+++ b/internal/standin/driver/checker.go
@@ -0,0 +1,210 @@
+package driver
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
+	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
+)
+
+// maxExamples bounds the details that are kept of each broken promise.
+const maxExamples = 5
+
+// PromiseFigures tell how often a promise was tried and broken.
+type PromiseFigures struct {
+	Promise Promise
+	// Tried counts the checks; nil means that nobody observed what the check needs.
+	Tried *int64
+	// Broken counts the checks that failed.
+	Broken *int64
+	// Examples tells of the first broken ones.
+	Examples []string `json:",omitempty"`
+}
+
+// Checker gathers the findings of a run, and compares what callers were told with
+// what engines and services recorded. It is not safe for concurrent use.
+type Checker struct {
+	checkText bool
+	figures   [promises]PromiseFigures
+	// notRun holds the ids of the requests refused as not run.
+	notRun []refusedCall
+	// keyed holds, by Idempotency-Key, the runs that callers were told of.
+	keyed map[string]keyedCall
+	// requests holds, by request id, the call's number, to find an id given twice.
+	requests map[string]int
+	scratch  []Finding
+}
+
+type refusedCall struct {
+	request string
+	number  int
+}
+
+type keyedCall struct {
+	number int
+	// run is the id under which the engine or service answered first.
+	run string
+}
+
+// NewChecker returns a checker without findings.
+func NewChecker(checkText bool) *Checker {
+	c := &Checker{checkText: checkText, keyed: make(map[string]keyedCall), requests: make(map[string]int)}
+	for p := range c.figures {
+		c.figures[p].Promise = Promise(p)
+	}
+	for p := RightVersion; p <= OutcomeTold; p++ {
+		c.observe(p)
+	}
+	if !checkText {
+		c.figures[WholeAnswer].Tried, c.figures[WholeAnswer].Broken = nil, nil
+	}
+	return c
+}
+
+// observe makes the promise's figures known, 0 so far.
+func (c *Checker) observe(p Promise) {
+	if c.figures[p].Tried == nil {
+		c.figures[p].Tried, c.figures[p].Broken = new(int64), new(int64)
+	}
+}
+
+// add notes one finding.
+func (c *Checker) add(f Finding) {
+	c.observe(f.Promise)
+	p := &c.figures[f.Promise]
+	*p.Tried++
+	if !f.Broken {
+		return
+	}
+	*p.Broken++
+	if len(p.Examples) < maxExamples {
+		p.Examples = append(p.Examples, f.Detail)
+	}
+}
+
+// Add checks one answer.
+func (c *Checker) Add(call *Call, a *Answer) {
+	c.scratch = Judge(c.scratch[:0], call, a, c.checkText)
+	for _, f := range c.scratch {
+		c.add(f)
+	}
+	if a.Request == "" {
+		return
+	}
+	if a.Ending() == NotRun {
+		c.notRun = append(c.notRun, refusedCall{request: a.Request, number: call.Number})
+	}
+	if other, ok := c.requests[a.Request]; ok && other != call.Number {
+		c.add(Finding{Promise: OwnAnswer, Broken: true, Detail: fmt.Sprintf("calls %d and %d got one request id, %s", other, call.Number, a.Request)})
+	}
+	c.requests[a.Request] = call.Number
+	if call.Key != "" && a.Ending() == Completed && a.Status < 300 {
+		c.addKeyed(call, a)
+	}
+}
+
+// addKeyed compares the run behind an answer with the one behind an earlier answer
+// to the same key: two different ones prove that the call ran twice.
+func (c *Checker) addKeyed(call *Call, a *Answer) {
+	run := a.ID
+	if call.Kind.isService() {
+		run = a.Service.Request
+	}
+	first, ok := c.keyed[call.Key]
+	if !ok {
+		c.keyed[call.Key] = keyedCall{number: call.Number, run: run}
+		return
+	}
+	f := Finding{Promise: AtMostOnce, Broken: run != first.run}
+	if f.Broken {
+		f.Detail = fmt.Sprintf("call %d: key %s was answered by the runs %s and %s", call.Number, call.Key, first.run, run)
+	}
+	c.add(f)
+}
+
+// CrossCheck compares the answers with the records of all engines and all services
+// of the deployment. A nil slice means that they were not observed; what only they
+// can prove then stays unknown.
+func (c *Checker) CrossCheck(engines []generator.Record, services []responder.Record) {
+	if engines == nil && services == nil {
+		return
+	}
+	ran := make(map[string]bool)
+	keyed := make(map[string]int)
+	for i := range engines {
+		for _, r := range engines[i].Runs {
+			if r.Started.IsZero() {
+				continue
+			}
+			ran[r.Request] = true
+			if r.Key != "" && !r.Imported {
+				keyed[r.Key]++
+			}
+		}
+	}
+	for i := range services {
+		for _, r := range services[i].Runs {
+			ran[r.Request] = true
+			// A service learns of a key only where the call is not idempotent.
+			if r.Key != "" {
+				keyed[r.Key]++
+			}
+		}
+	}
+	if engines != nil {
+		c.checkInUse(engines)
+	}
+	if engines != nil && services != nil {
+		c.checkNotRun(ran)
+	}
+	c.checkKeys(keyed)
+}
+
+// checkInUse: unloading an adapter under a request breaks that request.
+func (c *Checker) checkInUse(engines []generator.Record) {
+	c.observe(StaysInUse)
+	for i := range engines {
+		for _, o := range engines[i].Orders {
+			if o.Kind != generator.UnloadOrder {
+				continue
+			}
+			f := Finding{Promise: StaysInUse, Broken: o.InUse > 0}
+			if f.Broken {
+				f.Detail = fmt.Sprintf("%s unloaded under %d requests", o.Subject, o.InUse)
+			}
+			c.add(f)
+		}
+	}
+}
+
+// checkNotRun: a caller who was told that a call did not run repeats it.
+func (c *Checker) checkNotRun(ran map[string]bool) {
+	c.observe(NotRunDidNotRun)
+	for _, r := range c.notRun {
+		f := Finding{Promise: NotRunDidNotRun, Broken: ran[r.request]}
+		if f.Broken {
+			f.Detail = fmt.Sprintf("call %d: request %s was refused as not run and ran", r.number, r.request)
+		}
+		c.add(f)
+	}
+}
+
+// checkKeys: two runs under one key are two bookings or two reviews.
+func (c *Checker) checkKeys(keyed map[string]int) {
+	c.observe(AtMostOnce)
+	for _, key := range slices.Sorted(maps.Keys(keyed)) {
+		runs := keyed[key]
+		f := Finding{Promise: AtMostOnce, Broken: runs > 1}
+		if f.Broken {
+			f.Detail = fmt.Sprintf("key %s ran %d times", key, runs)
+		}
+		c.add(f)
+	}
+}
+
+// Figures returns how often each promise was tried and broken.
+func (c *Checker) Figures() []PromiseFigures {
+	return append([]PromiseFigures(nil), c.figures[:]...)
+}
--- /dev/null
+++ b/internal/standin/driver/compare.go
@@ -0,0 +1,163 @@
+package driver
+
+import (
+	"io"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+)
+
+// notObserved stands for a figure that nobody observed.
+const notObserved = "not observed"
+
+// Compare writes the figures of two reports side by side, with the ratio of the
+// second to the first.
+func Compare(w io.Writer, a, b *Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	c := comparison{out: t}
+	c.texts("", reportName(a), reportName(b), "B/A")
+	c.texts("workload", a.Workload, b.Workload, "")
+	c.texts("seed", strconv.FormatUint(a.Parameters.Seed, 10), strconv.FormatUint(b.Parameters.Seed, 10), "")
+	c.figures(a, b)
+	c.promises(a, b)
+	if c.err != nil {
+		return errors.Annotate(c.err, "comparison")
+	}
+	return errors.Annotate(t.Flush(), "comparison")
+}
+
+func reportName(r *Report) string {
+	if r.Label == "" {
+		return r.Workload
+	}
+	return r.Label
+}
+
+// comparison writes the lines of a comparison and keeps the first error.
+type comparison struct {
+	out io.Writer
+	err error
+}
+
+func (c *comparison) texts(name, a, b, ratio string) {
+	if c.err == nil {
+		_, c.err = io.WriteString(c.out, name+"\t"+a+"\t"+b+"\t"+ratio+"\t\n")
+	}
+}
+
+// figure writes one figure of both reports; nil was not observed.
+func (c *comparison) figure(name string, a, b *float64, decimals int) {
+	ratio := ""
+	if a != nil && b != nil && *a != 0 {
+		ratio = strconv.FormatFloat(*b / *a, 'f', 2, 64)
+	}
+	c.texts(name, figureText(a, decimals), figureText(b, decimals), ratio)
+}
+
+func figureText(v *float64, decimals int) string {
+	if v == nil {
+		return notObserved
+	}
+	return strconv.FormatFloat(*v, 'f', decimals, 64)
+}
+
+func (c *comparison) count(name string, a, b int64) {
+	x, y := float64(a), float64(b)
+	c.figure(name, &x, &y, 0)
+}
+
+// quantiles writes the mean and the tail of a time.
+func (c *comparison) quantiles(name string, a, b *Quantiles) {
+	for _, line := range []struct {
+		name string
+		of   func(*Quantiles) float64
+	}{
+		{"p50", func(q *Quantiles) float64 { return q.P50 }},
+		{"p95", func(q *Quantiles) float64 { return q.P95 }},
+		{"p99", func(q *Quantiles) float64 { return q.P99 }},
+	} {
+		c.figure(name+" "+line.name+", ms", quantile(a, line.of), quantile(b, line.of), 1)
+	}
+}
+
+func (c *comparison) figures(a, b *Report) {
+	c.count("calls", a.All.Endings.Calls, b.All.Endings.Calls)
+	c.count("completed", a.All.Endings.Completed, b.All.Endings.Completed)
+	c.count("not run", a.All.Endings.NotRun, b.All.Endings.NotRun)
+	c.count("unknown", a.All.Endings.Unknown, b.All.Endings.Unknown)
+	c.count("cut", a.All.Endings.Cut, b.All.Endings.Cut)
+	c.count("unanswered", a.All.Endings.Unanswered, b.All.Endings.Unanswered)
+	c.count("past deadline", a.All.Endings.PastDeadline, b.All.Endings.PastDeadline)
+	c.figure("load stall in all, s", a.All.Stall.TotalSeconds, b.All.Stall.TotalSeconds, 2)
+	c.quantiles("load stall", a.All.Stall.Millis, b.All.Stall.Millis)
+	c.figure("queue in all, s", a.All.Queue.TotalSeconds, b.All.Queue.TotalSeconds, 2)
+	c.quantiles("queue", a.All.Queue.Millis, b.All.Queue.Millis)
+	c.engines(a.Engines, b.Engines)
+	c.quantiles("total", a.All.TotalMillis, b.All.TotalMillis)
+	c.quantiles("first token", a.All.FirstTokenMillis, b.All.FirstTokenMillis)
+	c.quantiles("between tokens", a.All.BetweenTokenMillis, b.All.BetweenTokenMillis)
+	for i := range a.Workspaces {
+		other := &WorkspaceFigures{}
+		for j := range b.Workspaces {
+			if b.Workspaces[j].Name == a.Workspaces[i].Name {
+				other = &b.Workspaces[j]
+			}
+		}
+		name := a.Workspaces[i].Name
+		p99 := func(q *Quantiles) float64 { return q.P99 }
+		c.figure(name+" p99, ms", quantile(a.Workspaces[i].OutsideRush, p99), quantile(other.OutsideRush, p99), 1)
+		c.figure(name+" p99 in the rush, ms", quantile(a.Workspaces[i].DuringRush, p99), quantile(other.DuringRush, p99), 1)
+	}
+}
+
+func (c *comparison) engines(a, b *EngineFigures) {
+	of := func(e *EngineFigures, value func(*EngineFigures) float64) *float64 {
+		if e == nil {
+			return nil
+		}
+		v := value(e)
+		return &v
+	}
+	fill := func(e *EngineFigures) *float64 {
+		if e == nil || e.BatchFill == nil {
+			return nil
+		}
+		percent := *e.BatchFill * 100
+		return &percent
+	}
+	c.figure("batch fill, %", fill(a), fill(b), 2)
+	for _, line := range []struct {
+		name     string
+		decimals int
+		value    func(*EngineFigures) float64
+	}{
+		{"loads", 0, func(e *EngineFigures) float64 { return float64(e.Loads) }},
+		{"loads per second", 2, func(e *EngineFigures) float64 { return e.LoadsPerSecond }},
+		{"evictions", 0, func(e *EngineFigures) float64 { return float64(e.Evictions) }},
+		{"evictions needed again", 0, func(e *EngineFigures) float64 { return float64(e.NeededAgain) }},
+	} {
+		c.figure(line.name, of(a, line.value), of(b, line.value), line.decimals)
+	}
+}
+
+// promises writes how often each promise was broken, of how many tries.
+func (c *comparison) promises(a, b *Report) {
+	for i := range a.Promises {
+		other := PromiseFigures{}
+		for j := range b.Promises {
+			if b.Promises[j].Promise == a.Promises[i].Promise {
+				other = b.Promises[j]
+			}
+		}
+		c.texts(a.Promises[i].Promise.String()+" broken", a.Promises[i].text(), other.text(), "")
+	}
+}
+
+// text returns the figures as "2 of 10".
+func (p *PromiseFigures) text() string {
+	if p.Tried == nil || p.Broken == nil {
+		return notObserved
+	}
+	return strconv.FormatInt(*p.Broken, 10) + " of " + strconv.FormatInt(*p.Tried, 10)
+}
--- /dev/null
+++ b/internal/standin/driver/driver_test.go
@@ -0,0 +1,171 @@
+package driver_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
+	"marigoldpoint.example/marigoldpoint/internal/standin/driver"
+	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
+	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
+)
+
+// honestEntry is a deployment of one process that answers at once and rightly.
+type honestEntry struct {
+	workload *driver.Workload
+	requests atomic.Int64
+	service  *responder.Service
+	mu       sync.Mutex
+	// kept holds the bodies of services' answers by key; guarded by mu.
+	kept map[string][]byte
+	// meddle, where set, changes the stream of an answer.
+	meddle func(stream string) string
+}
+
+func (e *honestEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := fmt.Sprintf("r%d", e.requests.Add(1))
+	h := w.Header()
+	h.Set(translator.HeaderRequest, id)
+	h.Set(translator.HeaderOutcome, "Completed")
+	key := r.Header.Get(translator.HeaderIdempotencyKey)
+	if key != "" {
+		id = key // Both answers to a key are those of one run.
+		h.Set(translator.HeaderRequest, id)
+	}
+	if path, ok := strings.CutPrefix(r.URL.Path, "/services/"+e.workload.Service.Name); ok {
+		e.serveService(w, r, path, id, key)
+		return
+	}
+	var q orderer.CompletionRequest
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		panic(err)
+	}
+	version := q.Model
+	if !strings.Contains(version, "@") {
+		var index int
+		_, number, _ := strings.Cut(version, "-")
+		_, _ = fmt.Sscanf(number, "%d", &index)
+		version += "@v1"
+		if index%e.workload.SecondVersionEvery == 0 {
+			version = strings.TrimSuffix(version, "1") + "2"
+		}
+	}
+	h.Set(translator.HeaderAdapter, version)
+	h.Set("Marigoldpoint-Stall-Millis", "2.5")
+	h.Set("Marigoldpoint-Queue-Millis", "0")
+	text := generator.Expected(version, q.FullPrompt(), q.MaxTokens)
+	chunk := orderer.Chunk{ID: id, Model: version}
+	if !q.Stream {
+		chunk.Choices = []orderer.Choice{{Text: &text}}
+		_ = json.NewEncoder(w).Encode(chunk)
+		return
+	}
+	h.Set(translator.HeaderContentType, "text/event-stream")
+	var stream strings.Builder
+	for piece := range strings.SplitAfterSeq(text, ".") {
+		chunk.Choices = []orderer.Choice{{Text: &piece}}
+		data, _ := json.Marshal(chunk)
+		fmt.Fprintf(&stream, "data: %s\n\n", data)
+	}
+	stream.WriteString("data: [DONE]\n\n")
+	out := stream.String()
+	if e.meddle != nil {
+		out = e.meddle(out)
+	}
+	_, _ = w.Write([]byte(out))
+}
+
+// serveService runs a call under a key once.
+func (e *honestEntry) serveService(w http.ResponseWriter, r *http.Request, path, id, key string) {
+	inner := r.Clone(r.Context())
+	inner.URL.Path = path
+	inner.Header.Set(responder.HeaderRequest, id)
+	if key == "" {
+		e.service.Handler().ServeHTTP(w, inner)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.kept[key] == nil {
+		recorded := httptest.NewRecorder()
+		e.service.Handler().ServeHTTP(recorded, inner)
+		e.kept[key] = recorded.Body.Bytes()
+	}
+	_, _ = w.Write(e.kept[key])
+}
+
+// run drives two addresses of one entry for a moment.
+func run(meddle func(string) string) *driver.Report {
+	GinkgoHelper()
+	w := driver.Peachtree().WithAdapters(60)
+	service := responder.NewService(responder.Settings{Name: w.Service.Name})
+	entry := &honestEntry{workload: &w, service: service, meddle: meddle, kept: make(map[string][]byte)}
+	first, second := httptest.NewServer(entry), httptest.NewServer(entry)
+	DeferCleanup(first.Close)
+	DeferCleanup(second.Close)
+	engine := generator.NewEngine(generator.Settings{})
+	DeferCleanup(engine.Close)
+	d, err := driver.NewDriver(driver.Settings{
+		Workload: w,
+		Schedule: driver.ScheduleSettings{Seed: 1, Duration: 500 * time.Millisecond, TimeScale: 0.02, MaxCalls: 300},
+		Entries:  []driver.Entry{{Address: first.Listener.Addr().String()}, {Address: second.Listener.Addr().String()}},
+		Keys:     driver.NewKeys(&w),
+		Observed: []driver.Observed{driver.LocalService{Service: service}, driver.LocalEngine{Engine: engine, MaxBatch: 16}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	r, err := d.Run(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+var _ = Describe("Driver", func() {
+	It("finds nothing broken in a deployment that keeps its promises", func() {
+		r := run(nil)
+		Expect(r.Faults).To(BeEmpty())
+		for _, p := range r.Promises {
+			Expect(p.Examples).To(BeEmpty())
+			Expect(p.Tried).NotTo(BeNil(), p.Promise.String())
+		}
+		Expect(r.All.Endings.Completed).To(Equal(r.All.Endings.Calls))
+		Expect(r.All.Endings.Calls).To(BeNumerically(">", 100))
+		Expect(r.Resent.Calls).To(BeNumerically(">", 0))
+		Expect(*r.Promises[driver.WholeAnswer].Tried).To(BeNumerically(">", 100))
+		Expect(r.All.Stall.Above).To(Equal(r.All.Stall.Known))
+		Expect(r.All.Stall.Absent).To(BeZero())
+		Expect(r.Engines.BatchFill).To(BeNil(), "no step ran")
+	})
+
+	// Symptom: a paralegal files half a title review as the whole. Sequence: the
+	// backend server dies in mid-stream, and what stands between closes the body as
+	// if it had ended. Cause: the end of the body was taken for the end of the
+	// answer.
+	It("finds streams that end without mark or error", func() {
+		r := run(func(stream string) string {
+			return strings.TrimSuffix(stream, "data: [DONE]\n\n")
+		})
+		Expect(*r.Promises[driver.HonestEnd].Broken).To(BeNumerically(">", 0))
+		Expect(r.All.Endings.Cut).To(Equal(*r.Promises[driver.HonestEnd].Broken))
+	})
+
+	It("refuses to drive what is not on the loopback", func() {
+		w := driver.Peachtree()
+		_, err := driver.NewDriver(driver.Settings{
+			Workload: w,
+			Schedule: driver.ScheduleSettings{Duration: time.Second},
+			Entries:  []driver.Entry{{Address: "192.0.2.1:80"}},
+			Keys:     driver.NewKeys(&w),
+		})
+		Expect(err).To(MatchError(ContainSubstring("not on the loopback")))
+	})
+})
--- /dev/null
+++ b/internal/standin/driver/settings.go
@@ -0,0 +1,144 @@
+package driver
+
+import (
+	"crypto/rand"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Settings are the settings of a Driver. The zero value of each field without
+// another word means its default.
+type Settings struct {
+	Workload Workload
+	Schedule ScheduleSettings
+	// Entries are the deployment's entries; one at least.
+	Entries []Entry
+	Balance Balance
+	// Keys are the callers' keys, one for each workspace.
+	Keys []WorkspaceKey
+	// Observed are the engines and plain services whose records can be read: all
+	// engines or none, all services or none.
+	Observed []Observed
+	// AllowRemote lets calls go beyond the loopback.
+	AllowRemote bool
+	// UncheckedText leaves the text of answers uncompared, for engines other than
+	// the stand-ins.
+	UncheckedText bool
+	// MaxInFlight bounds the calls in progress; 4096 by default. A call that waits
+	// for its turn is late, and its latency counts the wait.
+	MaxInFlight int
+	// Interval is the length of a point in the time line; 1 s by default.
+	Interval time.Duration
+	// NeededWithin is the time within which an evicted adapter that is loaded again
+	// counts as needed again; a minute of the workload by default.
+	NeededWithin time.Duration
+	// Label is passed on to the report.
+	Label string
+	// Progress, if set, is called once a second.
+	Progress func(Progress)
+}
+
+// Progress is where a run stands.
+type Progress struct {
+	Elapsed  time.Duration
+	Duration time.Duration
+	Sent     int64
+	Ended    EndingCounts
+	Broken   int64
+}
+
+const (
+	defaultMaxInFlight = 4096
+	defaultInterval    = time.Second
+	neededWithin       = time.Minute
+)
+
+func (s Settings) withDefaults() Settings {
+	s.Schedule = s.Schedule.withDefaults()
+	if s.Schedule.Run == "" {
+		s.Schedule.Run = rand.Text()
+	}
+	if s.MaxInFlight == 0 {
+		s.MaxInFlight = defaultMaxInFlight
+	}
+	if s.Interval == 0 {
+		s.Interval = defaultInterval
+	}
+	if s.NeededWithin == 0 {
+		s.NeededWithin = time.Duration(float64(neededWithin) * s.Schedule.TimeScale)
+	}
+	return s
+}
+
+func (s *Settings) validate() error {
+	if err := s.Workload.Validate(); err != nil {
+		return errors.Trace(err)
+	}
+	switch {
+	case len(s.Entries) == 0:
+		return errors.NotValidf("run without entries")
+	case s.Schedule.Duration <= 0:
+		return errors.NotValidf("duration %v", s.Schedule.Duration)
+	case s.Schedule.TimeScale < 0 || s.Schedule.RateScale < 0:
+		return errors.NotValidf("negative scale")
+	case s.AllowRemote:
+		return nil
+	}
+	return CheckLoopback(s.addresses()...)
+}
+
+// addresses returns all addresses that a run talks to.
+func (s *Settings) addresses() []string {
+	var all []string
+	for _, e := range s.Entries {
+		all = append(all, e.Address)
+		if e.Operator != "" {
+			all = append(all, e.Operator)
+		}
+	}
+	for _, o := range s.Observed {
+		switch v := o.(type) {
+		case RemoteEngine:
+			all = append(all, v.Address)
+		case RemoteService:
+			all = append(all, v.Address)
+		}
+	}
+	return all
+}
+
+// CheckLoopback returns an error for the first address that is no IP:port on the
+// loopback. A load tool that is pointed at the wrong deployment by a slip is an
+// attack on it.
+func CheckLoopback(addresses ...string) error {
+	for _, a := range addresses {
+		parsed, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return errors.NewNotValid(err, "address "+a)
+		}
+		if !parsed.Addr().IsLoopback() {
+			return errors.NotValidf("address %s, which is not on the loopback,", a)
+		}
+	}
+	return nil
+}
+
+// bearers returns the authorization of each workspace.
+func bearers(w *Workload, keys []WorkspaceKey) ([]string, error) {
+	found := make([]string, len(w.Workspaces))
+	for _, k := range keys {
+		for i := range w.Workspaces {
+			if w.Workspaces[i].Name == k.Workspace {
+				found[i] = "Bearer " + k.Key
+			}
+		}
+	}
+	for i := range found {
+		if found[i] == "" {
+			return nil, errors.NotFoundf("bearer key of workspace %q", w.Workspaces[i].Name)
+		}
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/standin/driver/tally.go
@@ -0,0 +1,180 @@
+package driver
+
+import "time"
+
+// Waits summarise a time that the deployment reports of each call.
+type Waits struct {
+	// Known counts the completed calls to engines that came with the time, Absent
+	// those that came without.
+	Known  int64
+	Absent int64
+	// Above counts the known ones above 0.
+	Above int64
+	// TotalSeconds is the sum of the known ones; nil if none is known.
+	TotalSeconds *float64
+	// Millis is the distribution of the known ones, those of 0 included.
+	Millis *Quantiles
+}
+
+// waitTally counts the reports of a Wait.
+type waitTally struct {
+	times  *histogram
+	above  int64
+	absent int64
+}
+
+func (w *waitTally) add(wait Wait) {
+	if !wait.Known {
+		w.absent++
+		return
+	}
+	w.times.add(wait.Length)
+	if wait.Length > 0 {
+		w.above++
+	}
+}
+
+func (w *waitTally) figures() Waits {
+	f := Waits{Known: w.times.counts.TotalCount(), Absent: w.absent, Above: w.above, Millis: w.times.quantiles()}
+	if f.Known > 0 {
+		total := seconds(w.times.sum)
+		f.TotalSeconds = &total
+	}
+	return f
+}
+
+// EndingCounts count calls by how they ended.
+type EndingCounts struct {
+	Calls      int64
+	Completed  int64
+	NotRun     int64
+	Unknown    int64
+	Cut        int64
+	Unanswered int64
+	// PastDeadline counts the completed ones that came after the deadline.
+	PastDeadline int64
+}
+
+func (e *EndingCounts) add(c *Call, a *Answer) {
+	e.Calls++
+	switch a.Ending() {
+	case Completed:
+		e.Completed++
+		if a.Ended-c.Intended > c.Deadline {
+			e.PastDeadline++
+		}
+	case NotRun:
+		e.NotRun++
+	case Unknown:
+		e.Unknown++
+	case Cut:
+		e.Cut++
+	case Unanswered:
+		e.Unanswered++
+	}
+}
+
+// group gathers what is told of one set of calls, such as those of a workspace.
+type group struct {
+	endings    EndingCounts
+	total      *histogram
+	firstToken *histogram
+	gaps       *histogram
+	stall      waitTally
+	queue      waitTally
+}
+
+func newGroup() *group {
+	return &group{
+		total:      newHistogram(),
+		firstToken: newHistogram(),
+		gaps:       newHistogram(),
+		stall:      waitTally{times: newHistogram()},
+		queue:      waitTally{times: newHistogram()},
+	}
+}
+
+// add counts one answer. Latencies count from the intended send time: a caller who
+// could not be served in time is served late, whenever the call was sent.
+func (g *group) add(c *Call, a *Answer) {
+	g.endings.add(c, a)
+	if a.Ending() != Completed {
+		return
+	}
+	g.total.add(a.Ended - c.Intended)
+	if c.Kind.isService() {
+		return
+	}
+	g.stall.add(a.Stall)
+	g.queue.add(a.Queue)
+	if !c.Kind.isStreamed() {
+		return
+	}
+	if a.FirstToken > 0 {
+		g.firstToken.add(a.FirstToken - c.Intended)
+	}
+	for _, gap := range a.Gaps {
+		g.gaps.add(gap)
+	}
+}
+
+func (g *group) figures() GroupFigures {
+	return GroupFigures{
+		Endings:            g.endings,
+		TotalMillis:        g.total.quantiles(),
+		FirstTokenMillis:   g.firstToken.quantiles(),
+		BetweenTokenMillis: g.gaps.quantiles(),
+		Stall:              g.stall.figures(),
+		Queue:              g.queue.figures(),
+	}
+}
+
+// Tally counts the answers of a run. It is not safe for concurrent use.
+type Tally struct {
+	all        *group
+	workspaces []*group
+	// rushing and quiet hold the total latency of the usual calls during the rush
+	// and at other times, by workspace.
+	rushing []*histogram
+	quiet   []*histogram
+	kinds   [callKinds]*group
+	// lateness is the time between the intended moment and the sending.
+	lateness *histogram
+	resent   EndingCounts
+	points   series
+}
+
+// NewTally returns a tally of a run with the workload, whose time line has a point
+// for each interval.
+func NewTally(w *Workload, interval time.Duration) *Tally {
+	t := &Tally{all: newGroup(), lateness: newHistogram(), points: series{interval: interval}}
+	for range w.Workspaces {
+		t.workspaces = append(t.workspaces, newGroup())
+		t.rushing = append(t.rushing, newHistogram())
+		t.quiet = append(t.quiet, newHistogram())
+	}
+	for k := range t.kinds {
+		t.kinds[k] = newGroup()
+	}
+	return t
+}
+
+// Add counts the answer to a call.
+func (t *Tally) Add(c *Call, a *Answer) {
+	t.all.add(c, a)
+	t.workspaces[c.Workspace].add(c, a)
+	t.kinds[c.Kind].add(c, a)
+	t.lateness.add(a.Sent - c.Intended)
+	t.points.addAnswer(c, a)
+	if c.Rushing || a.Ending() != Completed || c.Kind.isService() {
+		return
+	}
+	if c.InRush {
+		t.rushing[c.Workspace].add(a.Ended - c.Intended)
+	} else {
+		t.quiet[c.Workspace].add(a.Ended - c.Intended)
+	}
+}
+
+// AddResent counts the answer to a call that was sent again on purpose.
+func (t *Tally) AddResent(c *Call, a *Answer) { t.resent.add(c, a) }
