--- a/internal/transport/subscriber/reader.go
+++ b/internal/transport/subscriber/reader.go
@@ -14,7 +14,7 @@
 // Get reads one resource as it is after all changes accepted before the call,
 // and the revision at which it was read.
 func (c *Client) Get(ctx context.Context, key storer.Key) (r storer.Resource, found bool, revision uint64, err error) {
-	a, err := c.read(ctx, distributor.Read{Kind: distributor.ReadGet, Key: key})
+	a, err := c.Read(ctx, distributor.Read{Kind: distributor.ReadGet, Key: key})
 	if err != nil || len(a.Resources) == 0 {
 		return storer.Resource{}, false, a.Revision, err
 	}
@@ -28,7 +28,7 @@
 	var revision uint64
 	request := distributor.Read{Kind: distributor.ReadList, Key: storer.Key{Kind: kind, Workspace: workspace}}
 	for {
-		a, err := c.read(ctx, request)
+		a, err := c.Read(ctx, request)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -49,7 +49,7 @@
 // the greatest number allowed), and the revision up to which they are complete.
 // It waits up to wait for a change. ErrCompacted tells to list again.
 func (c *Client) Since(ctx context.Context, after uint64, limit int, wait time.Duration) ([]storer.Change, uint64, error) {
-	a, err := c.read(ctx, distributor.Read{
+	a, err := c.Read(ctx, distributor.Read{
 		Kind: distributor.ReadSince, After: after, Limit: limit, WaitMillis: wait.Milliseconds(),
 	})
 	switch {
@@ -62,9 +62,9 @@
 	}
 }
 
-// read asks a control host, and another one where that fails: a read has no
-// effect.
-func (c *Client) read(ctx context.Context, r distributor.Read) (a distributor.ReadAnswer, err error) {
+// Read asks a control host, and again where that fails: a read has no effect.
+// A ReadList is one page. Its error is ErrUnavailable.
+func (c *Client) Read(ctx context.Context, r distributor.Read) (a distributor.ReadAnswer, err error) {
 	err = c.query(ctx, messenger.MethodRead, func(ctx context.Context) any {
 		r.TimeoutMillis = remaining(ctx)
 		return r
