--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -19,6 +19,7 @@
 type Client struct {
 	settings Settings
 	members  *memberships
+	metrics  *metrics
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -64,6 +65,7 @@
 	c := &Client{
 		settings: s,
 		members:  newMemberships(s.Now),
+		metrics:  newMetrics(s.Registerer),
 		leave:    make(chan string, 1),
 		linked:   make(chan struct{}),
 		lease:    distributor.Lease{Duration: s.ConfigurationLease},
@@ -192,6 +194,7 @@
 		age, known := c.lease.Age(now)
 		linked := c.link != nil
 		c.mu.Unlock()
+		c.measure(valid, age, known)
 		if changed {
 			kind := recorder.KindConfigurationLeaseLost
 			if valid {
@@ -205,6 +208,19 @@
 	}
 }
 
+// measure sets the gauges of what the node knows.
+func (c *Client) measure(valid bool, age time.Duration, known bool) {
+	c.metrics.revision.Set(float64(c.settings.Index.Revision()))
+	c.metrics.trusted.Set(0)
+	if valid {
+		c.metrics.trusted.Set(1)
+	}
+	c.metrics.age.Set(-1)
+	if known {
+		c.metrics.age.Set(age.Seconds())
+	}
+}
+
 // watchParts is the part of the configuration lease, as its divisor, between two
 // looks at it.
 const watchParts = 8
--- a/internal/transport/subscriber/connection.go
+++ b/internal/transport/subscriber/connection.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(errors.Trace(firstOf(err, l.conn.Close())), "subscribe at %s", h.Address)
 	}
+	c.metrics.connections.Inc()
 	c.settings.Recorder.Record(recorder.Event{
 		Kind: recorder.KindConnectionOpened, Revision: subscribed.Revision, Detail: "control host " + subscribed.Host,
 	})
@@ -110,6 +111,7 @@
 	case <-l.conn.Done():
 		return ""
 	case why := <-c.leave:
+		c.metrics.left.Inc()
 		c.settings.Log.Info().Str("Host", l.host.Address).Str("Reason", why).Msg("leaving a control host")
 		return why
 	case <-comeBack:
--- /dev/null
+++ b/internal/transport/subscriber/metrics.go
@@ -0,0 +1,39 @@
+package subscriber
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are a node's, of its replica and its control host.
+type metrics struct {
+	revision    prometheus.Gauge
+	age         prometheus.Gauge
+	trusted     prometheus.Gauge
+	connections prometheus.Counter
+	left        prometheus.Counter
+	permitWait  prometheus.Histogram
+}
+
+const namespace = "marigoldpoint_node"
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	}
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	}
+	m := &metrics{
+		revision:    gauge("revision", "Revision of the configuration in force here."),
+		age:         gauge("knowledge_age_seconds", "Time since this node was known to hold all that was accepted; -1 for never."),
+		trusted:     gauge("configuration_lease", "1 while this node may trust its rules."),
+		connections: counter("control_connections_total", "Subscriptions begun at control hosts."),
+		left:        counter("control_hosts_left_total", "Control hosts left because they were behind or cut off."),
+		permitWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "permit_wait_seconds", Help: "Wait for a load permit that was granted.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.revision, m.age, m.trusted, m.connections, m.left, m.permitWait)
+	}
+	return m
+}
--- a/internal/transport/subscriber/permit.go
+++ b/internal/transport/subscriber/permit.go
@@ -15,6 +15,7 @@
 func (c *Client) RequestPermit(ctx context.Context, r permitter.Request) (permitter.Grant, error) {
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
+	asked := c.settings.Now()
 	for {
 		conn, err := c.current(ctx)
 		if err != nil {
@@ -23,6 +24,7 @@
 		var g permitter.Grant
 		err = conn.Call(ctx, messenger.MethodRequestPermit, permitter.Ask{Request: r, TimeoutMillis: remaining(ctx)}, &g)
 		if err == nil && c.takePermit(g) {
+			c.metrics.permitWait.Observe(c.settings.Now().Sub(asked).Seconds())
 			return g, nil
 		}
 		if ctx.Err() != nil || effectOf(err) == effectRefused || !c.pauseIn(ctx, c.settings.RetryInterval) {
--- a/internal/transport/subscriber/settings.go
+++ b/internal/transport/subscriber/settings.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
@@ -34,7 +35,7 @@
 	Group string
 	// Scope is the part of the configuration that the node needs.
 	Scope distributor.Scope
-	// Backend is the name of a companion's own backend server.
+	// Backend is the name of a companion's own backend server; Node by default.
 	Backend string
 	// Hosts are the control hosts. Required.
 	Hosts []configurer.ControlHost
@@ -60,7 +61,9 @@
 	// Messenger holds the intervals of connections; the rest is set here.
 	Messenger messenger.Settings
 	Recorder  *recorder.Recorder
-	Log       zerolog.Logger
+	// Registerer takes the node's metrics; nil means none.
+	Registerer prometheus.Registerer
+	Log        zerolog.Logger
 	// Now is a clock with monotonic readings; nil means time.Now.
 	Now func() time.Time
 	// Random is the source of jitter, for this client alone. Required.
@@ -70,6 +73,7 @@
 }
 
 func (s Settings) withDefaults() Settings {
+	s.Backend = cmp.Or(s.Backend, s.Node)
 	s.ConfigurationLease = cmp.Or(s.ConfigurationLease, time.Duration(configurer.DefaultConfigurationLease))
 	s.CallTimeout = cmp.Or(s.CallTimeout, DefaultCallTimeout)
 	s.DialTimeout = cmp.Or(s.DialTimeout, DefaultDialTimeout)
