--- a/internal/protocol/orderer/caller.go
+++ b/internal/protocol/orderer/caller.go
@@ -139,11 +139,11 @@
 
 func send(t *http.Transport, r *http.Request) (*http.Response, error) {
 	tried := &attempts{}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), tried.trace()))
-	answer, err := t.RoundTrip(r)
+	ctx := httptrace.WithClientTrace(r.Context(), tried.trace())
+	answer, err := t.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		failure := &Error{Begun: tried.seal(), Cause: err}
-		if cause := context.Cause(r.Context()); cause != nil {
+		if cause := context.Cause(ctx); cause != nil {
 			failure.Cause = cause
 		}
 		return nil, failure
@@ -151,9 +151,8 @@
 	return answer, nil
 }
 
-// refusal turns an answer that is not a success into an *Error and closes it.
+// refusal turns an answer that is not a success into an *Error.
 func refusal(answer *http.Response) *Error {
-	defer func() { _ = answer.Body.Close() }()
 	e := &Error{
 		Begun:       mayHaveBegun(answer.StatusCode),
 		Status:      answer.StatusCode,
--- a/internal/protocol/orderer/engine.go
+++ b/internal/protocol/orderer/engine.go
@@ -91,11 +91,7 @@
 	if err != nil {
 		return c, &Error{Cause: err}
 	}
-	answer, err := e.caller.repeatable(r)
-	if err != nil {
-		return c, errors.Annotatef(err, "cancel %s", request)
-	}
-	err = e.read(answer, &c)
+	err = e.exchange(e.caller.repeatable, r, &c)
 	return c, errors.Annotatef(err, "cancel %s", request)
 }
 
@@ -109,11 +105,7 @@
 	if err != nil {
 		return &Error{Cause: err}
 	}
-	answer, err := e.caller.repeatable(r)
-	if err != nil {
-		return err
-	}
-	return e.read(answer, target)
+	return e.exchange(e.caller.repeatable, r, target)
 }
 
 func (e *Engine) order(ctx context.Context, limit time.Duration, path string, fence uint64, body any, target *[]byte) error {
@@ -135,23 +127,23 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(HeaderFence, strconv.FormatUint(fence, 10))
-	answer, err := e.caller.once(r)
-	if err != nil {
-		return err
-	}
 	if target == nil {
-		return e.read(answer, nil)
+		return e.exchange(e.caller.once, r, nil)
 	}
-	return e.read(answer, target)
+	return e.exchange(e.caller.once, r, target)
 }
 
-// read takes in the whole answer: as it is where target is a *[]byte, as JSON
-// otherwise, and not at all where target is nil.
-func (e *Engine) read(answer *http.Response, target any) error {
+// exchange sends the request by send and takes in the whole answer: as it is where
+// target is a *[]byte, as JSON otherwise, and not at all where target is nil.
+func (e *Engine) exchange(send func(*http.Request) (*http.Response, error), r *http.Request, target any) error {
+	answer, err := send(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
 		return refusal(answer)
 	}
-	defer func() { _ = answer.Body.Close() }()
 	incarnation := answer.Header.Get(HeaderIncarnation)
 	data, err := io.ReadAll(io.LimitReader(answer.Body, e.caller.settings.MaxAnswerBytes))
 	if err != nil {
--- a/internal/protocol/orderer/events.go
+++ b/internal/protocol/orderer/events.go
@@ -63,11 +63,11 @@
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
 	}
-	if err != bufio.ErrBufferFull {
+	if !errors.Is(err, bufio.ErrBufferFull) {
 		return nil, err
 	}
 	long := bytes.Clone(line)
-	for err == bufio.ErrBufferFull {
+	for errors.Is(err, bufio.ErrBufferFull) {
 		if len(long) > r.limit {
 			return nil, errors.Errorf("event longer than %d bytes", r.limit)
 		}
--- a/internal/protocol/orderer/faults_test.go
+++ b/internal/protocol/orderer/faults_test.go
@@ -33,7 +33,8 @@
 	faultKinds
 )
 
-func (f fault) strike(p pair, t *testing.T) {
+func (f fault) strike(t *testing.T, p pair) {
+	t.Helper()
 	switch f.kind {
 	case silence:
 		p.engine.Inject(generator.Faults{Silence: true})
@@ -78,7 +79,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			p := newPair(t, generator.Settings{MaxBatch: 3})
 			for _, f := range faults {
-				time.AfterFunc(f.at, func() { f.strike(p, t) })
+				time.AfterFunc(f.at, func() { f.strike(t, p) })
 			}
 			var all sync.WaitGroup
 			for i := range calls {
--- a/internal/protocol/orderer/generate.go
+++ b/internal/protocol/orderer/generate.go
@@ -167,6 +167,7 @@
 	if answer.StatusCode == http.StatusOK {
 		return answer, nil
 	}
+	defer func() { _ = answer.Body.Close() }()
 	e := refusal(answer)
 	e.Begun = true
 	if e.Status == http.StatusNotFound {
@@ -191,10 +192,10 @@
 	if err != nil {
 		return f.final(err), err
 	}
+	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode != http.StatusOK {
 		return true, refusal(answer)
 	}
-	defer func() { _ = answer.Body.Close() }()
 	incarnation := answer.Header.Get(HeaderIncarnation)
 	if f.incarnation == "" {
 		f.incarnation = incarnation
@@ -221,10 +222,10 @@
 	if !errors.As(err, &e) {
 		return true
 	}
-	switch e.Reason {
-	case ErrMoved:
+	switch {
+	case errors.Is(e, ErrMoved):
 		return true
-	case ErrForgotten:
+	case errors.Is(e, ErrForgotten):
 		// A request that was never heard of may still be on its way to the engine.
 		return f.last > 0 || f.incarnation != ""
 	default:
@@ -238,7 +239,7 @@
 	for {
 		e, err := events.next()
 		if err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return false, errors.Trace(err)
--- a/internal/protocol/orderer/service.go
+++ b/internal/protocol/orderer/service.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+
+	"github.com/juju/errors"
 )
 
 const headerUserAgent = "User-Agent"
@@ -68,7 +70,7 @@
 	if c.Idempotent {
 		exchange = s.caller.repeatable
 	}
-	answer, err := exchange(r)
+	answer, err := exchange(r) //nolint:bodyclose // The receiver of the answer closes it.
 	if err != nil {
 		return nil, err
 	}
@@ -85,7 +87,7 @@
 // Read reads from the answer.
 func (b *serviceBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
-	if err != nil && err != io.EOF {
+	if err != nil && !errors.Is(err, io.EOF) {
 		err = &Error{Begun: true, Cause: err}
 	}
 	return n, err
--- a/internal/standin/generator/accept.go
+++ b/internal/standin/generator/accept.go
@@ -25,7 +25,7 @@
 }
 
 func unknownModel(model string) *refusal {
-	return refuse(http.StatusNotFound, orderer.TypeNotFound, fmt.Sprintf("The model `%s` does not exist.", model))
+	return refuse(http.StatusNotFound, orderer.TypeNotFound, fmt.Sprintf("The model %#q does not exist.", model))
 }
 
 // newQuestion checks a request and returns what it asks.
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -66,7 +66,7 @@
 // Listen starts to serve on the address, which may end in port 0, and returns the
 // address it got.
 func (e *Engine) Listen(address string) (string, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", errors.Annotate(err, "engine")
 	}
@@ -87,6 +87,7 @@
 	err := e.server.Close()
 	e.conns.release()
 	e.running.Wait()
+	e.settings.Client.CloseIdleConnections()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.drop()
--- a/internal/standin/generator/engine_test.go
+++ b/internal/standin/generator/engine_test.go
@@ -19,7 +19,7 @@
 func ask(e *Engine, method, path, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	defer func() { _ = recover() }() // A connection that the engine cuts.
-	e.Handler().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	e.Handler().ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body)))
 	return w
 }
 
@@ -89,8 +89,8 @@
 	inBubble(t, Settings{}, func(g Gomega, e *Engine) {
 		e.Inject(Faults{Frozen: true})
 		ctx, cancel := context.WithCancel(context.Background())
-		r := httptest.NewRequest(http.MethodPost, orderer.PathLoadAdapter, strings.NewReader(`{"lora_name":"a","lora_path":"a"}`))
-		go e.Handler().ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, orderer.PathLoadAdapter, strings.NewReader(`{"lora_name":"a","lora_path":"a"}`))
+		go e.Handler().ServeHTTP(httptest.NewRecorder(), r)
 		synctest.Wait()
 		cancel()
 		<-time.After(time.Minute)
@@ -126,8 +126,8 @@
 func TestAbandonedAfterGrace(t *testing.T) {
 	inBubble(t, Settings{StreamGrace: time.Second}, func(g Gomega, e *Engine) {
 		ctx, cancel := context.WithCancel(context.Background())
-		r := httptest.NewRequest(http.MethodPost, orderer.PathCompletions, strings.NewReader(`{"model":"base","prompt":"p","max_tokens":1000,"stream":true}`))
-		go e.Handler().ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, orderer.PathCompletions, strings.NewReader(`{"model":"base","prompt":"p","max_tokens":1000,"stream":true}`))
+		go e.Handler().ServeHTTP(httptest.NewRecorder(), r)
 		<-time.After(time.Second)
 		cancel()
 		<-time.After(999 * time.Millisecond)
--- a/internal/standin/generator/settings.go
+++ b/internal/standin/generator/settings.go
@@ -8,6 +8,8 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
 )
 
+const fetchTimeout = 2 * time.Minute
+
 // Settings are the settings of an Engine. The zero value of each field means its
 // default. TimeScale multiplies the times that stand for work; it leaves alone
 // those that concern connections and reports.
@@ -44,7 +46,7 @@
 	// WeightStore is the weight store's base URL. Without one weights are fetched
 	// in no time.
 	WeightStore string
-	// Client fetches weights; http.DefaultClient by default.
+	// Client fetches weights; by default one that gives up after 2 min.
 	Client *http.Client `json:"-"`
 
 	// BlockTokens is the number of tokens in a block of the prefix cache; 16 by
@@ -88,13 +90,15 @@
 	setDefault(&s.PrefillPerToken, 100*time.Microsecond)
 	setDefault(&s.ActivationTime, 300*time.Millisecond)
 	setDefault(&s.TransferPerToken, 20*time.Microsecond)
-	setDefault(&s.Client, http.DefaultClient)
 	setDefault(&s.BlockTokens, 16)
 	setDefault(&s.CachedBlocks, 4096)
 	setDefault(&s.StreamGrace, 5*time.Second)
 	setDefault(&s.StreamKept, 30*time.Second)
 	setDefault(&s.HeartbeatInterval, time.Second)
 	setDefault(&s.Seed, 1)
+	if s.Client == nil {
+		s.Client = &http.Client{Transport: &http.Transport{}, Timeout: fetchTimeout}
+	}
 	if s.Random == nil {
 		s.Random = rand.New(rand.NewPCG(s.Seed, 0))
 	}
--- a/internal/standin/responder/service.go
+++ b/internal/standin/responder/service.go
@@ -1,6 +1,7 @@
 package responder
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -83,7 +84,7 @@
 // Listen starts to serve on the address, which may end in port 0, and returns the
 // address it got.
 func (s *Service) Listen(address string) (string, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", errors.Annotate(err, "plain service")
 	}
--- a/internal/standin/responder/service_test.go
+++ b/internal/standin/responder/service_test.go
@@ -1,6 +1,7 @@
 package responder
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -17,7 +18,7 @@
 			w = nil
 		}
 	}()
-	r := httptest.NewRequest(http.MethodPost, "/bookings", strings.NewReader("press 4"))
+	r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/bookings", strings.NewReader("press 4"))
 	r.Header.Set(HeaderRequest, request)
 	r.Header.Set(HeaderIdempotencyKey, key)
 	w = httptest.NewRecorder()
--- a/internal/standin/weigher/store.go
+++ b/internal/standin/weigher/store.go
@@ -116,7 +116,7 @@
 // Listen starts to serve on the address, which may end in port 0, and returns the
 // address it got.
 func (w *Store) Listen(address string) (string, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", errors.Annotate(err, "weight store")
 	}
--- a/internal/standin/weigher/store_test.go
+++ b/internal/standin/weigher/store_test.go
@@ -1,6 +1,7 @@
 package weigher_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -23,7 +24,7 @@
 		all.Go(func() {
 			<-time.After(d)
 			answer := httptest.NewRecorder()
-			w.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, weigher.PathWeights+"a/b@1", nil))
+			w.Handler().ServeHTTP(answer, httptest.NewRequestWithContext(context.Background(), http.MethodGet, weigher.PathWeights+"a/b@1", nil))
 			statuses[i] = answer.Code
 		})
 	}
