gatekeeper: the callers' API, from a bearer key to the answer's last piece

The entry's end of every request: authentication, limits, the claim of a call that may run once, the choice of a backend server, dispatch over messenger, pieces put in order by offset, resumption by id on a new connection, retries, and a truthful outcome. An answer of another version than asked for is withheld.

Faults of connections and claims are not tested yet.

--- a/internal/coordination/router/backend.go
+++ b/internal/coordination/router/backend.go
@@ -4,15 +4,9 @@
 	"sync"
 	"time"
 
-	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 )
 
-// Member is a backend server as its membership announces it.
-type Member struct {
-	Name string
-	Spec storer.MemberSpec
-}
-
 // Report is a backend server's load as it told it.
 type Report struct {
 	Running  int
@@ -33,7 +27,7 @@
 
 // backend is one membership of a backend server.
 type backend struct {
-	member Member
+	member indexer.Member
 	// index is the backend server's place in a view's slots; a later membership
 	// under the same name has the same index and another generation.
 	index      uint16
--- a/internal/coordination/router/bench_test.go
+++ b/internal/coordination/router/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/router"
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -14,10 +15,10 @@
 
 const base = "base"
 
-func engines(n, slots, batch int) []router.Member {
-	members := make([]router.Member, n)
+func engines(n, slots, batch int) []indexer.Member {
+	members := make([]indexer.Member, n)
 	for i := range members {
-		members[i] = router.Member{
+		members[i] = indexer.Member{
 			Name: fmt.Sprintf("engine-%03d", i),
 			Spec: storer.MemberSpec{
 				Kind: storer.MemberKindEngine, BaseModel: base, Slots: slots, MaxBatch: batch, Epoch: 1,
--- a/internal/coordination/router/choose.go
+++ b/internal/coordination/router/choose.go
@@ -13,7 +13,7 @@
 // version is new to the router. Errors are ErrNoBackend and ErrNoneWell; d then
 // holds the candidates passed, and needs no Finish.
 func (r *Router) Choose(now time.Time, c *Call, d *Decision) error {
-	d.reset(c)
+	d.reset()
 	w := r.view.Load()
 	p := w.pools[c.Pool]
 	if p == nil {
@@ -28,6 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.version(w, name, hash, r.settings.MaxVersions/shardCount, now)
+	d.prefix = prefixOf(c.Prefix, v.hash)
 	ch := choice{
 		router: r, view: w, pool: p, shard: s, version: v,
 		now: now, call: c, decision: d, mean: p.averages.read(), best: -1,
@@ -96,7 +97,7 @@
 	default:
 		h.residents()
 		h.bounded()
-		if b := h.shard.holder(h.view, h.call.Prefix); b != nil && slices.Contains(members, b) {
+		if b := h.shard.holder(h.view, h.decision.prefix); b != nil && slices.Contains(members, b) {
 			h.weigh(b, ReasonDrawn)
 		}
 		if len(members) <= maxCandidates {
--- a/internal/coordination/router/decision.go
+++ b/internal/coordination/router/decision.go
@@ -85,11 +85,11 @@
 	return choices
 }
 
-func (d *Decision) reset(c *Call) {
+func (d *Decision) reset() {
 	if d.chosen != nil {
 		panic("router: Decision used again before Finish")
 	}
-	*d = Decision{prefix: c.Prefix}
+	*d = Decision{}
 }
 
 // has reports whether the backend server was weighed already.
--- a/internal/coordination/router/prefix.go
+++ b/internal/coordination/router/prefix.go
@@ -29,7 +29,9 @@
 	if b == nil || prefix == 0 {
 		return
 	}
-	s := r.shard(xxhash.Sum64String(version))
+	hash := xxhash.Sum64String(version)
+	prefix = prefixOf(prefix, mix(hash))
+	s := r.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	place := &s.prefixes[prefix%prefixCount]
@@ -40,6 +42,15 @@
 	}
 }
 
+// prefixOf returns the prefix under the version: an engine caches what it
+// computed with one version for that version alone.
+func prefixOf(prefix, version uint64) uint64 {
+	if prefix == 0 {
+		return 0
+	}
+	return mix(prefix ^ version)
+}
+
 // remember notes that the backend server has the prefix. The caller holds the
 // shard's lock.
 func (s *shard) remember(b *backend, prefix uint64) {
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 )
 
 // shardCount is the number of shards; a power of two.
@@ -51,7 +53,7 @@
 
 // SetMembers replaces the membership. What is known of a membership that goes
 // on is kept; a leaving one gets nothing new from here on.
-func (r *Router) SetMembers(members []Member) error {
+func (r *Router) SetMembers(members []indexer.Member) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u := builder{
@@ -181,3 +183,11 @@
 	v.remove(b)
 	b.countResidents(-1)
 }
+
+// Size returns the number of backend servers that serve the pool.
+func (r *Router) Size(p Pool) int {
+	if q := r.view.Load().pools[p]; q != nil {
+		return len(q.members)
+	}
+	return 0
+}
--- a/internal/coordination/router/score.go
+++ b/internal/coordination/router/score.go
@@ -131,7 +131,7 @@
 
 // cached is the prompt's computation that a cached prefix saves.
 func (h *choice) cached(b *backend) float64 {
-	if h.shard.holder(h.view, h.call.Prefix) != b {
+	if h.shard.holder(h.view, h.decision.prefix) != b {
 		return 0
 	}
 	return float64(h.call.PromptTokens) / h.router.settings.PrefillRate
--- a/internal/coordination/router/view.go
+++ b/internal/coordination/router/view.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -53,7 +54,7 @@
 	added      []*backend
 }
 
-func (u *builder) build(members []Member) error {
+func (u *builder) build(members []indexer.Member) error {
 	u.next = &view{
 		slots:  make([]*backend, len(u.last.slots)),
 		byName: make(map[string]*backend, len(members)),
@@ -75,7 +76,7 @@
 // member takes over a membership that goes on, and makes a new one where the
 // epoch, the incarnation or the address is another: what was known of the old
 // one, residency above all, doesn't hold for the new one.
-func (u *builder) member(m Member) {
+func (u *builder) member(m indexer.Member) {
 	b := u.last.byName[m.Name]
 	key := poolOf(m.Spec)
 	// A membership that only turned to leaving goes on; it is in no pool.
@@ -94,7 +95,7 @@
 	return a == b
 }
 
-func (u *builder) backend(m Member, key Pool) *backend {
+func (u *builder) backend(m indexer.Member, key Pool) *backend {
 	*u.generation++
 	a := u.averages[key]
 	if a == nil {
--- a/internal/protocol/translator/fault.go
+++ b/internal/protocol/translator/fault.go
@@ -20,6 +20,7 @@
 const (
 	CodeInvalidKey       Code = "invalid_api_key"
 	CodeInvalidRequest   Code = "invalid_request"
+	CodeHeaderTooLarge   Code = "header_too_large"
 	CodeBodyTooLarge     Code = "body_too_large"
 	CodeBodyTimeout      Code = "body_timeout"
 	CodeNotFound         Code = "not_found"
@@ -137,6 +138,7 @@
 		h.Set(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
 		h.Set(HeaderRetryAfterMillis, strconv.FormatInt(f.RetryAfter.Milliseconds(), 10))
 	}
+	h.Set(HeaderShouldRetry, strconv.FormatBool(f.repeatable()))
 	if f.Status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
 	}
@@ -144,6 +146,18 @@
 	w.Write(append(f.Body(request), '\n'))
 }
 
+// repeatable tells a client library whether to send the request again by
+// itself. Without it OpenAI's libraries repeat whatever has a status of 409, 429
+// or 500 and more, also a request that may have run.
+func (f *Fault) repeatable() bool {
+	switch f.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return f.Outcome == messenger.OutcomeNotRun
+	default:
+		return f.Code == CodeKeyInProgress
+	}
+}
+
 // Malformed returns the fault for an error of this package's parsing.
 func Malformed(err error) *Fault {
 	return NewFault(http.StatusBadRequest, CodeInvalidRequest, "%s", errors.Cause(err).Error())
--- a/internal/protocol/translator/header.go
+++ b/internal/protocol/translator/header.go
@@ -22,8 +22,10 @@
 	HeaderRetryAfter     = "Retry-After"
 	// HeaderRetryAfterMillis is read by OpenAI's client libraries.
 	HeaderRetryAfterMillis = "Retry-After-Ms"
-	HeaderAuthorization    = "Authorization"
-	HeaderContentType      = "Content-Type"
+	// HeaderShouldRetry is read by OpenAI's client libraries.
+	HeaderShouldRetry   = "X-Should-Retry"
+	HeaderAuthorization = "Authorization"
+	HeaderContentType   = "Content-Type"
 )
 
 // MaxKey bounds the bytes of an idempotency key.
--- /dev/null
+++ b/internal/transport/gatekeeper/answer_test.go
@@ -0,0 +1,128 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+)
+
+var _ = Describe("Answers", func() {
+	It("gives a whole answer with its provenance", func() {
+		c := newCompanion("engine-1")
+		e := newWorld(c).entry(nil)
+		a := e.chat(`{"model":"town/lyrics","messages":[{"role":"user","content":"?"}],"top_k":7}`)
+		Expect(a.StatusCode).To(Equal(http.StatusOK))
+		Expect(a.body).To(ContainSubstring("hello"))
+		Expect(a.outcome()).To(Equal("Completed"))
+		Expect(a.Header.Get("Marigoldpoint-Adapter")).To(Equal(version))
+		Expect(a.Header.Get("Marigoldpoint-Backend")).To(Equal("engine-1"))
+		d := <-c.bodies
+		Expect(d.Body).To(MatchJSON(`{"model":"town/lyrics@3","messages":[{"role":"user","content":"?"}],"top_k":7,"priority":9}`))
+		Expect(d.Version).To(Equal(version))
+		var kinds []recorder.Kind
+		for _, ev := range e.recorder.Events(a.Header.Get("Marigoldpoint-Request")).Events {
+			kinds = append(kinds, ev.Kind)
+		}
+		Expect(kinds).To(Equal([]recorder.Kind{
+			recorder.KindRequestReceived, recorder.KindRouted, recorder.KindDispatched, recorder.KindRequestAnswered,
+		}))
+	})
+
+	// Symptom: a caller reads an answer with pieces missing, doubled or swapped.
+	// Sequence: pieces cross on two connections while one of them fails.
+	// Cause to prevent: giving pieces in the order of their arrival.
+	It("puts late, doubled and swapped pieces of a stream in order", func() {
+		c := newCompanion("engine-1")
+		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+			p := streamed(d.Request, d.Attempt, "one", "two", "three")
+			send(conn, p[1], p[0], p[0], p[3], p[1], p[2])
+			return nil
+		}
+		a := newWorld(c).entry(nil).chat(streamBody)
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.Header.Get("Content-Type")).To(Equal("text/event-stream"))
+		Expect(strings.Index(a.body, "one")).To(BeNumerically("<", strings.Index(a.body, "two")))
+		Expect(strings.Count(a.body, "data: ")).To(Equal(4))
+		Expect(a.body).To(HaveSuffix("data: [DONE]\n\n: Marigoldpoint-Outcome Completed\n\n"))
+		Expect(a.Trailer.Get("Marigoldpoint-Outcome")).To(Equal("Completed"))
+	})
+
+	// Symptom: a customer gets a clearance by another version than asked for.
+	// Sequence: the engine confuses two adapters; the head or only the ending
+	// tells. Cause to prevent: trusting the dispatch instead of the engine's word.
+	It("withholds the answer of another version", func() {
+		c := newCompanion("engine-1")
+		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+			p := whole(d.Request, d.Attempt, "secret")
+			p[0].End = completed("town/lyrics@2")
+			send(conn, p...)
+			return nil
+		}
+		a := newWorld(c).entry(nil).chat(chatBody)
+		Expect(a.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(a.outcome()).To(Equal("Unknown"))
+		Expect(a.body).To(And(ContainSubstring("wrong_model"), Not(ContainSubstring("secret"))))
+		Expect(c.dispatched.Load()).To(Equal(int64(1)), "a wrong answer is not asked for again")
+	})
+
+	It("ends a stream that is cut in an error event, never as if complete", func() {
+		c := newCompanion("engine-1")
+		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+			p := streamed(d.Request, d.Attempt, "one", "two")
+			p[1].End = &messenger.End{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonEngine}
+			send(conn, p[:2]...)
+			return nil
+		}
+		a := newWorld(c).entry(nil).chat(streamBody)
+		Expect(a.body).To(And(ContainSubstring("two"), ContainSubstring("event: error"), ContainSubstring("answer_cut"), Not(ContainSubstring("[DONE]"))))
+		Expect(a.Trailer.Get("Marigoldpoint-Outcome")).To(Equal("Unknown"))
+	})
+
+	It("serves OpenAI's own client library unchanged", func() {
+		c := newCompanion("engine-1")
+		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+			if d.Stream {
+				send(conn, streamed(d.Request, d.Attempt, "good ", "day")...)
+			} else {
+				send(conn, whole(d.Request, d.Attempt, "good day")...)
+			}
+			return nil
+		}
+		e := newWorld(c).entry(nil)
+		client := openai.NewClient(option.WithBaseURL(e.url+"/v1"), option.WithAPIKey(bearer))
+		ctx := context.Background()
+		ask := openai.ChatCompletionNewParams{Model: "town/lyrics@3", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("?")}}
+		got, err := client.Chat.Completions.New(ctx, ask)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Choices[0].Message.Content).To(Equal("good day"))
+
+		text := ""
+		stream := client.Chat.Completions.NewStreaming(ctx, ask)
+		for stream.Next() {
+			text += stream.Current().Choices[0].Delta.Content
+		}
+		Expect(stream.Err()).NotTo(HaveOccurred())
+		Expect(text).To(Equal("good day"))
+
+		models, err := client.Models.List(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(models.Data).To(HaveLen(2))
+		one, err := client.Models.Get(ctx, "town/lyrics@3")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(one.ID).To(Equal(version))
+
+		ask.Model = "town/nobody@1"
+		_, err = client.Chat.Completions.New(ctx, ask)
+		var fault *openai.Error
+		Expect(err).To(BeAssignableToTypeOf(fault))
+		Expect(err.(*openai.Error).Code).To(Equal("model_not_found"))
+	})
+})
--- /dev/null
+++ b/internal/transport/gatekeeper/body.go
@@ -0,0 +1,52 @@
+package gatekeeper
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
+)
+
+// body reads the request's body within the limits of size and time.
+func (x *exchange) body() ([]byte, *translator.Fault) {
+	s := x.entry.settings.Entry
+	limit := int64(s.MaxBodyBytes)
+	if x.r.ContentLength > limit {
+		x.w.Header().Set("Connection", "close")
+		return nil, tooLarge(limit)
+	}
+	control := http.NewResponseController(x.w)
+	// A recorder in a test has no connection to set a deadline on.
+	timed := control.SetReadDeadline(time.Now().Add(time.Duration(s.BodyTimeout))) == nil
+	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err != nil {
+		return nil, unreadable(err, limit)
+	}
+	if timed {
+		// The deadline must not end the request when it passes later.
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			return nil, unreadable(err, limit)
+		}
+	}
+	return data, nil
+}
+
+func tooLarge(limit int64) *translator.Fault {
+	return translator.NewFault(http.StatusRequestEntityTooLarge, translator.CodeBodyTooLarge, "the body has more than %d bytes", limit)
+}
+
+func unreadable(err error, limit int64) *translator.Fault {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return tooLarge(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return translator.NewFault(http.StatusRequestTimeout, translator.CodeBodyTimeout, "the body did not arrive in time")
+	default:
+		return translator.NewFault(http.StatusBadRequest, translator.CodeInvalidRequest, "the body was cut off")
+	}
+}
--- /dev/null
+++ b/internal/transport/gatekeeper/fixture_test.go
@@ -0,0 +1,282 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/dialer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/gatekeeper"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
+	"marigoldpoint.example/marigoldpoint/internal/transport/subscriber"
+)
+
+const (
+	bearer   = "secret-of-town"
+	stranger = "secret-of-rival"
+	version  = "town/lyrics@3"
+	life     = "first-life"
+)
+
+// control is the state machine behind the entries, without a log.
+type control struct {
+	mu    sync.Mutex
+	store *storer.Store
+	index uint64
+	// before and after may fail a proposal before or after it took effect.
+	before, after func(storer.Command) error
+	lost          atomic.Bool
+}
+
+func (c *control) Propose(_ context.Context, e storer.Envelope) (storer.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.before != nil {
+		if err := c.before(e.Command); err != nil {
+			return storer.Result{}, err
+		}
+	}
+	data, err := storer.Encode(e)
+	if err != nil {
+		return storer.Result{}, err
+	}
+	c.index++
+	r := c.store.Apply(c.index, data).(storer.Result)
+	if c.after != nil {
+		if err := c.after(e.Command); err != nil {
+			return storer.Result{}, err
+		}
+	}
+	return r, nil
+}
+
+func (c *control) LeaseValid() bool                { return !c.lost.Load() }
+func (c *control) OnDigest(func(registrar.Digest)) {}
+
+func (c *control) claim(key string) storer.ClaimState {
+	held, ok := c.store.Claim("town", key)
+	if !ok {
+		return -1
+	}
+	return held.State
+}
+
+var errLost = subscriber.ErrOutcomeUnknown
+
+// companion is a scripted companion. Its functions may be nil.
+type companion struct {
+	name       string
+	server     *listener.Listener
+	dispatch   func(c *messenger.Conn, d messenger.Dispatch) error
+	resume     func(c *messenger.Conn, r messenger.Resume) error
+	dispatched atomic.Int64
+	cancelled  atomic.Int64
+	bodies     chan messenger.Dispatch
+}
+
+func newCompanion(name string) *companion {
+	c := &companion{name: name, bodies: make(chan messenger.Dispatch, 100)}
+	c.server = listener.NewListener(listen(), messenger.Settings{Handler: c, Log: zerolog.Nop()})
+	DeferCleanup(c.server.Close)
+	return c
+}
+
+func listen() net.Listener {
+	network, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return network
+}
+
+func (c *companion) Handle(_ context.Context, conn *messenger.Conn, m messenger.Method, p json.RawMessage) (any, error) {
+	switch m {
+	case messenger.MethodDispatch:
+		var d messenger.Dispatch
+		if err := messenger.Decode(p, &d); err != nil {
+			return nil, err
+		}
+		c.dispatched.Add(1)
+		c.bodies <- d
+		if c.dispatch == nil {
+			send(conn, whole(d.Request, d.Attempt, "hello")...)
+			return messenger.Accepted{Incarnation: life}, nil
+		}
+		return messenger.Accepted{Incarnation: life}, c.dispatch(conn, d)
+	case messenger.MethodResume:
+		var r messenger.Resume
+		if err := messenger.Decode(p, &r); err != nil {
+			return nil, err
+		}
+		return messenger.Accepted{Incarnation: life}, c.resume(conn, r)
+	case messenger.MethodCancel:
+		c.cancelled.Add(1)
+	}
+	return nil, nil
+}
+
+func send(conn *messenger.Conn, pieces ...messenger.Piece) {
+	for _, p := range pieces {
+		_ = conn.Notify(context.Background(), messenger.MethodPiece, p)
+	}
+}
+
+var head = &messenger.Head{Status: 200, ContentType: "application/json", Model: version}
+
+func completed(model string) *messenger.End {
+	return &messenger.End{Outcome: messenger.OutcomeCompleted, Model: model}
+}
+
+// whole returns the pieces of an answer with the text.
+func whole(request string, attempt int, text string) []messenger.Piece {
+	data := []byte(`{"id":"1","object":"chat.completion","model":"` + version + `","choices":[{"index":0,"message":{"role":"assistant","content":"` + text + `"},"finish_reason":"stop"}]}`)
+	return []messenger.Piece{{Request: request, Attempt: attempt, Head: head, Data: data, End: completed(version)}}
+}
+
+// streamed returns the pieces of a streamed answer, one for each text and one
+// for its end.
+func streamed(request string, attempt int, texts ...string) []messenger.Piece {
+	var pieces []messenger.Piece
+	offset := int64(0)
+	add := func(text string) {
+		pieces = append(pieces, messenger.Piece{Request: request, Attempt: attempt, Offset: offset, Data: []byte("data: " + text + "\n\n")})
+		offset += int64(len(text) + len("data: \n\n"))
+	}
+	for _, text := range texts {
+		add(`{"id":"1","object":"chat.completion.chunk","model":"` + version + `","choices":[{"index":0,"delta":{"content":"` + text + `"}}]}`)
+	}
+	add("[DONE]")
+	pieces[0].Head = &messenger.Head{Status: 200, ContentType: "text/event-stream", Model: version}
+	pieces[len(pieces)-1].End = completed(version)
+	return pieces
+}
+
+// world is a deployment of scripted companions with one or more entries.
+type world struct {
+	control *control
+	index   *indexer.Index
+	at      uint64
+	members []storer.Resource
+	random  *rand.Rand
+}
+
+func newWorld(companions ...*companion) *world {
+	w := &world{
+		control: &control{store: storer.NewStore(storer.Settings{}), index: 1000},
+		index:   indexer.NewIndex(indexer.Settings{}), random: rand.New(rand.NewPCG(1, 1)),
+	}
+	w.put(storer.KindWorkspace, "town", "town", storer.WorkspaceSpec{})
+	w.put(storer.KindWorkspace, "rival", "rival", storer.WorkspaceSpec{})
+	w.put(storer.KindAdapter, "town", "lyrics", storer.AdapterSpec{BaseModel: "base"})
+	w.put(storer.KindVersion, "town", "lyrics@3", storer.VersionSpec{Source: "s"})
+	w.put(storer.KindAdapter, "town", "lyrics", storer.AdapterSpec{BaseModel: "base", Current: "3"})
+	w.put(storer.KindAdapter, "town", "undecided", storer.AdapterSpec{BaseModel: "base"})
+	w.put(storer.KindService, "town", "booking", storer.ServiceSpec{IdempotentMethods: []string{"GET"}, IdempotentPaths: []string{"/lookup"}})
+	for name, secret := range map[string]string{"town": bearer, "rival": stranger} {
+		hash := sha256.Sum256([]byte(secret))
+		w.put(storer.KindKey, name, "desk", storer.KeySpec{Hash: hex.EncodeToString(hash[:])})
+	}
+	for _, c := range companions {
+		spec := storer.MemberSpec{Address: c.server.Address(), BaseModel: "base", Slots: 4, MaxBatch: 8, Incarnation: life, Epoch: 7}
+		if strings.HasPrefix(c.name, "service") {
+			spec.Kind, spec.BaseModel, spec.Service = storer.MemberKindService, "", "booking"
+		}
+		w.put(storer.KindMember, "", c.name, spec)
+	}
+	return w
+}
+
+func (w *world) put(kind storer.Kind, workspace, name string, spec storer.Spec) {
+	w.at++
+	r := storer.Resource{Kind: kind, Metadata: storer.Metadata{Workspace: workspace, Name: name, Revision: w.at}, Spec: spec}
+	Expect(w.index.Apply([]storer.Change{{Revision: w.at, Resource: r}}, w.at)).To(Succeed())
+}
+
+type entry struct {
+	*gatekeeper.Entry
+	url      string
+	recorder *recorder.Recorder
+}
+
+// entry starts an entry that callers reach by HTTP.
+func (w *world) entry(change func(*configurer.EntrySettings)) *entry {
+	s := configurer.Settings{}.WithDefaults().Entry
+	if change != nil {
+		change(&s)
+	}
+	pieces := gatekeeper.NewPieces()
+	fork := func() *rand.Rand { return rand.New(rand.NewPCG(w.random.Uint64(), 2)) }
+	events := recorder.NewRecorder(recorder.Settings{Node: "entry"})
+	pool := dialer.NewPool(dialer.Settings{Random: fork(), Messenger: messenger.Settings{
+		Handler: pieces, Log: zerolog.Nop(), HeartbeatInterval: 20 * time.Millisecond, SilenceLimit: 200 * time.Millisecond,
+	}})
+	e := gatekeeper.NewEntry(gatekeeper.Settings{
+		Node: "entry", Entry: s, Index: w.index, Control: w.control, Pool: pool, Pieces: pieces,
+		Recorder: events, Log: zerolog.Nop(), Now: time.Now, Random: fork(),
+	})
+	server := httptest.NewUnstartedServer(e.Handler())
+	limits := gatekeeper.Limits(s)
+	server.Config.MaxHeaderBytes, server.Config.ReadHeaderTimeout = limits.MaxHeaderBytes, limits.HeaderTimeout
+	server.Start()
+	DeferCleanup(func() {
+		server.Close()
+		Expect(e.Close()).To(Succeed())
+		Expect(pool.Close()).To(Succeed())
+	})
+	return &entry{Entry: e, url: server.URL, recorder: events}
+}
+
+// answer is what a caller got.
+type answer struct {
+	*http.Response
+	body string
+	err  error
+}
+
+func (a answer) outcome() string {
+	if o := a.Header.Get("Marigoldpoint-Outcome"); o != "" {
+		return o
+	}
+	return a.Trailer.Get("Marigoldpoint-Outcome")
+}
+
+// ask sends a request with header fields in pairs.
+func (e *entry) ask(method, path, body string, fields ...string) answer {
+	r, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+bearer)
+	for i := 0; i < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	got, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer got.Body.Close()
+	data, err := io.ReadAll(got.Body)
+	return answer{Response: got, body: string(data), err: err}
+}
+
+const chatBody = `{"model":"town/lyrics@3","messages":[{"role":"user","content":"may we reprint this?"}]}`
+
+const streamBody = `{"model":"town/lyrics@3","stream":true,"messages":[{"role":"user","content":"may we reprint this?"}]}`
+
+func (e *entry) chat(body string, fields ...string) answer {
+	return e.ask(http.MethodPost, "/v1/chat/completions", body, fields...)
+}
