replicator: random schedules of faults over 3 and 5 hosts

Cause: the faults of consensus come in combinations nobody lists.

Change: a simulation with fake network, clocks and disks, and two rapid properties on it. They found that a leader could remove itself or others until no majority answered, which left the group stuck; such changes are refused now. Loops over members go in the order of their IDs, so that a seed repeats.

--- a/internal/coordination/replicator/change.go
+++ b/internal/coordination/replicator/change.go
@@ -39,11 +39,28 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	if c.answering(next) < next.Quorum() {
+		// Such a configuration could never commit itself, nor be undone.
+		return 0, 0, ErrChangeRefused{Reason: "too few of the remaining voters answer"}
+	}
 	index = c.appendOwn(EntryMembership, encodeConfiguration(next))
 	c.syncPeers()
 	return index, c.hard.Term, nil
 }
 
+// answering returns how many voters of a configuration have answered a
+// heartbeat within the last ElectionTimeout.
+func (c *Core) answering(configuration Configuration) int {
+	n := 0
+	for _, m := range configuration.Members {
+		p := c.peers[m.ID]
+		if m.Voter && (m.ID == c.settings.Self || (p != nil && p.round > 0 && c.clock-p.roundAt < c.settings.ElectionTimeout)) {
+			n++
+		}
+	}
+	return n
+}
+
 // changed returns the configuration after a change.
 func (c *Core) changed(change Change) (Configuration, error) {
 	now := c.Configuration()
@@ -66,12 +83,14 @@
 		m.Voter, m.Incarnation = true, c.peers[t.ID].incarnation
 		return now.with(m), nil
 	case RemoveMember:
-		m, ok := now.Find(t.ID)
-		if !ok {
+		if _, ok := now.Find(t.ID); !ok {
 			return now, ErrChangeRefused{Reason: "not a member"}
 		}
-		if m.Voter && now.Voters() == 1 {
-			return now, ErrChangeRefused{Reason: "the last voter can't be removed"}
+		if t.ID == c.settings.Self {
+			// Its entry could be in its own log only when it is cut off; the
+			// others would then need the vote of a host that no longer counts
+			// itself as a voter.
+			return now, ErrChangeRefused{Reason: "the leader can't remove itself; it must hand over leadership first"}
 		}
 		return now.without(t.ID), nil
 	default:
--- a/internal/coordination/replicator/leader.go
+++ b/internal/coordination/replicator/leader.go
@@ -97,8 +97,10 @@
 // Flush sends out what was proposed since the last one. Many proposals share
 // its messages.
 func (c *Core) Flush() {
-	for id := range c.peers {
-		c.feed(id)
+	for _, m := range c.Configuration().Members {
+		if c.peers[m.ID] != nil {
+			c.feed(m.ID)
+		}
 	}
 }
 
@@ -145,8 +147,9 @@
 // spreadCommit tells members of a new commit index that no append has carried
 // to them, so that they needn't wait for the next heartbeat to apply it.
 func (c *Core) spreadCommit() {
-	for id, p := range c.peers {
-		if p.state == replicating && p.told < c.commit && p.match > p.told {
+	for _, m := range c.Configuration().Members {
+		id, p := m.ID, c.peers[m.ID]
+		if p != nil && p.state == replicating && p.told < c.commit && p.match > p.told {
 			c.sendAppend(id, false)
 		}
 	}
@@ -162,7 +165,11 @@
 		c.firstRound += uint64(old)
 	}
 	c.heartbeatAt = c.clock + c.settings.HeartbeatInterval
-	for id, p := range c.peers {
+	for _, m := range c.Configuration().Members {
+		id, p := m.ID, c.peers[m.ID]
+		if p == nil {
+			continue
+		}
 		if p.waiting && c.clock-p.sentAt >= c.settings.ElectionTimeout {
 			// The probe or piece, or its answer, was lost.
 			p.waiting = false
@@ -274,8 +281,4 @@
 		c.pendingBytes -= entrySize(e)
 	}
 	c.commit = agreed
-	if _, ok := c.Configuration().Find(c.settings.Self); !ok && c.changeIndex() <= c.commit {
-		// The leader has removed itself.
-		c.becomeFollower(c.hard.Term, 0)
-	}
 }
--- a/internal/coordination/replicator/membership.go
+++ b/internal/coordination/replicator/membership.go
@@ -35,8 +35,8 @@
 	return errors.Trace(r.change(ctx, PromoteLearner{ID: m.ID}))
 }
 
-// RemoveMember removes a host and returns when that is committed. A leader that
-// removes itself steps down then.
+// RemoveMember removes a host and returns when that is committed. A leader can't
+// remove itself: after TransferLeadership the next one can.
 func (r *Replicator) RemoveMember(ctx context.Context, id HostID) error {
 	return errors.Trace(r.change(ctx, RemoveMember{ID: id}))
 }
--- /dev/null
+++ b/internal/coordination/replicator/property_test.go
@@ -0,0 +1,77 @@
+package replicator
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestPropertyThreeHosts and TestPropertyFiveHosts let random schedules of
+// faults run: messages lost, late, doubled and reordered; links cut one way or
+// both; crashes now or between any two durable steps; clocks that jump; lost
+// disks; proposals, membership changes and transfers at any host. In no step
+// may two hosts lead one term, a leader lack a committed entry, or two hosts
+// differ in what they applied; and when all faults end the group must go on.
+func TestPropertyThreeHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, 3) })
+}
+
+func TestPropertyFiveHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, 5) })
+}
+
+func runSchedule(t *rapid.T, voters int) {
+	seed := rapid.Uint64().Draw(t, "Seed")
+	s := newSimulation(t.Fatalf, rand.New(rand.NewPCG(seed, 0)), voters, 1)
+	s.run(20, false)
+	actions := rapid.SliceOfN(rapid.IntRange(0, 99), 20, 120).Draw(t, "Actions")
+	for _, a := range actions {
+		s.act(a)
+	}
+	s.heal()
+}
+
+// act carries out one action of a schedule on a random host.
+func (s *simulation) act(action int) {
+	h := s.hosts[s.random.IntN(len(s.hosts))]
+	o := s.hosts[s.random.IntN(len(s.hosts))]
+	switch {
+	case action < 40:
+		s.run(1+s.random.IntN(5), true)
+	case action < 58:
+		for _, h := range s.hosts {
+			s.propose(h)
+		}
+	case action < 64:
+		h.disk.CrashIn(1 + s.random.IntN(12))
+	case action < 70:
+		h.disk.Crash()
+		h.replica, h.applier = nil, nil
+	case action < 80:
+		for _, h := range s.hosts {
+			s.restart(h)
+		}
+	case action < 85:
+		s.cut[[2]HostID{h.id, o.id}] = true
+	case action < 88:
+		for _, o := range s.hosts {
+			s.cut[[2]HostID{h.id, o.id}], s.cut[[2]HostID{o.id, h.id}] = true, true
+		}
+	case action < 92:
+		s.cut = make(map[[2]HostID]bool)
+	case action < 94:
+		h.offset += time.Duration(s.random.IntN(4)) * simulatedTimeout
+	case action < 97:
+		for _, h := range s.hosts {
+			s.change(h)
+		}
+	case action < 99:
+		if h.replica != nil && h.replica.core.Transfer() == nil {
+			s.finish(h, nil)
+		}
+	default:
+		s.wipe(h)
+	}
+}
--- /dev/null
+++ b/internal/coordination/replicator/simulation_test.go
@@ -0,0 +1,358 @@
+package replicator
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/disker"
+	"marigoldpoint.example/marigoldpoint/internal/state/snapshotter"
+)
+
+// Times of the simulation: a step is a heartbeat interval.
+const (
+	simulatedStep    = 50 * time.Millisecond
+	simulatedTimeout = 200 * time.Millisecond
+)
+
+// chain is a state machine whose state is a hash over all commands so far.
+type chain struct{ index, hash uint64 }
+
+func (c *chain) Apply(index uint64, data []byte) any {
+	c.index = index
+	for _, b := range data {
+		c.hash = c.hash*1099511628211 + uint64(b)
+	}
+	return nil
+}
+
+func (c *chain) Snapshot(w io.Writer) error {
+	return binary.Write(w, binary.LittleEndian, []uint64{c.index, c.hash})
+}
+
+func (c *chain) Restore(r io.Reader, _ uint64) error {
+	var v [2]uint64
+	err := binary.Read(r, binary.LittleEndian, &v)
+	c.index, c.hash = v[0], v[1]
+	return err
+}
+
+// simulatedHost is a host with a fake disk; replica is nil while it is down.
+type simulatedHost struct {
+	id      HostID
+	disk    *disker.Disk
+	replica *replica
+	applier *applier
+	// offset is what clock jumps have added to the host's clock.
+	offset time.Duration
+	// startedAt is the host's clock at its start.
+	startedAt time.Duration
+}
+
+// simulation runs hosts on fake networks, clocks and disks, and checks after
+// each step what must always hold.
+type simulation struct {
+	fail    func(format string, args ...any)
+	random  *rand.Rand
+	hosts   []*simulatedHost
+	voters  []Member
+	now     time.Duration
+	network []Message
+	cut     map[[2]HostID]bool
+	// leaders holds who led each term, committed what was committed where, and
+	// hashes the state after each entry.
+	leaders   map[uint64]HostID
+	committed []Entry
+	hashes    map[uint64]uint64
+	proposed  uint64
+	seen      map[string]bool
+	// elections and faults count what the run has met.
+	elections, faults int
+}
+
+// newSimulation starts the given number of voters and as many spare hosts.
+func newSimulation(fail func(string, ...any), random *rand.Rand, voters, spares int) *simulation {
+	s := &simulation{
+		fail: fail, random: random, cut: make(map[[2]HostID]bool), leaders: make(map[uint64]HostID),
+		hashes: make(map[uint64]uint64), seen: make(map[string]bool),
+	}
+	for i := 1; i <= voters; i++ {
+		s.voters = append(s.voters, Member{ID: HostID(i), Address: fmt.Sprint(i)})
+	}
+	for i := 1; i <= voters+spares; i++ {
+		h := &simulatedHost{id: HostID(i), disk: disker.NewDisk(random)}
+		s.hosts = append(s.hosts, h)
+		s.start(h)
+	}
+	return s
+}
+
+// start opens a host on its disk. A fault armed on the disk may end it at once.
+func (s *simulation) start(h *simulatedHost) {
+	settings := Settings{
+		Group: "simulated", Self: Member{ID: h.id, Address: fmt.Sprint(h.id)}, DataFolder: "/data",
+		ElectionTimeout: simulatedTimeout, HeartbeatInterval: simulatedStep, PieceBytes: 64,
+		SnapshotEvery: 8, CatchUpEntries: 4, MessageBytes: 200, Random: s.random, FileSystem: h.disk,
+	}.withDefaults()
+	if int(h.id) <= len(s.voters) {
+		settings.Bootstrap = s.voters
+	}
+	r, err := openReplica(settings)
+	if err != nil {
+		s.crashOr(h, err)
+		return
+	}
+	a := &applier{machine: &chain{}, store: r.store, observe: settings.Observe}
+	r.send = func(ms []Message) { s.network = append(s.network, ms...) }
+	r.commit = func(es []Entry) { s.apply(h, es) }
+	r.install = func(snapshotter.Metadata) { s.restore(h) }
+	r.answer = func(ReadState) {}
+	h.replica, h.applier = r, a
+	h.startedAt = s.now + h.offset
+	s.restore(h)
+}
+
+// crashOr takes the host down after a crash of its disk; other errors fail.
+func (s *simulation) crashOr(h *simulatedHost, err error) {
+	if !h.crashed() {
+		s.fail("host %d: %v", h.id, err)
+	}
+	h.replica, h.applier = nil, nil
+	s.faults++
+}
+
+func (h *simulatedHost) crashed() bool {
+	_, err := h.disk.List("/data")
+	return err != nil
+}
+
+func (s *simulation) restore(h *simulatedHost) {
+	if err := h.applier.restore(); err != nil {
+		s.fail("host %d: %v", h.id, err)
+	}
+	s.checkState(h)
+}
+
+// apply checks that all hosts apply the same entries, and each command once.
+func (s *simulation) apply(h *simulatedHost, es []Entry) {
+	for _, e := range es {
+		known := uint64(len(s.committed))
+		switch {
+		case e.Index > known+1:
+			s.fail("host %d applies entry %d before entry %d was committed", h.id, e.Index, known+1)
+		case e.Index == known+1:
+			if e.Kind == EntryCommand && s.seen[string(e.Data)] {
+				s.fail("command %x is applied twice", e.Data)
+			}
+			s.seen[string(e.Data)] = e.Kind == EntryCommand
+			s.committed = append(s.committed, e)
+		case s.committed[e.Index-1].Term != e.Term:
+			s.fail("host %d applies entry %d of term %d, which was committed with term %d", h.id, e.Index, e.Term, s.committed[e.Index-1].Term)
+		}
+		if _, err := h.applier.apply(e); err != nil {
+			s.fail("host %d: %v", h.id, err)
+		}
+		s.checkState(h)
+	}
+}
+
+// checkState compares the state after an entry with that of the other hosts.
+func (s *simulation) checkState(h *simulatedHost) {
+	at, hash := h.applier.applied, h.applier.machine.(*chain).hash
+	if old, ok := s.hashes[at]; ok && old != hash {
+		s.fail("host %d has another state after entry %d", h.id, at)
+	}
+	s.hashes[at] = hash
+}
+
+// finish carries out what the host wants, then checks its leadership.
+func (s *simulation) finish(h *simulatedHost, err error) {
+	if err == nil {
+		err = h.replica.advance()
+	}
+	if err == nil && h.applier.due(h.replica.settings) {
+		var m snapshotter.Metadata
+		if m, err = h.applier.take(time.Now); err == nil {
+			err = h.replica.compact(m)
+		}
+	}
+	if err != nil {
+		s.crashOr(h, err)
+		return
+	}
+	c := h.replica.core
+	if c.role != Leader {
+		return
+	}
+	if old, ok := s.leaders[c.hard.Term]; ok && old != h.id {
+		s.fail("hosts %d and %d both lead term %d", old, h.id, c.hard.Term)
+	}
+	if _, ok := s.leaders[c.hard.Term]; ok {
+		return
+	}
+	s.leaders[c.hard.Term] = h.id
+	s.elections++
+	for _, e := range s.committed {
+		if e.Index > c.log.base && !c.log.holds(e.Index, e.Term) {
+			s.fail("host %d leads term %d without the committed entry %d", h.id, c.hard.Term, e.Index)
+		}
+	}
+}
+
+// tick advances the time on all hosts.
+func (s *simulation) tick() {
+	s.now += simulatedStep
+	for _, h := range s.hosts {
+		if h.replica == nil {
+			continue
+		}
+		now := s.now + h.offset - h.startedAt
+		h.replica.core.Tick(now)
+		if f := h.replica.founder; f != nil {
+			h.replica.emit(f.tick(now, simulatedStep))
+		}
+		s.finish(h, nil)
+	}
+}
+
+// deliver passes on the messages in flight, some of them lost, doubled, or
+// left for later, in any order.
+func (s *simulation) deliver(faulty bool) {
+	batch := s.network
+	s.network = nil
+	if faulty {
+		s.random.Shuffle(len(batch), func(i, j int) { batch[i], batch[j] = batch[j], batch[i] })
+	}
+	for _, m := range batch {
+		if faulty {
+			switch roll := s.random.IntN(100); {
+			case roll < 4:
+				continue
+			case roll < 8:
+				s.network = append(s.network, m)
+			case roll < 25:
+				s.network = append(s.network, m)
+				continue
+			}
+		}
+		s.pass(m)
+	}
+}
+
+// pass delivers one message where the link works.
+func (s *simulation) pass(m Message) {
+	h := s.hosts[m.To-1]
+	if h.replica == nil || s.cut[[2]HostID{m.From, m.To}] {
+		return
+	}
+	s.finish(h, h.replica.step(m))
+}
+
+// run lets some steps go by.
+func (s *simulation) run(steps int, faulty bool) {
+	for range steps {
+		s.tick()
+		s.deliver(faulty)
+		s.deliver(faulty)
+	}
+}
+
+// propose puts a new command to a host.
+func (s *simulation) propose(h *simulatedHost) {
+	if h.replica == nil {
+		return
+	}
+	s.proposed++
+	data := binary.LittleEndian.AppendUint64(nil, s.proposed)
+	if _, _, err := h.replica.core.Propose(data); err == nil {
+		s.finish(h, nil)
+	}
+}
+
+// change puts a random change of the membership to a host.
+func (s *simulation) change(h *simulatedHost) {
+	if h.replica == nil {
+		return
+	}
+	id := HostID(s.random.IntN(len(s.hosts)) + 1)
+	changes := []Change{AddLearner{Member{ID: id, Address: fmt.Sprint(id)}}, PromoteLearner{id}, PromoteLearner{id}, RemoveMember{id}}
+	if _, _, err := h.replica.core.ProposeChange(changes[s.random.IntN(len(changes))]); err == nil {
+		s.finish(h, nil)
+	}
+}
+
+// wipe loses a host's disk, where every configuration that some host knows
+// keeps a majority of the disks it names.
+func (s *simulation) wipe(h *simulatedHost) {
+	if slices.ContainsFunc(s.hosts, func(o *simulatedHost) bool { return o.replica == nil }) {
+		return
+	}
+	for _, o := range s.hosts {
+		for _, c := range o.replica.core.configurations {
+			left := 0
+			for _, m := range c.Members {
+				if m.Voter && m.ID != h.id && s.hosts[m.ID-1].replica.identity.Incarnation == m.Incarnation {
+					left++
+				}
+			}
+			if len(c.Members) > 0 && left < c.Quorum() {
+				return
+			}
+		}
+	}
+	h.replica, h.applier = nil, nil
+	h.disk.Crash()
+	h.disk.Restart()
+	h.disk.Wipe()
+	s.faults++
+	s.start(h)
+	// A change of the membership in the moment of the loss is a second loss;
+	// after an election timeout the leader refuses it.
+	s.run(int(simulatedTimeout/simulatedStep)+1, true)
+}
+
+// restart starts a host that is down.
+func (s *simulation) restart(h *simulatedHost) {
+	if h.replica == nil {
+		h.disk.Restart()
+		s.start(h)
+	}
+}
+
+// heal ends all faults and checks that the group works and agrees again.
+func (s *simulation) heal() {
+	s.cut = make(map[[2]HostID]bool)
+	for _, h := range s.hosts {
+		h.disk.CrashIn(0)
+		s.restart(h)
+	}
+	s.run(60, false)
+	before := len(s.committed)
+	for _, h := range s.hosts {
+		s.propose(h)
+	}
+	s.run(60, false)
+	if len(s.committed) == before {
+		s.fail("no leader commits after all faults have ended")
+	}
+	for _, h := range s.hosts {
+		m, ok := Configuration{Members: s.lastConfiguration()}.Find(h.id)
+		if ok && m.Incarnation == h.replica.identity.Incarnation && h.applier.applied != uint64(len(s.committed)) {
+			s.fail("host %d has applied %d of %d entries", h.id, h.applier.applied, len(s.committed))
+		}
+	}
+}
+
+// lastConfiguration returns the members as last committed.
+func (s *simulation) lastConfiguration() []Member {
+	for _, e := range slices.Backward(s.committed) {
+		if e.Kind == EntryMembership {
+			c, _ := decodeConfiguration(e.Data)
+			return c.Members
+		}
+	}
+	return nil
+}
--- a/internal/coordination/replicator/status.go
+++ b/internal/coordination/replicator/status.go
@@ -46,9 +46,9 @@
 		Commit: c.commit, Last: c.log.last(), Snapshot: c.snapshot.Index,
 		JournalBytes: r.replica.journal.Bytes(), Members: c.Configuration().Members,
 	}
-	for id := range c.peers {
-		if c.CaughtUp(id) {
-			p.caughtUp = append(p.caughtUp, id)
+	for _, m := range p.status.Members {
+		if c.CaughtUp(m.ID) {
+			p.caughtUp = append(p.caughtUp, m.ID)
 		}
 	}
 	r.lock.Lock()
--- a/internal/standin/disker/disk.go
+++ b/internal/standin/disker/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -112,7 +113,9 @@
 	}
 	d.changes = nil
 	d.names = make(map[string]*node, len(d.durable))
-	for path, n := range d.durable {
+	// A fixed order keeps the draws of a seed the same.
+	for _, path := range slices.Sorted(maps.Keys(d.durable)) {
+		n := d.durable[path]
 		survivor := d.survivor(n)
 		d.names[path] = &node{data: survivor, synced: slices.Clone(survivor), kept: len(survivor)}
 	}
