--- a/internal/state/storer/history.go
+++ b/internal/state/storer/history.go
@@ -12,8 +12,7 @@
 // history keeps the latest changes for watchers.
 type history struct {
 	mu sync.RWMutex
-	// changes rise by revision; guarded by mu. The changes of one revision are
-	// kept or dropped together.
+	// changes rise by revision; guarded by mu.
 	changes []Change
 	// floor is the highest revision whose changes were dropped; guarded by mu.
 	// A watcher which has seen less must take the whole state.
@@ -38,23 +37,13 @@
 	h.cut(limit)
 }
 
-// cut drops the oldest revisions until limit changes or fewer are left. The
-// newest revision stays, also when it alone has more. The caller holds mu.
+// cut drops the oldest changes until limit or fewer are left. What may be left
+// of the revision at the floor is given to nobody. The caller holds mu.
 func (h *history) cut(limit int) {
-	n := len(h.changes) - max(limit, minimumHistoryChanges)
+	n := len(h.changes) - limit
 	if n <= 0 {
 		return
 	}
-	last := h.changes[len(h.changes)-1].Revision
-	for n < len(h.changes) && h.changes[n].Revision == h.changes[n-1].Revision {
-		n++
-	}
-	for n > 0 && h.changes[n-1].Revision == last {
-		n--
-	}
-	if n == 0 {
-		return
-	}
 	h.floor = h.changes[n-1].Revision
 	clear(h.changes[:n])
 	h.changes = h.changes[n:]
--- a/internal/state/storer/retention.go
+++ b/internal/state/storer/retention.go
@@ -13,7 +13,6 @@
 	DefaultMinEntries      = 10_000
 	DefaultMaxRecords      = 1_000_000
 	DefaultHistoryChanges  = 50_000
-	minimumHistoryChanges  = 1
 	maxTimeStep            = Instant(time.Minute)
 	maxSupersededPerMember = 8
 )
