starter, demonstrator, marigoldpoint: the whole path runs

Cause: the parts stood side by side and no process took a request. Change: processes from their settings with a planned stop; a small deployment on loopback in one process; the commands serve, settings, timeline, standin, demo.

--- a/cmd/marigoldpoint/load.go
+++ b/cmd/marigoldpoint/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +14,9 @@
 	"marigoldpoint.example/marigoldpoint/internal/standin/driver"
 )
 
+// inForceTimeout bounds the wait for what was declared to be in force.
+const inForceTimeout = 30 * time.Second
+
 // loadCommand drives a deployment with load and reports what it saw.
 type loadCommand struct {
 	Compare *loadCompareCommand `arg:"subcommand:compare" help:"print the figures of two reports side by side"`
@@ -69,6 +73,9 @@
 	if s.Keys, err = c.prepare(ctx, &s.Workload, out); err != nil {
 		return err
 	}
+	if err := c.awaitInForce(ctx, &s); err != nil {
+		return err
+	}
 	d, err := driver.NewDriver(s)
 	if err != nil {
 		return usageError{err}
@@ -143,7 +150,14 @@
 	case c.Remote:
 		return s, nil
 	}
-	return s, driver.CheckLoopback(append(append([]string(nil), c.Operators...), c.Entries...)...)
+	return s, driver.CheckLoopback(slices.Concat(c.Operators, c.Entries, c.Engines, c.Services)...)
+}
+
+// awaitInForce waits until the entries know what was declared.
+func (c *loadCommand) awaitInForce(ctx context.Context, s *driver.Settings) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	return errors.Annotate(driver.AwaitInForce(ctx, &s.Workload, s.Keys, s.Entries), "the workload is not in force")
 }
 
 // prepare declares the workload, or reads the keys of a run that did.
--- /dev/null
+++ b/cmd/marigoldpoint/resource.go
@@ -0,0 +1,4 @@
+package main
+
+// resourceCommand groups the commands over resources.
+type resourceCommand struct{}
--- /dev/null
+++ b/cmd/marigoldpoint/serve.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	stderrors "errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/starter"
+)
+
+// serveCommand runs the roles that a settings file names.
+type serveCommand struct {
+	Settings string `arg:"required" placeholder:"FILE" help:"settings file"`
+}
+
+func (c *serveCommand) run(ctx context.Context, out io.Writer) error {
+	s, err := configurer.Load(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	log := newLog(s, out)
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p, err := starter.NewProcess(starter.Settings{Configuration: s, Registry: registry, Log: log})
+	if err != nil {
+		return err
+	}
+	log.Info().Str("FailureDomain", s.FailureDomain).Msg("serving")
+	select {
+	case <-ctx.Done():
+		return stopProcess(p, log)
+	case err := <-p.Failed():
+		log.Error().Err(err).Msg("the process can't go on")
+		return stderrors.Join(err, p.Close())
+	}
+}
+
+// stopProcess stops as planned; a second signal ends at once.
+func stopProcess(p *starter.Process, log zerolog.Logger) error {
+	again, restore := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer restore()
+	log.Info().Msg("stopping")
+	if err := stderrors.Join(p.Stop(again), p.Close()); err != nil {
+		return errors.Annotate(err, "the stop was not clean")
+	}
+	log.Info().Msg("stopped")
+	return nil
+}
+
+// newLog returns the process's log.
+func newLog(s configurer.Settings, out io.Writer) zerolog.Logger {
+	if s.Log.Format == configurer.LogFormatConsole {
+		out = zerolog.ConsoleWriter{Out: out}
+	}
+	levels := map[configurer.LogLevel]zerolog.Level{
+		configurer.LogLevelDebug: zerolog.DebugLevel,
+		configurer.LogLevelInfo:  zerolog.InfoLevel,
+		configurer.LogLevelWarn:  zerolog.WarnLevel,
+		configurer.LogLevelError: zerolog.ErrorLevel,
+	}
+	return zerolog.New(out).Level(levels[s.Log.Level]).With().Timestamp().Str("Node", s.Node).Logger()
+}
--- /dev/null
+++ b/internal/standin/demonstrator/access.go
@@ -0,0 +1,127 @@
+package demonstrator
+
+import (
+	"context"
+	stderrors "errors"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
+	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
+	"marigoldpoint.example/marigoldpoint/internal/standin/weigher"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/starter"
+)
+
+// Engines returns the model engines.
+func (d *Deployment) Engines() []*generator.Engine { return d.engines }
+
+// Services returns the plain services.
+func (d *Deployment) Services() []*responder.Service { return d.services }
+
+// Store returns the weight store.
+func (d *Deployment) Store() *weigher.Store { return d.store }
+
+// CallerAddresses returns the entries' listeners for callers.
+func (d *Deployment) CallerAddresses() []string {
+	var addresses []string
+	for _, n := range d.nodes {
+		if n.configuration.HasRole(configurer.RoleEntry) {
+			addresses = append(addresses, n.configuration.Entry.Listen)
+		}
+	}
+	return addresses
+}
+
+// OperatorAddresses returns the operators' listeners of all processes, those of
+// the entries first.
+func (d *Deployment) OperatorAddresses() []string {
+	addresses := make([]string, 0, len(d.nodes))
+	for _, n := range d.nodes {
+		addresses = append(addresses, n.configuration.Operators.Listen)
+	}
+	return addresses
+}
+
+// Names returns the names of all processes, the entries first.
+func (d *Deployment) Names() []string {
+	names := make([]string, 0, len(d.nodes))
+	for _, n := range d.nodes {
+		names = append(names, n.configuration.Node)
+	}
+	return names
+}
+
+// Process returns a process by name, or nil while it is down.
+func (d *Deployment) Process(name string) *starter.Process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := d.node(name); n != nil {
+		return n.process
+	}
+	return nil
+}
+
+// Leader returns the name of the process that leads, or "" while none does.
+func (d *Deployment) Leader() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range d.nodes {
+		if n.process != nil && n.process.Leading() {
+			return n.configuration.Node
+		}
+	}
+	return ""
+}
+
+// node returns a node by name; mu is held.
+func (d *Deployment) node(name string) *node {
+	for _, n := range d.nodes {
+		if n.configuration.Node == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// take removes a process from the deployment and returns it.
+func (d *Deployment) take(name string) (*starter.Process, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.node(name)
+	if n == nil || n.process == nil {
+		return nil, errors.NotFoundf("running process %q", name)
+	}
+	p := n.process
+	n.process = nil
+	return p, nil
+}
+
+// Stop ends a process as planned.
+func (d *Deployment) Stop(ctx context.Context, name string) error {
+	p, err := d.take(name)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return stderrors.Join(p.Stop(ctx), p.Close())
+}
+
+// Kill ends a process at once, as a crash would.
+func (d *Deployment) Kill(name string) error {
+	p, err := d.take(name)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(p.Close())
+}
+
+// Restart starts a process that is down, with its former settings and disk.
+func (d *Deployment) Restart(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.node(name)
+	if n == nil || n.process != nil {
+		return errors.NotFoundf("process %q that is down", name)
+	}
+	return errors.Trace(d.startNode(n))
+}
--- a/internal/standin/generator/engine.go
+++ b/internal/standin/generator/engine.go
@@ -28,6 +28,8 @@
 
 	mu          sync.Mutex
 	incarnation string               // guarded by mu
+	life        context.Context      // ends with the incarnation; guarded by mu
+	endLife     context.CancelFunc   // guarded by mu
 	faults      Faults               // guarded by mu
 	thawed      chan struct{}        // nil unless frozen; guarded by mu
 	role        orderer.Role         // guarded by mu
@@ -117,6 +119,10 @@
 // reset sets up the state of a fresh incarnation. It needs mu.
 func (e *Engine) reset() {
 	s := &e.settings
+	if e.endLife != nil {
+		e.endLife()
+	}
+	e.life, e.endLife = context.WithCancel(e.context)
 	e.incarnation = rand.Text()
 	e.role = s.Role
 	e.fence = 0
@@ -171,3 +177,6 @@
 	}
 	return count
 }
+
+// MaxBatch returns the number of sequences that run at once.
+func (e *Engine) MaxBatch() int { return e.settings.MaxBatch }
--- /dev/null
+++ b/internal/transport/starter/roles.go
@@ -0,0 +1,156 @@
+package starter
+
+import (
+	stderrors "errors"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/companion"
+	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
+	"marigoldpoint.example/marigoldpoint/internal/transport/dialer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/gatekeeper"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
+	"marigoldpoint.example/marigoldpoint/internal/transport/subscriber"
+)
+
+func (p *Process) startControl() error {
+	c := p.settings.Configuration
+	network, err := p.settings.Listen(c.Control.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	control, err := controller.NewControl(controller.Settings{
+		Node:          c.Node,
+		Region:        c.Region,
+		FailureDomain: c.FailureDomain,
+		ID:            c.ControlID(),
+		Hosts:         c.ControlHosts,
+		Control:       c.Control,
+		DataFolder:    c.DataFolder,
+		Listener:      network,
+		Messenger:     p.messenger(nil),
+		Recorder:      p.recorder,
+		Registerer:    p.settings.Registry,
+		Log:           p.settings.Log,
+		Now:           p.settings.Now,
+		Random:        p.fork(),
+	})
+	if err != nil {
+		return errors.Trace(stderrors.Join(err, network.Close()))
+	}
+	p.control = control
+	control.Start()
+	p.tasks.Go(p.watchDisk)
+	return nil
+}
+
+// watchDisk ends the process when its disk can't be trusted any more: going on
+// would acknowledge changes that are lost at the next restart.
+func (p *Process) watchDisk() {
+	select {
+	case <-p.control.Failed():
+		if !p.stopping.Load() && p.starting.Err() == nil {
+			p.fail(errors.New("the replicated log stopped for a failure of its disk"))
+		}
+	case <-p.starting.Done():
+	}
+}
+
+func (p *Process) startClient() {
+	c := p.settings.Configuration
+	scope := distributor.ScopeCompanion
+	if c.HasRole(configurer.RoleEntry) {
+		scope = distributor.ScopeEntry
+	}
+	p.index = indexer.NewIndex(indexer.Settings{})
+	p.client = subscriber.NewClient(subscriber.Settings{
+		Node:               c.Node,
+		Region:             c.Region,
+		FailureDomain:      c.FailureDomain,
+		Group:              c.Control.Group,
+		Scope:              scope,
+		Backend:            c.Node,
+		Hosts:              c.ControlHosts,
+		Index:              p.index,
+		ConfigurationLease: time.Duration(c.Control.ConfigurationLease),
+		Messenger:          p.messenger(nil),
+		Recorder:           p.recorder,
+		Log:                p.settings.Log,
+		Now:                p.settings.Now,
+		Random:             p.fork(),
+	})
+}
+
+func (p *Process) startEntry() error {
+	c := p.settings.Configuration
+	network, err := p.settings.Listen(c.Entry.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	pieces := gatekeeper.NewPieces()
+	p.pool = dialer.NewPool(dialer.Settings{Messenger: p.messenger(pieces), Random: p.fork()})
+	p.entry = gatekeeper.NewEntry(gatekeeper.Settings{
+		Node:          c.Node,
+		Region:        c.Region,
+		FailureDomain: c.FailureDomain,
+		Entry:         c.Entry,
+		Index:         p.index,
+		Control:       p.client,
+		Pool:          p.pool,
+		Pieces:        pieces,
+		Recorder:      p.recorder,
+		Registerer:    p.settings.Registry,
+		Log:           p.settings.Log,
+		Now:           p.settings.Now,
+		Random:        p.fork(),
+	})
+	p.callers = listener.NewHTTP(network, p.entry.Handler(), gatekeeper.Limits(c.Entry), p.settings.Log)
+	return nil
+}
+
+func (p *Process) startCompanion() error {
+	c := p.settings.Configuration
+	network, err := p.settings.Listen(c.Companion.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s := companion.Settings{
+		Node:          c.Node,
+		Region:        c.Region,
+		FailureDomain: c.FailureDomain,
+		Address:       c.Companion.Listen,
+		Companion:     c.Companion,
+		Stop:          c.Stop,
+		Policy:        p.settings.Eviction,
+		Control:       p.client,
+		Recorder:      p.recorder,
+		Registerer:    p.settings.Registry,
+		Log:           p.settings.Log,
+		Now:           p.settings.Now,
+		Random:        p.fork(),
+	}
+	switch c.Companion.Kind {
+	case configurer.BackendKindService:
+		s.Service = orderer.NewService(orderer.Settings{Address: c.Companion.ServiceAddress})
+	default:
+		s.Engine = orderer.NewEngine(orderer.Settings{Address: c.Companion.EngineAddress})
+	}
+	p.companion = companion.NewCompanion(s)
+	p.dispatches = listener.NewListener(network, p.messenger(p.companion))
+	p.tasks.Go(p.joinCompanion)
+	return nil
+}
+
+// joinCompanion begins the membership apart from the start of the process: an
+// engine or control host that is not up yet must not keep the operators'
+// listener closed.
+func (p *Process) joinCompanion() {
+	if err := p.companion.Start(p.starting); err != nil && p.starting.Err() == nil {
+		p.fail(errors.Annotate(err, "starting the companion"))
+	}
+}
