--- a/internal/state/storer/aging.go
+++ b/internal/state/storer/aging.go
@@ -1,6 +1,9 @@
 package storer
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 // aged is one thing that expires, as it was at one index.
 type aged struct {
@@ -98,7 +101,7 @@
 	if !ok {
 		return Result{}, false
 	}
-	if string(first.Digest) != string(e.Digest) {
+	if !bytes.Equal(first.Digest, e.Digest) {
 		return Result{Verdict: VerdictKeyReused, Reason: "the idempotency key belongs to another change"}, true
 	}
 	result := first.Result
--- a/internal/state/storer/model_test.go
+++ b/internal/state/storer/model_test.go
@@ -107,7 +107,7 @@
 func (m *model) claim(c ClaimCall) Verdict {
 	old, ok := m.claims[c.Key]
 	switch {
-	case ok && string(old.Digest) != string(c.Digest):
+	case ok && !bytes.Equal(old.Digest, c.Digest):
 		return VerdictKeyReused
 	case ok && old.State == ClaimStateClaimed && old.Holder == c.Holder:
 		return VerdictAccepted
@@ -175,7 +175,7 @@
 func (m *model) applyOnce(index uint64, e Envelope) (v Verdict, replayed bool) {
 	k := workspaceOf(e.Command) + "/" + e.IdempotencyKey
 	if first, ok := m.records[k]; ok && e.IdempotencyKey != "" {
-		if string(first.Digest) != string(e.Digest) {
+		if !bytes.Equal(first.Digest, e.Digest) {
 			return VerdictKeyReused, false
 		}
 		return first.Result.Verdict, true
--- a/internal/state/storer/resources.go
+++ b/internal/state/storer/resources.go
@@ -1,6 +1,7 @@
 package storer
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"reflect"
 
@@ -71,7 +72,7 @@
 		if !ok {
 			return invalid(errors.NotFoundf("adapter %q", adapter)), false
 		}
-		if was, ok := p.retired[r.Metadata.Name]; ok && string(was.Content) != string(versionContent(a, spec)) {
+		if was, ok := p.retired[r.Metadata.Name]; ok && !bytes.Equal(was.Content, versionContent(a, spec)) {
 			return invalid(errors.NotValidf("content: a deleted version of this name held another one; it")), false
 		}
 	case KeySpec:
@@ -191,6 +192,7 @@
 		if a, ok := p.get(KindAdapter, adapter); ok && a.Spec.(AdapterSpec).Current == version {
 			return "the version is its adapter's current one"
 		}
+	default:
 	}
 	return ""
 }
--- a/internal/state/storer/store_test.go
+++ b/internal/state/storer/store_test.go
@@ -181,7 +181,7 @@
 		var back []Resource
 		Expect(json.Unmarshal(data, &back)).To(Succeed())
 		Expect(back).To(Equal(rs))
-		Expect(json.Unmarshal([]byte(`{"Kind":"Adapter","Spec":{"Curent":"v1"}}`), &Resource{})).NotTo(Succeed())
+		Expect(json.Unmarshal([]byte(`{"Kind":"Adapter","Spec":{"Present":"v1"}}`), &Resource{})).NotTo(Succeed())
 	})
 })
 
--- a/internal/transport/operator/api.go
+++ b/internal/transport/operator/api.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"math"
@@ -189,9 +188,4 @@
 	a.writeProblem(w, problem(ReasonMethodNotAllowed, "allowed here: "+strings.Join(allowed, ", ")))
 }
 
-// bounded returns the request's context, ended by the API's timeout.
-func (a *API) bounded(r *http.Request) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(r.Context(), a.settings.Timeout)
-}
-
 func millis(d time.Duration) int64 { return d.Milliseconds() }
--- a/internal/transport/operator/change.go
+++ b/internal/transport/operator/change.go
@@ -13,10 +13,6 @@
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
-// proposals is the number of times a change is proposed whose outcome is
-// unknown. Its idempotency key makes the second time safe.
-const proposals = 2
-
 // put declares a resource.
 func (a *API) put(w http.ResponseWriter, r *http.Request, key storer.Key) {
 	c, err := parseConditions(r.Header)
@@ -97,6 +93,8 @@
 }
 
 // change proposes a command and returns its result when it was accepted.
+// Control tries again by itself, while the timeout lasts: the idempotency key,
+// which every change has, makes that safe.
 func (a *API) change(w http.ResponseWriter, r *http.Request, command storer.Command) (storer.Result, *Problem) {
 	e, err := a.envelope(r, command)
 	if err != nil {
@@ -104,9 +102,9 @@
 	}
 	// The operator learns the key of a change that brought none, to ask by.
 	w.Header().Set(headerIdempotencyKey, e.IdempotencyKey)
-	ctx, cancel := a.bounded(r)
+	ctx, cancel := context.WithTimeout(r.Context(), a.settings.Timeout)
 	defer cancel()
-	result, err := a.propose(ctx, e)
+	result, err := a.settings.Control.Propose(ctx, e)
 	switch {
 	case err != nil && a.settings.NotAccepted(err):
 		return result, problem(ReasonNotAccepted, "the change has not taken effect: "+err.Error())
@@ -150,12 +148,3 @@
 		Command:        command,
 	}, nil
 }
-
-func (a *API) propose(ctx context.Context, e storer.Envelope) (result storer.Result, err error) {
-	for range proposals {
-		if result, err = a.settings.Control.Propose(ctx, e); err == nil || a.settings.NotAccepted(err) || ctx.Err() != nil {
-			return result, err
-		}
-	}
-	return result, err
-}
--- a/internal/transport/operator/document.go
+++ b/internal/transport/operator/document.go
@@ -31,7 +31,7 @@
 
 // Status tells how far a resource's revision is in force.
 type Status struct {
-	// InForce means that every node known holds the revision.
+	// InForce means that every node known, and at least one, holds the revision.
 	InForce bool
 	// Holding and Lacking count the nodes that hold the revision and those known
 	// that don't.
@@ -186,7 +186,7 @@
 // statusOf returns what operators see of a tally.
 func statusOf(now time.Time, f distributor.InForce) *Status {
 	s := &Status{
-		InForce:     f.Lacking == 0 && len(f.Unreachable) == 0,
+		InForce:     f.Holding > 0 && f.Lacking == 0 && len(f.Unreachable) == 0,
 		Holding:     f.Holding,
 		Lacking:     f.Lacking,
 		Unreachable: f.Unreachable,
--- a/internal/transport/operator/read.go
+++ b/internal/transport/operator/read.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -14,7 +15,7 @@
 
 // get answers with one resource and how far it is in force.
 func (a *API) get(w http.ResponseWriter, r *http.Request, key storer.Key) {
-	ctx, cancel := a.bounded(r)
+	ctx, cancel := context.WithTimeout(r.Context(), a.settings.Timeout)
 	defer cancel()
 	answer, err := a.settings.Control.Read(ctx, distributor.Read{
 		Kind:          distributor.ReadGet,
@@ -60,10 +61,14 @@
 		a.writeProblem(w, problemf(ReasonInvalid, err))
 		return
 	}
-	key.Name = query.Get(queryContinue)
-	ctx, cancel := a.bounded(r)
+	from, err := parsePlace(query.Get(queryContinue))
+	if err != nil {
+		a.writeProblem(w, problemf(ReasonInvalid, err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), a.settings.Timeout)
 	defer cancel()
-	list, err := a.readList(ctx, key, int(min(limit, distributor.ReadLimit)))
+	list, err := a.readList(ctx, key, from, int(min(limit, distributor.ReadLimit)))
 	if err != nil {
 		a.writeProblem(w, problemf(ReasonUnavailable, err))
 		return
@@ -72,15 +77,41 @@
 	a.writeJSON(w, http.StatusOK, list)
 }
 
+// place is how far a list has been read.
+type place struct {
+	// count is the number of resources read, name that of the last one.
+	count uint64
+	name  string
+}
+
+func (p place) String() string { return strconv.FormatUint(p.count, 10) + placeSeparator + p.name }
+
+const placeSeparator = ":"
+
+// parsePlace is the inverse of place.String; an empty text is the beginning.
+func parsePlace(text string) (place, error) {
+	if text == "" {
+		return place{}, nil
+	}
+	number, name, _ := strings.Cut(text, placeSeparator)
+	count, err := strconv.ParseUint(number, 10, 32)
+	if err != nil {
+		return place{}, errors.NotValidf("%s=%s", queryContinue, text)
+	}
+	return place{count: count, name: name}, nil
+}
+
 // readList reads one page of at most limit resources, or with a limit of 0 all
 // pages. The list bears the first page's revision: a watch from there sees
 // again what later pages may already show, and misses nothing.
-func (a *API) readList(ctx context.Context, key storer.Key, limit int) (List, error) {
+func (a *API) readList(ctx context.Context, key storer.Key, from place, limit int) (List, error) {
 	list := List{Kind: key.Kind, Workspace: key.Workspace, Items: []Document{}}
 	for {
+		key.Name = from.name
 		answer, err := a.settings.Control.Read(ctx, distributor.Read{
 			Kind:          distributor.ReadList,
 			Key:           key,
+			After:         from.count,
 			Limit:         limit,
 			TimeoutMillis: millis(a.settings.Timeout),
 		})
@@ -96,9 +127,10 @@
 		if !answer.More || len(answer.Resources) == 0 {
 			return list, nil
 		}
-		key.Name = answer.Resources[len(answer.Resources)-1].Metadata.Name
+		from.count += uint64(len(answer.Resources))
+		from.name = answer.Resources[len(answer.Resources)-1].Metadata.Name
 		if limit > 0 {
-			list.Continue = key.Name
+			list.Continue = from.String()
 			return list, nil
 		}
 	}
