--- a/cmd/marigoldpoint/demo.go
+++ b/cmd/marigoldpoint/demo.go
@@ -29,7 +29,8 @@
 	Policy    string        `default:"Marigold" help:"Marigold, or a baseline: Random, LeastLoaded, ConsistentHash"`
 	Seed      uint64        `default:"1" help:"seed of everything that is drawn"`
 	Folder    string        `help:"folder for the data folders; a temporary one by default"`
-	Keep      bool          `help:"go on serving after the load until interrupted, and print addresses and keys"`
+	Keep      bool          `help:"go on serving after the load until interrupted, at known ports and with known keys"`
+	Port      int           `default:"8100" help:"with --keep, the first port"`
 	Log       string        `placeholder:"FILE" help:"write the log of all processes"`
 	Report    string        `placeholder:"FILE" help:"write the report as JSON"`
 	Plot      string        `placeholder:"FILE" help:"write the plot as PNG"`
@@ -87,6 +88,10 @@
 	if err := r.Policy.UnmarshalText([]byte(c.Policy)); err != nil {
 		return r, errors.Annotate(err, "--policy")
 	}
+	if c.Keep {
+		r.FirstPort = c.Port
+		r.Keys = demoKeys(r.Workload)
+	}
 	if c.TimeScale <= 0 || c.RateScale <= 0 || c.Duration <= 0 {
 		return r, errors.NotValidf("--time-scale, --rate-scale or --duration of 0 or less")
 	}
@@ -120,6 +125,16 @@
 	return writeFile(c.Plot, r.WritePlot)
 }
 
+// demoKeys returns keys that the README can print. They guard nothing but a demo
+// on loopback.
+func demoKeys(w driver.Workload) []driver.WorkspaceKey {
+	keys := make([]driver.WorkspaceKey, 0, len(w.Workspaces))
+	for _, l := range w.Workspaces {
+		keys = append(keys, driver.WorkspaceKey{Workspace: l.Name, Key: "demo-key-of-" + l.Name})
+	}
+	return keys
+}
+
 // keep serves until the command is interrupted.
 func keep(ctx context.Context, out io.Writer, d *demonstrator.Deployment, keys []driver.WorkspaceKey) {
 	fmt.Fprintf(out, "\nserving until interrupted:\n")
--- a/internal/standin/demonstrator/deployment.go
+++ b/internal/standin/demonstrator/deployment.go
@@ -47,7 +47,7 @@
 // NewDeployment starts a deployment. Ready tells when it serves.
 func NewDeployment(s Settings) (*Deployment, error) {
 	s = s.withDefaults()
-	d := &Deployment{settings: s, ports: newPorts()}
+	d := &Deployment{settings: s, ports: newPorts(s.FirstPort)}
 	if err := d.start(); err != nil {
 		return nil, errors.Trace(stderrors.Join(err, d.Close()))
 	}
--- a/internal/standin/demonstrator/ports.go
+++ b/internal/standin/demonstrator/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"sync"
 
 	"github.com/juju/errors"
@@ -13,18 +14,26 @@
 	mu sync.Mutex
 	// reserved holds the open listeners not yet taken, by address; guarded by mu.
 	reserved map[string]net.Listener
+	// next is the next port, or 0 for any free ones; guarded by mu.
+	next int
 }
 
-func newPorts() *ports { return &ports{reserved: make(map[string]net.Listener)} }
+// newPorts reserves ports from first on, or any free ones where first is 0.
+func newPorts(first int) *ports {
+	return &ports{reserved: make(map[string]net.Listener), next: first}
+}
 
 // reserve returns a free address that stays taken until listen.
 func (p *ports) reserve() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(p.next)))
 	if err != nil {
 		return "", errors.Trace(err)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	if p.next != 0 {
+		p.next++
+	}
 	p.reserved[l.Addr().String()] = l
 	return l.Addr().String(), nil
 }
--- a/internal/standin/demonstrator/run.go
+++ b/internal/standin/demonstrator/run.go
@@ -41,6 +41,10 @@
 	Folder    string
 	Label     string
 	Progress  func(driver.Progress)
+	// Keys are the callers' keys; none means new ones.
+	Keys []driver.WorkspaceKey
+	// FirstPort is that of the deployment's settings.
+	FirstPort int
 	// Log is the log of all processes; the zero value drops it.
 	Log zerolog.Logger
 }
@@ -48,7 +52,7 @@
 // deployment returns the settings of the deployment.
 func (r Run) deployment() Settings {
 	size := r.Workload.Size
-	s := Settings{Entries: r.Entries, Engines: r.Engines, Services: r.Services, Folder: r.Folder, Seed: r.Seed, Log: r.Log}
+	s := Settings{Entries: r.Entries, Engines: r.Engines, Services: r.Services, Folder: r.Folder, Seed: r.Seed, FirstPort: r.FirstPort, Log: r.Log}
 	if s.Entries == 0 {
 		s.Entries = size.FailureDomains
 	}
@@ -134,7 +138,10 @@
 		return nil, errors.Trace(err)
 	}
 	began := time.Now()
-	keys := driver.NewKeys(&r.Workload)
+	keys := r.Keys
+	if keys == nil {
+		keys = driver.NewKeys(&r.Workload)
+	}
 	operators := d.OperatorAddresses()[:len(d.CallerAddresses())]
 	accepted, err := driver.Prepare(ctx, &r.Workload, keys, driver.PrepareSettings{Operators: operators})
 	if err != nil {
--- a/internal/standin/demonstrator/settings.go
+++ b/internal/standin/demonstrator/settings.go
@@ -39,6 +39,10 @@
 	Services int
 	// Folder holds the data folders. Required.
 	Folder string
+	// FirstPort makes the addresses known beforehand: the control hosts' come
+	// first, then each entry's for callers and operators, then each companion's
+	// for entries and operators. 0 takes any free ports.
+	FirstPort int
 	// Engine, Store and Service are the stand-ins' settings; the weight store's
 	// address and the seeds are filled in.
 	Engine  generator.Settings
