controller, subscriber: faults over three hosts, and what they showed

Cause: the wiring was only tried on one host.

Change: stories over three real hosts on the loopback: loss of the leader keeps every membership; an old incarnation is told Void; no second permit beside one of the former leader; a cut-off leader's nodes lose their trust; a silent connection is replaced; reads at a follower; a planned stop hands over. Stories of forwarded changes against a leader that breaks or refuses.

A connection that is left is closed once its calls have ended; heartbeats to another connection begin with the whole; a node with nothing takes the state and not the history.

--- a/internal/coordination/distributor/feed.go
+++ b/internal/coordination/distributor/feed.go
@@ -77,6 +77,11 @@
 	if f.reset != nil {
 		return f.page(), true
 	}
+	if f.cursor == 0 && src.Revision() > 0 {
+		// A node with nothing takes the state and not its history, which can be
+		// many times as long.
+		return f.startReset(src)
+	}
 	for src.Revision() > f.cursor {
 		changes, upTo, ok := src.Since(f.cursor, f.settings.BatchLimit)
 		if !ok {
--- a/internal/coordination/distributor/feed_test.go
+++ b/internal/coordination/distributor/feed_test.go
@@ -116,7 +116,7 @@
 
 	It("stops at its window until the subscriber acknowledges", func() {
 		h := &host{head: 100}
-		f := distributor.NewFeed(distributor.FeedSettings{Window: 2, BatchLimit: 10})
+		f := distributor.NewFeed(distributor.FeedSettings{After: 1, Window: 2, BatchLimit: 10})
 		for range 2 {
 			_, ok := f.Next(h)
 			Expect(ok).To(BeTrue())
@@ -129,7 +129,7 @@
 	})
 
 	It("spares a companion what it does not need, and counts it as holding it", func() {
-		f := distributor.NewFeed(distributor.FeedSettings{Scope: distributor.ScopeCompanion, Backend: "c"})
+		f := distributor.NewFeed(distributor.FeedSettings{Scope: distributor.ScopeCompanion, Backend: "c", After: 1})
 		_, ok := f.Next(adapters{&host{head: 5}})
 		Expect(ok).To(BeFalse())
 		Expect(f.Acknowledged()).To(BeEquivalentTo(5))
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -127,22 +127,44 @@
 	return nil
 }
 
-// Stop hands leadership over, and then ends the sessions, whose nodes go to
-// other hosts. Close must follow. Without the transfer, every planned stop of a
-// leader would cost the group an election timeout without accepted changes.
+// Stop hands leadership over, sends the nodes to other hosts, and waits until
+// they have gone. Close must follow. Without it a planned stop would cost the
+// group an election timeout without accepted changes, and calls under way an
+// unknown outcome.
 func (c *Control) Stop(ctx context.Context) error {
-	c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindStopping, Detail: "control"})
-	var err error
-	if c.voters() > 1 {
-		err = c.agreement.TransferLeadership(ctx)
-	}
-	c.endDuties()
+	c.record(recorder.KindStopping, 0, "control")
 	c.sessionsMu.Lock()
 	c.stopping = true
 	c.sessionsMu.Unlock()
+	if c.voters() < minimumOthers {
+		return nil
+	}
+	err := c.agreement.TransferLeadership(ctx)
+	c.endDuties()
+	c.eachSession(func(s *session) {
+		c.relay.send("goodbye "+s.conn.Peer(), func() {
+			// A node that misses it goes when the connection ends.
+			_ = s.conn.Notify(c.ctx, messenger.MethodGoodbye, nil)
+		})
+	})
+	for c.sessionCount() > 0 && ctx.Err() == nil {
+		if !c.pause(c.settings.TickInterval) {
+			break
+		}
+	}
 	return errors.Annotate(err, "hand leadership over")
 }
 
+// minimumOthers is the number of voters from which there is another host to
+// hand leadership and nodes to.
+const minimumOthers = 2
+
+func (c *Control) sessionCount() int {
+	c.sessionsMu.Lock()
+	defer c.sessionsMu.Unlock()
+	return len(c.sessions)
+}
+
 func (c *Control) voters() int {
 	n := 0
 	for _, m := range c.agreement.Status().Members {
@@ -169,6 +191,7 @@
 		note(c.settings.Listener.Close())
 	}
 	c.workers.Wait()
+	c.relay.senders.Wait()
 	note(c.agreement.Close())
 	c.links.close()
 	note(c.pool.Close())
--- /dev/null
+++ b/internal/transport/controller/faults_test.go
@@ -0,0 +1,268 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
+	"marigoldpoint.example/marigoldpoint/internal/transport/subscriber"
+)
+
+const (
+	memberLease        = time.Second
+	configurationLease = 2 * time.Second
+)
+
+func shortLeases(s *controller.Settings) {
+	s.Control.MemberLease = configurer.Duration(memberLease)
+	s.Control.ConfigurationLease = configurer.Duration(configurationLease)
+	s.PulseInterval = 100 * time.Millisecond
+	s.Messenger = quick
+}
+
+func shortLease(s *subscriber.Settings) {
+	s.ConfigurationLease = configurationLease
+	s.Messenger = quick
+}
+
+func member(domain, incarnation string) storer.MemberSpec {
+	return storer.MemberSpec{
+		Kind: storer.MemberKindEngine, Address: "127.0.0.1:9", Region: "r", FailureDomain: domain,
+		BaseModel: "base", Slots: 4, MaxBatch: 8, Incarnation: incarnation,
+	}
+}
+
+var _ = Describe("Three control hosts", func() {
+	var g *group
+	ctx := context.Background()
+
+	BeforeEach(func() {
+		var err error
+		g, err = newGroup(3, shortLeases)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(g.close)
+		Eventually(g.leader, patience).ShouldNot(Equal(-1))
+	})
+
+	// heartbeats renews a membership until the test ends, joining again when it
+	// is void, and counts the voids.
+	heartbeats := func(n *node, lease registrar.Lease) *atomic.Int64 {
+		voids := &atomic.Int64{}
+		epoch := &atomic.Uint64{}
+		epoch.Store(lease.Epoch)
+		n.OnVoid(func(string, uint64) { voids.Add(1) })
+		stop := make(chan struct{})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			ticker := time.NewTicker(memberLease / 6)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-ticker.C:
+					n.Renew(registrar.Renewal{Name: lease.Name, Epoch: epoch.Load(), Load: registrar.Load{MaxBatch: 8}})
+				}
+			}
+		}()
+		DeferCleanup(func() { close(stop); <-done })
+		return voids
+	}
+
+	join := func(name, domain string) (*node, registrar.Lease) {
+		n := g.node(name, domain, distributor.ScopeCompanion, shortLease)
+		DeferCleanup(n.Close)
+		lease, err := n.Join(ctx, name, member(domain, "i1"))
+		Expect(err).NotTo(HaveOccurred())
+		return n, lease
+	}
+
+	// Symptom: every backend server vanishes after an election, and all calls
+	// are refused until they have joined again.
+	// Sequence: companions renew through three control hosts; the leader dies;
+	// the new one knows of no renewal.
+	// Cause to prevent: taking renewals that another leader had for missing.
+	It("keeps every membership over the loss of the leader", func() {
+		entry := g.node("entry", "d2", distributor.ScopeEntry, shortLease)
+		DeferCleanup(entry.Close)
+		var voids []*atomic.Int64
+		leases := make(map[string]uint64)
+		for i := 1; i <= 3; i++ {
+			name := fmt.Sprintf("backend-%d", i)
+			n, lease := join(name, fmt.Sprintf("d%d", i))
+			leases[name] = lease.Epoch
+			voids = append(voids, heartbeats(n, lease))
+		}
+		old := g.leader()
+		Expect(g.kill(old)).To(Succeed())
+		Eventually(g.leader, patience).ShouldNot(Equal(-1))
+
+		// A membership that expires proves that the new leader's leases run.
+		join("backend-dying", fmt.Sprintf("d%d", old+1))
+		Eventually(func() int { return len(entry.index.Members().Members) }, patience).Should(Equal(4))
+		Eventually(func() map[string]uint64 {
+			epochs := make(map[string]uint64)
+			for _, m := range entry.index.Members().Members {
+				epochs[m.Name] = m.Spec.Epoch
+			}
+			return epochs
+		}, patience).Should(Equal(leases))
+		for _, v := range voids {
+			Expect(v.Load()).To(BeZero())
+		}
+	})
+
+	// Symptom: orders with an old fencing number go on being given by a
+	// companion that was replaced.
+	// Sequence: a companion is frozen; another incarnation joins under its name;
+	// the first one thaws and renews.
+	// Cause to prevent: leases by name.
+	It("tells an old incarnation that its membership is void", func() {
+		old, lease := join("backend", "d1")
+		voids := heartbeats(old, lease)
+		fresh := g.node("backend-again", "d2", distributor.ScopeCompanion, shortLease)
+		DeferCleanup(fresh.Close)
+		later, err := fresh.Join(ctx, "backend", member("d2", "i2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(later.Epoch).To(BeNumerically(">", lease.Epoch))
+		Eventually(voids.Load, patience).Should(BeNumerically(">", 0))
+		_, err = old.Join(ctx, "backend", member("d1", "i1"))
+		Expect(err).To(MatchError(subscriber.ErrStale))
+	})
+
+	// Symptom: two loads run at once after an election, each at half speed.
+	// Sequence: a companion holds a permit; the leader dies; another companion
+	// asks the new leader.
+	// Cause to prevent: a leader that grants beside a permit it never heard of.
+	It("grants no second permit while one of the former leader is in use", func() {
+		first, firstLease := join("backend-1", "d1")
+		heartbeats(first, firstLease)
+		second, secondLease := join("backend-2", "d2")
+		heartbeats(second, secondLease)
+		held, err := first.RequestPermit(ctx, permitter.Request{Companion: "backend-1", Workspace: "w", Version: "w/a@1"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.kill(g.leader())).To(Succeed())
+
+		var finished atomic.Bool
+		granted := make(chan bool, 1)
+		go func() {
+			waiting, cancel := context.WithTimeout(ctx, patience)
+			defer cancel()
+			grant, err := second.RequestPermit(waiting, permitter.Request{Companion: "backend-2", Workspace: "w", Version: "w/b@1"})
+			granted <- err == nil && finished.Load() && grant.Number > held.Number
+		}()
+		Eventually(g.leader, patience).ShouldNot(Equal(-1))
+		// The permit is reported to the new leader with each heartbeat; a
+		// commit on it shows that it has been leading for a while.
+		_, err = putWorkspace(first, "w", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(granted).NotTo(Receive())
+		finished.Store(true)
+		first.FinishPermit(held)
+		Eventually(granted, patience).Should(Receive(BeTrue()))
+	})
+
+	// Symptom: an entry answers by replaced rules, and is ready, for as long as
+	// a partition lasts.
+	// Sequence: the leader is cut off from the other hosts, but not from the
+	// entry; the others elect a new one and accept a change.
+	// Cause to prevent: a cut-off host that renews configuration leases.
+	It("lets the trust of nodes run out at a leader that is cut off", func() {
+		cutOff := g.leader()
+		stuck := g.node("stuck", "d1", distributor.ScopeEntry, func(s *subscriber.Settings) {
+			shortLease(s)
+			s.Hosts = g.hosts[cutOff : cutOff+1]
+		})
+		DeferCleanup(stuck.Close)
+		free := g.node("free", g.hosts[cutOff].FailureDomain, distributor.ScopeEntry, shortLease)
+		DeferCleanup(free.Close)
+		Eventually(stuck.LeaseValid, patience).Should(BeTrue())
+		Eventually(free.LeaseValid, patience).Should(BeTrue())
+
+		for i, h := range g.hosts {
+			if i != cutOff {
+				g.network.set(nodeOf(g.hosts[cutOff].ID), h.Address, true)
+				g.network.set(nodeOf(h.ID), g.hosts[cutOff].Address, true)
+			}
+		}
+		Eventually(stuck.LeaseValid, patience).Should(BeFalse())
+		result, err := putWorkspace(free, "after", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(free.index.Revision, patience).Should(BeNumerically(">=", result.Revision))
+		Eventually(free.LeaseValid, patience).Should(BeTrue())
+		Expect(stuck.index.Revision()).To(BeNumerically("<", result.Revision))
+		Expect(stuck.LeaseValid()).To(BeFalse())
+
+		for i, h := range g.hosts {
+			g.network.set(nodeOf(g.hosts[cutOff].ID), h.Address, false)
+			g.network.set(nodeOf(g.hosts[i].ID), g.hosts[cutOff].Address, false)
+		}
+		Eventually(stuck.index.Revision, patience).Should(BeNumerically(">=", result.Revision))
+		Eventually(stuck.LeaseValid, patience).Should(BeTrue())
+	})
+
+	// Symptom: an entry is without news for minutes, though its host is up and
+	// new connections to it work.
+	// Sequence: a box between the two forgets the connection and swallows all
+	// that is written to it, without an end or a reset.
+	// Cause to prevent: waiting for an error that never comes.
+	It("finds a connection that went silent and subscribes on a new one", func() {
+		entry := g.node("entry", "d1", distributor.ScopeEntry, func(s *subscriber.Settings) {
+			shortLease(s)
+			s.Dial = g.network.swallowing(s.Dial)
+		})
+		DeferCleanup(entry.Close)
+		Eventually(entry.LeaseValid, patience).Should(BeTrue())
+		g.network.swallow()
+		writer := g.node("writer", "d2", distributor.ScopeEntry, shortLease)
+		DeferCleanup(writer.Close)
+		result, err := putWorkspace(writer, "w", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(entry.index.Revision, patience).Should(BeNumerically(">=", result.Revision))
+	})
+
+	It("reads at a follower what was accepted before, and lists in pages", func() {
+		entry := g.node("entry", g.hosts[(g.leader()+1)%3].FailureDomain, distributor.ScopeEntry, shortLease)
+		DeferCleanup(entry.Close)
+		for i := range 5 {
+			name := fmt.Sprintf("w%d", i)
+			_, err := putWorkspace(entry, name, i+1)
+			Expect(err).NotTo(HaveOccurred())
+			r, found, _, err := entry.Get(ctx, storer.Key{Kind: storer.KindWorkspace, Workspace: name, Name: name})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(found).To(BeTrue())
+			Expect(r.Spec).To(Equal(storer.WorkspaceSpec{Share: i + 1}))
+		}
+		all, revision, err := entry.List(ctx, storer.KindWorkspace, "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(HaveLen(5))
+		changes, upTo, err := entry.Since(ctx, revision-1, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes).To(HaveLen(1))
+		Expect(upTo).To(Equal(revision))
+	})
+
+	It("hands leadership over at a planned stop", func() {
+		old := g.leader()
+		stopping := g.controls[old]
+		bound, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		Expect(stopping.Stop(bound)).To(Succeed())
+		Expect(g.kill(old)).To(Succeed())
+		entry := g.node("entry", "d1", distributor.ScopeEntry, shortLease)
+		DeferCleanup(entry.Close)
+		_, err := putWorkspace(entry, "w", 1)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/transport/controller/forward.go
+++ b/internal/transport/controller/forward.go
@@ -23,6 +23,17 @@
 	return context.WithTimeout(ctx, d)
 }
 
+// lastTry returns the time after which no further try begins: two thirds of the
+// time that the caller waits. A try that the end of that time cut short would
+// leave the outcome unknown, though all before it certainly had no effect.
+func lastTry(ctx context.Context) time.Time {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Now().Add(DefaultCallTimeout)
+	}
+	return time.Now().Add(time.Until(deadline) * 2 / 3)
+}
+
 // atLeader has here serve a call, where this host leads, or else hands it to the
 // leader. It looks for the leader again while the call certainly had no effect.
 //
@@ -31,6 +42,7 @@
 func (c *Control) atLeader(
 	ctx context.Context, forwarded bool, here func(ctx context.Context) error, there func(ctx context.Context, conn *messenger.Conn) error,
 ) error {
+	enough := lastTry(ctx)
 	for {
 		status := c.agreement.Status()
 		var err error
@@ -47,7 +59,7 @@
 		if err == nil {
 			return nil
 		}
-		if !retriable(err) || forwarded {
+		if !retriable(err) || forwarded || time.Now().After(enough) {
 			return refusalOf(err)
 		}
 		select {
--- a/internal/transport/controller/group.go
+++ b/internal/transport/controller/group.go
@@ -25,7 +25,7 @@
 		answer = c.describe()
 		return nil
 	}, func(ctx context.Context, conn *messenger.Conn) error {
-		g.Forwarded = true
+		g.Forwarded, g.TimeoutMillis = true, remaining(ctx)
 		return conn.Call(ctx, messenger.MethodGroup, g, &answer)
 	})
 	return answer, err
--- a/internal/transport/controller/group_test.go
+++ b/internal/transport/controller/group_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,6 +42,8 @@
 	cut map[string]bool
 	// open holds the connections by the pair of their ends; guarded by mu.
 	open map[string][]net.Conn
+	// mutes holds the connections that can fall silent; guarded by mu.
+	mutes []mute
 }
 
 func (n *network) dialFrom(node string) func(context.Context, string) (net.Conn, error) {
@@ -77,6 +80,53 @@
 	}
 }
 
+// mute is a connection that can fall silent: it swallows what is written, and
+// gives nothing to read, without an error.
+type mute struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (m mute) Write(b []byte) (int, error) {
+	if m.silent.Load() {
+		return len(b), nil
+	}
+	return m.Conn.Write(b)
+}
+
+func (m mute) Read(b []byte) (int, error) {
+	for {
+		n, err := m.Conn.Read(b)
+		if err != nil || !m.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// swallowing returns a dialler whose connections fall silent at swallow.
+func (n *network) swallowing(dial func(context.Context, string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		m := mute{Conn: conn, silent: &atomic.Bool{}}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.mutes = append(n.mutes, m)
+		return m, nil
+	}
+}
+
+// swallow has the connections that are open fall silent. New ones work.
+func (n *network) swallow() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.mutes {
+		m.silent.Store(true)
+	}
+}
+
 func nodeOf(id uint64) string { return fmt.Sprintf("control-%d", id) }
 
 // newGroup starts n control hosts, each in a failure domain of its own.
--- /dev/null
+++ b/internal/transport/controller/outcome_test.go
@@ -0,0 +1,169 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/replicator"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
+	"marigoldpoint.example/marigoldpoint/internal/transport/subscriber"
+)
+
+// follower is a replicated log whose leader is elsewhere.
+type follower struct{ leader replicator.Member }
+
+func (f follower) Propose(context.Context, []byte) (uint64, any, error) {
+	return 0, nil, replicator.ErrNotLeader{Leader: f.leader}
+}
+func (follower) Deliver(replicator.Message)          {}
+func (follower) ReadBarrier(context.Context) error   { return replicator.ErrNotLeader{} }
+func (follower) LeaseValid() bool                    { return false }
+func (follower) LeaderContact() time.Duration        { return 0 }
+func (f follower) Leader() (replicator.Member, bool) { return f.leader, true }
+func (f follower) Status() replicator.Status {
+	return replicator.Status{Leader: f.leader.ID, Members: []replicator.Member{f.leader}}
+}
+func (follower) AddMember(context.Context, replicator.Member) error    { return nil }
+func (follower) RemoveMember(context.Context, replicator.HostID) error { return nil }
+func (follower) TransferLeadership(context.Context) error              { return nil }
+func (follower) Close() error                                          { return nil }
+
+// breakable is a listener whose connections the test breaks.
+type breakable struct {
+	net.Listener
+
+	mu sync.Mutex
+	// conns holds the connections that are open; guarded by mu.
+	conns []net.Conn
+}
+
+func (b *breakable) Accept() (net.Conn, error) {
+	conn, err := b.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.conns = append(b.conns, conn)
+	return conn, nil
+}
+
+func (b *breakable) breakAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.conns {
+		c.Close()
+	}
+	b.conns = nil
+}
+
+// listen returns a listener on the loopback that the test closes.
+func listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return l
+}
+
+var _ = Describe("A forwarded change", func() {
+	var proposals atomic.Int64
+	var answer func() error
+	var accepted *breakable
+	var client *node
+
+	// The node is connected to a follower, which forwards to a leader that does
+	// as the test says.
+	BeforeEach(func() {
+		proposals.Store(0)
+		accepted = &breakable{Listener: listen()}
+		leads := listener.NewListener(accepted, messenger.Settings{Handler: messenger.HandlerFunc(
+			func(_ context.Context, _ *messenger.Conn, m messenger.Method, _ json.RawMessage) (any, error) {
+				if m != messenger.MethodPropose {
+					return nil, nil
+				}
+				proposals.Add(1)
+				return distributor.Proposed{}, answer()
+			},
+		)})
+		DeferCleanup(leads.Close)
+		own := listen()
+		g := &group{hosts: []configurer.ControlHost{{ID: 1, Address: own.Addr().String(), FailureDomain: "d1", Region: "r"}}}
+		g.network.cut, g.network.open = make(map[string]bool), make(map[string][]net.Conn)
+		c, err := controller.NewControl(controller.Settings{
+			Node: "follower", ID: 1, Hosts: g.hosts, Listener: own, Log: zerolog.Nop(),
+			Control: configurer.ControlSettings{Listen: own.Addr().String(), Group: "test"},
+			Random:  rand.New(rand.NewPCG(1, 1)),
+			Open: func(replicator.Settings, *storer.Store, replicator.Transport) (controller.Agreement, error) {
+				return follower{replicator.Member{ID: 2, Address: leads.Address(), Voter: true}}, nil
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		c.Start()
+		DeferCleanup(c.Close)
+		client = g.node("entry", "d1", distributor.ScopeEntry, func(s *subscriber.Settings) { s.CallTimeout = time.Second })
+		DeferCleanup(client.Close)
+	})
+
+	put := func(key string) error {
+		_, err := client.Propose(context.Background(), storer.Envelope{
+			IdempotencyKey: key,
+			Command: storer.PutResource{Resource: storer.Resource{
+				Kind: storer.KindWorkspace, Metadata: storer.Metadata{Workspace: "w", Name: "w"}, Spec: storer.WorkspaceSpec{},
+			}},
+		})
+		return err
+	}
+
+	// Symptom: a change that was reported as not accepted is in force later.
+	// Sequence: the follower forwards it; the leader takes it in; the
+	// connection between them breaks before the answer.
+	// Cause to prevent: taking a lost answer for a refusal.
+	It("is of unknown outcome, and not sent again, where the answer was lost", func() {
+		answer = func() error {
+			accepted.breakAll()
+			return nil
+		}
+		Expect(put("")).To(MatchError(subscriber.ErrOutcomeUnknown))
+		Expect(proposals.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("is sent again under its idempotency key until an answer comes", func() {
+		answer = func() error {
+			if proposals.Load() < 3 {
+				accepted.breakAll()
+			}
+			return nil
+		}
+		Expect(put("key")).To(Succeed())
+		Expect(proposals.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("is certainly not accepted where the leader refused it for good", func() {
+		answer = func() error { return messenger.NewRefusal(messenger.ReasonNotLeader, "") }
+		Expect(put("")).To(MatchError(subscriber.ErrNotAccepted))
+	})
+
+	It("stays of unknown outcome though the last try was refused", func() {
+		answer = func() error {
+			if proposals.Load() == 1 {
+				accepted.breakAll()
+				return nil
+			}
+			return messenger.NewRefusal(messenger.ReasonNotLeader, "")
+		}
+		Expect(put("key")).To(MatchError(subscriber.ErrOutcomeUnknown))
+	})
+})
--- a/internal/transport/controller/proposal.go
+++ b/internal/transport/controller/proposal.go
@@ -43,7 +43,7 @@
 		answer.Result = result
 		return err
 	}, func(ctx context.Context, conn *messenger.Conn) error {
-		p.Forwarded = true
+		p.Forwarded, p.TimeoutMillis = true, remaining(ctx)
 		return conn.Call(ctx, messenger.MethodPropose, p, &answer)
 	})
 	return answer, err
--- a/internal/transport/controller/pulse.go
+++ b/internal/transport/controller/pulse.go
@@ -8,13 +8,17 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
 
+// hostPulses is the number of a leader's pulses to the other hosts for each one
+// of theirs to their nodes.
+const hostPulses = 4
+
 // tick runs what recurs.
 func (c *Control) tick() {
 	defer c.workers.Done()
 	s := c.settings
 	ticker := time.NewTicker(s.TickInterval)
 	defer ticker.Stop()
-	var lastDigest, lastPulse, lastRenew time.Time
+	var lastDigest, lastPulse, lastRenew, lastHosts time.Time
 	lastTerm := uint64(0)
 	for {
 		select {
@@ -23,7 +27,11 @@
 		case <-ticker.C:
 		}
 		now := s.Now()
-		if c.refresh(now); c.knownTerm() != lastTerm {
+		hosts := now.Sub(lastHosts) >= s.PulseInterval/hostPulses
+		if hosts {
+			lastHosts = now
+		}
+		if c.refresh(now, hosts); c.knownTerm() != lastTerm {
 			// Companions report their permits to a new leader once they have
 			// heard of its term: the sooner, the sooner loads go on.
 			lastTerm, lastPulse = c.knownTerm(), time.Time{}
@@ -50,8 +58,8 @@
 }
 
 // refresh brings this host's knowledge of what is in force up to date, and on a
-// leader that of the other hosts.
-func (c *Control) refresh(now time.Time) {
+// leader, where hosts is set, that of the other hosts.
+func (c *Control) refresh(now time.Time, hosts bool) {
 	status := c.agreement.Status()
 	c.links.learn(status.Members)
 	if age, ok := c.freshness(); ok {
@@ -70,6 +78,9 @@
 	// that this leader does not know of.
 	p := distributor.Pulse{Term: status.Term, Revision: c.store.Revision()}
 	c.takePulse(now, p)
+	if !hosts {
+		return
+	}
 	for _, address := range c.others() {
 		c.relay.send("pulse "+address, func() {
 			conn, err := c.pool.Conn(c.ctx, address)
--- a/internal/transport/controller/reader.go
+++ b/internal/transport/controller/reader.go
@@ -117,13 +117,16 @@
 	return distributor.BarrierPassed{Revision: c.store.Revision()}, nil
 }
 
-// remaining returns the milliseconds until a context ends; 0 where it does not.
+// remaining returns the milliseconds that the other end may take: nine tenths of
+// the time until the context ends, or 0 where it does not. Were it all, a
+// refusal given at the end would come too late, and a change that certainly has
+// no effect would be of unknown outcome.
 func remaining(ctx context.Context) int64 {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return 0
 	}
-	return max(time.Until(deadline).Milliseconds(), 1)
+	return max((time.Until(deadline) * 9 / 10).Milliseconds(), 1)
 }
 
 // inForce asks all hosts of the group how far a revision has come.
--- a/internal/transport/controller/session.go
+++ b/internal/transport/controller/session.go
@@ -112,6 +112,7 @@
 		return
 	}
 	delete(c.sessions, s.conn)
+	c.relay.forget(s.conn)
 	c.metrics.sessions.WithLabelValues(s.subscribe.Scope.String()).Dec()
 	for _, other := range c.sessions {
 		if other.subscribe.Node == s.subscribe.Node {
--- a/internal/transport/controller/source.go
+++ b/internal/transport/controller/source.go
@@ -28,6 +28,9 @@
 	// all is the last answer of All, and allAt its revision; guarded by mu.
 	all   []storer.Resource
 	allAt uint64
+	// pages holds the pages of all as sent to entries, by their first resource;
+	// guarded by mu.
+	pages map[*storer.Resource]json.RawMessage
 }
 
 type step struct {
@@ -80,6 +83,7 @@
 		}
 	}
 	s.all, s.allAt = s.store.All()
+	s.pages = make(map[*storer.Resource]json.RawMessage)
 	return s.all, s.allAt
 }
 
@@ -91,13 +95,13 @@
 func (s *sharedSource) forgetAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.all = nil
+	s.all, s.pages = nil, nil
 }
 
 // encode returns the delta as it is sent to an entry.
 func (s *sharedSource) encode(d distributor.Delta) (json.RawMessage, error) {
 	if d.Reset {
-		return encodeDelta(d)
+		return s.encodePage(d)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,6 +121,26 @@
 	return data, nil
 }
 
+// encodePage returns a page of the whole state as it is sent to an entry. Pages
+// of the shared copy are the same for all entries.
+func (s *sharedSource) encodePage(d distributor.Delta) (json.RawMessage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(d.Resources) == 0 || s.all == nil || s.allAt != d.UpTo {
+		return encodeDelta(d)
+	}
+	first := &d.Resources[0]
+	if data, ok := s.pages[first]; ok {
+		return data, nil
+	}
+	data, err := encodeDelta(d)
+	if err != nil {
+		return nil, err
+	}
+	s.pages[first] = data
+	return data, nil
+}
+
 func encodeDelta(d distributor.Delta) (json.RawMessage, error) {
 	data, err := json.Marshal(d)
 	if err != nil {
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,6 +27,9 @@
 	workers sync.WaitGroup
 	// leave ends the present connection's use; its value says why.
 	leave chan string
+	// applying lets one delta at a time change the replica: for a moment two
+	// connections can each bring one.
+	applying sync.Mutex
 
 	mu sync.Mutex
 	// link is the connection in use, or nil; guarded by mu.
@@ -54,6 +58,11 @@
 	assembler distributor.Assembler
 	// board follows the host's digests; used by the connection's reader alone.
 	board *registrar.Board
+	// calls counts those under way. None begins once the link is not in use.
+	calls sync.WaitGroup
+	// retired tells that the link is used no more: what its host still sends is
+	// passed over.
+	retired atomic.Bool
 }
 
 // NewClient returns a client that connects until Close.
@@ -150,29 +159,37 @@
 	c.lease.Forget()
 }
 
-// current returns the connection in use, waiting for one if there is none.
-func (c *Client) current(ctx context.Context) (*messenger.Conn, error) {
+// current returns the connection in use, waiting for one if there is none. The
+// caller ends its use by done.
+func (c *Client) current(ctx context.Context) (conn *messenger.Conn, done func(), err error) {
 	for {
 		c.mu.Lock()
 		l, changed := c.link, c.linked
-		c.mu.Unlock()
-		if l != nil {
-			select {
-			case <-l.conn.Done():
-			default:
-				return l.conn, nil
-			}
+		if l != nil && !ended(l.conn) {
+			l.calls.Add(1)
+			c.mu.Unlock()
+			return l.conn, l.calls.Done, nil
 		}
+		c.mu.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, errors.Trace(ctx.Err())
+			return nil, nil, errors.Trace(ctx.Err())
 		case <-c.ctx.Done():
-			return nil, errors.New("the client is closed")
+			return nil, nil, errors.New("the client is closed")
 		}
 	}
 }
 
+func ended(conn *messenger.Conn) bool {
+	select {
+	case <-conn.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // watch records when the configuration lease is lost or regained, and leaves a
 // control host whose own knowledge has grown old while the lease runs out:
 // another host may still be in contact with a leader.
--- a/internal/transport/subscriber/connection.go
+++ b/internal/transport/subscriber/connection.go
@@ -90,13 +90,12 @@
 	case <-c.leave:
 	default:
 	}
-	c.members.renewWhole()
 	c.setLink(l)
+	c.members.again()
 	defer func() {
 		c.setLink(nil)
-		if err := l.conn.Close(); err != nil {
-			c.settings.Log.Debug().Err(err).Msg("closing a connection")
-		}
+		l.retired.Store(true)
+		c.workers.Go(func() { c.retire(l) })
 	}()
 	var comeBack <-chan time.Time
 	if tierOf(l.host, c.settings.Region, c.settings.FailureDomain) != c.bestTier() {
@@ -120,6 +119,28 @@
 	}
 }
 
+// retire closes a connection that is used no more, once its calls have ended. A
+// change that was sent over it would else be of unknown outcome, although its
+// control host only stops and answers it.
+func (c *Client) retire(l *link) {
+	idle := make(chan struct{})
+	go func() {
+		l.calls.Wait()
+		close(idle)
+	}()
+	timer := time.NewTimer(c.settings.CallTimeout)
+	defer timer.Stop()
+	select {
+	case <-idle:
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+	if err := l.conn.Close(); err != nil {
+		c.settings.Log.Debug().Err(err).Msg("closing a connection")
+	}
+	<-idle
+}
+
 // bestTier returns the tier of the nearest control hosts.
 func (c *Client) bestTier() int {
 	best := tierOther
--- a/internal/transport/subscriber/member.go
+++ b/internal/transport/subscriber/member.go
@@ -45,18 +45,19 @@
 			return
 		case <-c.members.signal:
 		}
-		conn, err := c.current(c.ctx)
+		conn, done, err := c.current(c.ctx)
 		if err != nil {
 			return
 		}
 		c.mu.Lock()
 		term := c.term
 		c.mu.Unlock()
-		for _, h := range c.members.take(term) {
+		for _, h := range c.members.take(conn, term) {
 			if err := conn.Notify(c.ctx, messenger.MethodRenew, h); err != nil {
 				// The next connection begins with the whole.
 				break
 			}
 		}
+		done()
 	}
 }
--- a/internal/transport/subscriber/memberships.go
+++ b/internal/transport/subscriber/memberships.go
@@ -8,6 +8,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
 
 // memberships holds what a companion renews: its memberships, their residency
@@ -20,9 +21,13 @@
 	// renewals holds the latest renewal of each name that was not sent yet;
 	// guarded by mu.
 	renewals map[string]registrar.Renewal
-	// states holds the latest state of each name, and sent the one that the
-	// control host in use was told; guarded by mu.
-	states, sent map[string]registrar.ServerState
+	// states holds the latest state of each name; guarded by mu.
+	states map[string]registrar.ServerState
+	// sent holds the state of each name that was told over sentOn; guarded by
+	// mu. Another connection begins with the whole: what was written to a
+	// connection that broke may never have arrived.
+	sent   map[string]registrar.ServerState
+	sentOn *messenger.Conn
 	// permits holds the numbers of the permits in use, by backend server;
 	// guarded by mu.
 	permits map[string][]uint64
@@ -58,32 +63,16 @@
 	m.wake()
 }
 
-// renewWhole has the next heartbeats tell everything: the control host is
-// another one.
-func (m *memberships) renewWhole() {
+// again has every membership renewed at once with what was last told of it: the
+// control host is another one, or a new leader must hear of the permits.
+func (m *memberships) again() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	clear(m.sent)
-	m.again()
-	m.wake()
-}
-
-// again has every membership renewed with what was last told of it. The caller
-// holds mu.
-func (m *memberships) again() {
 	for name, s := range m.states {
 		if _, waits := m.renewals[name]; !waits {
 			m.renewals[name] = registrar.Renewal{Name: name, Epoch: s.Epoch, Load: s.Load, Resident: s.Resident}
 		}
 	}
-}
-
-// reportPermits has the heartbeats sent at once, so that a new leader hears of
-// the permits.
-func (m *memberships) reportPermits() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.again()
 	m.wake()
 }
 
@@ -119,10 +108,14 @@
 	m.permits[g.Companion] = slices.DeleteFunc(m.permits[g.Companion], func(n uint64) bool { return n == g.Number })
 }
 
-// take returns the heartbeats to send, by name.
-func (m *memberships) take(term uint64) []registrar.Heartbeat {
+// take returns the heartbeats to send over a connection, by name.
+func (m *memberships) take(on *messenger.Conn, term uint64) []registrar.Heartbeat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.sentOn != on {
+		m.sentOn = on
+		clear(m.sent)
+	}
 	var beats []registrar.Heartbeat
 	for _, name := range slices.Sorted(maps.Keys(m.renewals)) {
 		r := m.renewals[name]
--- a/internal/transport/subscriber/permit.go
+++ b/internal/transport/subscriber/permit.go
@@ -17,12 +17,13 @@
 	defer cancel()
 	asked := c.settings.Now()
 	for {
-		conn, err := c.current(ctx)
+		conn, done, err := c.current(ctx)
 		if err != nil {
 			return permitter.Grant{}, errors.Annotatef(ErrUnavailable, "%v", err)
 		}
 		var g permitter.Grant
 		err = conn.Call(ctx, messenger.MethodRequestPermit, permitter.Ask{Request: r, TimeoutMillis: remaining(ctx)}, &g)
+		done()
 		if err == nil && c.takePermit(g) {
 			c.metrics.permitWait.Observe(c.settings.Now().Sub(asked).Seconds())
 			return g, nil
--- a/internal/transport/subscriber/proposer.go
+++ b/internal/transport/subscriber/proposer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -47,10 +48,11 @@
 func (c *Client) change(ctx context.Context, repeatable bool, call func(ctx context.Context, conn *messenger.Conn) error) error {
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
+	enough := lastTry(ctx)
 	unknown := false
 	var last error
 	for {
-		conn, err := c.current(ctx)
+		conn, done, err := c.current(ctx)
 		if err != nil {
 			if last == nil {
 				last = err
@@ -58,6 +60,7 @@
 			break
 		}
 		err = call(ctx, conn)
+		done()
 		if err == nil {
 			return nil
 		}
@@ -75,7 +78,7 @@
 			}
 		case effectNone:
 		}
-		if ctx.Err() != nil || !c.pauseIn(ctx, c.settings.RetryInterval) {
+		if ctx.Err() != nil || time.Now().After(enough) || !c.pauseIn(ctx, c.settings.RetryInterval) {
 			break
 		}
 	}
--- a/internal/transport/subscriber/reader.go
+++ b/internal/transport/subscriber/reader.go
@@ -100,11 +100,12 @@
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	for {
-		conn, err := c.current(ctx)
+		conn, done, err := c.current(ctx)
 		if err != nil {
 			return errors.Annotatef(ErrUnavailable, "%v", err)
 		}
 		err = conn.Call(ctx, method, params(ctx), answer)
+		done()
 		if err == nil {
 			return nil
 		}
--- a/internal/transport/subscriber/receiver.go
+++ b/internal/transport/subscriber/receiver.go
@@ -18,6 +18,9 @@
 
 // Handle serves one notification. They come one at a time, in order.
 func (r receiver) Handle(ctx context.Context, conn *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
+	if r.link.retired.Load() {
+		return nil, nil
+	}
 	switch method {
 	case messenger.MethodDelta:
 		var d distributor.Delta
@@ -38,6 +41,8 @@
 			return nil, err
 		}
 		r.digest(b)
+	case messenger.MethodGoodbye:
+		r.client.leaveHost("it stops")
 	case messenger.MethodVoid:
 		var v registrar.Void
 		if err := messenger.Decode(params, &v); err != nil {
@@ -54,8 +59,10 @@
 // useless: the client begins a new one.
 func (r receiver) delta(ctx context.Context, conn *messenger.Conn, d distributor.Delta) error {
 	c := r.client
+	c.applying.Lock()
 	before := c.settings.Index.Revision()
 	a, err := r.link.assembler.Take(c.settings.Index, d)
+	c.applying.Unlock()
 	if err != nil {
 		c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindFault, Revision: d.UpTo, Detail: err.Error()})
 		c.leaveHost("its delta does not fit")
@@ -85,7 +92,7 @@
 	if newTerm {
 		// A new leader grants no load permit until it has heard what each
 		// companion holds.
-		c.members.reportPermits()
+		c.members.again()
 	}
 }
 
