--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -191,3 +191,14 @@
 	}
 	return 0
 }
+
+// InFlight returns the number of the entry's own calls at all members.
+func (r *Router) InFlight() int {
+	total := 0
+	for _, b := range r.view.Load().byName {
+		b.mu.Lock()
+		total += b.inFlight
+		b.mu.Unlock()
+	}
+	return total
+}
--- a/internal/coordination/router/score.go
+++ b/internal/coordination/router/score.go
@@ -12,9 +12,9 @@
 	strayShare = 0.25
 	// evictShare is added where a cold start needs another version evicted.
 	evictShare = 0.5
-	// batchShare is the worst that a bad fill costs. It is under one load, so
-	// that with equal weights the wish to pack never loads a version that is
-	// resident elsewhere.
+	// batchShare is what an empty batch costs, and half of the worst that a bad
+	// fill does. Two fills differ by less than one load, so that with equal
+	// weights the wish to pack never loads a version that is resident elsewhere.
 	batchShare = 0.5
 	// lastShare is what is always left of a load in progress.
 	lastShare = 0.1
@@ -117,16 +117,17 @@
 	}
 }
 
-// batch is the engine time wasted by placing the call there: the emptier the
-// batch below the target the more, and past the target the fuller the more.
+// batch is the engine time wasted by placing the call there. Up to the target
+// the emptier batch costs more; past the target each costs more than an empty
+// one, so that calls are packed to the target and then spill.
 func (h *choice) batch(c condition) float64 {
 	worst := batchShare * min(h.mean.loadTime, h.mean.serviceTime)
 	target := h.router.settings.TargetFill
-	fill := c.depth / c.maxBatch
-	if fill < target {
+	fill := (c.depth + 1) / c.maxBatch
+	if fill <= target {
 		return worst * (1 - fill/target)
 	}
-	return worst * min((fill-target)/max(1-target, 0.01), 1)
+	return worst * (1 + min((fill-target)/max(1-target, 0.01), 1))
 }
 
 // cached is the prompt's computation that a cached prefix saves.
