--- a/internal/transport/dialer/pool.go
+++ b/internal/transport/dialer/pool.go
@@ -170,7 +170,7 @@
 		}
 		return nil, &NotConnectedError{Address: address, Cause: err}
 	}
-	c := messenger.NewConn(network, p.settings.Messenger)
+	c := messenger.NewConn(network, p.settings.Messenger) //nolint:contextcheck // The connection outlives its dial.
 	p.mu.Lock()
 	closed := p.closed
 	if !closed {
--- a/internal/transport/inspector/format.go
+++ b/internal/transport/inspector/format.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -65,11 +64,3 @@
 		fmt.Fprintf(b, " %s=%s", name, value)
 	}
 }
-
-// Span returns the time from the first event to the last.
-func (t Timeline) Span() time.Duration {
-	if len(t.Events) == 0 {
-		return 0
-	}
-	return t.Events[len(t.Events)-1].Time.Time().Sub(t.Events[0].Time.Time())
-}
--- a/internal/transport/inspector/gather.go
+++ b/internal/transport/inspector/gather.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -19,6 +20,9 @@
 // RequestParameter limits the events to one request.
 const RequestParameter = "Request"
 
+// fetchTimeout bounds the time that one process has to give its events.
+const fetchTimeout = 10 * time.Second
+
 // Settings are the options of a gathering.
 type Settings struct {
 	// Addresses are the operators' listeners, IP:port.
@@ -27,7 +31,7 @@
 	Request string
 	// Key is the operators' bearer key; empty means none.
 	Key string
-	// Client fetches; nil means http.DefaultClient.
+	// Client fetches; nil means one that waits 10 s at most.
 	Client *http.Client
 }
 
@@ -49,7 +53,7 @@
 // most wanted when some hosts are down.
 func Gather(ctx context.Context, s Settings) Timeline {
 	if s.Client == nil {
-		s.Client = http.DefaultClient
+		s.Client = &http.Client{Timeout: fetchTimeout}
 	}
 	pages := make([]recorder.Page, len(s.Addresses))
 	causes := make([]error, len(s.Addresses))
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -53,7 +53,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
-		network.Close() //nolint:errcheck // The process is stopping.
+		network.Close()
 		return
 	}
 	c := messenger.NewConn(network, l.settings)
