--- a/internal/standin/driver/arrivals.go
+++ b/internal/standin/driver/arrivals.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// longestWait bounds one wait; no run is as long.
+const longestWait = 1000 * time.Hour
+
 // Arrivals draws the moments of open-loop arrivals: a Poisson process, or a
 // Poisson process modulated by bursts. It is not safe for concurrent use.
 type Arrivals struct {
@@ -54,9 +57,10 @@
 		if a.inBurst {
 			rate = a.busy
 		}
-		wait := time.Duration(a.random.ExpFloat64() / rate * float64(time.Second))
-		if a.changes == 0 || a.now+wait < a.changes {
-			a.now += wait
+		wait := a.random.ExpFloat64() / rate
+		if a.changes == 0 || wait < (a.changes-a.now).Seconds() {
+			// A rate near 0 gives a wait beyond any run and beyond a Duration.
+			a.now += time.Duration(min(wait, longestWait.Seconds()) * float64(time.Second))
 			return a.now
 		}
 		a.now = a.changes
--- a/internal/standin/driver/caller.go
+++ b/internal/standin/driver/caller.go
@@ -61,6 +61,7 @@
 	r.Header.Set(translator.HeaderDeadline, left.Round(time.Millisecond).String())
 	if q.Key != "" {
 		r.Header.Set(translator.HeaderIdempotencyKey, q.Key)
+		r.GetBody = nil // Or net/http sends a call with a key again by itself.
 	}
 	answer, err := c.client.Do(r)
 	if err != nil {
--- a/internal/standin/driver/checker.go
+++ b/internal/standin/driver/checker.go
@@ -30,8 +30,10 @@
 	figures   [promises]PromiseFigures
 	// notRun holds the ids of the requests refused as not run.
 	notRun []refusedCall
-	// keyed holds, by Idempotency-Key, the runs that callers were told of.
+	// keyed holds, by Idempotency-Key, the first complete answer.
 	keyed map[string]keyedCall
+	// keys holds the Idempotency-Key of each request id that had one.
+	keys map[string]string
 	// requests holds, by request id, the call's number, to find an id given twice.
 	requests map[string]int
 	scratch  []Finding
@@ -50,7 +52,7 @@
 
 // NewChecker returns a checker without findings.
 func NewChecker(checkText bool) *Checker {
-	c := &Checker{checkText: checkText, keyed: make(map[string]keyedCall), requests: make(map[string]int)}
+	c := &Checker{checkText: checkText, keyed: make(map[string]keyedCall), keys: make(map[string]string), requests: make(map[string]int)}
 	for p := range c.figures {
 		c.figures[p].Promise = Promise(p)
 	}
@@ -100,6 +102,9 @@
 		c.add(Finding{Promise: OwnAnswer, Broken: true, Detail: fmt.Sprintf("calls %d and %d got one request id, %s", other, call.Number, a.Request)})
 	}
 	c.requests[a.Request] = call.Number
+	if call.Key != "" {
+		c.keys[a.Request] = call.Key
+	}
 	if call.Key != "" && a.Ending() == Completed && a.Status < 300 {
 		c.addKeyed(call, a)
 	}
@@ -131,35 +136,46 @@
 	if engines == nil && services == nil {
 		return
 	}
-	ran := make(map[string]bool)
-	keyed := make(map[string]int)
+	runs := runCounts{keys: c.keys, byRequest: make(map[string]int), byKey: make(map[string]int)}
 	for i := range engines {
 		for _, r := range engines[i].Runs {
-			if r.Started.IsZero() {
-				continue
-			}
-			ran[r.Request] = true
-			if r.Key != "" && !r.Imported {
-				keyed[r.Key]++
+			// What never entered the batch did not run; what was imported is the
+			// other half of a run.
+			if !r.Started.IsZero() && !r.Imported {
+				runs.add(r.Request, "")
 			}
 		}
 	}
 	for i := range services {
 		for _, r := range services[i].Runs {
-			ran[r.Request] = true
-			// A service learns of a key only where the call is not idempotent.
-			if r.Key != "" {
-				keyed[r.Key]++
-			}
+			runs.add(r.Request, r.Key)
 		}
 	}
 	if engines != nil {
 		c.checkInUse(engines)
 	}
 	if engines != nil && services != nil {
-		c.checkNotRun(ran)
+		c.checkNotRun(runs.byRequest)
+	}
+	c.checkKeys(runs.byKey)
+}
+
+// runCounts count runs by request id and by the caller's Idempotency-Key.
+type runCounts struct {
+	// keys holds the keys by request id, since engines don't learn them.
+	keys      map[string]string
+	byRequest map[string]int
+	byKey     map[string]int
+}
+
+func (r *runCounts) add(request, key string) {
+	r.byRequest[request]++
+	if key == "" {
+		key = r.keys[request]
+	}
+	if key != "" {
+		r.byKey[key]++
 	}
-	c.checkKeys(keyed)
 }
 
 // checkInUse: unloading an adapter under a request breaks that request.
@@ -180,10 +196,10 @@
 }
 
 // checkNotRun: a caller who was told that a call did not run repeats it.
-func (c *Checker) checkNotRun(ran map[string]bool) {
+func (c *Checker) checkNotRun(runs map[string]int) {
 	c.observe(NotRunDidNotRun)
 	for _, r := range c.notRun {
-		f := Finding{Promise: NotRunDidNotRun, Broken: ran[r.request]}
+		f := Finding{Promise: NotRunDidNotRun, Broken: runs[r.request] > 0}
 		if f.Broken {
 			f.Detail = fmt.Sprintf("call %d: request %s was refused as not run and ran", r.number, r.request)
 		}
@@ -192,13 +208,12 @@
 }
 
 // checkKeys: two runs under one key are two bookings or two reviews.
-func (c *Checker) checkKeys(keyed map[string]int) {
+func (c *Checker) checkKeys(runs map[string]int) {
 	c.observe(AtMostOnce)
-	for _, key := range slices.Sorted(maps.Keys(keyed)) {
-		runs := keyed[key]
-		f := Finding{Promise: AtMostOnce, Broken: runs > 1}
+	for _, key := range slices.Sorted(maps.Keys(runs)) {
+		f := Finding{Promise: AtMostOnce, Broken: runs[key] > 1}
 		if f.Broken {
-			f.Detail = fmt.Sprintf("key %s ran %d times", key, runs)
+			f.Detail = fmt.Sprintf("key %s ran %d times", key, runs[key])
 		}
 		c.add(f)
 	}
--- /dev/null
+++ b/internal/standin/driver/checker_test.go
@@ -0,0 +1,212 @@
+package driver_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/driver"
+	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
+	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
+)
+
+// exchange is one call and its answer, rightly given.
+type exchange struct {
+	call   driver.Call
+	answer driver.Answer
+}
+
+// exchanges returns answers to the first calls of a schedule.
+func exchanges(seed uint64, count int) []exchange {
+	w := driver.Agenzia()
+	s := driver.NewSchedule(w, driver.ScheduleSettings{Seed: seed, Duration: time.Hour, MaxCalls: count})
+	var all []exchange
+	var c driver.Call
+	for s.Next(&c) {
+		all = append(all, exchange{call: c, answer: rightAnswer(&c)})
+	}
+	return all
+}
+
+// rightAnswer returns the answer that the call is promised.
+func rightAnswer(c *driver.Call) driver.Answer {
+	id := fmt.Sprintf("entry-%04d", c.Number)
+	a := driver.Answer{Status: http.StatusOK, Request: id, Outcome: "Completed", Done: true}
+	if c.Model == "" {
+		a.Service = responder.Answer{Request: id, Path: c.Path}
+		return a
+	}
+	a.Adapter, a.Model, a.ID = c.Version, c.Version, id
+	a.Text = generator.Expected(c.Version, driver.EnginePrompt(c), c.MaxTokens)
+	return a
+}
+
+// broken returns the promises that the answers and records break.
+func broken(all []exchange, engines []generator.Record, services []responder.Record) []driver.Promise {
+	c := driver.NewChecker(true)
+	for i := range all {
+		c.Add(&all[i].call, &all[i].answer)
+	}
+	c.CrossCheck(engines, services)
+	var found []driver.Promise
+	for _, f := range c.Figures() {
+		if f.Broken != nil && *f.Broken > 0 {
+			found = append(found, f.Promise)
+		}
+	}
+	return found
+}
+
+func (e *exchange) streamed() bool {
+	return e.call.Kind == driver.StreamedChat || e.call.Kind == driver.StreamedCompletion
+}
+
+// runsOf returns the records in which each call ran once.
+func runsOf(all []exchange) ([]generator.Record, []responder.Record) {
+	now := time.Now()
+	var e generator.Record
+	var s responder.Record
+	for i := range all {
+		id := all[i].answer.Request
+		if all[i].call.Model == "" {
+			s.Runs = append(s.Runs, responder.Run{Request: id, Key: all[i].call.Key})
+		} else {
+			e.Runs = append(e.Runs, generator.Run{Request: id, Started: now})
+		}
+	}
+	e.Orders = []generator.Order{{Kind: generator.UnloadOrder, Status: http.StatusOK}}
+	return []generator.Record{e}, []responder.Record{s}
+}
+
+// plant is a fault and the promise that it breaks.
+type plant struct {
+	name    string
+	promise driver.Promise
+	// fits tells whether the call, followed by the next one, has a place for it.
+	fits func(x, next *exchange) bool
+	do   func(x, next *exchange, e *generator.Record, s *responder.Record)
+}
+
+func anyCall(_, _ *exchange) bool     { return true }
+func engineCall(x, _ *exchange) bool  { return x.call.Model != "" }
+func streamCall(x, _ *exchange) bool  { return x.streamed() }
+func wholeCall(x, _ *exchange) bool   { return x.call.Model != "" && !x.streamed() }
+func serviceRead(x, _ *exchange) bool { return x.call.Kind == driver.ServiceRead }
+func bothEngine(x, n *exchange) bool  { return x.call.Model != "" && n.call.Model != "" }
+func bothKeyless(x, n *exchange) bool { return x.call.Key == "" && n.call.Key == "" }
+
+func kind(k driver.CallKind) func(x, _ *exchange) bool {
+	return func(x, _ *exchange) bool { return x.call.Kind == k }
+}
+
+// answerPlant returns a fault of the answer alone.
+func answerPlant(name string, p driver.Promise, fits func(x, next *exchange) bool, do func(a *driver.Answer)) plant {
+	return plant{name, p, fits, func(x, _ *exchange, _ *generator.Record, _ *responder.Record) { do(&x.answer) }}
+}
+
+var plants = []plant{
+	answerPlant("stream cut that ends cleanly", driver.HonestEnd, streamCall, func(a *driver.Answer) {
+		a.Done, a.Text = false, a.Text[:len(a.Text)/2]
+	}),
+	answerPlant("stream cut that ends with the mark", driver.HonestEnd, streamCall, func(a *driver.Answer) {
+		a.Text = a.Text[:len(a.Text)*2/3]
+	}),
+	answerPlant("whole answer without its end", driver.WholeAnswer, wholeCall, func(a *driver.Answer) {
+		a.Text = a.Text[:len(a.Text)/2]
+	}),
+	answerPlant("text given twice", driver.WholeAnswer, engineCall, func(a *driver.Answer) { a.Text += a.Text }),
+	answerPlant("another version named", driver.RightVersion, engineCall, func(a *driver.Answer) { a.Adapter += "x" }),
+	answerPlant("another model in the body", driver.RightVersion, engineCall, func(a *driver.Answer) { a.Model += "x" }),
+	answerPlant("parts of two answers", driver.OwnAnswer, engineCall, func(a *driver.Answer) { a.Mixed = true }),
+	answerPlant("service's answer to another", driver.OwnAnswer, serviceRead, func(a *driver.Answer) { a.Service.Request += "x" }),
+	answerPlant("refusal without an outcome", driver.OutcomeTold, anyCall, func(a *driver.Answer) {
+		*a = driver.Answer{Status: 500, Request: a.Request, Done: true}
+	}),
+	answerPlant("refused as not run, and ran", driver.NotRunDidNotRun, anyCall, func(a *driver.Answer) {
+		*a = driver.Answer{Status: 503, Request: a.Request, Outcome: "NotRun", Done: true, RetryAfter: true}
+	}),
+	{"text by another version", driver.OwnAnswer, engineCall, func(x, _ *exchange, _ *generator.Record, _ *responder.Record) {
+		x.answer.Text = generator.Expected(x.call.Version+"x", driver.EnginePrompt(&x.call), x.call.MaxTokens)
+	}},
+	{"swapped answers", driver.OwnAnswer, bothEngine, func(x, n *exchange, _ *generator.Record, _ *responder.Record) {
+		x.answer.Text, n.answer.Text = n.answer.Text, x.answer.Text
+	}},
+	{"one request id for two calls", driver.OwnAnswer, bothKeyless, func(x, n *exchange, _ *generator.Record, _ *responder.Record) {
+		x.answer.Request = n.answer.Request
+	}},
+	{"booking that ran twice", driver.AtMostOnce, kind(driver.ServiceWrite), func(x, _ *exchange, _ *generator.Record, s *responder.Record) {
+		s.Runs = append(s.Runs, responder.Run{Request: "late", Key: x.call.Key})
+	}},
+	{"review that ran on two engines", driver.AtMostOnce, kind(driver.Review), func(x, _ *exchange, e *generator.Record, _ *responder.Record) {
+		e.Runs = append(e.Runs, generator.Run{Request: x.answer.Request, Started: time.Now()})
+	}},
+	{"adapter unloaded in use", driver.StaysInUse, anyCall, func(_, _ *exchange, e *generator.Record, _ *responder.Record) {
+		e.Orders = append(e.Orders, generator.Order{Kind: generator.UnloadOrder, Status: http.StatusOK, InUse: 1})
+	}},
+}
+
+// TestPropertyPlantedFaults: a run without faults breaks nothing, and one planted
+// fault breaks its own promise and no other.
+func TestPropertyPlantedFaults(t *testing.T) {
+	for _, p := range plants {
+		t.Run(p.name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				all := exchanges(rapid.Uint64().Draw(t, "seed"), 100)
+				engines, services := runsOf(all)
+				if found := broken(all, engines, services); len(found) > 0 {
+					t.Fatalf("without a fault: %v", found)
+				}
+				i := rapid.IntRange(0, len(all)-2).Draw(t, "call")
+				for !p.fits(&all[i], &all[i+1]) {
+					if i++; i == len(all)-1 {
+						t.Skip("no place for the fault")
+					}
+				}
+				p.do(&all[i], &all[i+1], &engines[0], &services[0])
+				found := broken(all, engines, services)
+				if len(found) != 1 || found[0] != p.promise {
+					t.Fatalf("found %v at call %+v", found, all[i].call)
+				}
+			})
+		})
+	}
+}
+
+var _ = Describe("Checker", func() {
+	// Symptom: a booking shows up twice although each caller got one answer.
+	// Sequence: the caller sends again through another entry before the first answer
+	// has come; each entry runs the call. Cause: the key was not claimed first.
+	It("finds a second run by the two answers alone", func() {
+		all := exchanges(1, 400)
+		for i := range all {
+			if all[i].call.Kind != driver.ServiceWrite || !all[i].call.Resend {
+				continue
+			}
+			again := all[i]
+			again.answer.Request += "b"
+			Expect(broken([]exchange{all[i], again}, nil, nil)).To(BeEmpty(), "the kept answer, given again")
+			again.answer.Service.Request += "b"
+			Expect(broken([]exchange{all[i], again}, nil, nil)).To(Equal([]driver.Promise{driver.AtMostOnce}))
+			return
+		}
+		Fail("no call was sent again")
+	})
+
+	It("tells what nobody observed from what never happened", func() {
+		c := driver.NewChecker(false)
+		c.CrossCheck(nil, nil)
+		for _, f := range c.Figures() {
+			switch f.Promise {
+			case driver.WholeAnswer, driver.NotRunDidNotRun, driver.AtMostOnce, driver.StaysInUse:
+				Expect(f.Tried).To(BeNil(), f.Promise.String())
+			default:
+				Expect(f.Tried).To(HaveValue(BeZero()), f.Promise.String())
+			}
+		}
+	})
+})
--- a/internal/standin/driver/judge.go
+++ b/internal/standin/driver/judge.go
@@ -63,8 +63,10 @@
 	switch {
 	case a.Request == "":
 		j.check(OutcomeTold, false, "status %d without %s", a.Status, translator.HeaderRequest)
-	case a.Outcome == "" && (a.Status != http.StatusOK || !j.call.Kind.isStreamed()):
+	case a.Outcome == "" && a.Failure == "":
 		j.check(OutcomeTold, false, "status %d without %s", a.Status, translator.HeaderOutcome)
+	case a.Done && !a.ErrorEvent && a.Status == http.StatusOK && a.Outcome != outcomeCompleted:
+		j.check(OutcomeTold, false, "a whole answer with the outcome %q", a.Outcome)
 	case a.Outcome == outcomeNotRun && a.Status != http.StatusOK && retriable(a.Status) && !a.RetryAfter:
 		j.check(OutcomeTold, false, "status %d without %s", a.Status, translator.HeaderRetryAfter)
 	default:
--- a/internal/standin/driver/plot.go
+++ b/internal/standin/driver/plot.go
@@ -16,22 +16,28 @@
 
 // Size and resolution of a plot.
 const (
-	plotWidth  = 28 * vg.Centimeter
-	plotHeight = 24 * vg.Centimeter
-	plotDPI    = 110
-	margin     = 0.4 * vg.Centimeter
+	plotWidth   = 30 * vg.Centimeter
+	plotHeight  = 24 * vg.Centimeter
+	legendWidth = 6.2 * vg.Centimeter
+	plotDPI     = 110
+	margin      = 0.4 * vg.Centimeter
+	thick       = 2 * vg.Length(1)
 )
 
-// Colours of a plot: distinct also in grey.
+// fontVariant is the font of all texts in a plot.
+const fontVariant = "Sans"
+
+// Colours of a plot, which differ in brightness too.
 var (
 	stallColour  = color.RGBA{R: 0xc4, G: 0x3a, B: 0x2b, A: 0xff}
-	queueColour  = color.RGBA{R: 0xf2, G: 0xb7, B: 0x4b, A: 0xff}
+	queueColour  = color.RGBA{R: 0xe6, G: 0xa2, B: 0x2c, A: 0xff}
 	fillColour   = color.RGBA{R: 0x1f, G: 0x5f, B: 0x8b, A: 0xff}
-	loadColour   = color.RGBA{R: 0x6b, G: 0x6b, B: 0x6b, A: 0xff}
+	loadColour   = color.RGBA{R: 0xb8, G: 0xb8, B: 0xb8, A: 0xff}
 	medianColour = color.RGBA{R: 0x9e, G: 0xca, B: 0xe1, A: 0xff}
 	tailColour   = color.RGBA{R: 0x2c, G: 0x6f, B: 0xa6, A: 0xff}
 	rushColour   = color.RGBA{R: 0xe0, G: 0x7b, B: 0x39, A: 0xff}
-	bandColour   = color.RGBA{R: 0xe0, G: 0x7b, B: 0x39, A: 0x28}
+	bandColour   = color.RGBA{R: 0xfc, G: 0xee, B: 0xe2, A: 0xff}
+	gridColour   = color.RGBA{R: 0xdd, G: 0xdd, B: 0xdd, A: 0xff}
 )
 
 // WritePlot writes the report as a PNG: stalls and batch fill over time, latency by
@@ -47,25 +53,84 @@
 		plots[i] = []*plot.Plot{p}
 	}
 	canvas := vgimg.PngCanvas{Canvas: vgimg.NewWith(vgimg.UseWH(plotWidth, plotHeight), vgimg.UseDPI(plotDPI))}
+	whole := draw.New(canvas)
 	tiles := draw.Tiles{
-		Rows: len(panels), Cols: 1, PadX: margin, PadY: margin,
+		Rows: len(panels), Cols: 1, PadX: margin, PadY: 2 * margin,
 		PadTop: margin, PadBottom: margin, PadLeft: margin, PadRight: margin,
 	}
-	for i, row := range plot.Align(plots, tiles, draw.New(canvas)) {
-		plots[i][0].Draw(row[0])
+	for i, row := range plot.Align(plots, tiles, draw.Crop(whole, 0, -legendWidth, 0, 0)) {
+		// The legend stands beside the panel, where it hides nothing.
+		p := plots[i][0]
+		legend := p.Legend
+		p.Legend = plot.NewLegend()
+		p.Draw(row[0])
+		beside := whole
+		beside.Min = vg.Point{X: whole.Max.X - legendWidth, Y: row[0].Min.Y}
+		beside.Max = vg.Point{X: whole.Max.X - margin, Y: row[0].Max.Y - 2*margin}
+		legend.Draw(beside)
 	}
 	_, err := canvas.WriteTo(w)
 	return errors.Annotate(err, "plot")
 }
 
-// title names the run over the first panel.
-func (r *Report) title() string {
-	name := r.Workload
-	if r.Label != "" {
-		name += ", " + r.Label
+// newPanel returns an empty panel.
+func newPanel(title, unit string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.Title.Padding = vg.Points(6)
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	p.Y.Tick.Marker = evenTicks{}
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.Padding = vg.Points(2)
+	p.Legend.ThumbnailWidth = vg.Points(22)
+	for _, s := range []*draw.TextStyle{
+		&p.Title.TextStyle, &p.X.Label.TextStyle, &p.Y.Label.TextStyle, &p.X.Tick.Label, &p.Y.Tick.Label, &p.Legend.TextStyle,
+	} {
+		s.Font.Variant = fontVariant
+	}
+	p.Title.TextStyle.Font.Size = vg.Points(13)
+	return p
+}
+
+// addGrid draws the grid over what was added before.
+func addGrid(p *plot.Plot) {
+	g := plotter.NewGrid()
+	g.Vertical.Color, g.Horizontal.Color = gridColour, gridColour
+	p.Add(g)
+}
+
+// evenTicks puts a tick with a label at each multiple of 1, 2 or 5 times a power
+// of ten, about seven in all.
+type evenTicks struct{}
+
+// Ticks returns the ticks of an axis.
+func (evenTicks) Ticks(low, high float64) []plot.Tick {
+	const count = 7
+	if high <= low {
+		return nil
 	}
-	return fmt.Sprintf("%s: %d calls in %.0f s, %d adapters, seed %d: %d not run, %d broken promises",
-		name, r.All.Endings.Calls, r.Seconds, r.Sizes.Adapters, r.Parameters.Seed, r.All.Endings.NotRun, r.Broken())
+	step := math.Pow(10, math.Floor(math.Log10((high-low)/count)))
+	for _, factor := range []float64{2, 2.5, 2} { // 2, 5, 10
+		if (high-low)/step <= count {
+			break
+		}
+		step *= factor
+	}
+	var ticks []plot.Tick
+	for i := math.Ceil(low / step); i*step <= high*(1+1e-9); i++ {
+		ticks = append(ticks, plot.Tick{Value: i * step, Label: fmt.Sprintf("%.4g", i*step)})
+	}
+	return ticks
+}
+
+// line is a figure over time.
+type line struct {
+	name  string
+	style draw.LineStyle
+	// fill, where set, fills the area below, drawn as steps.
+	fill  color.Color
+	value func(*Point) *float64
 }
 
 // interval returns the length of a point, in seconds.
@@ -76,199 +141,109 @@
 	return r.Series[1].Seconds - r.Series[0].Seconds
 }
 
-// line returns the known values of a figure over time, cut where it is unknown.
-func (r *Report) line(value func(*Point) *float64) []plotter.XYs {
-	var lines []plotter.XYs
+// pieces returns the known values of a figure, cut where it is unknown.
+func (r *Report) pieces(value func(*Point) *float64) []plotter.XYs {
+	var found []plotter.XYs
 	open := false
 	for i := range r.Series {
 		v := value(&r.Series[i])
-		if v == nil || math.IsNaN(*v) {
+		if v == nil {
 			open = false
 			continue
 		}
 		if !open {
-			lines = append(lines, nil)
+			found = append(found, nil)
 			open = true
 		}
-		last := len(lines) - 1
-		lines[last] = append(lines[last], plotter.XY{X: r.Series[i].Seconds + r.interval()/2, Y: *v})
+		last := len(found) - 1
+		found[last] = append(found[last], plotter.XY{X: r.Series[i].Seconds + r.interval()/2, Y: *v})
 	}
-	return lines
+	return found
 }
 
-// addLine draws a figure over time and names it in the legend.
-func addLine(p *plot.Plot, name string, lines []plotter.XYs, style draw.LineStyle) error {
-	if len(lines) == 0 {
-		name += " (not observed)"
+// addLines draws figures over time and names them in the legend. The panel gets
+// the height of the highest value, or height if that is above 0.
+func (r *Report) addLines(p *plot.Plot, height float64, lines []line) error {
+	p.X.Min, p.X.Max = 0, math.Max(r.Parameters.DurationSeconds, r.interval())
+	p.X.Tick.Marker = evenTicks{}
+	highest := 0.0
+	pieces := make([][]plotter.XYs, len(lines))
+	for i := range lines {
+		pieces[i] = r.pieces(lines[i].value)
+		for _, points := range pieces[i] {
+			for _, xy := range points {
+				highest = math.Max(highest, xy.Y)
+			}
+		}
 	}
-	for _, points := range lines {
-		l, err := plotter.NewLine(points)
-		if err != nil {
-			return errors.Trace(err)
+	if height == 0 {
+		height = math.Max(highest*1.1, 0.1)
+	}
+	band, shift, err := r.marks(p, height)
+	if err != nil {
+		return err
+	}
+	addGrid(p)
+	for i := range lines {
+		if err := addLine(p, &lines[i], pieces[i]); err != nil {
+			return err
 		}
-		l.LineStyle = style
-		p.Add(l)
 	}
-	p.Legend.Add(name, &plotter.Line{LineStyle: style})
+	if band != nil {
+		p.Legend.Add("rush of "+r.Parameters.RushWorkspace, band)
+	}
+	if shift != nil {
+		p.Add(shift)
+		p.Legend.Add("popularity shifts", shift)
+	}
+	p.Y.Max = height
 	return nil
 }
 
-func solid(c color.Color, width vg.Length) draw.LineStyle {
-	return draw.LineStyle{Color: c, Width: width}
-}
-
-// timePanel returns an empty panel over the time of the run, with the shift and the
-// rush marked.
-func (r *Report) timePanel(label string) *plot.Plot {
-	p := plot.New()
-	p.Y.Label.Text = label
-	p.X.Min, p.X.Max = 0, math.Max(r.Parameters.DurationSeconds, r.interval())
-	p.Y.Min = 0
-	p.Legend.Top = true
-	p.Legend.Left = true
-	p.Legend.Padding = vg.Millimeter
-	p.Add(plotter.NewGrid())
-	return p
+func addLine(p *plot.Plot, l *line, pieces []plotter.XYs) error {
+	name := l.name
+	if len(pieces) == 0 {
+		name += " (" + notObserved + ")"
+	}
+	sample := &plotter.Line{LineStyle: l.style, FillColor: l.fill}
+	for _, points := range pieces {
+		drawn, err := plotter.NewLine(points)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		drawn.LineStyle = l.style
+		if l.fill != nil {
+			drawn.FillColor = l.fill
+			drawn.StepStyle = plotter.MidStep
+		}
+		p.Add(drawn)
+	}
+	p.Legend.Add(name, sample)
+	return nil
 }
 
-// mark draws the shift and the rush, up to the panel's final height.
-func (r *Report) mark(p *plot.Plot) error {
+// marks returns the band of the rush, which it adds below all else, and the line of
+// the shift; nil where there is none.
+func (r *Report) marks(p *plot.Plot, height float64) (*plotter.Polygon, *plotter.Line, error) {
 	end := r.Parameters.DurationSeconds
+	var band *plotter.Polygon
+	var shift *plotter.Line
+	var err error
 	if r.Parameters.RushWorkspace != "" {
 		from, to := r.Parameters.RushFrom*end, r.Parameters.RushTo*end
-		band, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: p.Y.Max}, {X: from, Y: p.Y.Max}})
+		band, err = plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: height}, {X: from, Y: height}})
 		if err != nil {
-			return errors.Trace(err)
+			return nil, nil, errors.Trace(err)
 		}
 		band.Color = bandColour
 		band.Width = 0
 		p.Add(band)
-		p.Legend.Add("rush of "+r.Parameters.RushWorkspace, band)
 	}
 	if at := r.Parameters.ShiftAt * end; at > 0 {
-		l, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: p.Y.Max}})
-		if err != nil {
-			return errors.Trace(err)
-		}
-		l.LineStyle = draw.LineStyle{Color: color.Black, Width: vg.Points(1.2), Dashes: []vg.Length{vg.Points(6), vg.Points(4)}}
-		p.Add(l)
-		p.Legend.Add("popularity shifts", l)
-	}
-	return nil
-}
-
-// waitPanel shows how long the calls of each second waited in all.
-func (r *Report) waitPanel() (*plot.Plot, error) {
-	p := r.timePanel("seconds waited per second")
-	p.Title.Text = r.title()
-	p.Title.Padding = margin
-	per := r.interval()
-	rate := func(v *float64) *float64 {
-		if v == nil {
-			return nil
-		}
-		scaled := *v / per
-		return &scaled
-	}
-	if err := addLine(p, "load stall", r.line(func(t *Point) *float64 { return rate(t.StallSeconds) }), solid(stallColour, vg.Points(2))); err != nil {
-		return nil, err
-	}
-	if err := addLine(p, "queue", r.line(func(t *Point) *float64 { return rate(t.QueueSeconds) }), solid(queueColour, vg.Points(2))); err != nil {
-		return nil, err
-	}
-	loads := r.line(func(t *Point) *float64 {
-		if t.Loads == nil {
-			return nil
-		}
-		count := float64(*t.Loads) / per
-		return &count
-	})
-	if err := addLine(p, "loads per second", loads, solid(loadColour, vg.Points(1))); err != nil {
-		return nil, err
-	}
-	p.Y.Max = math.Max(p.Y.Max*1.05, 0.1)
-	return p, r.mark(p)
-}
-
-// fillPanel shows how full the batches ran.
-func (r *Report) fillPanel() (*plot.Plot, error) {
-	p := r.timePanel("batch fill, %")
-	p.X.Label.Text = "seconds since the start"
-	fill := r.line(func(t *Point) *float64 {
-		if t.BatchFill == nil {
-			return nil
+		if shift, err = plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: height}}); err != nil {
+			return nil, nil, errors.Trace(err)
 		}
-		percent := *t.BatchFill * 100
-		return &percent
-	})
-	name := "batch fill of busy steps"
-	if r.Engines != nil && r.Engines.BatchFill != nil {
-		name = fmt.Sprintf("%s, mean %.1f %%", name, *r.Engines.BatchFill*100)
-	}
-	if err := addLine(p, name, fill, solid(fillColour, vg.Points(2))); err != nil {
-		return nil, err
-	}
-	p.Y.Max = 100
-	return p, r.mark(p)
-}
-
-// latencyPanel shows the latency of each workspace.
-func (r *Report) latencyPanel() (*plot.Plot, error) {
-	p := plot.New()
-	p.Y.Label.Text = "total latency, ms"
-	p.Legend.Top = true
-	p.Legend.Padding = vg.Millimeter
-	p.Y.Min = 0
-	p.Add(plotter.NewGrid())
-	width := vg.Points(18)
-	bars := []struct {
-		name   string
-		colour color.Color
-		value  func(*WorkspaceFigures) *float64
-	}{
-		{"median", medianColour, func(w *WorkspaceFigures) *float64 {
-			return quantile(w.TotalMillis, func(q *Quantiles) float64 { return q.P50 })
-		}},
-		{"99th percentile", tailColour, func(w *WorkspaceFigures) *float64 {
-			return quantile(w.OutsideRush, func(q *Quantiles) float64 { return q.P99 })
-		}},
-		{"99th percentile during the rush", rushColour, func(w *WorkspaceFigures) *float64 {
-			return quantile(w.DuringRush, func(q *Quantiles) float64 { return q.P99 })
-		}},
-	}
-	names := make([]string, len(r.Workspaces))
-	for i := range r.Workspaces {
-		names[i] = r.Workspaces[i].Name
-	}
-	for i, b := range bars {
-		values := make(plotter.Values, len(r.Workspaces))
-		for j := range r.Workspaces {
-			if v := b.value(&r.Workspaces[j]); v != nil {
-				values[j] = *v
-			}
-		}
-		if len(values) == 0 {
-			continue
-		}
-		chart, err := plotter.NewBarChart(values, width)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		chart.Color = b.colour
-		chart.LineStyle.Width = 0
-		chart.Offset = width * vg.Length(i-1)
-		p.Add(chart)
-		p.Legend.Add(b.name, chart)
-	}
-	p.NominalX(names...)
-	p.Y.Max *= 1.25
-	return p, nil
-}
-
-func quantile(q *Quantiles, of func(*Quantiles) float64) *float64 {
-	if q == nil {
-		return nil
+		shift.LineStyle = draw.LineStyle{Color: color.Black, Width: thick / 2, Dashes: []vg.Length{vg.Points(6), vg.Points(4)}}
 	}
-	v := of(q)
-	return &v
+	return band, shift, nil
 }
--- a/internal/standin/driver/quantiles.go
+++ b/internal/standin/driver/quantiles.go
@@ -73,3 +73,12 @@
 func seconds(length time.Duration) float64 {
 	return float64(length.Milliseconds()) / 1000
 }
+
+// quantile returns a figure of the summary, nil where there is none.
+func quantile(q *Quantiles, of func(*Quantiles) float64) *float64 {
+	if q == nil {
+		return nil
+	}
+	v := of(q)
+	return &v
+}
--- a/internal/standin/driver/workload.go
+++ b/internal/standin/driver/workload.go
@@ -156,6 +156,8 @@
 		return errors.NotValidf("workload without workspaces")
 	case w.Rate <= 0:
 		return errors.NotValidf("rate %v", w.Rate)
+	case w.Burst.Factor < 0 || w.Burst.MeanLength < 0 || w.Burst.MeanPause < 0:
+		return errors.NotValidf("negative burst")
 	case w.ZipfExponent < 0:
 		return errors.NotValidf("Zipf exponent %v", w.ZipfExponent)
 	case w.ShiftAt < 0 || w.ShiftAt >= 1:
