--- a/internal/protocol/orderer/generate.go
+++ b/internal/protocol/orderer/generate.go
@@ -264,10 +264,23 @@
 	}
 }
 
-// eventBody is the union of the data an event may carry.
+// eventBody holds what is needed of the data an event may carry, a Chunk or an
+// error. Decoding it is half of the client's work on a token.
 type eventBody struct {
-	Chunk
-	Error *ErrorDetail `json:"error"`
+	Model   string        `json:"model"`
+	Choices []eventChoice `json:"choices"`
+	Usage   *Usage        `json:"usage"`
+	Error   *ErrorDetail  `json:"error"`
+}
+
+type eventChoice struct {
+	Text         string     `json:"text"`
+	Delta        eventDelta `json:"delta"`
+	FinishReason string     `json:"finish_reason"`
+}
+
+type eventDelta struct {
+	Content string `json:"content"`
 }
 
 func (f *follower) decode(e event) (Piece, error) {
@@ -292,15 +305,8 @@
 	piece.Model = body.Model
 	piece.Usage = body.Usage
 	for _, c := range body.Choices {
-		switch {
-		case c.Text != nil:
-			piece.Text = *c.Text
-		case c.Delta != nil:
-			piece.Text = c.Delta.Content
-		}
-		if c.FinishReason != nil {
-			piece.FinishReason = *c.FinishReason
-		}
+		piece.Text += c.Text + c.Delta.Content
+		piece.FinishReason = c.FinishReason
 	}
 	return piece, nil
 }
