--- a/internal/protocol/translator/completion.go
+++ b/internal/protocol/translator/completion.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 	"github.com/zeebo/xxh3"
@@ -35,6 +36,12 @@
 	PathCompletion = "/v1/completions"
 )
 
+// Names of fields that the entry sets.
+const (
+	fieldModel    = "model"
+	fieldPriority = "priority"
+)
+
 // fields is a JSON object whose values stay undecoded, so that what this package
 // knows nothing of reaches the engine as the caller wrote it. Of a name that
 // stands twice the last holds, for this package and, since the object is written
@@ -82,7 +89,7 @@
 		return nil, errors.NotValidf("body, which is null,")
 	}
 	var model string
-	if err := c.fields.decode("model", &model); err != nil {
+	if err := c.fields.decode(fieldModel, &model); err != nil {
 		return nil, err
 	}
 	name, err := ParseName(model)
@@ -177,10 +184,14 @@
 	}
 	out := make(fields, len(c.fields)+2)
 	for name, raw := range c.fields {
-		out[name] = raw
+		// An engine that reads names without regard to case must not find a second
+		// model under another spelling.
+		if !strings.EqualFold(name, fieldModel) && !strings.EqualFold(name, fieldPriority) {
+			out[name] = raw
+		}
 	}
-	out["model"] = model
-	out["priority"] = strconv.AppendInt(nil, int64(highestPriority-priority), 10)
+	out[fieldModel] = model
+	out[fieldPriority] = strconv.AppendInt(nil, int64(highestPriority-priority), 10)
 	body, err := json.Marshal(out)
 	return body, errors.Trace(err)
 }
