controller: the test of permits over an election shows the fault it is for

Cause: with a planted fault (a new leader that takes no companion for a holder) the test still passed, since it looked before the store's rate allowed a grant. Change: it waits until the leader shows the request as waiting, at a rate that does not hold it up. With the fault it now fails; without, it passes.

--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -26,6 +26,7 @@
 func shortLeases(s *controller.Settings) {
 	s.Control.MemberLease = configurer.Duration(memberLease)
 	s.Control.ConfigurationLease = configurer.Duration(configurationLease)
+	s.Control.StoreRate = 1000
 	s.PulseInterval = 100 * time.Millisecond
 	s.Messenger = quick
 }
@@ -163,10 +164,10 @@
 			granted <- err == nil && finished.Load() && grant.Number > held.Number
 		}()
 		Eventually(g.leader, patience).ShouldNot(Equal(-1))
-		// The permit is reported to the new leader with each heartbeat; a
-		// commit on it shows that it has been leading for a while.
-		_, err = putWorkspace(first, "w", 1)
-		Expect(err).NotTo(HaveOccurred())
+		// A leader that has a request and grants it at once never shows it as
+		// waiting: the store's rate lets it.
+		Eventually(func() float64 { return g.gauge(g.leader(), "marigoldpoint_control_permits_waiting") }, patience).
+			Should(BeEquivalentTo(1))
 		Expect(granted).NotTo(Receive())
 		finished.Store(true)
 		first.FinishPermit(held)
--- a/internal/transport/controller/group_test.go
+++ b/internal/transport/controller/group_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
@@ -30,6 +31,7 @@
 	folder   string
 	hosts    []configurer.ControlHost
 	controls []*controller.Control
+	metrics  []*prometheus.Registry
 	network  network
 	adjust   func(*controller.Settings)
 }
@@ -135,7 +137,10 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &group{folder: folder, adjust: adjust, controls: make([]*controller.Control, n)}
+	g := &group{
+		folder: folder, adjust: adjust,
+		controls: make([]*controller.Control, n), metrics: make([]*prometheus.Registry, n),
+	}
 	g.network.cut, g.network.open = make(map[string]bool), make(map[string][]net.Conn)
 	listeners := make([]net.Listener, n)
 	for i := range listeners {
@@ -156,6 +161,7 @@
 
 func (g *group) start(i int, l net.Listener) error {
 	h := g.hosts[i]
+	g.metrics[i] = prometheus.NewRegistry()
 	s := controller.Settings{
 		Node: nodeOf(h.ID), Region: h.Region, FailureDomain: h.FailureDomain, ID: h.ID, Hosts: g.hosts,
 		Control:    configurer.ControlSettings{Listen: h.Address, Group: "test"},
@@ -163,6 +169,7 @@
 		Listener:   l,
 		Dial:       g.network.dialFrom(nodeOf(h.ID)),
 		Recorder:   recorder.NewRecorder(recorder.Settings{Node: nodeOf(h.ID)}),
+		Registerer: g.metrics[i],
 		Log:        zerolog.Nop(),
 		Random:     rand.New(rand.NewPCG(h.ID, 1)),
 	}
@@ -178,6 +185,20 @@
 	return nil
 }
 
+// gauge returns the value of a host's metric.
+func (g *group) gauge(i int, name string) float64 {
+	families, err := g.metrics[i].Gather()
+	if err != nil {
+		return -1
+	}
+	for _, f := range families {
+		if f.GetName() == name {
+			return f.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	return -1
+}
+
 // leader returns the host that has a leader's duties, or -1.
 func (g *group) leader() int {
 	for i, c := range g.controls {
