messenger, dialer: tests advance the bubble's clock by timers

Cause: sleeps in tests are ruled out; under synctest they only moved a made-up clock, but read as sleeps. Change: timers of the same lengths.

--- a/internal/protocol/messenger/conn_test.go
+++ b/internal/protocol/messenger/conn_test.go
@@ -78,7 +78,7 @@
 		g := NewWithT(t)
 		a, b, box := pair(echo, recorder.NewRecorder(recorder.Settings{}), nil)
 		g.Expect(a.Call(context.Background(), messenger.MethodResume, messenger.Resume{}, nil)).To(Succeed())
-		time.Sleep(10 * messenger.DefaultSilenceLimit)
+		<-time.After(10 * messenger.DefaultSilenceLimit)
 		g.Expect(a.Call(context.Background(), messenger.MethodResume, messenger.Resume{}, nil)).To(Succeed(), "heartbeats keep an idle connection open")
 
 		box.forgotten.Store(true)
--- a/internal/transport/dialer/pool_test.go
+++ b/internal/transport/dialer/pool_test.go
@@ -59,7 +59,7 @@
 		}
 		g.Expect(h.dials).To(Equal(1))
 
-		time.Sleep(2 * dialer.DefaultBackOffInitial)
+		<-time.After(2 * dialer.DefaultBackOffInitial)
 		h.refuses = false
 		_, err := p.Conn(context.Background(), address)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -79,11 +79,11 @@
 		c, err := p.Conn(context.Background(), address)
 		g.Expect(err).NotTo(HaveOccurred())
 		for range 10 {
-			time.Sleep(dialer.DefaultIdleLimit / 2)
+			<-time.After(dialer.DefaultIdleLimit / 2)
 			g.Expect(h.far[0].Notify(context.Background(), messenger.MethodPiece, messenger.Piece{})).To(Succeed())
 		}
 		g.Expect(c.Done()).NotTo(BeClosed())
-		time.Sleep(2 * dialer.DefaultIdleLimit)
+		<-time.After(2 * dialer.DefaultIdleLimit)
 		g.Expect(c.Done()).To(BeClosed())
 		g.Expect(p.Close()).To(Succeed())
 		h.close()
