--- a/internal/state/indexer/adapters.go
+++ b/internal/state/indexer/adapters.go
@@ -166,12 +166,17 @@
 	}
 	a := &d.adapters[position]
 	a.base = base
+	return d.setCurrent(a, s.Current)
+}
+
+// setCurrent declares the adapter's current version.
+func (d *adapterData) setCurrent(a *adapterRecord, version string) error {
 	a.current = none
-	if s.Current == "" {
+	if version == "" {
 		return nil
 	}
-	if a.current, _ = d.findVersion(a, s.Current); a.current == none {
-		return errors.NotFoundf("current version %q of adapter %s/%s", s.Current, m.Workspace, m.Name)
+	if a.current, _ = d.findVersion(a, version); a.current == none {
+		return errors.NotFoundf("current version %q of adapter %s/%s", version, d.workspace(a), d.adapter(a))
 	}
 	return nil
 }
--- a/internal/state/indexer/arena.go
+++ b/internal/state/indexer/arena.go
@@ -17,11 +17,14 @@
 // arena holds texts. It only grows; a shard which has dropped much is built
 // anew. It is guarded by the lock of what holds it.
 //
-// A chunk is a strings.Builder which is never written beyond the capacity it
-// began with. Its buffer therefore never moves, and a part of it that was
-// handed out is never written again.
+// A chunk is written by a strings.Builder, never beyond the capacity which that
+// began with. Its buffer therefore never moves, and a part of it that was handed
+// out is never written again.
 type arena struct {
-	chunks []*strings.Builder
+	// chunks hold what is written of each chunk.
+	chunks []string
+	// last writes the last chunk; nil before the first.
+	last *strings.Builder
 	// expected is the number of bytes that are still to come, where they are
 	// known beforehand: the next chunk gets just that size, if it is less than
 	// a full one.
@@ -39,39 +42,36 @@
 	if length > maxChunk {
 		panic("indexer: text longer than a chunk")
 	}
-	c := a.room(length)
-	ref := textRef((len(a.chunks)-1)<<chunkBits | c.Len())
+	a.makeRoom(length)
+	ref := textRef((len(a.chunks)-1)<<chunkBits | a.last.Len())
 	for _, p := range parts {
-		c.WriteString(p)
+		a.last.WriteString(p)
 	}
+	a.chunks[len(a.chunks)-1] = a.last.String()
 	a.live += length
 	a.expected = max(0, a.expected-length)
 	return ref
 }
 
-// room returns a chunk, the last one, with room for length bytes.
-func (a *arena) room(length int) *strings.Builder {
-	if n := len(a.chunks); n > 0 {
-		c := a.chunks[n-1]
-		// An offset must fit its bits, also that of an empty text.
-		if c.Cap()-c.Len() >= length && c.Len() < maxChunk {
-			return c
-		}
+// makeRoom begins a new chunk unless the last one has room for length bytes.
+func (a *arena) makeRoom(length int) {
+	// An offset must fit its bits, also that of an empty text.
+	if a.last != nil && a.last.Cap()-a.last.Len() >= length && a.last.Len() < maxChunk {
+		return
 	}
 	size := a.expected
 	if size == 0 {
 		size = max(a.live/4, minChunk)
 	}
-	c := &strings.Builder{}
-	c.Grow(max(min(size, maxChunk), length))
-	a.chunks = append(a.chunks, c)
-	return c
+	a.last = &strings.Builder{}
+	a.last.Grow(max(min(size, maxChunk), length))
+	a.chunks = append(a.chunks, "")
 }
 
 // text returns length bytes at ref.
 func (a *arena) text(ref textRef, length int) string {
 	offset := int(ref & (maxChunk - 1))
-	return a.chunks[ref>>chunkBits].String()[offset : offset+length]
+	return a.chunks[ref>>chunkBits][offset : offset+length]
 }
 
 // drop counts a text of length bytes as no longer in use.
--- a/internal/state/indexer/builder.go
+++ b/internal/state/indexer/builder.go
@@ -58,13 +58,7 @@
 	for i, v := range declared.versions {
 		d.addVersion(a, v.version, texts[i], v.source)
 	}
-	if declared.current == "" {
-		return nil
-	}
-	if a.current, _ = d.findVersion(a, declared.current); a.current == none {
-		return errors.NotFoundf("current version %q of adapter %s/%s", declared.current, m.Workspace, m.Name)
-	}
-	return nil
+	return d.setCurrent(a, declared.current)
 }
 
 // declared returns what a shard holds, to build it anew.
--- a/internal/state/indexer/index.go
+++ b/internal/state/indexer/index.go
@@ -52,7 +52,9 @@
 // member changes.
 func (x *Index) Members() MemberView { return *x.members.Load() }
 
-func (x *Index) adapterShard(hash uint64) *adapters { return &x.adapters[hash>>(64-shardBits)] }
+func (x *Index) adapterShard(hash uint64) *adapters { return &x.adapters[shardOf(hash)] }
+
+func shardOf(hash uint64) int { return int(hash >> (64 - shardBits)) }
 
 func (x *Index) spaceShard(workspace string) *spaces {
 	return &x.spaces[spaceIndex(workspace)]
--- a/internal/state/indexer/index_test.go
+++ b/internal/state/indexer/index_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
@@ -224,6 +225,35 @@
 	runtime.KeepAlive(x)
 }
 
+// BenchmarkIndexLoad gives the heap in MB which a restarting node needs just
+// before it goes over to a loaded state: by pages of 512, and with the whole
+// state as resources.
+func BenchmarkIndexLoad(b *testing.B) {
+	for _, n := range []int{3000, 15000, 61000} {
+		b.Run(fmt.Sprintf("adapters=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				x := NewIndex(Settings{})
+				l := x.Begin()
+				for page := range slices.Chunk(deployment(n, mix{versions: 2, rulesPer: 10}), 512) {
+					if err := l.Add(page); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "MB-pages")
+				whole := deployment(n, mix{versions: 2, rulesPer: 10})
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "MB-whole")
+				if err := l.Finish(1); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "MB-both")
+				runtime.KeepAlive(whole)
+				runtime.KeepAlive(x)
+			}
+		})
+	}
+}
+
 func BenchmarkIndexResolve(b *testing.B) {
 	for _, n := range []int{3000, 15000, 61000} {
 		x := NewIndex(Settings{})
