--- a/cmd/marigoldpoint/load.go
+++ b/cmd/marigoldpoint/load.go
@@ -26,6 +26,7 @@
 	Operators []string      `arg:"--operator,separate" placeholder:"IP:PORT" help:"operators' listener of an entry, in the order of --entry"`
 	KeyFile   string        `arg:"--key-file" placeholder:"FILE" help:"file with the operators' bearer key"`
 	Engines   []string      `arg:"--engine,separate" placeholder:"IP:PORT" help:"stand-in engine whose record is read; give all or none"`
+	Companion []string      `arg:"--companion,separate" placeholder:"IP:PORT" help:"operators' listener of a companion whose metrics are read, for engines that keep no record; give all or none"`
 	Services  []string      `arg:"--service,separate" placeholder:"IP:PORT" help:"stand-in plain service whose record is read; give all or none"`
 	Duration  time.Duration `default:"60s" help:"length of the run"`
 	Calls     int           `default:"1000000" help:"most calls of the run"`
@@ -135,6 +136,9 @@
 	for _, a := range c.Engines {
 		s.Observed = append(s.Observed, driver.RemoteEngine{Address: a})
 	}
+	for _, a := range c.Companion {
+		s.Observed = append(s.Observed, driver.RemoteCompanion{Operator: a})
+	}
 	for _, a := range c.Services {
 		s.Observed = append(s.Observed, driver.RemoteService{Address: a})
 	}
@@ -150,7 +154,7 @@
 	case c.Remote:
 		return s, nil
 	}
-	return s, driver.CheckLoopback(slices.Concat(c.Operators, c.Entries, c.Engines, c.Services)...)
+	return s, driver.CheckLoopback(slices.Concat(c.Operators, c.Entries, c.Engines, c.Companion, c.Services)...)
 }
 
 // awaitInForce waits until the entries know what was declared.
--- a/internal/standin/driver/answer.go
+++ b/internal/standin/driver/answer.go
@@ -41,6 +41,8 @@
 	Adapter string
 	Backend string
 	Outcome string
+	// Code is the machine-readable cause of an error.
+	Code string
 	// RetryAfter tells that the answer says when to ask again.
 	RetryAfter bool
 	Stall      Wait
--- a/internal/standin/driver/bodyreader.go
+++ b/internal/standin/driver/bodyreader.go
@@ -80,6 +80,10 @@
 	r.answer.Done = true
 	// A body of another shape leaves the fields empty, which Judge finds.
 	_ = json.Unmarshal(data, &r.answer.Service)
+	var c chunk
+	if json.Unmarshal(data, &c) == nil && c.Error != nil {
+		r.answer.Code = c.Error.Code.text
+	}
 	return nil
 }
 
@@ -92,6 +96,16 @@
 // errorDetail is what a caller needs of an error.
 type errorDetail struct {
 	Outcome string `json:"outcome"`
+	Code    code   `json:"code"`
+}
+
+// code is the cause of an error: a name at an entry, a number at an engine.
+type code struct{ text string }
+
+// UnmarshalJSON takes any value as text.
+func (c *code) UnmarshalJSON(data []byte) error {
+	c.text = string(bytes.Trim(data, `"`))
+	return nil
 }
 
 func (r *bodyReader) readChunk(data []byte) error {
@@ -101,6 +115,7 @@
 	}
 	if c.Error != nil {
 		r.answer.ErrorEvent = true
+		r.answer.Code = c.Error.Code.text
 		if c.Error.Outcome != "" {
 			r.answer.Outcome = c.Error.Outcome
 		}
--- a/internal/standin/driver/collector.go
+++ b/internal/standin/driver/collector.go
@@ -109,7 +109,7 @@
 		c.checker.CrossCheck(engines, services)
 		r.Engines = engineFigures(&seen.before, &seen.after, s.NeededWithin)
 		if len(engines) > 0 {
-			c.tally.points.addOrders(seen.start, &seen.before, &seen.after)
+			c.tally.points.addOrders(seen.start, engines)
 		}
 	} else {
 		c.fault(seen.failure.Error())
@@ -146,7 +146,7 @@
 	z := Sizes{Workspaces: len(s.Workload.Workspaces), Adapters: s.Workload.Adapters(), Entries: len(s.Entries)}
 	for _, o := range s.Observed {
 		switch o.(type) {
-		case LocalEngine, RemoteEngine:
+		case LocalEngine, RemoteEngine, RemoteCompanion:
 			z.Engines++
 		case LocalService, RemoteService:
 			z.Services++
--- a/internal/standin/driver/panels.go
+++ b/internal/standin/driver/panels.go
@@ -66,7 +66,7 @@
 // fillPanel shows how full the batches ran.
 func (r *Report) fillPanel() (*plot.Plot, error) {
 	p := newPanel("Batch fill of the steps that ran", "%")
-	p.X.Label.Text = "seconds since the start"
+	p.X.Label.Text = fmt.Sprintf("seconds since the start; calls are sent until second %.0f", r.Parameters.DurationSeconds)
 	name := "batch fill"
 	if r.Engines != nil && r.Engines.BatchFill != nil {
 		name = fmt.Sprintf("batch fill, mean %.1f %%", *r.Engines.BatchFill*100)
--- a/internal/standin/driver/report.go
+++ b/internal/standin/driver/report.go
@@ -1,9 +1,11 @@
 package driver
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/juju/errors"
 )
@@ -28,7 +30,10 @@
 	// says that the driver itself was short of processor time.
 	LatenessMillis *Quantiles
 	// Resent counts the calls that were sent again on purpose under the same key.
-	Resent     EndingCounts
+	Resent EndingCounts
+	// Causes count the calls that were not completed by what they were told, the
+	// most frequent first.
+	Causes     []CauseFigures
 	Kinds      []KindFigures
 	Workspaces []WorkspaceFigures
 	Engines    *EngineFigures
@@ -38,6 +43,36 @@
 	Series []Point
 }
 
+// Cause is what a caller was told of a call that was not completed.
+type Cause struct {
+	Ending Ending
+	// Status is 0 where no answer came.
+	Status int
+	// Code is the machine-readable cause; it may be empty.
+	Code string
+}
+
+// CauseFigures count the calls of one cause.
+type CauseFigures struct {
+	Cause
+	Calls int64
+}
+
+// causeFigures returns the causes, the most frequent first.
+func causeFigures(counts map[Cause]int64) []CauseFigures {
+	var found []CauseFigures
+	for cause, calls := range counts {
+		found = append(found, CauseFigures{Cause: cause, Calls: calls})
+	}
+	slices.SortFunc(found, func(a, b CauseFigures) int {
+		return cmp.Or(
+			cmp.Compare(b.Calls, a.Calls), cmp.Compare(a.Ending, b.Ending),
+			cmp.Compare(a.Status, b.Status), cmp.Compare(a.Code, b.Code),
+		)
+	})
+	return found
+}
+
 // Parameters are what the run was asked to do.
 type Parameters struct {
 	Seed            uint64
@@ -65,7 +100,7 @@
 	Workspaces int
 	Adapters   int
 	Entries    int
-	// Engines and Services count those whose records were read.
+	// Engines and Services count those whose records or metrics were read.
 	Engines  int
 	Services int
 }
@@ -105,6 +140,7 @@
 	r.All = t.all.figures()
 	r.LatenessMillis = t.lateness.quantiles()
 	r.Resent = t.resent
+	r.Causes = causeFigures(t.causes)
 	r.Kinds, r.Workspaces = nil, nil
 	for k := range t.kinds {
 		if t.kinds[k].endings.Calls > 0 {
--- a/internal/standin/driver/settings.go
+++ b/internal/standin/driver/settings.go
@@ -102,6 +102,8 @@
 		switch v := o.(type) {
 		case RemoteEngine:
 			all = append(all, v.Address)
+		case RemoteCompanion:
+			all = append(all, v.Operator)
 		case RemoteService:
 			all = append(all, v.Address)
 		}
--- a/internal/standin/driver/tally.go
+++ b/internal/standin/driver/tally.go
@@ -141,13 +141,14 @@
 	// lateness is the time between the intended moment and the sending.
 	lateness *histogram
 	resent   EndingCounts
+	causes   map[Cause]int64
 	points   series
 }
 
 // NewTally returns a tally of a run with the workload, whose time line has a point
 // for each interval.
 func NewTally(w *Workload, interval time.Duration) *Tally {
-	t := &Tally{all: newGroup(), lateness: newHistogram(), points: series{interval: interval}}
+	t := &Tally{all: newGroup(), lateness: newHistogram(), causes: make(map[Cause]int64), points: series{interval: interval}}
 	for range w.Workspaces {
 		t.workspaces = append(t.workspaces, newGroup())
 		t.rushing = append(t.rushing, newHistogram())
@@ -166,6 +167,9 @@
 	t.kinds[c.Kind].add(c, a)
 	t.lateness.add(a.Sent - c.Intended)
 	t.points.addAnswer(c, a)
+	if a.Ending() != Completed {
+		t.causes[Cause{Ending: a.Ending(), Status: a.Status, Code: a.Code}]++
+	}
 	if c.Rushing || a.Ending() != Completed || c.Kind.isService() {
 		return
 	}
--- a/internal/standin/driver/text.go
+++ b/internal/standin/driver/text.go
@@ -27,6 +27,10 @@
 	line("calls", "%d in %.1f s: %d completed, %d not run, %d unknown, %d cut, %d unanswered, %d past their deadline",
 		e.Calls, r.Seconds, e.Completed, e.NotRun, e.Unknown, e.Cut, e.Unanswered, e.PastDeadline)
 	line("sent again", "%d: %d completed, %d not run, %d unknown", r.Resent.Calls, r.Resent.Completed, r.Resent.NotRun, r.Resent.Unknown)
+	for i := range r.Causes {
+		c := &r.Causes[i]
+		line("", "%d %s, status %d %s", c.Calls, c.Ending, c.Status, c.Code)
+	}
 	line("total", "%s", r.All.TotalMillis.text())
 	line("first token", "%s", r.All.FirstTokenMillis.text())
 	line("between tokens", "%s", r.All.BetweenTokenMillis.text())
--- a/internal/standin/driver/workload.go
+++ b/internal/standin/driver/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -206,6 +207,31 @@
 	return w
 }
 
+// MissShare returns the part of the calls to engines that would need a load if the
+// slots held the most popular adapters all the time, each once: the least that any
+// choice can reach while the popularity stands still. It is what a rate of calls
+// has to be weighed against the weight store with.
+func (w *Workload) MissShare(slots int) float64 {
+	var shares []float64
+	weights := 0.0
+	for i := range w.Workspaces {
+		weights += w.Workspaces[i].Weight
+	}
+	for i := range w.Workspaces {
+		below := 0.0
+		for _, cumulative := range zipf(w.Workspaces[i].Adapters, w.ZipfExponent) {
+			shares = append(shares, (cumulative-below)*w.Workspaces[i].Weight/weights)
+			below = cumulative
+		}
+	}
+	slices.Sort(shares)
+	miss := 0.0
+	for _, share := range shares[:max(0, len(shares)-slots)] {
+		miss += share
+	}
+	return miss
+}
+
 // adapterName returns the name of the workspace's numbered adapter.
 func (l *WorkspaceLoad) adapterName(index int) string {
 	return fmt.Sprintf("%s-%04d", l.AdapterPrefix, index)
