gatekeeper: tell callers what a request waited for

Marigoldpoint-Stall-Millis and Marigoldpoint-Queue-Millis, in the header of a whole answer and the trailer of a stream, so that the load tool can report stalls as callers see them.

--- a/internal/protocol/translator/header.go
+++ b/internal/protocol/translator/header.go
@@ -13,10 +13,14 @@
 
 // Headers of the caller API.
 const (
-	HeaderRequest        = "Marigoldpoint-Request"
-	HeaderAdapter        = "Marigoldpoint-Adapter"
-	HeaderBackend        = "Marigoldpoint-Backend"
-	HeaderOutcome        = "Marigoldpoint-Outcome"
+	HeaderRequest = "Marigoldpoint-Request"
+	HeaderAdapter = "Marigoldpoint-Adapter"
+	HeaderBackend = "Marigoldpoint-Backend"
+	HeaderOutcome = "Marigoldpoint-Outcome"
+	// HeaderStallMillis tells how long the request waited for its version to be
+	// loaded, HeaderQueueMillis how long for a place in a batch.
+	HeaderStallMillis    = "Marigoldpoint-Stall-Millis"
+	HeaderQueueMillis    = "Marigoldpoint-Queue-Millis"
 	HeaderDeadline       = "Marigoldpoint-Deadline"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderRetryAfter     = "Retry-After"
--- a/internal/transport/gatekeeper/answer.go
+++ b/internal/transport/gatekeeper/answer.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -85,7 +87,9 @@
 	if whole {
 		h.Set(translator.HeaderOutcome, messenger.OutcomeCompleted.String())
 	} else {
-		h.Set("Trailer", translator.HeaderOutcome)
+		h.Set("Trailer", strings.Join([]string{
+			translator.HeaderOutcome, translator.HeaderStallMillis, translator.HeaderQueueMillis,
+		}, ", "))
 		h.Set("Cache-Control", "no-store")
 	}
 	q.w.WriteHeader(status)
@@ -103,12 +107,14 @@
 }
 
 // finish ends an answer that is whole.
-func (a *answer) finish() error {
+func (a *answer) finish(end *messenger.End) error {
 	q := a.request
 	if !a.begun {
+		a.waits(end)
 		a.begin(true)
 		return a.send(a.held)
 	}
+	a.waits(end)
 	q.w.Header().Set(translator.HeaderOutcome, messenger.OutcomeCompleted.String())
 	if a.events() {
 		return a.send(fmt.Appendf(nil, ": %s %s\n\n", translator.HeaderOutcome, messenger.OutcomeCompleted))
@@ -116,6 +122,18 @@
 	return nil
 }
 
+// waits tells the caller what the request waited for, in the header or, once
+// that is sent, in the trailer.
+func (a *answer) waits(end *messenger.End) {
+	h := a.request.w.Header()
+	h.Set(translator.HeaderQueueMillis, formatMillis(end.QueueMillis))
+	if a.request.dispatch.Version != "" {
+		h.Set(translator.HeaderStallMillis, formatMillis(end.StallMillis))
+	}
+}
+
+func formatMillis(n float64) string { return strconv.FormatFloat(n, 'f', 1, 64) }
+
 // events reports whether the answer is a stream of server-sent events.
 func (a *answer) events() bool {
 	return a.request.dispatch.Kind != messenger.CallKindService && a.request.stream
--- a/internal/transport/gatekeeper/attempt.go
+++ b/internal/transport/gatekeeper/attempt.go
@@ -280,7 +280,7 @@
 	if res, wrong := a.wrongModel(ctx, end.Model); wrong {
 		return res
 	}
-	if err := q.answer.finish(); err != nil && q.claim == nil {
+	if err := q.answer.finish(end); err != nil && q.claim == nil {
 		res := unknown(messenger.ReasonCancelled, "the caller took no more: "+err.Error())
 		res.left, res.final = true, true
 		return res
