--- a/internal/coordination/loader/fairness.go
+++ b/internal/coordination/loader/fairness.go
@@ -26,8 +26,10 @@
 type fairness struct {
 	policy Policy
 	slots  int
-	// held counts the slots that each workspace holds or has been promised.
-	held map[string]int
+	// held counts the slots that each workspace holds or has been promised,
+	// slotted only those that it holds.
+	held    map[string]int
+	slotted map[string]int
 	// shares are those of the workspaces that wait for slots or use them.
 	shares map[string]int
 	// starved are the workspaces that wait for a slot.
@@ -38,7 +40,7 @@
 func (t *Table) fairness(now time.Time) fairness {
 	f := fairness{
 		policy: t.settings.Policy, slots: t.settings.Slots,
-		held: map[string]int{}, shares: map[string]int{}, starved: map[string]bool{},
+		held: map[string]int{}, slotted: map[string]int{}, shares: map[string]int{}, starved: map[string]bool{},
 	}
 	for name, a := range t.workspaces {
 		if a.demandNow(now, t.settings.HalfLife) >= activeDemand {
@@ -48,6 +50,9 @@
 	for _, v := range t.slotted {
 		if v.phase != PhaseEvicting {
 			f.held[v.workspace]++
+			if v.phase != PhaseEmpty {
+				f.slotted[v.workspace]++
+			}
 		}
 		if v.pinned() {
 			f.join(v.workspace, v.share)
@@ -99,7 +104,7 @@
 
 // over tells whether the workspace of v holds more than its limit.
 func (f fairness) over(v *version) bool {
-	return f.policy == PolicyDemand && f.held[v.workspace] > f.limit(v.workspace)
+	return f.policy == PolicyDemand && f.slotted[v.workspace] > f.limit(v.workspace)
 }
 
 // mayGrow tells whether the workspace of v may hold one slot more.
--- a/internal/coordination/loader/observe.go
+++ b/internal/coordination/loader/observe.go
@@ -89,8 +89,9 @@
 		if !present {
 			return append(actions, t.unloaded(now, v)...)
 		}
-		// The order has not taken effect: give it again. It stays unsure, since the
-		// earlier one may still be on its way.
+		// The order has not taken effect: give it again.
+		v.unsure = false
+		v.doubted = true
 		v.fence = t.nextFence()
 		t.setPhase(v, PhaseEvicting)
 		return append(actions, UnloadAction{Fence: v.fence, Version: v.name})
@@ -134,8 +135,8 @@
 		v := t.slotted[name]
 		actions = t.lose(v, actions)
 		v.foreign = 0
-		if v.victim != nil {
-			heirs = append(heirs, v)
+		if v.heir != nil {
+			heirs = append(heirs, v.heir)
 		}
 		if v.phase != PhaseEmpty {
 			t.vacate(v)
--- a/internal/coordination/loader/order.go
+++ b/internal/coordination/loader/order.go
@@ -19,6 +19,10 @@
 	if len(v.waiters) == 0 && !t.worthPrefetch(now, v) {
 		return t.giveBack(now, v)
 	}
+	f := t.fairness(now)
+	if t.spare(v, f) <= 0 {
+		return t.giveBack(now, v)
+	}
 	if t.occupied() < t.settings.Slots {
 		return t.load(now, v, nil)
 	}
@@ -126,7 +130,7 @@
 // unloaded hands the slot of v to its heir.
 func (t *Table) unloaded(now time.Time, v *version) []Action {
 	heir := v.heir
-	if v.unsure {
+	if v.unsure || v.doubted {
 		// An unload that was given up may still reach an engine that ignores
 		// fencing numbers, and drop the version after it was loaded and pinned
 		// anew. No load is ordered while that is possible.
@@ -147,6 +151,7 @@
 func (t *Table) vacate(v *version) {
 	v.fence = 0
 	v.unsure = false
+	v.doubted = false
 	if v.heir != nil {
 		v.heir.victim = nil
 		v.heir = nil
--- a/internal/coordination/loader/plan.go
+++ b/internal/coordination/loader/plan.go
@@ -87,16 +87,32 @@
 			promised++
 		}
 	}
-	free := t.settings.Slots - t.occupied()
-	if f.mayGrow(v) && free > promised {
-		return true
+	return t.spare(v, f) > promised
+}
+
+// spare counts the slots that v could take now. A workspace that holds more than
+// its limit leaves as many as other workspaces wait for, also of its own: else
+// each slot that comes free goes to its own next load, and the others wait for
+// all the loads that it asked for before them.
+func (t *Table) spare(v *version, f fairness) int {
+	n := 0
+	if f.mayGrow(v) {
+		n = t.settings.Slots - t.occupied()
 	}
 	for _, other := range t.slotted {
 		if other.evictable() && f.mayTake(v, other) {
-			free++
+			n++
 		}
 	}
-	return free > promised
+	if !f.over(v) {
+		return n
+	}
+	for _, other := range t.waiting {
+		if other.workspace != v.workspace && other.phase == PhaseEmpty && other.victim == nil && f.mayGrow(other) {
+			n--
+		}
+	}
+	return n
 }
 
 // victimFor returns the version to evict for v, or nil.
--- a/internal/coordination/loader/table.go
+++ b/internal/coordination/loader/table.go
@@ -86,6 +86,9 @@
 	t.fence = max(t.fence, epoch<<epochShift, seen)
 }
 
+// Fence returns the last fencing number given.
+func (t *Table) Fence() uint64 { return t.fence }
+
 // Slots returns the number of slots.
 func (t *Table) Slots() int { return t.settings.Slots }
 
--- a/internal/coordination/loader/version.go
+++ b/internal/coordination/loader/version.go
@@ -27,6 +27,9 @@
 	// unsure tells that the outcome of the order in flight is not known, so that
 	// only the engine's own state settles it.
 	unsure bool
+	// doubted tells that an unload order was given up without a known outcome, so
+	// that it may still be on its way.
+	doubted bool
 	// fence is the number of the order in flight, or 0.
 	fence uint64
 	// began is the time of the load order in flight.
--- a/internal/coordination/scheduler/doc.go
+++ b/internal/coordination/scheduler/doc.go
@@ -12,9 +12,11 @@
 // A workspace that always has a request which can run gets, between two of its
 // own requests, to wait for others no longer than the time for
 //
-//	sum over the others of (their share / its share * its last charge + their largest charge)
+//	sum over the others of (their share / its share * its last charge + their largest charge + lag)
 //
-// tokens, plus what corrections charge to it. A request of priority p is passed
+// tokens, plus what corrections charge to it. The lag, a 64th of
+// Settings.MaxTokens, is what a workspace may catch up whose versions were not
+// resident while others were served. A request of priority p is passed
 // by later ones of priority q inside its workspace for at most (q-p) * AgeStep.
 // How long a request can be passed over because its version is not resident is
 // bounded by the loader's patience.
--- a/internal/transport/companion/companion.go
+++ b/internal/transport/companion/companion.go
@@ -33,6 +33,11 @@
 	// that none begins once closed is set.
 	tasks sync.WaitGroup
 
+	// noticing lets one goroutine at a time read the engine's state and take it
+	// in. Of two readings at once the older could arrive last, and a restart would
+	// be undone and found again. It is taken before mu.
+	noticing sync.Mutex
+
 	mu sync.Mutex
 	// closed bars new tasks; guarded by mu, as all below.
 	closed bool
@@ -42,6 +47,8 @@
 	lease registrar.Lease
 	// joining tells that a join is under way.
 	joining bool
+	// superseded tells that the engine has obeyed another companion since.
+	superseded bool
 	// table is the engine's slot table; nil for a plain service, and before
 	// Start has read the engine's state.
 	table *loader.Table
@@ -120,7 +127,7 @@
 func (c *Companion) Ready() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lease.Epoch != 0 && !c.draining && !c.closed && c.reachable(c.settings.Now())
+	return c.lease.Epoch != 0 && !c.draining && !c.superseded && !c.closed && c.reachable(c.settings.Now())
 }
 
 // errClosed is the cause with which the requests end that Close cuts off.
--- a/internal/transport/companion/companion_test.go
+++ b/internal/transport/companion/companion_test.go
@@ -17,8 +17,7 @@
 	It("serves a cold adapter, streamed and whole, and reports it resident", func() {
 		b := newBench(generator.Settings{})
 		l := newLink(b.companion)
-		_, refusal := b.companion.dispatch(l, b.call("r1", "w/a@1", 20))
-		Expect(refusal).To(BeNil())
+		l.send(b.call("r1", "w/a@1", 20))
 		end := l.wait("r1")
 		Expect(end.Outcome).To(Equal(messenger.OutcomeCompleted), end.Detail)
 		Expect(end.Model).To(Equal("w/a@1"))
@@ -29,8 +28,7 @@
 
 		d := b.call("r2", "w/a@1", 20)
 		d.Stream = false
-		_, refusal = b.companion.dispatch(l, d)
-		Expect(refusal).To(BeNil())
+		l.send(d)
 		Expect(l.wait("r2").StallMillis).To(BeZero())
 		var whole orderer.Chunk
 		Expect(json.Unmarshal([]byte(l.bytes("r2")), &whole)).To(Succeed())
@@ -44,12 +42,10 @@
 		b := newBench(generator.Settings{})
 		d := b.call("r1", "w/a@1", 2)
 		d.Epoch++
-		_, refusal := b.companion.dispatch(newLink(b.companion), d)
-		Expect(refusal.Reason).To(Equal(messenger.ReasonStaleEpoch))
+		Expect(newLink(b.companion).refused(d).Reason).To(Equal(messenger.ReasonStaleEpoch))
 		d = b.call("r2", "w/a@1", 2)
 		d.BaseModel = "other"
-		_, refusal = b.companion.dispatch(newLink(b.companion), d)
-		Expect(refusal.Reason).To(Equal(messenger.ReasonUnsupported))
+		Expect(newLink(b.companion).refused(d).Reason).To(Equal(messenger.ReasonUnsupported))
 		Expect(b.engine.Record().Runs).To(BeEmpty())
 	})
 
@@ -57,15 +53,13 @@
 		b := newBench(generator.Settings{})
 		l := newLink(b.companion)
 		for i := range 8 {
-			_, refusal := b.companion.dispatch(l, b.call(fmt.Sprint("r", i), fmt.Sprintf("w/a@%d", i), 60))
-			Expect(refusal).To(BeNil())
+			l.send(b.call(fmt.Sprint("r", i), fmt.Sprintf("w/a@%d", i), 60))
 		}
 		Expect(b.companion.Drain(context.Background())).To(Succeed())
 		for i := range 8 {
 			Expect(l.wait(fmt.Sprint("r", i)).Outcome).To(Equal(messenger.OutcomeCompleted))
 		}
 		Expect(b.control.leaving).To(Equal([]bool{false, true}))
-		_, refusal := b.companion.dispatch(l, b.call("late", "w/a@1", 2))
-		Expect(refusal.Reason).To(Equal(messenger.ReasonStopping))
+		Expect(l.refused(b.call("late", "w/a@1", 2)).Reason).To(Equal(messenger.ReasonStopping))
 	})
 })
--- a/internal/transport/companion/dispatch.go
+++ b/internal/transport/companion/dispatch.go
@@ -82,9 +82,11 @@
 	default:
 		return messenger.Accepted{}, messenger.NewRefusal(messenger.ReasonDuplicate, err.Error())
 	}
-	if refusal := c.admit(newWork(d, answer)); refusal != nil {
+	w := newWork(d, answer)
+	if refusal := c.admit(w); refusal != nil {
 		// A sending of the same attempt may have attached to the answer meanwhile.
-		answer.End(c.settings.Now(), c.notRun(refusal))
+		answer.End(c.settings.Now(), c.notRun(w, refusal))
+		c.metrics.ended(messenger.OutcomeNotRun, refusal.Reason)
 		c.buffer.Discard(id)
 		return messenger.Accepted{}, refusal
 	}
@@ -112,7 +114,7 @@
 	switch {
 	case c.draining || c.closed:
 		return messenger.NewRefusal(messenger.ReasonStopping, "backend server is leaving")
-	case c.lease.Epoch == 0 || d.Epoch != c.lease.Epoch:
+	case c.superseded || c.lease.Epoch == 0 || d.Epoch != c.lease.Epoch:
 		return messenger.NewRefusal(messenger.ReasonStaleEpoch, "membership has changed")
 	case !c.reachable(now):
 		r := messenger.NewRefusal(messenger.ReasonUnavailable, "backend server does not answer")
--- a/internal/transport/companion/member.go
+++ b/internal/transport/companion/member.go
@@ -98,13 +98,15 @@
 
 // rejoin joins again unless that is under way. The caller holds mu.
 func (c *Companion) rejoin() {
-	if c.joining || c.draining {
+	if c.joining || c.draining || c.superseded {
 		return
 	}
 	c.joining = true
 	c.spawnLocked(func(ctx context.Context) {
-		if err := c.join(ctx); err != nil {
-			c.settings.Log.Debug().Err(err).Msg("joining again ended")
+		if !c.replaced(ctx) {
+			if err := c.join(ctx); err != nil {
+				c.settings.Log.Debug().Err(err).Msg("joining again ended")
+			}
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -112,6 +114,23 @@
 	})
 }
 
+// replaced asks the engine whether it has obeyed a later giver of orders.
+func (c *Companion) replaced(ctx context.Context) bool {
+	if c.settings.Engine == nil {
+		return false
+	}
+	state, ok := c.state(ctx)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state.HighestFence > c.table.Fence() {
+		c.supersede()
+	}
+	return c.superseded
+}
+
 // renew sends heartbeats while the backend server can be reached.
 func (c *Companion) renew(ctx context.Context) {
 	interval := time.Duration(c.settings.Companion.HeartbeatInterval)
@@ -127,7 +146,7 @@
 	defer c.mu.Unlock()
 	// Entries must turn away from a backend server that does not answer, also
 	// when its companion does: the lease runs out.
-	if !c.reachable(c.settings.Now()) {
+	if c.superseded || !c.reachable(c.settings.Now()) {
 		return registrar.Renewal{}, false
 	}
 	r := registrar.Renewal{
--- a/internal/transport/companion/order.go
+++ b/internal/transport/companion/order.go
@@ -45,7 +45,7 @@
 		case loader.ReadStateAction:
 			c.read()
 		case loader.FencedAction:
-			c.fenced()
+			c.supersede()
 		}
 	}
 }
@@ -176,13 +176,22 @@
 	c.tell(func(now time.Time) []loader.Action { return c.table.Unloaded(now, a.Version, a.Fence, outcome) })
 }
 
-// fenced gives up the membership: the engine has obeyed a later giver of orders,
-// so that another companion has taken this one's place, or this one's epoch is
-// out of date. The caller holds mu.
-func (c *Companion) fenced() {
-	c.settings.Log.Error().Str("Backend", c.settings.Node).Msg("engine refuses the fencing number; joining again")
-	c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindFault, Backend: c.settings.Node, Detail: "fenced"})
-	c.rejoin()
+// supersede gives up for good: the engine has obeyed a later giver of orders, so
+// that another companion has taken this one's place. Were this one to join again,
+// the two would end each other's membership in turn for ever. The process turns
+// unready, and whoever runs it decides. The caller holds mu.
+func (c *Companion) supersede() {
+	if c.superseded {
+		return
+	}
+	c.superseded = true
+	c.settings.Log.Error().Str("Backend", c.settings.Node).Msg("another companion gives orders to the engine; giving up")
+	c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindFault, Backend: c.settings.Node, Detail: "superseded"})
+	for _, w := range c.works {
+		if !w.begun {
+			c.withdraw(w, messenger.NewRefusal(messenger.ReasonStaleEpoch, "superseded by another companion"))
+		}
+	}
 }
 
 var _ messenger.Handler = (*Companion)(nil)
--- a/internal/transport/companion/run.go
+++ b/internal/transport/companion/run.go
@@ -124,31 +124,21 @@
 // failed ends a run that gave no whole answer.
 func (r *run) failed(ctx context.Context, err error) {
 	c, w := r.companion, r.work
-	var refused *orderer.Error
-	if errors.Is(err, orderer.ErrNotRun) && errors.As(err, &refused) {
-		if errors.Is(err, orderer.ErrNotResident) {
-			c.read()
-		}
-		refusal := messenger.NewRefusal(messenger.ReasonEngine, err.Error())
-		refusal.RetryAfterMillis = refused.RetryAfter.Milliseconds()
-		c.finish(w, messenger.End{
-			Outcome: messenger.OutcomeNotRun, Reason: refusal.Reason, Detail: refusal.Detail,
-			RetryAfterMillis: refusal.RetryAfterMillis,
-		}, 0)
+	cause := context.Cause(ctx)
+	if errors.Is(err, orderer.ErrNotRun) {
+		r.refused(ctx, err)
 		return
 	}
 	c.settings.Log.Warn().Err(err).Str("Request", w.dispatch.Request).Str("Version", w.dispatch.Version).Msg("run failed")
-	cause := context.Cause(ctx)
 	if r.restarted(ctx, err) {
-		c.read()
-		c.restartedUnder(w, err)
+		end := messenger.End{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonEngine, Detail: err.Error()}
+		c.again(w, w.dispatch.Idempotent && w.answer.Length() == 0, true, end)
 		return
 	}
 	end := messenger.End{Outcome: messenger.OutcomeUnknown, Reason: reasonOf(cause), Detail: err.Error()}
 	cancelled, settled := r.stop(ctx)
 	if settled && cancelled.Known && !cancelled.Began && !cancelled.Ended {
-		end.Outcome = messenger.OutcomeNotRun
-		end.Reason = messenger.ReasonCancelled
+		end = c.notRun(w, messenger.NewRefusal(reasonOf(cause), err.Error()))
 	}
 	if settled {
 		c.finish(w, end, -1)
@@ -161,6 +151,22 @@
 	r.settle()
 }
 
+// refused ends a run that certainly did not begin. One that met an engine which
+// had lost its adapters is queued again, whatever it is: nothing was run.
+func (r *run) refused(ctx context.Context, err error) {
+	c, w := r.companion, r.work
+	refusal := messenger.NewRefusal(messenger.ReasonEngine, err.Error())
+	var e *orderer.Error
+	if errors.As(err, &e) {
+		refusal.RetryAfterMillis = e.RetryAfter.Milliseconds()
+	}
+	lost := errors.Is(context.Cause(ctx), errRestarted) || errors.Is(err, orderer.ErrNotResident)
+	if lost {
+		c.notice(context.WithoutCancel(ctx))
+	}
+	c.again(w, lost, false, c.notRun(w, refusal))
+}
+
 func reasonOf(cause error) messenger.Reason {
 	switch {
 	case errors.Is(cause, errCancelled):
@@ -183,7 +189,7 @@
 	if !errors.Is(err, orderer.ErrForgotten) {
 		return false
 	}
-	state, ok := r.companion.state(context.WithoutCancel(ctx))
+	state, ok := r.companion.notice(context.WithoutCancel(ctx))
 	return ok && state.Incarnation != r.work.incarnation
 }
 
@@ -195,27 +201,28 @@
 	return state, err == nil
 }
 
-// restartedUnder ends a work whose engine restarted, or queues it again where it
-// may be repeated and nothing of its answer has been given.
-func (c *Companion) restartedUnder(w *work, err error) {
+// again queues a work once more whose engine is gone, if allowed, and otherwise
+// ends it. Began tells that this run may have begun.
+func (c *Companion) again(w *work, allowed, began bool, otherwise messenger.End) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.settings.Now()
 	c.release(w, -1)
-	again := w.dispatch.Idempotent && w.answer.Length() == 0 && w.runs < maxRuns && !c.closed &&
+	w.mayHaveRun = w.mayHaveRun || began
+	allowed = allowed && w.runs < maxRuns && !c.closed && !errors.Is(w.givenUp, errCancelled) &&
 		(w.deadline.IsZero() || now.Before(w.deadline))
-	if again {
-		w.begun, w.givenUp, w.cancel = false, nil, nil
-		event := w.event(recorder.KindRetried, c.settings.Node)
-		event.Detail = "engine restarted before it had answered"
-		c.settings.Recorder.Record(event)
-		refusal := c.enqueue(now, w)
-		if refusal == nil {
-			return
-		}
+	if !allowed {
+		c.endLocked(w, otherwise)
+		c.pump()
+		return
+	}
+	w.begun, w.givenUp, w.cancel = false, nil, nil
+	event := w.event(recorder.KindRetried, c.settings.Node)
+	event.Detail = "the engine had restarted"
+	c.settings.Recorder.Record(event)
+	if refusal := c.enqueue(now, w); refusal != nil {
+		c.endLocked(w, c.notRun(w, refusal))
 	}
-	c.endLocked(w, messenger.End{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonEngine, Detail: err.Error()})
-	c.pump()
 }
 
 // stop orders the engine to give the run up. It reports whether the engine has
--- a/internal/transport/companion/suite_test.go
+++ b/internal/transport/companion/suite_test.go
@@ -144,6 +144,24 @@
 	return a
 }
 
+// send dispatches and expects to be accepted.
+func (l *fakeLink) send(d messenger.Dispatch) {
+	GinkgoHelper()
+	if _, refusal := l.companion.dispatch(l, d); refusal != nil {
+		Fail(refusal.Error())
+	}
+}
+
+// refused dispatches and returns the refusal.
+func (l *fakeLink) refused(d messenger.Dispatch) *messenger.Refusal {
+	GinkgoHelper()
+	_, refusal := l.companion.dispatch(l, d)
+	if refusal == nil {
+		Fail("not refused")
+	}
+	return refusal
+}
+
 // end returns the ending of an attempt, or nil.
 func (l *fakeLink) end(request string, attempt int) *messenger.End {
 	l.mu.Lock()
@@ -189,6 +207,8 @@
 	control   *fakeControl
 	companion *Companion
 	recorder  *recorder.Recorder
+	// lives counts the companions started.
+	lives uint64
 }
 
 func newBench(s generator.Settings) *bench {
@@ -207,6 +227,7 @@
 func (b *bench) start(checksFencing bool) *Companion {
 	GinkgoHelper()
 	client := orderer.NewEngine(orderer.Settings{Address: b.address, ResumePause: 5 * time.Millisecond})
+	b.lives++
 	b.recorder = recorder.NewRecorder(recorder.Settings{Node: "atl-a-1"})
 	settings := configurer.Settings{Companion: configurer.CompanionSettings{
 		BaseModel: "base", ChecksFencing: checksFencing,
@@ -221,7 +242,7 @@
 		Node: "atl-a-1", Region: "atl", FailureDomain: "atl-a", Address: "127.0.0.1:1",
 		Companion: settings.Companion, Stop: settings.Stop, Engine: client, Control: b.control,
 		Recorder: b.recorder, Registerer: prometheus.NewRegistry(), Log: zerolog.Nop(),
-		Now: time.Now, Random: rand.New(rand.NewPCG(1, 1)),
+		Now: time.Now, Random: rand.New(rand.NewPCG(1, b.lives)),
 	})
 	Expect(c.Start(context.Background())).To(Succeed())
 	DeferCleanup(func() {
@@ -247,3 +268,6 @@
 	defer c.mu.Unlock()
 	return c.lease.Epoch
 }
+
+// tokensOf returns the number of tokens that a call asks for.
+func tokensOf(d messenger.Dispatch) int { return int(d.Tokens) }
--- a/internal/transport/companion/watch.go
+++ b/internal/transport/companion/watch.go
@@ -109,19 +109,28 @@
 }
 
 func (c *Companion) observe(ctx context.Context, interval time.Duration) {
-	c.mu.Lock()
-	sequence := c.table.Sequence()
-	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, max(interval, stopLimit))
 	defer cancel()
-	state, err := c.settings.Engine.State(ctx)
-	if err != nil {
-		c.settings.Log.Warn().Err(err).Str("Backend", c.settings.Node).Msg("engine state not read")
+	if _, ok := c.notice(ctx); !ok {
 		return
 	}
 	if report, err := c.settings.Engine.Report(ctx); err == nil {
 		c.metrics.reported(report)
 	}
+}
+
+// notice reads the engine's state and brings the slot table in line with it.
+func (c *Companion) notice(ctx context.Context) (orderer.EngineState, bool) {
+	c.noticing.Lock()
+	defer c.noticing.Unlock()
+	c.mu.Lock()
+	sequence := c.table.Sequence()
+	c.mu.Unlock()
+	state, ok := c.state(ctx)
+	if !ok {
+		c.settings.Log.Warn().Str("Backend", c.settings.Node).Msg("engine state not read")
+		return state, false
+	}
 	c.tell(func(now time.Time) []loader.Action {
 		former := c.engine
 		c.engine = engineView{EngineState: state, heard: now}
@@ -131,6 +140,7 @@
 		c.metrics.sampled(c.running, c.queue.Len(), c.maxBatch)
 		return c.table.Observe(now, sequence, observed(state))
 	})
+	return state, true
 }
 
 // engineRestarted voids what was known of the former engine. The caller holds
--- a/internal/transport/companion/work.go
+++ b/internal/transport/companion/work.go
@@ -37,6 +37,8 @@
 	givenUp error
 	// cancel ends the run; nil before the run has its context.
 	cancel context.CancelCauseFunc
+	// mayHaveRun tells that an earlier run may have begun.
+	mayHaveRun bool
 	// runs counts the times that the engine was asked to run the work.
 	runs int
 	// incarnation is that of the engine which was asked.
@@ -129,7 +131,7 @@
 func (c *Companion) giveUp(r scheduler.Refused) {
 	if w := c.works[r.Request]; w != nil {
 		c.leave(w)
-		w.answer.End(c.settings.Now(), c.notRun(refusalOf(r)))
+		c.endLocked(w, c.notRun(w, refusalOf(r)))
 	}
 }
 
@@ -137,7 +139,7 @@
 func (c *Companion) withdraw(w *work, r *messenger.Refusal) {
 	c.queue.Remove(w.key)
 	c.leave(w)
-	w.answer.End(c.settings.Now(), c.notRun(r))
+	c.endLocked(w, c.notRun(w, r))
 }
 
 // leave forgets the work and ends its wait or pin. The caller holds mu.
@@ -148,12 +150,17 @@
 	}
 }
 
-// notRun is the ending of a request that has not begun.
-func (c *Companion) notRun(r *messenger.Refusal) messenger.End {
-	c.metrics.ended(messenger.OutcomeNotRun, r.Reason)
-	return messenger.End{
+// notRun is the ending of a work that won't be run now. One whose engine
+// restarted under it may have run all the same.
+func (c *Companion) notRun(w *work, r *messenger.Refusal) messenger.End {
+	e := messenger.End{
 		Outcome: messenger.OutcomeNotRun, Reason: r.Reason, Detail: r.Detail, RetryAfterMillis: r.RetryAfterMillis,
 	}
+	if w.mayHaveRun {
+		e.Outcome = messenger.OutcomeUnknown
+		e.RetryAfterMillis = 0
+	}
+	return e
 }
 
 // pump starts all that can run. The caller holds mu.
