driver: the time of calls that were not completed, comparisons read by name

Cause: stalls and latencies are of completed calls, so a deployment that refuses what would have waited long looked faster than one that serves it.

Change: InVainSeconds is reported and compared; counts of needed-again evictions within different times get no ratio; names stand to the left.

--- a/cmd/marigoldpoint/load.go
+++ b/cmd/marigoldpoint/load.go
@@ -206,11 +206,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if err := write(f); err != nil {
-		f.Close()
-		return errors.Annotate(err, path)
+	err = write(f)
+	if closing := f.Close(); err == nil {
+		err = closing
 	}
-	return errors.Annotate(f.Close(), path)
+	return errors.Annotate(err, path)
 }
 
 // isTerminal reports whether out is a terminal, as far as its mode tells.
--- a/internal/standin/driver/answer.go
+++ b/internal/standin/driver/answer.go
@@ -9,13 +9,6 @@
 	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
 )
 
-// Header fields that the caller API adds to an answer of an engine, as trailers
-// where the answer is a stream.
-const (
-	headerStallMillis = "Marigoldpoint-Stall-Millis"
-	headerQueueMillis = "Marigoldpoint-Queue-Millis"
-)
-
 // Values of the outcome header.
 const (
 	outcomeCompleted = "Completed"
@@ -92,7 +85,7 @@
 	}
 }
 
-// readFields takes what a header or a trailer tells.
+// readFields takes what the header tells, or the trailer of a stream.
 func (a *Answer) readFields(h http.Header) {
 	take := func(field *string, name string) {
 		if v := h.Get(name); v != "" {
@@ -104,8 +97,8 @@
 	take(&a.Backend, translator.HeaderBackend)
 	take(&a.Outcome, translator.HeaderOutcome)
 	a.RetryAfter = a.RetryAfter || h.Get(translator.HeaderRetryAfter) != ""
-	readWait(&a.Stall, h.Get(headerStallMillis))
-	readWait(&a.Queue, h.Get(headerQueueMillis))
+	readWait(&a.Stall, h.Get(translator.HeaderStallMillis))
+	readWait(&a.Queue, h.Get(translator.HeaderQueueMillis))
 }
 
 func readWait(w *Wait, text string) {
--- a/internal/standin/driver/compare.go
+++ b/internal/standin/driver/compare.go
@@ -1,9 +1,10 @@
 package driver
 
 import (
+	"fmt"
 	"io"
 	"strconv"
-	"text/tabwriter"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -14,17 +15,13 @@
 // Compare writes the figures of two reports side by side, with the ratio of the
 // second to the first.
 func Compare(w io.Writer, a, b *Report) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	c := comparison{out: t}
+	var c comparison
 	c.texts("", reportName(a), reportName(b), "B/A")
 	c.texts("workload", a.Workload, b.Workload, "")
 	c.texts("seed", strconv.FormatUint(a.Parameters.Seed, 10), strconv.FormatUint(b.Parameters.Seed, 10), "")
 	c.figures(a, b)
 	c.promises(a, b)
-	if c.err != nil {
-		return errors.Annotate(c.err, "comparison")
-	}
-	return errors.Annotate(t.Flush(), "comparison")
+	return c.write(w)
 }
 
 func reportName(r *Report) string {
@@ -34,16 +31,40 @@
 	return r.Label
 }
 
-// comparison writes the lines of a comparison and keeps the first error.
+// comparison gathers the lines of a comparison.
 type comparison struct {
-	out io.Writer
-	err error
+	lines []comparisonLine
 }
 
+// comparisonLine is one line: the name and the two figures with their ratio.
+type comparisonLine struct{ name, a, b, ratio string }
+
 func (c *comparison) texts(name, a, b, ratio string) {
-	if c.err == nil {
-		_, c.err = io.WriteString(c.out, name+"\t"+a+"\t"+b+"\t"+ratio+"\t\n")
+	c.lines = append(c.lines, comparisonLine{name, a, b, ratio})
+}
+
+// write writes the lines with the names to the left and the figures to the right.
+func (c *comparison) write(w io.Writer) error {
+	var widest comparisonLine
+	wider := func(width *string, text string) {
+		if len(text) > len(*width) {
+			*width = text
+		}
+	}
+	for _, l := range c.lines {
+		wider(&widest.name, l.name)
+		wider(&widest.a, l.a)
+		wider(&widest.b, l.b)
+		wider(&widest.ratio, l.ratio)
 	}
+	for _, l := range c.lines {
+		text := fmt.Sprintf("%-*s  %*s  %*s  %*s", len(widest.name), l.name,
+			len(widest.a), l.a, len(widest.b), l.b, len(widest.ratio), l.ratio)
+		if _, err := fmt.Fprintln(w, strings.TrimRight(text, " ")); err != nil {
+			return errors.Annotate(err, "comparison")
+		}
+	}
+	return nil
 }
 
 // figure writes one figure of both reports; nil was not observed.
@@ -89,6 +110,7 @@
 	c.count("cut", a.All.Endings.Cut, b.All.Endings.Cut)
 	c.count("unanswered", a.All.Endings.Unanswered, b.All.Endings.Unanswered)
 	c.count("past deadline", a.All.Endings.PastDeadline, b.All.Endings.PastDeadline)
+	c.figure("time of calls not completed, s", &a.All.InVainSeconds, &b.All.InVainSeconds, 2)
 	c.figure("load stall in all, s", a.All.Stall.TotalSeconds, b.All.Stall.TotalSeconds, 2)
 	c.quantiles("load stall", a.All.Stall.Millis, b.All.Stall.Millis)
 	c.figure("queue in all, s", a.All.Queue.TotalSeconds, b.All.Queue.TotalSeconds, 2)
@@ -135,10 +157,20 @@
 		{"loads", 0, func(e *EngineFigures) float64 { return float64(e.Loads) }},
 		{"loads per second", 2, func(e *EngineFigures) float64 { return e.LoadsPerSecond }},
 		{"evictions", 0, func(e *EngineFigures) float64 { return float64(e.Evictions) }},
-		{"evictions needed again", 0, func(e *EngineFigures) float64 { return float64(e.NeededAgain) }},
 	} {
 		c.figure(line.name, of(a, line.value), of(b, line.value), line.decimals)
 	}
+	// Counts within different times have no ratio.
+	again := func(e *EngineFigures) float64 { return float64(e.NeededAgain) }
+	if a != nil && b != nil && a.NeededWithinSeconds != b.NeededWithinSeconds {
+		c.texts("evictions needed again", a.againText(), b.againText(), "")
+		return
+	}
+	c.figure("evictions needed again", of(a, again), of(b, again), 0)
+}
+
+func (e *EngineFigures) againText() string {
+	return fmt.Sprintf("%d within %g s", e.NeededAgain, e.NeededWithinSeconds)
 }
 
 // promises writes how often each promise was broken, of how many tries.
--- a/internal/standin/driver/driver_test.go
+++ b/internal/standin/driver/driver_test.go
@@ -62,8 +62,8 @@
 		}
 	}
 	h.Set(translator.HeaderAdapter, version)
-	h.Set("Marigoldpoint-Stall-Millis", "2.5")
-	h.Set("Marigoldpoint-Queue-Millis", "0")
+	h.Set(translator.HeaderStallMillis, "2.5")
+	h.Set(translator.HeaderQueueMillis, "0")
 	text := generator.Expected(version, q.FullPrompt(), q.MaxTokens)
 	chunk := orderer.Chunk{ID: id, Model: version}
 	if !q.Stream {
--- a/internal/standin/driver/report.go
+++ b/internal/standin/driver/report.go
@@ -117,6 +117,10 @@
 	// batch, as the deployment reports them.
 	Stall Waits
 	Queue Waits
+	// InVainSeconds is the time that the calls took which were not completed. They
+	// stand in no other figure: a deployment that refuses what would have waited
+	// long looks fast without this one.
+	InVainSeconds float64
 }
 
 // KindFigures are the figures of one kind of call.
--- a/internal/standin/driver/schedule_test.go
+++ b/internal/standin/driver/schedule_test.go
@@ -83,3 +83,23 @@
 		}
 	})
 }
+
+// BenchmarkCall3000Adapters measures what the driver itself spends on a call: the
+// drawing of the call, the comparison of its answer, and the tallies.
+func BenchmarkCall3000Adapters(b *testing.B) {
+	w := driver.Peachtree()
+	s := driver.NewSchedule(w, driver.ScheduleSettings{Seed: 1, Duration: math.MaxInt64 / 2})
+	checker, tally := driver.NewChecker(true), driver.NewTally(&w, time.Hour)
+	b.ReportAllocs()
+	var c driver.Call
+	for b.Loop() {
+		if !s.Next(&c) {
+			b.Fatal("the schedule has ended")
+		}
+		b.StopTimer()
+		a := rightAnswer(&c)
+		b.StartTimer()
+		checker.Add(&c, &a)
+		tally.Add(&c, &a)
+	}
+}
--- a/internal/standin/driver/tally.go
+++ b/internal/standin/driver/tally.go
@@ -82,6 +82,8 @@
 	gaps       *histogram
 	stall      waitTally
 	queue      waitTally
+	// inVain is the time of the calls that were not completed.
+	inVain time.Duration
 }
 
 func newGroup() *group {
@@ -99,6 +101,7 @@
 func (g *group) add(c *Call, a *Answer) {
 	g.endings.add(c, a)
 	if a.Ending() != Completed {
+		g.inVain += a.Ended - c.Intended
 		return
 	}
 	g.total.add(a.Ended - c.Intended)
@@ -126,6 +129,7 @@
 		BetweenTokenMillis: g.gaps.quantiles(),
 		Stall:              g.stall.figures(),
 		Queue:              g.queue.figures(),
+		InVainSeconds:      seconds(g.inVain),
 	}
 }
 
--- a/internal/standin/driver/text.go
+++ b/internal/standin/driver/text.go
@@ -27,16 +27,24 @@
 	line("calls", "%d in %.1f s: %d completed, %d not run, %d unknown, %d cut, %d unanswered, %d past their deadline",
 		e.Calls, r.Seconds, e.Completed, e.NotRun, e.Unknown, e.Cut, e.Unanswered, e.PastDeadline)
 	line("sent again", "%d: %d completed, %d not run, %d unknown", r.Resent.Calls, r.Resent.Completed, r.Resent.NotRun, r.Resent.Unknown)
+	if r.Stopped {
+		line("", "stopped before its time")
+	}
 	for i := range r.Causes {
 		c := &r.Causes[i]
 		line("", "%d %s, status %d %s", c.Calls, c.Ending, c.Status, c.Code)
 	}
+	line("not completed", "took %.2f s in all", r.All.InVainSeconds)
+	line("sent late", "%s", r.LatenessMillis.text())
 	line("total", "%s", r.All.TotalMillis.text())
 	line("first token", "%s", r.All.FirstTokenMillis.text())
 	line("between tokens", "%s", r.All.BetweenTokenMillis.text())
 	line("load stall", "%s", r.All.Stall.text())
 	line("queue", "%s", r.All.Queue.text())
 	line("engines", "%s", r.Engines.text())
+	for _, fault := range r.Faults {
+		line("fault", "%s", fault)
+	}
 	for i := range r.Workspaces {
 		s := &r.Workspaces[i]
 		line(s.Name, "%d calls, %d completed, %d not run; total %s", s.Endings.Calls, s.Endings.Completed, s.Endings.NotRun, s.TotalMillis.text())
