--- /dev/null
+++ b/internal/standin/prober/crowd.go
@@ -0,0 +1,173 @@
+package prober
+
+import (
+	"context"
+	stderrors "errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/subscriber"
+)
+
+// ringSize is the number of events that a light client keeps.
+const ringSize = 64
+
+// CrowdSettings are the options of a Crowd.
+type CrowdSettings struct {
+	// Hosts are the control hosts, and Group the name of their group.
+	Hosts []configurer.ControlHost
+	Group string
+	// Entries and Companions are the numbers of light clients of either kind.
+	// They spread evenly over the failure domains of Hosts.
+	Entries, Companions int
+	// Prefix begins the clients' names.
+	Prefix string
+	Random *rand.Rand
+}
+
+// Traffic counts the bytes on the connections of one kind of clients.
+type Traffic struct{ Read, Written atomic.Int64 }
+
+// Crowd is a number of light clients in one process.
+type Crowd struct {
+	// Entries hold the whole configuration, Companions their part of it.
+	Entries    []*Light
+	Companions []*Light
+	// EntryTraffic and CompanionTraffic are the bytes of each kind together.
+	EntryTraffic, CompanionTraffic Traffic
+	// DigestEntries counts the backend servers' states that reached entries.
+	DigestEntries atomic.Int64
+}
+
+// Light is one client of a Crowd.
+type Light struct {
+	*subscriber.Client
+	Name  string
+	Index *Watched
+	// Lease is a companion's membership after Join.
+	Lease registrar.Lease
+}
+
+// counted is a connection whose bytes are counted.
+type counted struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Read.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Written.Add(int64(n))
+	return n, err
+}
+
+// NewCrowd starts the clients. They connect in their own time: see Settle.
+func NewCrowd(s CrowdSettings) *Crowd {
+	if s.Random == nil || len(s.Hosts) == 0 {
+		panic("prober: NewCrowd needs control hosts and a random source")
+	}
+	c := &Crowd{}
+	for i := range s.Entries {
+		l := s.client(fmt.Sprintf("%sentry-%d", s.Prefix, i), i, distributor.ScopeEntry, &c.EntryTraffic)
+		l.OnDigest(func(d registrar.Digest) { c.DigestEntries.Add(int64(len(d.Servers))) })
+		c.Entries = append(c.Entries, l)
+	}
+	for i := range s.Companions {
+		c.Companions = append(c.Companions, s.client(fmt.Sprintf("%scompanion-%d", s.Prefix, i), i, distributor.ScopeCompanion, &c.CompanionTraffic))
+	}
+	return c
+}
+
+func (s CrowdSettings) client(name string, i int, scope distributor.Scope, t *Traffic) *Light {
+	h := s.Hosts[i%len(s.Hosts)]
+	l := &Light{Name: name, Index: &Watched{Index: indexer.NewIndex(indexer.Settings{})}}
+	l.Client = subscriber.NewClient(subscriber.Settings{
+		Node: name, Region: h.Region, FailureDomain: h.FailureDomain, Group: s.Group, Scope: scope,
+		Hosts: s.Hosts, Index: l.Index,
+		Recorder: recorder.NewRecorder(recorder.Settings{Node: name, RingSize: ringSize}),
+		Log:      zerolog.Nop(), Random: rand.New(rand.NewPCG(s.Random.Uint64(), s.Random.Uint64())),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, errors.Trace(err)
+			}
+			return counted{Conn: conn, traffic: t}, nil
+		},
+	})
+	return l
+}
+
+// settlePoll is the time between two looks at the clients' leases.
+const settlePoll = 50 * time.Millisecond
+
+// Settle returns once all clients trust what they hold.
+func (c *Crowd) Settle(ctx context.Context) error {
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for _, kind := range [][]*Light{c.Entries, c.Companions} {
+		for _, l := range kind {
+			for !l.LeaseValid() {
+				select {
+				case <-ticker.C:
+				case <-ctx.Done():
+					return errors.Annotatef(ctx.Err(), "%s has no configuration lease", l.Name)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// Join has every companion join as a backend server.
+func (c *Crowd) Join(ctx context.Context) error {
+	for i, l := range c.Companions {
+		lease, err := l.Join(ctx, l.Name, storer.MemberSpec{
+			Kind: storer.MemberKindEngine, Address: fmt.Sprintf("127.0.0.1:%d", firstPort+i), BaseModel: "base",
+			Region: "r", FailureDomain: "d", Slots: slots, MaxBatch: batch, Incarnation: l.Name,
+		})
+		if err != nil {
+			return errors.Annotatef(err, "join %s", l.Name)
+		}
+		l.Lease = lease
+	}
+	return nil
+}
+
+// What light companions announce.
+const (
+	firstPort = 20000
+	slots     = 16
+	batch     = 32
+)
+
+// Close ends all clients, and their memberships.
+func (c *Crowd) Close(ctx context.Context) error {
+	var errs []error
+	for _, l := range c.Companions {
+		if l.Lease.Epoch != 0 {
+			errs = append(errs, l.Leave(ctx, l.Name, l.Lease.Epoch, true))
+		}
+		errs = append(errs, l.Client.Close()) //nolint:contextcheck // A client ends by itself.
+	}
+	for _, l := range c.Entries {
+		errs = append(errs, l.Client.Close()) //nolint:contextcheck // A client ends by itself.
+	}
+	return stderrors.Join(errs...)
+}
