companion: permits by the control hosts for as long as there is contact

Cause: a wait for a permit that outlasted the client's call timeout fell back to the static share, so that under contention companions loaded beside the permits, at more than the weight store's rate. Found by reading the client's code. Ruled out: a longer timeout alone, which would keep a companion cut off from its control hosts from loading at all for that time. Change: asks again while the lease says that there is contact, gives up a wait when contact is lost, and takes the static share only then; no static load right after the start. A refusal for another attempt's sake no longer reads as not run. Conclusion: the static share is a fall-back for lost contact, not for contention.

--- a/internal/transport/companion/companion.go
+++ b/internal/transport/companion/companion.go
@@ -111,6 +111,10 @@
 	if err := c.join(ctx); err != nil {
 		return errors.Annotate(err, "joining the membership")
 	}
+	c.mu.Lock()
+	// Companions that start together must not take a static load each at once.
+	c.staticNext = c.settings.Now().Add(c.staticInterval())
+	c.mu.Unlock()
 	c.spawn(c.tick)
 	c.spawn(c.renew)
 	if c.settings.Engine != nil {
--- a/internal/transport/companion/dispatch.go
+++ b/internal/transport/companion/dispatch.go
@@ -80,7 +80,8 @@
 	case errors.Is(err, streamer.ErrBarred):
 		return messenger.Accepted{}, messenger.NewRefusal(messenger.ReasonNeverSeen, "declared never seen")
 	default:
-		return messenger.Accepted{}, messenger.NewRefusal(messenger.ReasonDuplicate, err.Error())
+		// This attempt has not run, but the request may have.
+		return messenger.Accepted{}, messenger.NewRefusal(messenger.ReasonOutcomeUnknown, err.Error())
 	}
 	w := newWork(d, answer)
 	if refusal := c.admit(w); refusal != nil {
--- a/internal/transport/companion/metrics.go
+++ b/internal/transport/companion/metrics.go
@@ -18,12 +18,13 @@
 	registerer prometheus.Registerer
 	collectors []prometheus.Collector
 
-	stall     prometheus.Histogram
-	queueWait *prometheus.HistogramVec
-	fill      prometheus.Histogram
-	outcomes  *prometheus.CounterVec
-	running   prometheus.Gauge
-	waiting   prometheus.Gauge
+	stall      prometheus.Histogram
+	queueWait  *prometheus.HistogramVec
+	permitWait prometheus.Histogram
+	fill       prometheus.Histogram
+	outcomes   *prometheus.CounterVec
+	running    prometheus.Gauge
+	waiting    prometheus.Gauge
 
 	loads      prometheus.Counter
 	failures   prometheus.Counter
@@ -55,6 +56,8 @@
 			"Time that requests waited for their adapter version while the batch had a place for them.", seconds)),
 		queueWait: prometheus.NewHistogramVec(histogram("queue_wait_seconds",
 			"Time that requests waited for a place in the batch.", seconds), []string{"workspace"}),
+		permitWait: prometheus.NewHistogram(histogram("load_permit_wait_seconds",
+			"Time from asking for a load permit to having it.", seconds)),
 		fill: prometheus.NewHistogram(histogram("batch_fill_ratio",
 			"Running requests as a part of the largest batch, sampled while there is work.",
 			prometheus.LinearBuckets(0.1, 0.1, 10))),
@@ -75,7 +78,7 @@
 		Namespace: namespace, Name: "answer_buffer_bytes", Help: "Bytes of answers held for entries.",
 	}, func() float64 { return float64(c.buffer.Used()) })
 	m.collectors = []prometheus.Collector{
-		m.stall, m.queueWait, m.fill, m.outcomes, m.running, m.waiting, m.loads, m.failures, m.evictions,
+		m.stall, m.queueWait, m.permitWait, m.fill, m.outcomes, m.running, m.waiting, m.loads, m.failures, m.evictions,
 		m.regrets, m.prefetches, m.steps, m.sequences, buffered,
 	}
 	if r != nil {
--- a/internal/transport/companion/order.go
+++ b/internal/transport/companion/order.go
@@ -64,47 +64,93 @@
 	c.pump()
 }
 
-// permit waits for the permit to load.
+// The waits of permits.
+const (
+	// permitLimit bounds one wait at the control hosts. The next one begins at the
+	// end of their queue, so that it is long.
+	permitLimit = time.Minute
+	// permitPause is the time between two looks at whether there is contact.
+	permitPause = 100 * time.Millisecond
+)
+
+// permit waits for the permit to load: one of the control hosts while there is
+// contact with them, else one of the static share, which keeps loads possible, if
+// slow.
 func (c *Companion) permit(ctx context.Context, a loader.PermitAction, began time.Time) {
-	grant, err := c.settings.Control.RequestPermit(ctx, permitter.Request{
+	for ctx.Err() == nil {
+		switch {
+		case c.settings.Control.LeaseValid():
+			if grant, err := c.ask(ctx, a); err == nil {
+				c.permitted(a, began, &grant)
+				return
+			}
+		case c.staticTurn():
+			c.permitted(a, began, nil)
+			return
+		case c.settings.Now().Sub(began) > staticPatience:
+			c.tell(func(now time.Time) []loader.Action {
+				return c.table.PermitDenied(now, a.Version, "no load permit: no control host reached")
+			})
+			return
+		}
+		pause(ctx, permitPause)
+	}
+}
+
+// ask waits for a permit of the control hosts, and gives up once contact with
+// them is lost: a wait on a dead connection would hold up the static share.
+func (c *Companion) ask(ctx context.Context, a loader.PermitAction) (permitter.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitLimit)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		for c.settings.Control.LeaseValid() {
+			if !pause(ctx, permitPause) {
+				break
+			}
+		}
+		cancel()
+	}()
+	defer func() {
+		cancel()
+		<-watched
+	}()
+	return c.settings.Control.RequestPermit(ctx, permitter.Request{
 		Companion: c.settings.Node, Workspace: a.Workspace, Version: a.Version, Waiters: a.Waiters, Share: a.Share,
 	})
-	if err != nil {
-		c.withoutPermit(ctx, a, err)
-		return
+}
+
+// permitted tells the table of a permit, with the grant if it has one.
+func (c *Companion) permitted(a loader.PermitAction, began time.Time, grant *permitter.Grant) {
+	source := "static share"
+	if grant != nil {
+		source = fmt.Sprintf("number %d", grant.Number)
 	}
-	c.record(recorder.KindPermitGranted, a.Version, fmt.Sprintf("%d waiting since %v", a.Waiters, c.settings.Now().Sub(began)))
+	waited := c.settings.Now().Sub(began)
+	c.metrics.permitWait.Observe(waited.Seconds())
+	c.record(recorder.KindPermitGranted, a.Version, fmt.Sprintf("%s after %v, %d waiting", source, waited, a.Waiters))
 	c.tell(func(now time.Time) []loader.Action {
-		c.grants[a.Version] = grant
+		if grant != nil {
+			c.grants[a.Version] = *grant
+		}
 		return c.table.Permitted(now, a.Version)
 	})
 }
 
-// withoutPermit goes by the static share of the weight store's rate, which keeps
-// loads possible, if slow, while no control host can be reached.
-func (c *Companion) withoutPermit(ctx context.Context, a loader.PermitAction, cause error) {
-	c.settings.Log.Warn().Err(cause).Str("Version", a.Version).Msg("no load permit; going by the static share")
+// staticTurn takes a load of the static share if one is due.
+func (c *Companion) staticTurn() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.settings.Now()
-	at := now
-	if c.staticNext.After(at) {
-		at = c.staticNext
-	}
-	wait := at.Sub(now)
-	if wait <= staticPatience {
-		c.staticNext = at.Add(time.Duration(float64(time.Second) / c.settings.Companion.StaticLoadRate))
+	if now.Before(c.staticNext) {
+		return false
 	}
-	c.mu.Unlock()
-	if wait > staticPatience {
-		c.tell(func(now time.Time) []loader.Action {
-			return c.table.PermitDenied(now, a.Version, "no load permit: "+cause.Error())
-		})
-		return
-	}
-	if !pause(ctx, wait) {
-		return
-	}
-	c.tell(func(now time.Time) []loader.Action { return c.table.Permitted(now, a.Version) })
+	c.staticNext = now.Add(c.staticInterval())
+	return true
+}
+
+func (c *Companion) staticInterval() time.Duration {
+	return time.Duration(float64(time.Second) / c.settings.Companion.StaticLoadRate)
 }
 
 // returnPermit gives the version's permit back. The caller holds mu.
--- a/internal/transport/companion/settings.go
+++ b/internal/transport/companion/settings.go
@@ -43,6 +43,8 @@
 	Leave(ctx context.Context, name string, epoch uint64, ended bool) error
 	// OnVoid registers what is called when a membership has ended.
 	OnVoid(f func(name string, epoch uint64))
+	// LeaseValid tells whether there was contact with a leader lately.
+	LeaseValid() bool
 	// RequestPermit waits for a permit to load.
 	RequestPermit(ctx context.Context, r permitter.Request) (permitter.Grant, error)
 	// FinishPermit returns a permit.
--- a/internal/transport/companion/suite_test.go
+++ b/internal/transport/companion/suite_test.go
@@ -80,6 +80,12 @@
 	return permitter.Grant{Number: 1, Companion: r.Companion, Version: r.Version}, nil
 }
 
+func (f *fakeControl) LeaseValid() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lost
+}
+
 func (f *fakeControl) FinishPermit(permitter.Grant) {}
 
 // fakeLink is an entry's connection that puts answers together.
