--- a/internal/state/storer/json.go
+++ b/internal/state/storer/json.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -19,13 +21,13 @@
 // otherwise be dropped in silence, and the operator would believe it in force.
 func (r *Resource) UnmarshalJSON(data []byte) error {
 	var j jsonResource
-	if err := strictUnmarshal(data, &j); err != nil {
+	if err := UnmarshalStrict(data, &j); err != nil {
 		return errors.Annotate(err, "decode resource")
 	}
 	if len(j.Spec) == 0 {
 		j.Spec = json.RawMessage("{}")
 	}
-	spec, err := decodeSpec(j.Kind, func(v any) error { return strictUnmarshal(j.Spec, v) })
+	spec, err := decodeSpec(j.Kind, func(v any) error { return UnmarshalStrict(j.Spec, v) })
 	if err != nil {
 		return errors.Annotate(err, "decode spec")
 	}
@@ -36,11 +38,72 @@
 // UnmarshalSpec decodes the JSON of a spec of the given kind. Unknown fields
 // are refused.
 func UnmarshalSpec(kind Kind, data []byte) (Spec, error) {
-	return decodeSpec(kind, func(v any) error { return strictUnmarshal(data, v) })
+	return decodeSpec(kind, func(v any) error { return UnmarshalStrict(data, v) })
 }
 
-func strictUnmarshal(data []byte, v any) error {
+// UnmarshalStrict decodes one JSON value. It refuses unknown fields, fields given
+// twice (the standard library takes the last one, an operator may mean the
+// first) and text after the value.
+func UnmarshalStrict(data []byte, v any) error {
+	if err := checkFields(json.NewDecoder(bytes.NewReader(data))); err != nil {
+		return errors.Trace(err)
+	}
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
-	return d.Decode(v)
+	return errors.Trace(d.Decode(v))
+}
+
+// checkFields reads one value and checks the names in its objects.
+func checkFields(d *json.Decoder) error {
+	if err := checkValue(d, 0); err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.NotValidf("text after the JSON value")
+	}
+	return nil
+}
+
+func checkValue(d *json.Decoder, depth int) error {
+	token, err := d.Token()
+	if err != nil {
+		return errors.Annotate(err, "JSON")
+	}
+	opening, ok := token.(json.Delim)
+	if !ok {
+		return nil
+	}
+	if depth == maxNesting {
+		return errors.NotValidf("JSON more than %d levels deep", maxNesting)
+	}
+	names := map[string]struct{}{}
+	for d.More() {
+		if opening == '{' {
+			if err := checkName(d, names); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		if err := checkValue(d, depth+1); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	_, err = d.Token()
+	return errors.Annotate(err, "JSON")
+}
+
+// checkName reads a field's name. Names that differ in case only are the same
+// field to the standard library.
+func checkName(d *json.Decoder, names map[string]struct{}) error {
+	token, err := d.Token()
+	if err != nil {
+		return errors.Annotate(err, "JSON")
+	}
+	name, _ := token.(string)
+	// By way of the capitals, so that letters with two small forms meet too.
+	folded := strings.ToLower(strings.ToUpper(name))
+	if _, ok := names[folded]; ok {
+		return errors.NotValidf("field %.40q, which is given twice,", name)
+	}
+	names[folded] = struct{}{}
+	return nil
 }
--- a/internal/state/storer/reader.go
+++ b/internal/state/storer/reader.go
@@ -47,7 +47,9 @@
 		return nil, s.Revision()
 	}
 	if workspace == "" || kind == KindWorkspace || kind == KindMember {
-		return s.collect(kind, kind)
+		rs, revision = s.collect(kind, kind)
+		slices.SortFunc(rs, compareResources)
+		return rs, revision
 	}
 	h := s.shard(workspace)
 	h.mu.RLock()
@@ -60,25 +62,38 @@
 
 // All returns all resources, sorted by kind, workspace and name, and the
 // revision which they are at.
-func (s *Store) All() (rs []Resource, revision uint64) { return s.collect(KindWorkspace, KindMember) }
+func (s *Store) All() (rs []Resource, revision uint64) {
+	rs, revision = s.collect(KindWorkspace, KindMember)
+	slices.SortFunc(rs, compareResources)
+	return rs, revision
+}
 
 // collect returns the resources of the kinds from first to last at one
-// revision.
+// revision, in no order.
 func (s *Store) collect(first, last Kind) (rs []Resource, revision uint64) {
 	s.lockShards()
+	defer s.unlockShards()
+	count := 0
+	s.eachOf(first, last, func(m map[string]Resource) { count += len(m) })
+	rs = make([]Resource, 0, count)
+	s.eachOf(first, last, func(m map[string]Resource) {
+		for _, r := range m {
+			rs = append(rs, r)
+		}
+	})
+	return rs, s.Revision()
+}
+
+// eachOf calls visit with the resources of each workspace and each kind from
+// first to last. The caller holds the locks of all shards.
+func (s *Store) eachOf(first, last Kind, visit func(map[string]Resource)) {
 	for i := range s.shards {
 		for _, p := range s.shards[i].spaces {
 			for kind := first; kind <= last; kind++ {
-				for _, r := range p.resources[kind] {
-					rs = append(rs, r)
-				}
+				visit(p.resources[kind])
 			}
 		}
 	}
-	revision = s.Revision()
-	s.unlockShards()
-	slices.SortFunc(rs, compareResources)
-	return rs, revision
 }
 
 // lockShards takes all shards for reading, which makes one consistent cut.
--- /dev/null
+++ b/internal/state/storer/readers_test.go
@@ -0,0 +1,70 @@
+package storer
+
+import (
+	"maps"
+	"reflect"
+	"sync"
+	"testing"
+)
+
+// TestReadersSeeOneRevision has readers take the whole state while commands are
+// applied, and follow the changes from the revision that came with it.
+//
+// Symptom: a watcher keeps for ever what was deleted while it read. Sequence: it
+// reads the state of one shard, a change goes to that shard, it reads the
+// revision. Cause: state and revision were not of one moment.
+func TestReadersSeeOneRevision(t *testing.T) {
+	const commands = 4000
+	s := NewStore(Settings{})
+	var readers sync.WaitGroup
+	for range 4 {
+		readers.Go(func() {
+			w := &replica{}
+			for reads := 0; w.revision < commands; reads++ {
+				if reads%8 == 0 {
+					rs, revision := s.All()
+					if w.resources != nil && revision < w.revision {
+						t.Errorf("went back from %d to %d", w.revision, revision)
+						return
+					}
+					w.resources, w.revision = keyed(rs), revision
+				}
+				changes, upTo, _ := s.Since(w.revision, 16)
+				for _, c := range changes {
+					if c.Deleted {
+						delete(w.resources, c.Resource.Key())
+					} else {
+						w.resources[c.Resource.Key()] = c.Resource
+					}
+				}
+				w.revision = upTo
+			}
+			if rs, _ := s.All(); !maps.EqualFunc(w.resources, keyed(rs), func(a, b Resource) bool { return reflect.DeepEqual(a, b) }) {
+				t.Error("the state followed is not the state")
+			}
+		})
+	}
+	for index := uint64(1); index <= commands; index++ {
+		workspace := string(rune('a' + index%7))
+		name := string(rune('a' + index%3))
+		var c Command = PutResource{Resource: Resource{
+			Kind:     KindService,
+			Metadata: Metadata{Workspace: workspace, Name: name},
+			Spec:     ServiceSpec{IdempotentMethods: []string{"GET"}},
+		}}
+		if s.holds(workspace, name) && index < commands {
+			c = DeleteResource{Key: Key{Kind: KindService, Workspace: workspace, Name: name}}
+		}
+		data, err := Encode(Envelope{Command: c})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Apply(index, data)
+	}
+	readers.Wait()
+}
+
+func (s *Store) holds(workspace, name string) bool {
+	_, ok := s.Get(Key{Kind: KindService, Workspace: workspace, Name: name})
+	return ok
+}
--- a/internal/state/storer/snapshot.go
+++ b/internal/state/storer/snapshot.go
@@ -53,10 +53,21 @@
 }
 
 // Snapshot writes the state. Stores which applied the same commands write the
-// same bytes. Readers are held up only while the state is copied, not while it
-// is written.
-func (s *Store) Snapshot(w io.Writer) error {
-	c := s.content()
+// same bytes.
+func (s *Store) Snapshot(w io.Writer) error { return s.Freeze()(w) }
+
+// Freeze returns a function which writes the state as it is now. Commands may be
+// applied before that function is called and while it runs: only the copying is
+// done here, which is a small part of the time that a snapshot takes.
+func (s *Store) Freeze() func(w io.Writer) error {
+	c := s.copy()
+	return func(w io.Writer) error {
+		c.arrange()
+		return c.write(w)
+	}
+}
+
+func (c *snapshotContent) write(w io.Writer) error {
 	b := bufio.NewWriterSize(w, 1<<16)
 	e := encoding.NewEncoder(b)
 	if err := e.Encode(c.header); err != nil {
@@ -106,26 +117,27 @@
 	return items, nil
 }
 
-// content copies the state at one index.
-func (s *Store) content() snapshotContent {
+// copy copies the state at one index, in no order.
+func (s *Store) copy() *snapshotContent {
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	c := snapshotContent{header: snapshotHeader{
-		Magic:     snapshotMagic,
-		Format:    snapshotFormat,
-		Applied:   s.applied,
-		Revision:  s.Revision(),
-		Now:       s.now,
-		Retention: s.retention,
-	}}
-	c.resources, _ = s.All()
+	c := &snapshotContent{
+		header: snapshotHeader{
+			Magic:     snapshotMagic,
+			Format:    snapshotFormat,
+			Applied:   s.applied,
+			Now:       s.now,
+			Retention: s.retention,
+		},
+		claims:  make([]Claim, 0, s.claims.live),
+		records: make([]record, 0, s.records.live),
+		retired: make([]retiredVersion, 0, s.retired.live),
+	}
+	c.resources, c.header.Revision = s.collect(KindWorkspace, KindMember)
 	for i := range s.shards {
-		s.shards[i].copyRecords(&c)
+		s.shards[i].copyRecords(c)
 	}
 	c.changes, c.header.Floor = s.history.content()
-	c.sort()
-	c.header.Resources, c.header.Claims, c.header.Records = len(c.resources), len(c.claims), len(c.records)
-	c.header.Retired, c.header.Superseded, c.header.Changes = len(c.retired), len(c.superseded), len(c.changes)
 	return c
 }
 
@@ -148,12 +160,16 @@
 	}
 }
 
-// sort orders what expires by index, which is the order of the queues too.
-func (c *snapshotContent) sort() {
+// arrange puts the content into its one order. What expires goes by index, which
+// is the order of the queues too.
+func (c *snapshotContent) arrange() {
+	slices.SortFunc(c.resources, compareResources)
 	slices.SortFunc(c.claims, func(a, b Claim) int { return cmp.Compare(a.Index, b.Index) })
 	slices.SortFunc(c.records, func(a, b record) int { return cmp.Compare(a.Index, b.Index) })
 	slices.SortFunc(c.retired, func(a, b retiredVersion) int { return cmp.Compare(a.Index, b.Index) })
 	slices.SortFunc(c.superseded, func(a, b supersededMember) int { return cmp.Compare(a.Name, b.Name) })
+	c.header.Resources, c.header.Claims, c.header.Records = len(c.resources), len(c.claims), len(c.records)
+	c.header.Retired, c.header.Superseded, c.header.Changes = len(c.retired), len(c.superseded), len(c.changes)
 }
 
 // Restore replaces the state by a snapshot's. A snapshot that is damaged or cut
--- a/internal/transport/operator/api_test.go
+++ b/internal/transport/operator/api_test.go
@@ -217,6 +217,8 @@
 		Entry("empty", http.MethodPut, titlePath, "", http.StatusBadRequest),
 		Entry("null spec", http.MethodPut, titlePath, `{"Spec":null}`, http.StatusBadRequest),
 		Entry("unknown field", http.MethodPut, titlePath, `{"Spec":{"BaseModel":"m","Present":"v1"}}`, http.StatusBadRequest),
+		Entry("a field twice", http.MethodPut, titlePath, `{"Spec":{"BaseModel":"m","basemodel":"n"}}`, http.StatusBadRequest),
+		Entry("deep", http.MethodPut, titlePath, `{"Spec":`+strings.Repeat("[", 100)+strings.Repeat("]", 100)+`}`, http.StatusBadRequest),
 		Entry("another kind", http.MethodPut, titlePath, `{"Kind":"Version","Spec":{"BaseModel":"m"}}`, http.StatusBadRequest),
 		Entry("another workspace", http.MethodPut, titlePath, `{"Metadata":{"Workspace":"macon"},"Spec":{"BaseModel":"m"}}`, http.StatusBadRequest),
 		Entry("bad name", http.MethodPut, "/api/v1/workspaces/savannah/adapters/Title", titleBody, http.StatusBadRequest),
--- a/internal/transport/operator/document.go
+++ b/internal/transport/operator/document.go
@@ -1,11 +1,9 @@
 package operator
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/juju/errors"
@@ -122,7 +120,7 @@
 // that the body names, or 0.
 func parseBody(key storer.Key, data []byte) (storer.Resource, error) {
 	var b body
-	if err := strictUnmarshal(data, &b); err != nil {
+	if err := storer.UnmarshalStrict(data, &b); err != nil {
 		return storer.Resource{}, errors.Annotate(err, "body")
 	}
 	switch {
@@ -152,7 +150,7 @@
 		return storer.UnmarshalSpec(kind, data)
 	}
 	var k keyBody
-	if err := strictUnmarshal(data, &k); err != nil {
+	if err := storer.UnmarshalStrict(data, &k); err != nil {
 		// The error may quote the body: a secret must not get into an answer.
 		return nil, errors.NotValidf("key, whose fields are Secret or Hash, and Disabled,")
 	}
@@ -170,19 +168,6 @@
 	return storer.KeySpec{Hash: hash, Disabled: k.Disabled}, nil
 }
 
-// strictUnmarshal refuses unknown fields and what follows the value.
-func strictUnmarshal(data []byte, v any) error {
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		return errors.Trace(err)
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return errors.NotValidf("text after the JSON value")
-	}
-	return nil
-}
-
 // statusOf returns what operators see of a tally.
 func statusOf(now time.Time, f distributor.InForce) *Status {
 	s := &Status{
