replicator: schedules about leaders that are cut off

Change: half of the schedules consist of elections, single deliveries and cuts of whoever leads, and half of them send each entry alone.

--- a/internal/coordination/replicator/property_test.go
+++ b/internal/coordination/replicator/property_test.go
@@ -24,40 +24,64 @@
 
 func runSchedule(t *rapid.T, voters int) {
 	seed := rapid.Uint64().Draw(t, "Seed")
-	s := newSimulation(t.Fatalf, rand.New(rand.NewPCG(seed, 0)), voters, 1)
+	messageBytes := rapid.SampledFrom([]int{1, 200}).Draw(t, "MessageBytes")
+	s := newSimulation(t.Fatalf, rand.New(rand.NewPCG(seed, 0)), voters, 1, messageBytes)
 	s.run(20, false)
-	actions := rapid.SliceOfN(rapid.IntRange(0, 99), 20, 120).Draw(t, "Actions")
+	// The second kind of schedule is all about leaders that are cut off just
+	// after, or just before, they could tell the others something.
+	action := rapid.IntRange(0, 99)
+	if rapid.Bool().Draw(t, "Leaders") {
+		action = rapid.SampledFrom([]int{longRun, longRun, delivery, delivery, delivery, proposals, leadersCut, leadersCut})
+	}
+	actions := rapid.SliceOfN(action, 20, 120).Draw(t, "Actions")
 	for _, a := range actions {
 		s.act(a)
 	}
 	s.heal()
 }
 
+// Some of the actions, see act.
+const (
+	longRun    = 31
+	delivery   = 43
+	proposals  = 55
+	leadersCut = 89
+)
+
 // act carries out one action of a schedule on a random host.
 func (s *simulation) act(action int) {
 	h := s.hosts[s.random.IntN(len(s.hosts))]
 	o := s.hosts[s.random.IntN(len(s.hosts))]
 	switch {
-	case action < 40:
+	case action < 22:
 		s.run(1+s.random.IntN(5), true)
-	case action < 58:
+	case action <= longRun:
+		s.run(6+s.random.IntN(6), true)
+	case action <= delivery:
+		s.deliver(true)
+	case action <= proposals:
 		for _, h := range s.hosts {
 			s.propose(h)
 		}
-	case action < 64:
+	case action < 61:
 		h.disk.CrashIn(1 + s.random.IntN(12))
-	case action < 70:
+	case action < 66:
 		h.disk.Crash()
 		h.replica, h.applier = nil, nil
-	case action < 80:
+	case action < 75:
 		for _, h := range s.hosts {
 			s.restart(h)
 		}
-	case action < 85:
+	case action < 79:
 		s.cut[[2]HostID{h.id, o.id}] = true
-	case action < 88:
-		for _, o := range s.hosts {
-			s.cut[[2]HostID{h.id, o.id}], s.cut[[2]HostID{o.id, h.id}] = true, true
+	case action < 82:
+		s.isolate(h)
+	case action <= leadersCut:
+		s.cut = make(map[[2]HostID]bool)
+		for _, h := range s.hosts {
+			if h.replica != nil && h.replica.core.role == Leader {
+				s.isolate(h)
+			}
 		}
 	case action < 92:
 		s.cut = make(map[[2]HostID]bool)
@@ -75,3 +99,10 @@
 		s.wipe(h)
 	}
 }
+
+// isolate cuts a host off from all others, both ways.
+func (s *simulation) isolate(h *simulatedHost) {
+	for _, o := range s.hosts {
+		s.cut[[2]HostID{h.id, o.id}], s.cut[[2]HostID{o.id, h.id}] = true, true
+	}
+}
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -61,7 +61,9 @@
 	voters  []Member
 	now     time.Duration
 	network []Message
-	cut     map[[2]HostID]bool
+	// messageBytes is CoreSettings.MessageBytes; 1 sends each entry alone.
+	messageBytes int
+	cut          map[[2]HostID]bool
 	// leaders holds who led each term, committed what was committed where, and
 	// hashes the state after each entry.
 	leaders   map[uint64]HostID
@@ -74,10 +76,11 @@
 }
 
 // newSimulation starts the given number of voters and as many spare hosts.
-func newSimulation(fail func(string, ...any), random *rand.Rand, voters, spares int) *simulation {
+func newSimulation(fail func(string, ...any), random *rand.Rand, voters, spares, messageBytes int) *simulation {
 	s := &simulation{
 		fail: fail, random: random, cut: make(map[[2]HostID]bool), leaders: make(map[uint64]HostID),
-		hashes: make(map[uint64]uint64), seen: make(map[string]bool),
+		messageBytes: messageBytes,
+		hashes:       make(map[uint64]uint64), seen: make(map[string]bool),
 	}
 	for i := 1; i <= voters; i++ {
 		s.voters = append(s.voters, Member{ID: HostID(i), Address: fmt.Sprint(i)})
@@ -95,7 +98,7 @@
 	settings := Settings{
 		Group: "simulated", Self: Member{ID: h.id, Address: fmt.Sprint(h.id)}, DataFolder: "/data",
 		ElectionTimeout: simulatedTimeout, HeartbeatInterval: simulatedStep, PieceBytes: 64,
-		SnapshotEvery: 8, CatchUpEntries: 4, MessageBytes: 200, Random: s.random, FileSystem: h.disk,
+		SnapshotEvery: 8, CatchUpEntries: 4, MessageBytes: s.messageBytes, Random: s.random, FileSystem: h.disk,
 	}.withDefaults()
 	if int(h.id) <= len(s.voters) {
 		settings.Bootstrap = s.voters
