demonstrator, marigoldpoint: faults produced under load, promise by promise

Cause: nothing showed whether the promises hold while processes come and go, connections are forgotten and hosts are cut off.

Each one happens among a load, long streams through every entry, two operators that race each other on one revision and send changes again after a lost answer, and a watcher of every entry. Relays between the processes hold back, slow down or forget connections; a connection refused stays refused.

--- a/cmd/marigoldpoint/demo.go
+++ b/cmd/marigoldpoint/demo.go
@@ -34,9 +34,14 @@
 	Log       string        `placeholder:"FILE" help:"write the log of all processes"`
 	Report    string        `placeholder:"FILE" help:"write the report as JSON"`
 	Plot      string        `placeholder:"FILE" help:"write the plot as PNG"`
+	faultOptions
 }
 
 func (c *demoCommand) run(ctx context.Context, out io.Writer) error {
+	if c.ListFaults {
+		_, err := io.WriteString(out, demonstrator.FaultList())
+		return errors.Trace(err)
+	}
 	r, err := c.settings()
 	if err != nil {
 		return usageError{err}
@@ -52,6 +57,9 @@
 		return err
 	}
 	defer closeLog()
+	if c.wanted() {
+		return c.runFaults(ctx, r, c.Report, out)
+	}
 	d, keys, err := r.Prepare(ctx, out)
 	if err != nil {
 		return err
--- a/internal/standin/demonstrator/access.go
+++ b/internal/standin/demonstrator/access.go
@@ -10,6 +10,8 @@
 	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
 	"marigoldpoint.example/marigoldpoint/internal/standin/weigher"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+	"marigoldpoint.example/marigoldpoint/internal/transport/inspector"
 	"marigoldpoint.example/marigoldpoint/internal/transport/starter"
 )
 
@@ -94,9 +96,28 @@
 	}
 	p := n.process
 	n.process = nil
+	n.ended = append(n.ended, p)
 	return p, nil
 }
 
+// Timeline returns the events of all processes, those that ended since the last
+// call too, in one time line.
+func (d *Deployment) Timeline() inspector.Timeline {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var pages []recorder.Page
+	for _, n := range d.nodes {
+		for _, p := range n.ended {
+			pages = append(pages, p.Recorder().Events(""))
+		}
+		n.ended = nil
+		if n.process != nil {
+			pages = append(pages, n.process.Recorder().Events(""))
+		}
+	}
+	return inspector.Timeline{Events: recorder.Merge(pages)}
+}
+
 // Stop ends a process as planned.
 func (d *Deployment) Stop(ctx context.Context, name string) error {
 	p, err := d.take(name)
--- a/internal/standin/demonstrator/deployment.go
+++ b/internal/standin/demonstrator/deployment.go
@@ -20,6 +20,16 @@
 // region is the one region of a deployment.
 const region = "loopback"
 
+// Names of what is no process, for the relays.
+const (
+	enginesName   = "engines"
+	storeName     = "store"
+	backendSuffix = " backend"
+)
+
+// backendName returns the name of the backend server beside a companion.
+func backendName(companion string) string { return companion + backendSuffix }
+
 // Deployment is a running small deployment. It may be used by several
 // goroutines.
 type Deployment struct {
@@ -29,6 +39,9 @@
 	engines  []*generator.Engine
 	services []*responder.Service
 	hosts    []configurer.ControlHost
+	// network carries the connections between the processes; nil means that
+	// nothing stands between them.
+	network *network
 
 	mu sync.Mutex
 	// nodes holds all processes, entries first; guarded by mu.
@@ -42,12 +55,17 @@
 	process *starter.Process
 	// lives counts the starts.
 	lives uint64
+	// ended holds the processes that ended since the last Timeline.
+	ended []*starter.Process
 }
 
 // NewDeployment starts a deployment. Ready tells when it serves.
 func NewDeployment(s Settings) (*Deployment, error) {
 	s = s.withDefaults()
 	d := &Deployment{settings: s, ports: newPorts(s.FirstPort)}
+	if s.Relays {
+		d.network = newNetwork()
+	}
 	if err := d.start(); err != nil {
 		return nil, errors.Trace(stderrors.Join(err, d.Close()))
 	}
@@ -75,6 +93,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if d.network != nil {
+		if address, err = d.network.front(enginesName, storeName, address); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	for i := range d.settings.Engines {
 		s := d.settings.Engine
 		s.WeightStore = "http://" + address
@@ -137,6 +160,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if d.network != nil {
+		if backend, err = d.network.front(name, backendName(name), backend); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	c := d.common(name, i, configurer.RoleCompanion)
 	c.Companion = d.settings.Companion
 	c.Companion.Kind = kind
@@ -159,6 +187,10 @@
 	if c.Operators.Listen, err = d.ports.reserve(); err != nil {
 		return errors.Trace(err)
 	}
+	if d.network != nil {
+		d.network.own(*listen, c.Node)
+		d.network.own(c.Control.Listen, c.Node)
+	}
 	d.nodes = append(d.nodes, &node{configuration: c.WithDefaults()})
 	return nil
 }
@@ -167,13 +199,17 @@
 
 func (d *Deployment) startNode(n *node) error {
 	n.lives++
-	p, err := starter.NewProcess(starter.Settings{
+	s := starter.Settings{
 		Configuration: n.configuration,
 		Eviction:      d.settings.Eviction,
 		Log:           d.settings.Log.With().Str("Node", n.configuration.Node).Logger(),
 		Listen:        d.ports.listen,
 		Seed:          d.settings.Seed*1000003 + n.lives*1009 + uint64(len(n.configuration.Node))*31 + hash(n.configuration.Node),
-	})
+	}
+	if d.network != nil {
+		s.Dial = d.network.dialFrom(n.configuration.Node)
+	}
+	p, err := starter.NewProcess(s)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -238,6 +274,9 @@
 	if d.store != nil {
 		errs = append(errs, d.store.Close())
 	}
+	if d.network != nil {
+		d.network.close()
+	}
 	d.ports.close()
 	return stderrors.Join(errs...)
 }
--- a/internal/standin/demonstrator/settings.go
+++ b/internal/standin/demonstrator/settings.go
@@ -56,6 +56,9 @@
 	Stop      configurer.StopSettings
 	// Eviction is the companions' slot policy.
 	Eviction loader.Policy
+	// Relays puts relays between the processes, through which faults of the
+	// network are produced.
+	Relays bool
 	// Seed seeds all random sources; 0 means 1.
 	Seed uint64
 	// Log is the log of all processes; the zero value drops it.
--- a/internal/transport/starter/process.go
+++ b/internal/transport/starter/process.go
@@ -37,6 +37,8 @@
 	Log      zerolog.Logger
 	// Listen opens a listener; nil means net.Listen over TCP.
 	Listen func(address string) (net.Listener, error)
+	// Dial opens the connections to companions and control hosts; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Seed seeds the random sources; 0 means a seed of the process's own.
--- a/internal/transport/starter/roles.go
+++ b/internal/transport/starter/roles.go
@@ -33,6 +33,7 @@
 		Control:       c.Control,
 		DataFolder:    c.DataFolder,
 		Listener:      network,
+		Dial:          p.settings.Dial,
 		Messenger:     p.messenger(nil),
 		Recorder:      p.recorder,
 		Registerer:    p.settings.Registry,
@@ -83,6 +84,7 @@
 		Log:                p.settings.Log,
 		Now:                p.settings.Now,
 		Random:             p.fork(),
+		Dial:               p.settings.Dial,
 	})
 }
 
@@ -93,7 +95,7 @@
 		return errors.Trace(err)
 	}
 	pieces := gatekeeper.NewPieces()
-	p.pool = dialer.NewPool(dialer.Settings{Messenger: p.messenger(pieces), Random: p.fork()})
+	p.pool = dialer.NewPool(dialer.Settings{Messenger: p.messenger(pieces), Random: p.fork(), Dial: p.settings.Dial})
 	p.entry = gatekeeper.NewEntry(gatekeeper.Settings{
 		Node:          c.Node,
 		Region:        c.Region,
