--- a/internal/coordination/replicator/loop.go
+++ b/internal/coordination/replicator/loop.go
@@ -113,6 +113,9 @@
 	switch {
 	case p.change != nil:
 		index, term, err = r.replica.core.ProposeChange(p.change)
+	case r.replica.journal.Bytes() > r.settings.JournalBytes/4*3:
+		// The last quarter is for what followers and leaders must write.
+		err = ErrNotAccepted{Reason: "the journal is nearly full"}
 	case r.queue.size() > r.settings.PendingBytes:
 		err = ErrNotAccepted{Reason: "too many bytes wait to be applied"}
 	default:
--- a/internal/coordination/replicator/replicator_test.go
+++ b/internal/coordination/replicator/replicator_test.go
@@ -5,12 +5,17 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/disker"
+	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
 )
 
 // tally is a state machine that counts its commands and keeps their sum.
@@ -194,3 +199,70 @@
 		g.close()
 	})
 }
+
+// Symptom: a caller is told that its change failed, resends it, and it takes
+// effect twice; or a leader answers reads from the past. Events: the leader is
+// cut off silently, both ways or only from the answers, while a proposal is
+// under way, and others come later. Cause: a leader that doesn't notice keeps
+// its lease, and calls "not accepted" what may still be committed.
+func TestLeaderCutOffStepsDownWithinItsLeaseAndSaysTheTruth(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		RegisterTestingT(t)
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(t, 3, nil)
+			ctx := context.Background()
+			l := g.leader(0)
+			old := g.wire.hosts[l]
+			_, _, err := old.Propose(ctx, []byte("before"))
+			Expect(err).NotTo(HaveOccurred())
+			for id := range g.wire.hosts {
+				g.wire.setCut(id, l, true)
+				g.wire.setCut(l, id, !oneWay)
+			}
+			start := time.Now()
+			_, _, err = old.Propose(ctx, []byte("during"))
+			var unknown ErrOutcomeUnknown
+			Expect(errors.As(err, &unknown)).To(BeTrue())
+			Expect(CertainlyNotAccepted(err)).To(BeFalse())
+			Expect(time.Since(start)).To(BeNumerically("<=", DefaultElectionTimeout))
+			Expect(old.LeaseValid()).To(BeFalse())
+			Expect(old.ReadBarrier(ctx)).NotTo(Succeed())
+			_, _, err = old.Propose(ctx, []byte("after"))
+			Expect(CertainlyNotAccepted(err)).To(BeTrue())
+
+			n := g.leader(l)
+			_, _, err = g.wire.hosts[n].Propose(ctx, []byte("elsewhere"))
+			Expect(err).NotTo(HaveOccurred())
+			for id := range g.wire.hosts {
+				g.wire.setCut(id, l, false)
+				g.wire.setCut(l, id, false)
+			}
+			Eventually(func() uint64 { return g.machines[l].get() }).WithTimeout(5 * time.Second).Should(Equal(g.machines[n].get()))
+			g.close()
+		})
+	}
+}
+
+// Symptom: an accepted change is gone after a power cut. Events: a sync of the
+// journal fails, the next one succeeds. Cause: the system drops the pages whose
+// write-back failed, so that the second success says nothing about them.
+func TestFailedSyncStopsTheReplicator(t *testing.T) {
+	RegisterTestingT(t)
+	synctest.Test(t, func(t *testing.T) {
+		disk := disker.NewDisk(rand.New(rand.NewPCG(1, 1)))
+		g := newGroup(t, 1, func(s *Settings) { s.FileSystem = disk })
+		g.leader(0)
+		r := g.wire.hosts[1]
+		_, _, err := r.Propose(context.Background(), []byte("one"))
+		Expect(err).NotTo(HaveOccurred())
+		disk.FailSyncIn(1)
+		_, _, err = r.Propose(context.Background(), []byte("two"))
+		Expect(CertainlyNotAccepted(err)).To(BeFalse())
+		<-r.Done()
+		var failed journaler.ErrFailed
+		Expect(errors.As(r.Err(), &failed)).To(BeTrue())
+		_, _, err = r.Propose(context.Background(), []byte("three"))
+		Expect(CertainlyNotAccepted(err)).To(BeTrue())
+		Expect(r.Close()).NotTo(Succeed())
+	})
+}
--- a/internal/coordination/replicator/settings.go
+++ b/internal/coordination/replicator/settings.go
@@ -125,6 +125,7 @@
 	setDefault(&s.LeaseDrift, s.ElectionTimeout/5)
 	setDefault(&s.SnapshotEvery, DefaultSnapshotEvery)
 	setDefault(&s.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&s.JournalBytes, journaler.DefaultMaximumBytes)
 	setDefault(&s.PieceBytes, DefaultPieceBytes)
 	setDefault(&s.EntryBytes, DefaultEntryBytes)
 	setDefault(&s.PendingBytes, DefaultPendingBytes)
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -287,14 +287,17 @@
 	}
 }
 
-// wipe loses a host's disk, where every configuration that some host knows
-// keeps a majority of the disks it names.
+// wipe loses a host's disk, where every configuration that is or may come in
+// force keeps a majority of the disks it names.
 func (s *simulation) wipe(h *simulatedHost) {
 	if slices.ContainsFunc(s.hosts, func(o *simulatedHost) bool { return o.replica == nil }) {
 		return
 	}
 	for _, o := range s.hosts {
 		for _, c := range o.replica.core.configurations {
+			if c.index < s.lastChange() {
+				continue
+			}
 			left := 0
 			for _, m := range c.Members {
 				if m.Voter && m.ID != h.id && s.hosts[m.ID-1].replica.identity.Incarnation == m.Incarnation {
@@ -351,11 +354,19 @@
 
 // lastConfiguration returns the members as last committed.
 func (s *simulation) lastConfiguration() []Member {
+	if at := s.lastChange(); at > 0 {
+		c, _ := decodeConfiguration(s.committed[at-1].Data)
+		return c.Members
+	}
+	return nil
+}
+
+// lastChange returns the index of the last committed configuration.
+func (s *simulation) lastChange() uint64 {
 	for _, e := range slices.Backward(s.committed) {
 		if e.Kind == EntryMembership {
-			c, _ := decodeConfiguration(e.Data)
-			return c.Members
+			return e.Index
 		}
 	}
-	return nil
+	return 0
 }
--- /dev/null
+++ b/internal/state/journaler/journal_test.go
@@ -0,0 +1,228 @@
+package journaler_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/disker"
+	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
+)
+
+func newDisk() *disker.Disk { return disker.NewDisk(rand.New(rand.NewPCG(1, 2))) }
+
+// open opens the journal on a disk and returns the records in it.
+func open(d *disker.Disk) (*journaler.Journal, [][]byte, error) {
+	var records [][]byte
+	s := journaler.Settings{Folder: "/j", FileSystem: d, SegmentBytes: 256, MaximumBytes: 1 << 14}
+	j, err := journaler.Open(s, func(_ uint64, p []byte) error {
+		records = append(records, p)
+		return nil
+	})
+	return j, records, err
+}
+
+var _ = Describe("Journal", func() {
+	// Symptom: a host refuses to start after a power cut. Events: a crash in
+	// the middle of a write. Cause: the half-written record at the end is taken
+	// for damage, although nobody was told that it lasts.
+	It("cuts a torn tail", func() {
+		d := newDisk()
+		j, _, err := open(d)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.Append([][]byte{[]byte("one"), []byte("two")})).To(Equal(uint64(1)))
+		f, err := d.Open("/j/0000000000000001.journal")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.Write(bytes.Repeat([]byte{7}, 40))
+		Expect(err).NotTo(HaveOccurred())
+		d.Restart()
+		j, records, err := open(d)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records).To(HaveLen(2))
+		Expect(j.Append([][]byte{[]byte("three")})).To(Equal(uint64(3)))
+	})
+
+	// Symptom: changes in the middle of the log vanish without a word. Events:
+	// the medium loses a synced record, and the host restarts. Cause: all that
+	// follows an unreadable record is taken for a torn tail.
+	It("refuses damage to synced records, naming file and offset", func() {
+		d := newDisk()
+		j, _, err := open(d)
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []string{"one", "two", "three"} {
+			_, err = j.Append([][]byte{[]byte(p)})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		const second = 20 + 24 + 3
+		d.Damage("/j/0000000000000001.journal", second+24)
+		d.Restart()
+		_, _, err = open(d)
+		var damaged journaler.ErrDamaged
+		Expect(errors.As(err, &damaged)).To(BeTrue())
+		Expect(damaged.File).To(Equal("/j/0000000000000001.journal"))
+		Expect(damaged.Offset).To(Equal(int64(second)))
+	})
+
+	// Symptom: an acknowledged record is missing after a crash. Events: a sync
+	// fails, and the next one succeeds. Cause: pages whose write-back failed
+	// are dropped, and the later success says nothing about them.
+	It("stays failed after a failed sync", func() {
+		d := newDisk()
+		j, _, err := open(d)
+		Expect(err).NotTo(HaveOccurred())
+		d.FailSyncIn(1)
+		_, err = j.Append([][]byte{[]byte("one")})
+		var failed journaler.ErrFailed
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		_, err = j.Append([][]byte{[]byte("two")})
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(errors.Is(err, disker.ErrSync)).To(BeTrue())
+	})
+
+	It("bounds its size, and goes on once it is truncated", func() {
+		d := newDisk()
+		j, _, err := open(d)
+		Expect(err).NotTo(HaveOccurred())
+		var full journaler.ErrFull
+		for !errors.As(err, &full) {
+			_, err = j.Append([][]byte{make([]byte, 100)})
+		}
+		Expect(j.Bytes()).To(BeNumerically("<=", 1<<14))
+		Expect(j.TruncatePrefix(j.Last() - 1)).To(Succeed())
+		_, err = j.Append([][]byte{make([]byte, 100)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.Bytes()).To(BeNumerically("<", 1000))
+	})
+
+	It("shares syncs between concurrent appends", func() {
+		d := newDisk()
+		syncs := 0
+		j, err := journaler.Open(journaler.Settings{Folder: "/j", FileSystem: d, ObserveSync: func(time.Duration) { syncs++ }},
+			func(uint64, []byte) error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		var all sync.WaitGroup
+		for range 200 {
+			all.Go(func() {
+				defer GinkgoRecover()
+				_, err := j.Append([][]byte{[]byte("x")})
+				Expect(err).NotTo(HaveOccurred())
+			})
+		}
+		all.Wait()
+		Expect(j.Last()).To(Equal(uint64(200)))
+		Expect(syncs).To(BeNumerically("<=", 200))
+		Expect(j.Close()).To(Succeed())
+	})
+})
+
+// TestPropertyCrashesLoseNothingSynced compares a journal, on a disk which
+// crashes between any two durable steps, with a slice: after a crash it holds
+// all records that Append returned for, and nothing but what was appended.
+func TestPropertyCrashesLoseNothingSynced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := disker.NewDisk(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "Seed"), 0)))
+		m := &model{t: t, disk: d, first: 1}
+		m.reopen()
+		for range rapid.IntRange(1, 60).Draw(t, "Steps") {
+			m.step(rapid.IntRange(0, 9).Draw(t, "Action"))
+		}
+	})
+}
+
+// model is what a journal must hold: records[i] has index first+i.
+type model struct {
+	t       *rapid.T
+	disk    *disker.Disk
+	journal *journaler.Journal
+	first   uint64
+	records [][]byte
+	// sure counts the records that must survive; the others may.
+	sure int
+}
+
+func (m *model) step(action int) {
+	last := m.first + uint64(len(m.records)) - 1
+	var err error
+	switch {
+	case action < 5:
+		payload := fmt.Appendf(nil, "%d-%d", last+1, rapid.IntRange(0, 1000).Draw(m.t, "Payload"))
+		m.records = append(m.records, payload)
+		if _, err = m.journal.Append([][]byte{payload}); err == nil {
+			m.sure = len(m.records)
+		}
+	case action == 5 && m.sure > 0:
+		keep := rapid.IntRange(0, m.sure-1).Draw(m.t, "Keep")
+		if m.first+uint64(keep) < m.journal.First() {
+			return
+		}
+		m.sure = keep
+		if err = m.journal.TruncateSuffix(m.first + uint64(keep)); err == nil {
+			m.records = m.records[:keep]
+		}
+	case action == 6 && m.sure > 0:
+		err = m.journal.TruncatePrefix(m.first + uint64(rapid.IntRange(0, m.sure-1).Draw(m.t, "UpTo")))
+	case action == 7:
+		m.disk.CrashIn(rapid.IntRange(1, 10).Draw(m.t, "CrashIn"))
+	case action == 8:
+		m.disk.Crash()
+		m.reopen()
+	}
+	if err != nil {
+		m.reopen()
+	}
+}
+
+// reopen restarts after a crash and checks what is there.
+func (m *model) reopen() {
+	m.disk.Crash()
+	m.disk.Restart()
+	var found [][]byte
+	var err error
+	if m.journal, found, err = open(m.disk); err != nil {
+		m.t.Fatalf("open: %v", err)
+	}
+	skip := int(m.journal.First() - m.first)
+	if skip+len(found) < m.sure || skip+len(found) > len(m.records) {
+		m.t.Fatalf("%d records from %d on, of %d of which %d last", len(found), m.journal.First(), len(m.records), m.sure)
+	}
+	for i, r := range found {
+		if !bytes.Equal(r, m.records[skip+i]) {
+			m.t.Fatalf("record %d is %q, not %q", m.journal.First()+uint64(i), r, m.records[skip+i])
+		}
+	}
+	m.records = m.records[:skip+len(found)]
+	m.sure = len(m.records)
+}
+
+func BenchmarkAppendByOneWriter100Bytes(b *testing.B) { benchmarkAppend(b, 1) }
+
+func BenchmarkAppendBy64Writers100Bytes(b *testing.B) { benchmarkAppend(b, 64) }
+
+// benchmarkAppend appends to a real disk with real syncs.
+func benchmarkAppend(b *testing.B, writers int) {
+	j, err := journaler.Open(journaler.Settings{Folder: b.TempDir()}, func(uint64, []byte) error { return nil })
+	if err != nil {
+		b.Fatal(err)
+	}
+	payload := make([]byte, 100)
+	var all sync.WaitGroup
+	b.ResetTimer()
+	for w := range writers {
+		all.Go(func() {
+			for i := w; i < b.N; i += writers {
+				if _, err := j.Append([][]byte{payload}); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
--- /dev/null
+++ b/internal/state/snapshotter/store_test.go
@@ -0,0 +1,134 @@
+package snapshotter_test
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/disker"
+	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
+	"marigoldpoint.example/marigoldpoint/internal/state/snapshotter"
+)
+
+func TestSnapshotter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "snapshotter")
+}
+
+// body returns the body of the snapshot at an index.
+func body(index uint64) []byte { return bytes.Repeat([]byte{byte(index)}, 1000) }
+
+func create(s *snapshotter.Store, index uint64) error {
+	_, err := s.Create(snapshotter.Metadata{Index: index, Term: 1, Extra: []byte("extra")}, func(w io.Writer) error {
+		_, err := w.Write(body(index))
+		return err
+	})
+	return err
+}
+
+func open(d *disker.Disk) (*snapshotter.Store, []error) {
+	s, damaged, err := snapshotter.OpenStore(snapshotter.Settings{Folder: "/s", FileSystem: d})
+	Expect(err).NotTo(HaveOccurred())
+	return s, damaged
+}
+
+// latest returns the latest snapshot's index after checking its body.
+func latest(s *snapshotter.Store) uint64 {
+	r, err := s.OpenLatest()
+	Expect(err).NotTo(HaveOccurred())
+	if r == nil {
+		return 0
+	}
+	b, err := io.ReadAll(r)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(b).To(Equal(body(r.Metadata.Index)))
+	Expect(r.Close()).To(Succeed())
+	return r.Metadata.Index
+}
+
+var _ = Describe("Store", func() {
+	// Symptom: after a crash a host has no snapshot, or forgot its vote. Events:
+	// a crash at the n-th durable step of writing three snapshots and votes.
+	// Cause: a file replaced in place, or a name that was never synced.
+	It("loses nothing in a crash between any two durable steps", func() {
+		n := 1
+		for crashed := true; crashed; n++ {
+			d := disker.NewDisk(rand.New(rand.NewPCG(uint64(n), 0)))
+			s, _ := open(d)
+			d.CrashIn(n)
+			var made, term uint64
+			crashed = false
+			for i := uint64(1); i <= 3 && !crashed; i++ {
+				if crashed = s.SaveHardState(snapshotter.HardState{Term: i, Vote: 2}) != nil; !crashed {
+					term = i
+					crashed = create(s, i) != nil
+				}
+				if !crashed {
+					made = i
+				}
+			}
+			d.Crash()
+			d.Restart()
+			s, damaged := open(d)
+			Expect(damaged).To(BeEmpty())
+			Expect(latest(s)).To(BeNumerically(">=", made))
+			h, err := s.HardState()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(h.Term).To(BeNumerically(">=", term))
+		}
+		Expect(n).To(BeNumerically(">", 20))
+	})
+
+	It("falls back to the snapshot before a damaged one, and keeps two", func() {
+		d := disker.NewDisk(rand.New(rand.NewPCG(1, 0)))
+		s, _ := open(d)
+		for i := uint64(1); i <= 3; i++ {
+			Expect(create(s, i)).To(Succeed())
+		}
+		d.Damage("/s/snapshot-0000000000000003-0000000000000001", 500)
+		s, damaged := open(d)
+		Expect(damaged).To(HaveLen(1))
+		var e journaler.ErrDamaged
+		Expect(errors.As(damaged[0], &e)).To(BeTrue())
+		Expect(latest(s)).To(Equal(uint64(2)))
+		_, err := s.ReadPiece(1, 0, 10)
+		var gone snapshotter.ErrGone
+		Expect(errors.As(err, &gone)).To(BeTrue())
+	})
+
+	// Symptom: a large snapshot never arrives. Events: the receiver restarts in
+	// the middle; a piece comes twice; another one is garbled. Cause: a
+	// transfer that begins anew each time, or takes what doesn't fit.
+	It("receives a snapshot in pieces over a restart", func() {
+		from, _ := open(disker.NewDisk(rand.New(rand.NewPCG(1, 0))))
+		Expect(create(from, 7)).To(Succeed())
+		d := disker.NewDisk(rand.New(rand.NewPCG(2, 0)))
+		to, _ := open(d)
+		offset, complete, garbled := int64(0), false, false
+		for !complete {
+			p, err := from.ReadPiece(7, offset, 300)
+			Expect(err).NotTo(HaveOccurred())
+			if offset == 600 && !garbled {
+				garbled = true
+				p.Data[0] ^= 1
+			}
+			next, done, err := to.Receive(p)
+			Expect(err).NotTo(HaveOccurred())
+			if next > 0 && !done {
+				again, _, err := to.Receive(p)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(again).To(Equal(next), "a doubled piece changes nothing")
+				d.Crash()
+				d.Restart()
+				to, _ = open(d)
+			}
+			offset, complete = next, done
+		}
+		Expect(latest(to)).To(Equal(uint64(7)))
+	})
+})
