indexer, storer: rules are compared without evaluating every field

Cause: the search over a workspace's rules compared adapter, key and name at every step though the first difference decides. Change: compare stops at the first difference; a benchmark of parallel lookups. Conclusion: the same order with less work a step.

--- a/internal/state/indexer/index_test.go
+++ b/internal/state/indexer/index_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"slices"
 	"strings"
@@ -278,6 +279,14 @@
 				i++
 			}
 		})
+		b.Run(fmt.Sprintf("parallel/adapters=%d", n), func(b *testing.B) {
+			b.RunParallel(func(p *testing.PB) {
+				for i := rand.IntN(n); p.Next(); i++ {
+					m := &names[i*7919%len(names)]
+					_, _ = x.Resolve(m.Workspace, m.Name, "")
+				}
+			})
+		})
 		b.Run(fmt.Sprintf("rule/adapters=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			i := 0
--- a/internal/state/indexer/rules.go
+++ b/internal/state/indexer/rules.go
@@ -52,12 +52,23 @@
 	}
 }
 
+// compare orders the rule at i against adapter, key and name.
+func (r *rules) compare(i int, adapter, key, name string) int {
+	if c := strings.Compare(r.adapter(i), adapter); c != 0 {
+		return c
+	}
+	if c := strings.Compare(r.key(i), key); c != 0 {
+		return c
+	}
+	return strings.Compare(r.name(i), name)
+}
+
 // position returns the place of the first rule not before adapter, key and name.
 func (r *rules) position(adapter, key, name string) int {
 	low, high := 0, len(r.records)
 	for low < high {
 		middle := (low + high) / 2
-		if cmp.Or(strings.Compare(r.adapter(middle), adapter), strings.Compare(r.key(middle), key), strings.Compare(r.name(middle), name)) < 0 {
+		if r.compare(middle, adapter, key, name) < 0 {
 			low = middle + 1
 		} else {
 			high = middle
@@ -66,30 +77,32 @@
 	return low
 }
 
-// match returns the first rule for exactly this adapter and key.
-func (r *rules) match(adapter, key string) (int, bool) {
-	i := r.position(adapter, key, "")
-	return i, i < len(r.records) && r.adapter(i) == adapter && r.key(i) == key
-}
-
 // find returns the most specific rule for a call.
 func (r *rules) find(adapter, key string) (storer.PriorityRuleSpec, bool) {
-	if len(r.records) == 0 {
-		return storer.PriorityRuleSpec{}, false
-	}
-	if i, ok := r.match(adapter, key); ok {
-		return r.spec(i), true
+	i, ok := r.findOf(adapter, key)
+	if !ok && adapter != "" {
+		i, ok = r.findOf("", key)
 	}
-	if i, ok := r.match(adapter, ""); ok {
-		return r.spec(i), true
+	if !ok {
+		return storer.PriorityRuleSpec{}, false
 	}
-	if i, ok := r.match("", key); ok {
-		return r.spec(i), true
+	return r.spec(i), true
+}
+
+// findOf returns the rule for the key among those that name exactly the
+// adapter; failing that, the one for all keys.
+func (r *rules) findOf(adapter, key string) (int, bool) {
+	first := r.position(adapter, "", "")
+	if first == len(r.records) || r.adapter(first) != adapter {
+		return 0, false
 	}
-	if i, ok := r.match("", ""); ok {
-		return r.spec(i), true
+	if key != "" {
+		i := r.position(adapter, key, "")
+		if i < len(r.records) && r.adapter(i) == adapter && r.key(i) == key {
+			return i, true
+		}
 	}
-	return storer.PriorityRuleSpec{}, false
+	return first, r.records[first].keyLen == 0
 }
 
 // record adds the rule's text.
--- a/internal/state/storer/readers_test.go
+++ b/internal/state/storer/readers_test.go
@@ -8,7 +8,9 @@
 )
 
 // TestReadersSeeOneRevision has readers take the whole state while commands are
-// applied, and follow the changes from the revision that came with it.
+// applied, and follow the changes from the revision that came with it. Each
+// resource is put and deleted by turns, so a change that is missed shows at the
+// next one.
 //
 // Symptom: a watcher keeps for ever what was deleted while it read. Sequence: it
 // reads the state of one shard, a change goes to that shard, it reads the
@@ -21,7 +23,7 @@
 		readers.Go(func() {
 			w := &replica{}
 			for reads := 0; w.revision < commands; reads++ {
-				if reads%8 == 0 {
+				if reads%2 == 0 {
 					rs, revision := s.All()
 					if w.resources != nil && revision < w.revision {
 						t.Errorf("went back from %d to %d", w.revision, revision)
@@ -31,6 +33,10 @@
 				}
 				changes, upTo, _ := s.Since(w.revision, 16)
 				for _, c := range changes {
+					if _, held := w.resources[c.Resource.Key()]; held != c.Deleted {
+						t.Errorf("missed the change of %v before %d", c.Resource.Key(), c.Revision)
+						return
+					}
 					if c.Deleted {
 						delete(w.resources, c.Resource.Key())
 					} else {
@@ -47,12 +53,15 @@
 	for index := uint64(1); index <= commands; index++ {
 		workspace := string(rune('a' + index%7))
 		name := string(rune('a' + index%3))
+		if index == commands {
+			name = "last"
+		}
 		var c Command = PutResource{Resource: Resource{
 			Kind:     KindService,
 			Metadata: Metadata{Workspace: workspace, Name: name},
 			Spec:     ServiceSpec{IdempotentMethods: []string{"GET"}},
 		}}
-		if s.holds(workspace, name) && index < commands {
+		if s.holds(workspace, name) {
 			c = DeleteResource{Key: Key{Kind: KindService, Workspace: workspace, Name: name}}
 		}
 		data, err := Encode(Envelope{Command: c})
