permitter, controller, subscriber: holders over an election, and a group formed anew

Cause: a group that has been up for long has no history back to its beginning, so each new leader would have closed the weight store for the whole life of a permit (30 s). A node that outlived a control group would have waited for ever for a revision above its own.

Change: each control host notes which memberships it saw end within the life of a permit (permitter.Departures); only members get permits; a subscription tells the formation of the group that the node's configuration is from, and is refused by another one. A node stays at a control host for at least half a configuration lease before it tries another, so that nodes don't hop while there is no leader.

--- a/internal/coordination/distributor/message.go
+++ b/internal/coordination/distributor/message.go
@@ -7,7 +7,10 @@
 type Subscribe struct {
 	// Group is the name of the control group; empty takes any. A node never
 	// takes configuration of another group.
-	Group         string
+	Group string
+	// Formation is the number of the group that the node's configuration is
+	// from; 0 while it has none. Revisions of two formations can't be compared.
+	Formation     uint64
 	Node          string
 	Region        string
 	FailureDomain string
@@ -22,6 +25,8 @@
 type Subscribed struct {
 	// Host is the control host's node name.
 	Host string
+	// Formation is the number of the host's group; 0 while it belongs to none.
+	Formation uint64
 	// Revision is what the host holds. It may lie below the node's After; then
 	// deltas begin once the host has passed it.
 	Revision uint64
--- /dev/null
+++ b/internal/coordination/permitter/departures.go
@@ -0,0 +1,46 @@
+package permitter
+
+import "time"
+
+// Departures remembers which companions stopped being members lately. A new
+// leader counts them among those that may hold a permit of its predecessor.
+type Departures struct {
+	// Expiry is the life of a permit.
+	Expiry time.Duration
+
+	// watched is the time from which every departure was noted.
+	watched time.Time
+	left    map[string]time.Time
+}
+
+// Reset begins anew at now: departures before it may have gone unseen.
+func (d *Departures) Reset(now time.Time) {
+	d.watched = now
+	d.left = make(map[string]time.Time)
+}
+
+// Note takes in that a companion's membership was seen to end at now. It is
+// never seen earlier than it ended.
+func (d *Departures) Note(now time.Time, companion string) {
+	for name, at := range d.left {
+		if now.Sub(at) >= d.Expiry {
+			delete(d.left, name)
+		}
+	}
+	d.left[companion] = now
+}
+
+// Holders returns the members and those that left within the life of a permit,
+// and false where others may have left unseen.
+func (d *Departures) Holders(now time.Time, members []string) ([]string, bool) {
+	if now.Sub(d.watched) < d.Expiry {
+		return nil, false
+	}
+	holders := append([]string{}, members...)
+	for name, at := range d.left {
+		if now.Sub(at) < d.Expiry {
+			holders = append(holders, name)
+		}
+	}
+	return holders, true
+}
--- a/internal/transport/controller/board.go
+++ b/internal/transport/controller/board.go
@@ -5,9 +5,11 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
@@ -24,10 +26,18 @@
 	// ended is the revision up to which ended memberships were dropped; guarded
 	// by mu.
 	ended uint64
+	// departures are the memberships seen to end; guarded by mu.
+	departures permitter.Departures
 }
 
-func newSharedBoard() *sharedBoard {
-	return &sharedBoard{board: registrar.NewBoard(), touched: make(map[string]struct{})}
+func newSharedBoard(now time.Time, permitExpiry time.Duration) *sharedBoard {
+	b := &sharedBoard{
+		board:      registrar.NewBoard(),
+		touched:    make(map[string]struct{}),
+		departures: permitter.Departures{Expiry: permitExpiry},
+	}
+	b.departures.Reset(now)
+	return b
 }
 
 // whole encodes all published states. Before it lets the board go on it calls
@@ -110,6 +120,7 @@
 		changes, upTo, ok := c.store.Since(b.ended, 0)
 		if !ok {
 			b.ended = c.store.Revision()
+			b.departures.Reset(c.settings.Now())
 			c.dropUnknown()
 			return
 		}
@@ -117,6 +128,7 @@
 			spec, member := change.Resource.Spec.(storer.MemberSpec)
 			if member && change.Deleted {
 				b.board.Drop(change.Resource.Metadata.Name, spec.Epoch)
+				b.departures.Note(c.settings.Now(), change.Resource.Metadata.Name)
 			}
 		}
 		if upTo <= b.ended {
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -67,7 +67,7 @@
 		store:    storer.NewStore(storer.Settings{}),
 		metrics:  newMetrics(s.Registerer),
 		relay:    newRelay(),
-		board:    newSharedBoard(),
+		board:    newSharedBoard(s.Now(), time.Duration(s.Control.PermitExpiry)),
 		sessions: make(map[*messenger.Conn]*session),
 		turned:   make(chan struct{}, 1),
 	}
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -53,7 +53,7 @@
 		seen:    revision,
 		permits: permitter.NewTable(permitter.Settings{
 			Rate: s.StoreRate, Parallel: s.StoreParallel, Expiry: time.Duration(s.PermitExpiry),
-		}, term, now, permitHolders(c.store)),
+		}, term, now, c.permitHolders(now, members)),
 		waiters: make(map[permitKey]chan permitter.Grant),
 	}
 	d.ctx, d.cancel = context.WithCancel(c.ctx)
@@ -69,27 +69,38 @@
 }
 
 // permitHolders returns every companion that may hold a permit of a former
-// leader: the members, and those whose membership ended and is still in the
-// history. Where the history does not reach back to the beginning it returns
-// nil: others may have left within the life of a permit.
-func permitHolders(s *storer.Store) []string {
-	changes, _, ok := s.Since(0, 0)
+// leader: the members, and those whose membership ended within the life of a
+// permit. It returns nil where some may have left unseen. On a host that started
+// lately the history tells, where it still reaches back to the beginning.
+func (c *Control) permitHolders(now time.Time, members []storer.Resource) []string {
+	engines := []string{}
+	for _, m := range members {
+		if isEngine(m) {
+			engines = append(engines, m.Metadata.Name)
+		}
+	}
+	c.dropEnded()
+	c.board.mu.Lock()
+	holders, ok := c.board.departures.Holders(now, engines)
+	c.board.mu.Unlock()
+	if ok {
+		return holders
+	}
+	changes, _, ok := c.store.Since(0, 0)
 	if !ok {
 		return nil
 	}
-	holders := []string{}
-	known := make(map[string]struct{})
 	for _, change := range changes {
-		spec, member := change.Resource.Spec.(storer.MemberSpec)
-		if !member || spec.Kind != storer.MemberKindEngine {
-			continue
-		}
-		if _, ok := known[change.Resource.Metadata.Name]; !ok {
-			known[change.Resource.Metadata.Name] = struct{}{}
-			holders = append(holders, change.Resource.Metadata.Name)
+		if change.Deleted && isEngine(change.Resource) {
+			engines = append(engines, change.Resource.Metadata.Name)
 		}
 	}
-	return holders
+	return engines
+}
+
+func isEngine(r storer.Resource) bool {
+	spec, ok := r.Spec.(storer.MemberSpec)
+	return ok && spec.Kind == storer.MemberKindEngine
 }
 
 func (d *duties) start() {
@@ -194,6 +205,10 @@
 
 // requestPermit waits for a permit until the context ends.
 func (d *duties) requestPermit(ctx context.Context, r permitter.Request) (permitter.Grant, error) {
+	if _, member := d.control.store.Get(storer.Key{Kind: storer.KindMember, Name: r.Companion}); !member {
+		// The next leader would not know that this companion may hold a permit.
+		return permitter.Grant{}, messenger.NewRefusal(messenger.ReasonUnavailable, "no member of that name")
+	}
 	key := permitKey{companion: r.Companion, version: r.Version}
 	granted := make(chan permitter.Grant, 1)
 	d.permitsMu.Lock()
--- a/internal/transport/controller/fanout_benchmark_test.go
+++ b/internal/transport/controller/fanout_benchmark_test.go
@@ -118,6 +118,7 @@
 
 // write has a change accepted and returns its revision.
 func (c *crowd) write(b *testing.B, i int) uint64 {
+	b.Helper()
 	r, err := putWorkspace(c.writer, fmt.Sprintf("w%d", i%50), 1+i%1000)
 	if err != nil || r.Verdict != storer.VerdictAccepted {
 		b.Errorf("change %d: %+v, %v", i, r, err)
@@ -172,6 +173,7 @@
 
 // report gives the times until changes were in force, and what they cost.
 func (c *crowd) report(b *testing.B, before cost) {
+	b.Helper()
 	after := c.cost()
 	times := c.inForce()
 	if len(times) == 0 {
@@ -209,6 +211,7 @@
 
 // steady writes at a rate, a second for each iteration.
 func steady(b *testing.B, size, rate int) {
+	b.Helper()
 	c := newCrowd(b, size)
 	defer c.close()
 	before := c.cost()
--- a/internal/transport/controller/session.go
+++ b/internal/transport/controller/session.go
@@ -51,6 +51,12 @@
 	if sub.Group != "" && sub.Group != c.settings.Control.Group {
 		return distributor.Subscribed{}, messenger.NewRefusal(messenger.ReasonMalformed, "another control group")
 	}
+	formation := c.agreement.Status().Formation
+	if sub.Formation != 0 && formation != 0 && sub.Formation != formation {
+		// The group was formed anew, and its revisions begin anew: the node would
+		// wait for ever for one above its own.
+		return distributor.Subscribed{}, messenger.NewRefusal(messenger.ReasonMalformed, "the control group was formed anew: restart the node")
+	}
 	s := &session{
 		conn:      conn,
 		subscribe: sub,
@@ -75,7 +81,7 @@
 	c.metrics.sessions.WithLabelValues(sub.Scope.String()).Inc()
 	c.workers.Add(1)
 	go c.runSession(s)
-	return distributor.Subscribed{Host: c.settings.Node, Revision: c.store.Revision()}, nil
+	return distributor.Subscribed{Host: c.settings.Node, Formation: formation, Revision: c.store.Revision()}, nil
 }
 
 // runSession sends to one node until its connection ends, or until another
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -31,12 +31,17 @@
 	// applying lets one delta at a time change the replica: for a moment two
 	// connections can each bring one.
 	applying sync.Mutex
+	// formation is the number of the group that the replica is from; 0 until
+	// known. Only run uses it.
+	formation uint64
 
 	mu sync.Mutex
 	// link is the connection in use, or nil; guarded by mu.
 	link *link
 	// linked is closed and replaced when link changes; guarded by mu.
 	linked chan struct{}
+	// linkedAt is when link last changed; guarded by mu.
+	linkedAt time.Time
 	// lease is the configuration lease; guarded by mu.
 	lease distributor.Lease
 	// trusted is what LeaseValid said last, to record changes; guarded by mu.
@@ -156,7 +161,7 @@
 func (c *Client) setLink(l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.link = l
+	c.link, c.linkedAt = l, c.settings.Now()
 	close(c.linked)
 	c.linked = make(chan struct{})
 	c.lease.Forget()
@@ -195,7 +200,8 @@
 
 // watch records when the configuration lease is lost or regained, and leaves a
 // control host whose own knowledge has grown old while the lease runs out:
-// another host may still be in contact with a leader.
+// another host may still be in contact with a leader. It stays for half a lease
+// at least, so that nodes don't hop about while there is no leader at all.
 func (c *Client) watch() {
 	defer c.workers.Done()
 	ticker := time.NewTicker(c.settings.ConfigurationLease / watchParts)
@@ -212,7 +218,7 @@
 		changed := valid != c.trusted
 		c.trusted = valid
 		age, known := c.lease.Age(now)
-		linked := c.link != nil
+		tried := c.link != nil && now.Sub(c.linkedAt) > c.settings.ConfigurationLease/2
 		c.mu.Unlock()
 		c.measure(valid, age, known)
 		if changed {
@@ -222,7 +228,7 @@
 			}
 			c.settings.Recorder.Record(recorder.Event{Kind: kind, Revision: c.settings.Index.Revision()})
 		}
-		if linked && known && age > c.settings.ConfigurationLease/2 {
+		if tried && known && age > c.settings.ConfigurationLease/2 {
 			c.leaveHost("its knowledge is old")
 		}
 	}
--- a/internal/transport/subscriber/connection.go
+++ b/internal/transport/subscriber/connection.go
@@ -64,6 +64,7 @@
 	var subscribed distributor.Subscribed
 	err = l.conn.Call(ctx, messenger.MethodSubscribe, distributor.Subscribe{
 		Group:         c.settings.Group,
+		Formation:     c.formation,
 		Node:          c.settings.Node,
 		Region:        c.settings.Region,
 		FailureDomain: c.settings.FailureDomain,
@@ -71,8 +72,16 @@
 		Backend:       c.settings.Backend,
 		After:         c.settings.Index.Revision(),
 	}, &subscribed)
+	if effectOf(err) == effectRefused {
+		c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindFault, Detail: err.Error()})
+	}
 	if err != nil {
-		return nil, errors.Annotatef(errors.Trace(firstOf(err, l.conn.Close())), "subscribe at %s", h.Address)
+		// The refusal tells more than an error of closing.
+		_ = l.conn.Close()
+		return nil, errors.Annotatef(err, "subscribe at %s", h.Address)
+	}
+	if c.formation == 0 {
+		c.formation = subscribed.Formation
 	}
 	c.metrics.connections.Inc()
 	c.settings.Recorder.Record(recorder.Event{
@@ -81,8 +90,6 @@
 	return l, nil
 }
 
-func firstOf(err, _ error) error { return err }
-
 // use serves one connection until it ends, and returns why it was left; empty
 // where it broke or the client closes.
 func (c *Client) use(l *link) string {
