--- a/cmd/marigoldpoint/load.go
+++ b/cmd/marigoldpoint/load.go
@@ -29,6 +29,7 @@
 	Companion []string      `arg:"--companion,separate" placeholder:"IP:PORT" help:"operators' listener of a companion whose metrics are read, for engines that keep no record; give all or none"`
 	Services  []string      `arg:"--service,separate" placeholder:"IP:PORT" help:"stand-in plain service whose record is read; give all or none"`
 	Duration  time.Duration `default:"60s" help:"length of the run"`
+	WarmUp    time.Duration `arg:"--warm-up" default:"0s" help:"part of the duration before the measuring begins"`
 	Calls     int           `default:"1000000" help:"most calls of the run"`
 	Seed      uint64        `default:"1" help:"seed of everything that is drawn"`
 	TimeScale float64       `arg:"--time-scale" default:"1" help:"seconds that a second of the workload takes"`
@@ -109,6 +110,7 @@
 		Schedule: driver.ScheduleSettings{
 			Seed: c.Seed, Duration: c.Duration, TimeScale: c.TimeScale, RateScale: c.RateScale, MaxCalls: c.Calls,
 		},
+		WarmUp:        c.WarmUp,
 		AllowRemote:   c.Remote,
 		UncheckedText: c.NoText,
 		Label:         c.Label,
@@ -142,19 +144,26 @@
 	for _, a := range c.Services {
 		s.Observed = append(s.Observed, driver.RemoteService{Address: a})
 	}
+	return s, c.check()
+}
+
+// check returns an error for flags that can't be carried out together.
+func (c *loadCommand) check() error {
 	switch {
 	case len(c.Entries) == 0:
-		return s, errors.NotValidf("load without --entry")
+		return errors.NotValidf("load without --entry")
 	case !c.Skip && len(c.Operators) == 0:
-		return s, errors.NotValidf("load without --operator to prepare through, and without --skip-prepare")
+		return errors.NotValidf("load without --operator to prepare through, and without --skip-prepare")
 	case c.Skip && c.Keys == "":
-		return s, errors.NotValidf("--skip-prepare without --keys")
+		return errors.NotValidf("--skip-prepare without --keys")
 	case c.Duration <= 0 || c.TimeScale <= 0 || c.RateScale <= 0 || c.Calls <= 0:
-		return s, errors.NotValidf("--duration, --time-scale, --rate-scale or --calls of 0 or less")
+		return errors.NotValidf("--duration, --time-scale, --rate-scale or --calls of 0 or less")
+	case c.WarmUp < 0 || c.WarmUp >= c.Duration:
+		return errors.NotValidf("--warm-up %v in a run of %v", c.WarmUp, c.Duration)
 	case c.Remote:
-		return s, nil
+		return nil
 	}
-	return s, driver.CheckLoopback(slices.Concat(c.Operators, c.Entries, c.Engines, c.Companion, c.Services)...)
+	return driver.CheckLoopback(slices.Concat(c.Operators, c.Entries, c.Engines, c.Companion, c.Services)...)
 }
 
 // awaitInForce waits until the entries know what was declared.
--- a/internal/standin/driver/collector.go
+++ b/internal/standin/driver/collector.go
@@ -16,7 +16,7 @@
 }
 
 func newCollector(s *Settings) *collector {
-	return &collector{settings: s, checker: NewChecker(!s.UncheckedText), tally: NewTally(&s.Workload, s.Interval)}
+	return &collector{settings: s, checker: NewChecker(!s.UncheckedText), tally: NewTally(&s.Workload, s.Interval, s.WarmUp)}
 }
 
 // collect takes in results and samples until both channels are closed.
@@ -86,7 +86,9 @@
 
 // records are what was observed before and after a run.
 type records struct {
-	before  Observation
+	before Observation
+	// warm is what was observed when the measuring began.
+	warm    Observation
 	after   Observation
 	failure error
 	start   time.Time
@@ -107,7 +109,7 @@
 	if seen.failure == nil {
 		engines, services := seen.after.since(&seen.before)
 		c.checker.CrossCheck(engines, services)
-		r.Engines = engineFigures(&seen.before, &seen.after, s.NeededWithin)
+		r.Engines = engineFigures(&seen.warm, &seen.after, s.NeededWithin)
 		if len(engines) > 0 {
 			c.tally.points.addOrders(seen.start, engines)
 		}
@@ -125,6 +127,7 @@
 	return Parameters{
 		Seed:            s.Schedule.Seed,
 		DurationSeconds: seconds(s.Schedule.Duration),
+		WarmUpSeconds:   seconds(s.WarmUp),
 		TimeScale:       s.Schedule.TimeScale,
 		RateScale:       s.Schedule.RateScale,
 		MaxCalls:        s.Schedule.MaxCalls,
--- a/internal/standin/driver/driver.go
+++ b/internal/standin/driver/driver.go
@@ -90,11 +90,12 @@
 		return nil, errors.Annotate(err, "before the run")
 	}
 	c := newCollector(&d.settings)
+	seen := records{before: before, warm: before}
 	d.start = time.Now()
 	aside, stopAside := context.WithCancel(detached)
 	defer stopAside()
 	var background, collecting sync.WaitGroup
-	background.Go(func() { d.sample(aside, before) })
+	background.Go(func() { d.sample(aside, &seen) })
 	for i := range d.settings.Entries {
 		if d.settings.Entries[i].Operator != "" {
 			background.Go(func() { d.probe(aside, i) })
@@ -108,8 +109,9 @@
 	close(d.results)
 	close(d.samples)
 	collecting.Wait()
-	after, err := d.observe(detached, false)
-	return c.report(&records{before: before, after: after, failure: err, start: d.start}, length, ctx.Err() != nil), nil
+	seen.start = d.start
+	seen.after, seen.failure = d.observe(detached, false)
+	return c.report(&seen, length, ctx.Err() != nil), nil
 }
 
 // dispatch sends all calls at their intended moments, until ctx ends, and waits
@@ -198,11 +200,14 @@
 	return answer.StatusCode == http.StatusOK
 }
 
-// sample reads the batch fill of each interval.
-func (d *Driver) sample(ctx context.Context, last Observation) {
+// sample reads the batch fill of each interval, and notes what was observed when
+// the measuring began.
+func (d *Driver) sample(ctx context.Context, seen *records) {
+	last := seen.before
 	if len(last.Engines) == 0 {
 		return
 	}
+	warm := d.settings.WarmUp == 0
 	ticker := time.NewTicker(d.settings.Interval)
 	defer ticker.Stop()
 	for {
@@ -218,6 +223,9 @@
 		} else {
 			s.fill = batchFill(&last, &current)
 			last = current
+			if !warm && d.now() >= d.settings.WarmUp {
+				seen.warm, warm = current, true
+			}
 		}
 		select {
 		case d.samples <- s:
--- a/internal/standin/driver/export_test.go
+++ b/internal/standin/driver/export_test.go
@@ -15,5 +15,5 @@
 	for i := range fills {
 		c.addSample(&sample{at: time.Duration(i) * s.Interval, fill: &fills[i]})
 	}
-	return c.report(&records{before: before, after: after, start: before.At}, s.Schedule.Duration, false)
+	return c.report(&records{before: before, warm: before, after: after, start: before.At}, s.Schedule.Duration, false)
 }
--- a/internal/standin/driver/panels.go
+++ b/internal/standin/driver/panels.go
@@ -25,32 +25,17 @@
 
 // waitPanel shows how long the calls of each second waited in all.
 func (r *Report) waitPanel() (*plot.Plot, error) {
-	p := newPanel(r.headline(), "s or loads, per second")
-	per := r.interval()
-	scaled := func(v *float64) *float64 {
-		if v == nil {
-			return nil
-		}
-		s := *v / per
-		return &s
-	}
+	p := newPanel(r.headline(), "seconds per second")
 	err := r.addLines(p, 0, []line{
-		{name: "loads", fill: loadColour, style: draw.LineStyle{Color: loadColour}, value: func(t *Point) *float64 {
-			if t.Loads == nil {
-				return nil
-			}
-			count := float64(*t.Loads)
-			return scaled(&count)
-		}},
 		{
 			name:  withTotal("queue", r.All.Queue.TotalSeconds),
 			style: draw.LineStyle{Color: queueColour, Width: thick},
-			value: func(t *Point) *float64 { return scaled(t.QueueSeconds) },
+			value: func(t *Point) *float64 { return r.rate(t.QueueSeconds) },
 		},
 		{
 			name:  withTotal("load stall", r.All.Stall.TotalSeconds),
 			style: draw.LineStyle{Color: stallColour, Width: thick},
-			value: func(t *Point) *float64 { return scaled(t.StallSeconds) },
+			value: func(t *Point) *float64 { return r.rate(t.StallSeconds) },
 		},
 	})
 	return p, err
@@ -63,25 +48,38 @@
 	return fmt.Sprintf("%s, %.1f s in all", name, *total)
 }
 
-// fillPanel shows how full the batches ran.
+// rate returns a sum over a point by the second.
+func (r *Report) rate(sum *float64) *float64 {
+	if sum == nil {
+		return nil
+	}
+	v := *sum / r.interval()
+	return &v
+}
+
+// fillPanel shows how full the batches ran, and the loads.
 func (r *Report) fillPanel() (*plot.Plot, error) {
-	p := newPanel("Batch fill of the steps that ran", "%")
+	p := newPanel("Batch fill of the steps that ran, and loads", "%, or loads per second")
 	p.X.Label.Text = fmt.Sprintf("seconds since the start; calls are sent until second %.0f", r.Parameters.DurationSeconds)
 	name := "batch fill"
 	if r.Engines != nil && r.Engines.BatchFill != nil {
 		name = fmt.Sprintf("batch fill, mean %.1f %%", *r.Engines.BatchFill*100)
 	}
-	err := r.addLines(p, 100, []line{{
-		name:  name,
-		style: draw.LineStyle{Color: fillColour, Width: thick},
-		value: func(t *Point) *float64 {
-			if t.BatchFill == nil {
-				return nil
-			}
-			percent := *t.BatchFill * 100
-			return &percent
-		},
-	}})
+	loads := line{name: "loads", fill: loadColour, style: draw.LineStyle{Color: loadColour}, value: func(t *Point) *float64 {
+		if t.Loads == nil {
+			return nil
+		}
+		count := float64(*t.Loads)
+		return r.rate(&count)
+	}}
+	fill := line{name: name, style: draw.LineStyle{Color: fillColour, Width: thick}, value: func(t *Point) *float64 {
+		if t.BatchFill == nil {
+			return nil
+		}
+		percent := *t.BatchFill * 100
+		return &percent
+	}}
+	err := r.addLines(p, 100, []line{loads, fill})
 	return p, err
 }
 
--- a/internal/standin/driver/plot.go
+++ b/internal/standin/driver/plot.go
@@ -119,7 +119,7 @@
 	}
 	var ticks []plot.Tick
 	for i := math.Ceil(low / step); i*step <= high*(1+1e-9); i++ {
-		ticks = append(ticks, plot.Tick{Value: i * step, Label: fmt.Sprintf("%.4g", i*step)})
+		ticks = append(ticks, plot.Tick{Value: i * step, Label: fmt.Sprintf("%.6g", i*step)})
 	}
 	return ticks
 }
@@ -195,6 +195,15 @@
 		p.Add(shift)
 		p.Legend.Add("popularity shifts", shift)
 	}
+	if at := r.Parameters.WarmUpSeconds; at > 0 {
+		warm, err := upright(at, height)
+		if err != nil {
+			return err
+		}
+		warm.Dashes = []vg.Length{vg.Points(1), vg.Points(3)}
+		p.Add(warm)
+		p.Legend.Add("measured from here", warm)
+	}
 	p.Y.Max = height
 	p.X.Min, p.X.Max = 0, r.Parameters.DurationSeconds
 	if n := len(r.Series); n > 0 {
@@ -243,10 +252,19 @@
 		p.Add(band)
 	}
 	if at := r.Parameters.ShiftAt * end; at > 0 {
-		if shift, err = plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: height}}); err != nil {
-			return nil, nil, errors.Trace(err)
+		if shift, err = upright(at, height); err != nil {
+			return nil, nil, err
 		}
-		shift.LineStyle = draw.LineStyle{Color: color.Black, Width: thick / 2, Dashes: []vg.Length{vg.Points(6), vg.Points(4)}}
 	}
 	return band, shift, nil
 }
+
+// upright returns a dashed line over the height of a panel.
+func upright(at, height float64) (*plotter.Line, error) {
+	l, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: height}})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	l.LineStyle = draw.LineStyle{Color: color.Black, Width: thick / 2, Dashes: []vg.Length{vg.Points(6), vg.Points(4)}}
+	return l, nil
+}
--- a/internal/standin/driver/report.go
+++ b/internal/standin/driver/report.go
@@ -25,7 +25,10 @@
 	Seconds float64
 	// Stopped tells that the run was ended before its time.
 	Stopped bool
-	All     GroupFigures
+	// WarmUp counts the calls before the measuring began. Their promises are
+	// checked like all others; no other figure holds them, but for the Series.
+	WarmUp EndingCounts
+	All    GroupFigures
 	// Lateness is the time between the intended moments and the sending; a high one
 	// says that the driver itself was short of processor time.
 	LatenessMillis *Quantiles
@@ -77,12 +80,14 @@
 type Parameters struct {
 	Seed            uint64
 	DurationSeconds float64
-	TimeScale       float64
-	RateScale       float64
-	MaxCalls        int
-	MaxInFlight     int
-	Balance         Balance
-	CheckText       bool
+	// WarmUpSeconds is the part of the duration before the measuring began.
+	WarmUpSeconds float64
+	TimeScale     float64
+	RateScale     float64
+	MaxCalls      int
+	MaxInFlight   int
+	Balance       Balance
+	CheckText     bool
 	// Rate is the workload's mean number of calls in a second before scaling.
 	Rate         float64
 	ZipfExponent float64
@@ -143,7 +148,7 @@
 func (t *Tally) Report(w *Workload, r *Report) {
 	r.All = t.all.figures()
 	r.LatenessMillis = t.lateness.quantiles()
-	r.Resent = t.resent
+	r.WarmUp, r.Resent = t.warming, t.resent
 	r.Causes = causeFigures(t.causes)
 	r.Kinds, r.Workspaces = nil, nil
 	for k := range t.kinds {
--- a/internal/standin/driver/report_test.go
+++ b/internal/standin/driver/report_test.go
@@ -27,6 +27,7 @@
 		Label:    label,
 		Entries:  []driver.Entry{{Address: "127.0.0.1:1"}},
 		Schedule: driver.ScheduleSettings{Seed: 1, Duration: length},
+		WarmUp:   length / 10,
 	}
 	schedule := driver.NewSchedule(w, s.Schedule)
 	var calls []driver.Call
--- a/internal/standin/driver/schedule_test.go
+++ b/internal/standin/driver/schedule_test.go
@@ -89,7 +89,7 @@
 func BenchmarkCall3000Adapters(b *testing.B) {
 	w := driver.Peachtree()
 	s := driver.NewSchedule(w, driver.ScheduleSettings{Seed: 1, Duration: math.MaxInt64 / 2})
-	checker, tally := driver.NewChecker(true), driver.NewTally(&w, time.Hour)
+	checker, tally := driver.NewChecker(true), driver.NewTally(&w, time.Hour, 0)
 	b.ReportAllocs()
 	var c driver.Call
 	for b.Loop() {
--- a/internal/standin/driver/settings.go
+++ b/internal/standin/driver/settings.go
@@ -29,6 +29,10 @@
 	// MaxInFlight bounds the calls in progress; 4096 by default. A call that waits
 	// for its turn is late, and its latency counts the wait.
 	MaxInFlight int
+	// WarmUp is the time before the measuring begins, within the schedule's
+	// duration: engines that start empty fill their slots, which takes longer than
+	// anything that follows. It is 0 by default.
+	WarmUp time.Duration
 	// Interval is the length of a point in the time line; 1 s by default.
 	Interval time.Duration
 	// NeededWithin is the time within which an evicted adapter that is loaded again
@@ -81,6 +85,8 @@
 		return errors.NotValidf("run without entries")
 	case s.Schedule.Duration <= 0:
 		return errors.NotValidf("duration %v", s.Schedule.Duration)
+	case s.WarmUp < 0 || s.WarmUp >= s.Schedule.Duration:
+		return errors.NotValidf("warm-up %v in a run of %v", s.WarmUp, s.Schedule.Duration)
 	case s.Schedule.TimeScale < 0 || s.Schedule.RateScale < 0:
 		return errors.NotValidf("negative scale")
 	case s.AllowRemote:
--- a/internal/standin/driver/tally.go
+++ b/internal/standin/driver/tally.go
@@ -135,6 +135,9 @@
 
 // Tally counts the answers of a run. It is not safe for concurrent use.
 type Tally struct {
+	// warmUp is the moment from which calls count.
+	warmUp     time.Duration
+	warming    EndingCounts
 	all        *group
 	workspaces []*group
 	// rushing and quiet hold the total latency of the usual calls during the rush
@@ -150,9 +153,9 @@
 }
 
 // NewTally returns a tally of a run with the workload, whose time line has a point
-// for each interval.
-func NewTally(w *Workload, interval time.Duration) *Tally {
-	t := &Tally{all: newGroup(), lateness: newHistogram(), causes: make(map[Cause]int64), points: series{interval: interval}}
+// for each interval. Calls before warmUp are counted apart.
+func NewTally(w *Workload, interval, warmUp time.Duration) *Tally {
+	t := &Tally{warmUp: warmUp, all: newGroup(), lateness: newHistogram(), causes: make(map[Cause]int64), points: series{interval: interval}}
 	for range w.Workspaces {
 		t.workspaces = append(t.workspaces, newGroup())
 		t.rushing = append(t.rushing, newHistogram())
@@ -166,11 +169,15 @@
 
 // Add counts the answer to a call.
 func (t *Tally) Add(c *Call, a *Answer) {
+	t.points.addAnswer(c, a)
+	if c.Intended < t.warmUp {
+		t.warming.add(c, a)
+		return
+	}
 	t.all.add(c, a)
 	t.workspaces[c.Workspace].add(c, a)
 	t.kinds[c.Kind].add(c, a)
 	t.lateness.add(a.Sent - c.Intended)
-	t.points.addAnswer(c, a)
 	if a.Ending() != Completed {
 		t.causes[Cause{Ending: a.Ending(), Status: a.Status, Code: a.Code}]++
 	}
@@ -185,4 +192,8 @@
 }
 
 // AddResent counts the answer to a call that was sent again on purpose.
-func (t *Tally) AddResent(c *Call, a *Answer) { t.resent.add(c, a) }
+func (t *Tally) AddResent(c *Call, a *Answer) {
+	if c.Intended >= t.warmUp {
+		t.resent.add(c, a)
+	}
+}
--- a/internal/standin/driver/text.go
+++ b/internal/standin/driver/text.go
@@ -27,6 +27,9 @@
 	line("calls", "%d in %.1f s: %d completed, %d not run, %d unknown, %d cut, %d unanswered, %d past their deadline",
 		e.Calls, r.Seconds, e.Completed, e.NotRun, e.Unknown, e.Cut, e.Unanswered, e.PastDeadline)
 	line("sent again", "%d: %d completed, %d not run, %d unknown", r.Resent.Calls, r.Resent.Completed, r.Resent.NotRun, r.Resent.Unknown)
+	if r.WarmUp.Calls > 0 {
+		line("warm-up", "%d calls in %g s before: %d completed", r.WarmUp.Calls, r.Parameters.WarmUpSeconds, r.WarmUp.Completed)
+	}
 	if r.Stopped {
 		line("", "stopped before its time")
 	}
