gatekeeper: hedges of whole idempotent calls

The setting Entry.HedgeAfter had no effect. A whole, idempotent call that gives nothing for that time gets a second attempt on another backend server, paid from the retry budget; the first whole answer is given and the other cancelled. Each attempt holds its own answer now, so that two can't mix.

--- a/internal/transport/gatekeeper/answer.go
+++ b/internal/transport/gatekeeper/answer.go
@@ -25,6 +25,9 @@
 	// first is the answer's head.
 	first *messenger.Head
 	held  []byte
+	// hedged keeps all of the answer back until it is finished, because another
+	// attempt may be whole before it.
+	hedged bool
 	// gone tells that the caller takes no more.
 	gone bool
 }
@@ -45,7 +48,7 @@
 func (a *answer) write(data []byte) error {
 	if !a.begun && !a.request.stream {
 		a.held = append(a.held, data...)
-		if len(a.held) <= wholeLimit {
+		if a.hedged || len(a.held) <= wholeLimit {
 			return nil
 		}
 		data, a.held = a.held, nil
--- a/internal/transport/gatekeeper/attempt.go
+++ b/internal/transport/gatekeeper/attempt.go
@@ -18,8 +18,11 @@
 type attempt struct {
 	request *request
 	id      attemptID
-	backend string
-	address string
+	// decision is the router's choice; nil for a kept answer.
+	decision *router.Decision
+	answer   *answer
+	backend  string
+	address  string
 	// life is the companion's incarnation that the attempt was sent to; empty
 	// where it is not known.
 	life  string
@@ -47,32 +50,43 @@
 // it may free them.
 const acknowledgeBytes = 64 << 10
 
-// attempt makes one attempt at the chosen backend server.
-func (q *request) attempt(ctx context.Context) result {
+// begin makes the attempt at a chosen backend server. The caller ends it.
+func (q *request) begin(d *router.Decision) *attempt {
 	q.attempts++
-	d := &q.decision
 	a := q.newAttempt(attemptID{q.id, q.attempts}, d.Backend, d.Address, d.Incarnation)
-	defer a.close()
-	res, ended := a.dispatch(ctx, d.Epoch)
-	if !ended {
-		res = a.follow(ctx)
-	}
-	q.learn(a, res)
-	return res
+	a.decision = d
+	return a
 }
 
 func (q *request) newAttempt(id attemptID, backend, address, life string) *attempt {
 	return &attempt{
-		request: q, id: id, backend: backend, address: address, life: life,
+		request: q, id: id, backend: backend, address: address, life: life, answer: newAnswer(q),
 		inbox: q.entry.settings.Pieces.open(id), assembler: streamer.NewAssembler(inboxLimit),
 	}
 }
 
+// run makes the attempt. The answer is left to be finished.
+func (a *attempt) run(ctx context.Context) result {
+	defer a.close()
+	res, ended := a.dispatch(ctx, a.decision.Epoch)
+	if !ended {
+		res = a.follow(ctx)
+	}
+	a.learn(res)
+	return res
+}
+
 func (a *attempt) close() { a.request.entry.settings.Pieces.close(a.id) }
 
+func (a *attempt) event(kind recorder.Kind, detail string) recorder.Event {
+	event := a.request.event(kind, detail)
+	event.Backend = a.backend
+	return event
+}
+
 // learn tells the router and the metrics what the attempt has shown.
-func (q *request) learn(a *attempt, res result) {
-	e, now := q.entry, q.entry.settings.Now()
+func (a *attempt) learn(res result) {
+	q, e, now := a.request, a.request.entry, a.request.entry.settings.Now()
 	ending := router.Ending{
 		Served:     res.outcome == messenger.OutcomeCompleted,
 		LoadFailed: res.reason == messenger.ReasonLoadFailed,
@@ -80,14 +94,13 @@
 	if end := a.end; end != nil {
 		e.load(a.backend, end.Load)
 		ending.Stall = millis(end.StallMillis)
-		q.wait = millis(end.QueueMillis)
 		e.metrics.stalls.WithLabelValues(q.dispatch.Workspace).Observe(ending.Stall.Seconds())
-		e.metrics.queueWaits.WithLabelValues(q.dispatch.Workspace).Observe(q.wait.Seconds())
+		e.metrics.queueWaits.WithLabelValues(q.dispatch.Workspace).Observe(millis(end.QueueMillis).Seconds())
 	}
 	if !a.firstAt.IsZero() {
 		ending.Ran = now.Sub(a.firstAt)
 	}
-	e.router.Finish(now, &q.decision, ending)
+	e.router.Finish(now, a.decision, ending)
 	if res.suspect {
 		e.router.Suspect(now, a.backend, res.retryAfter)
 	}
@@ -112,7 +125,7 @@
 	}
 	d := q.dispatch
 	d.Attempt, d.Epoch, d.DeadlineMillis = a.id.attempt, epoch, a.timeLeft()
-	e.settings.Recorder.Record(q.event(recorder.KindDispatched, fmt.Sprintf("attempt %d, epoch %d", d.Attempt, d.Epoch)))
+	e.settings.Recorder.Record(a.event(recorder.KindDispatched, fmt.Sprintf("attempt %d, epoch %d", d.Attempt, d.Epoch)))
 	var accepted messenger.Accepted
 	err = conn.Call(ctx, messenger.MethodDispatch, d, &accepted)
 	var refusal *messenger.Refusal
@@ -224,13 +237,15 @@
 		if res, wrong := a.wrongModel(ctx, head.Model); wrong {
 			return res, true
 		}
-		q.entry.router.Began(a.firstAt, &q.decision)
-		q.answer.head(head, a.backend)
+		if a.decision != nil {
+			q.entry.router.Began(a.firstAt, a.decision)
+		}
+		a.answer.head(head, a.backend)
 	}
 	if len(data) == 0 {
 		return result{}, false
 	}
-	if err := q.answer.write(data); err != nil && q.claim == nil {
+	if err := a.answer.write(data); err != nil && q.claim == nil {
 		a.cancel(ctx)
 		res := unknown(messenger.ReasonCancelled, "the caller takes no more: "+err.Error())
 		res.left, res.final = true, true
@@ -251,7 +266,7 @@
 		return result{}, false
 	}
 	q.entry.metrics.wrong.Inc()
-	q.entry.settings.Recorder.Record(q.event(recorder.KindFault, fmt.Sprintf("the engine answered as %q", model)))
+	q.entry.settings.Recorder.Record(a.event(recorder.KindFault, fmt.Sprintf("the engine answered as %q", model)))
 	q.entry.settings.Log.Error().Str("Request", q.id).Str("Version", q.dispatch.Version).Str("Model", model).
 		Str("Backend", a.backend).Msg("answer of another version withheld")
 	a.cancel(ctx)
@@ -266,7 +281,6 @@
 
 // ended takes the answer's ending.
 func (a *attempt) ended(ctx context.Context, end *messenger.End) result {
-	q := a.request
 	a.end = end
 	a.acknowledge(ctx, a.assembler.Next(), true)
 	switch {
@@ -280,7 +294,12 @@
 	if res, wrong := a.wrongModel(ctx, end.Model); wrong {
 		return res
 	}
-	if err := q.answer.finish(end); err != nil && q.claim == nil {
+	return result{outcome: messenger.OutcomeCompleted}
+}
+
+// finish gives the caller the end of a completed answer.
+func (a *attempt) finish() result {
+	if err := a.answer.finish(a.end); err != nil && a.request.claim == nil {
 		res := unknown(messenger.ReasonCancelled, "the caller took no more: "+err.Error())
 		res.left, res.final = true, true
 		return res
--- a/internal/transport/gatekeeper/claim.go
+++ b/internal/transport/gatekeeper/claim.go
@@ -157,7 +157,11 @@
 	a := q.newAttempt(attemptID{s.Kept.Request, s.Kept.Attempt}, s.Backend, address, life)
 	defer a.close()
 	a.lostAt = q.entry.settings.Now()
+	q.answer = a.answer
 	res := a.follow(ctx)
+	if res.outcome == messenger.OutcomeCompleted {
+		res = a.finish()
+	}
 	switch {
 	case res.outcome == messenger.OutcomeCompleted:
 		return nil
--- a/internal/transport/gatekeeper/connection_test.go
+++ b/internal/transport/gatekeeper/connection_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -131,6 +132,26 @@
 		Expect(a.Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	// Symptom: a chat fails although nothing of it was seen and others could run it.
+	// Sequence: the companion is lost with the request in it, before a first byte.
+	It("runs an idempotent call elsewhere when its companion is lost before a byte", func() {
+		one, two := newCompanion("engine-1"), newCompanion("engine-2")
+		var lost atomic.Pointer[companion]
+		for _, c := range []*companion{one, two} {
+			c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+				if lost.CompareAndSwap(nil, c) {
+					go c.server.Close()
+					<-conn.Done()
+					return nil
+				}
+				return greet(conn, d)
+			}
+		}
+		a := newWorld(one, two).entry(nil).chat(chatBody)
+		Expect(a.StatusCode).To(Equal(http.StatusOK), a.body)
+		Expect(a.Header.Get("Marigoldpoint-Backend")).NotTo(Equal(lost.Load().name))
+	})
+
 	It("gives nothing more to a backend server that is leaving or can't be reached", func() {
 		one, two := newCompanion("engine-1"), newCompanion("engine-2")
 		w := newWorld(one, two)
@@ -246,3 +267,32 @@
 		}
 	})
 })
+
+// Symptom: one slow backend server makes a whole call late. Sequence: the first
+// attempt gives nothing; a second one, beside it, answers; the first answers
+// later. Cause to prevent: two answers mixed, or the slow one left running.
+var _ = Describe("Hedges", func() {
+	It("gives the answer that is whole first, and cancels the other", func() {
+		slow, quick := newCompanion("engine-1"), newCompanion("engine-2")
+		var first atomic.Pointer[companion]
+		for _, c := range []*companion{slow, quick} {
+			c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+				if first.CompareAndSwap(nil, c) {
+					pieces := whole(d.Request, d.Attempt, "slow")
+					pieces[0].End = nil
+					send(conn, pieces...)
+					return nil
+				}
+				send(conn, whole(d.Request, d.Attempt, "quick")...)
+				return nil
+			}
+		}
+		e := newWorld(slow, quick).entry(func(s *configurer.EntrySettings) { s.HedgeAfter = configurer.Duration(time.Millisecond) })
+		a := e.chat(chatBody)
+		Expect(a.outcome()).To(Equal("Completed"))
+		Expect(a.body).To(And(ContainSubstring("quick"), Not(ContainSubstring("slow"))))
+		Expect(a.Header.Get("Marigoldpoint-Backend")).NotTo(Equal(first.Load().name))
+		Eventually(first.Load().cancelled.Load).Should(Equal(int64(1)))
+		Expect(slow.dispatched.Load() + quick.dispatched.Load()).To(Equal(int64(2)))
+	})
+})
--- /dev/null
+++ b/internal/transport/gatekeeper/hedge.go
@@ -0,0 +1,110 @@
+package gatekeeper
+
+import (
+	"context"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/retrier"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/router"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+)
+
+// attempt makes one attempt at the chosen backend server, or two where the
+// operators allow a hedge, and gives the caller what completed first.
+func (q *request) attempt(ctx context.Context) result {
+	a := q.begin(q.decision)
+	q.answer = a.answer
+	var res result
+	if after := q.entry.retrier.HedgeAfter(); after > 0 && q.idempotent && !q.stream {
+		a, res = q.race(ctx, a, after)
+		q.answer, q.decision = a.answer, a.decision
+	} else {
+		res = a.run(ctx)
+	}
+	if a.end != nil {
+		q.wait = millis(a.end.QueueMillis)
+	}
+	if res.outcome == messenger.OutcomeCompleted {
+		return a.finish()
+	}
+	return res
+}
+
+// ended is an attempt with its result.
+type ended struct {
+	attempt *attempt
+	result  result
+}
+
+// race runs the attempt and, if it has not ended in time, a second one beside
+// it. The first that completes wins, and the other is cancelled.
+func (q *request) race(ctx context.Context, first *attempt, after time.Duration) (*attempt, result) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan ended, 2)
+	start := func(a *attempt) {
+		a.answer.hedged = true
+		go func() { results <- ended{a, a.run(ctx)} }()
+	}
+	start(first)
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	running, began := 1, q.entry.settings.Now()
+	var best *ended
+	for running > 0 {
+		select {
+		case <-timer.C:
+			if second := q.hedge(first, began); second != nil {
+				start(second)
+				running++
+			}
+		case e := <-results:
+			running--
+			if best == nil || better(e.result, best.result) {
+				best = &e
+			}
+			if e.result.outcome == messenger.OutcomeCompleted {
+				// The other one ends at once, and tells its companion.
+				cancel()
+			}
+		}
+	}
+	return best.attempt, best.result
+}
+
+// better reports whether r tells more than s: a whole answer more than a doubt,
+// and a doubt more than NotRun, because one of the two may have run.
+func better(r, s result) bool {
+	rank := func(o messenger.Outcome) int {
+		switch o {
+		case messenger.OutcomeCompleted:
+			return 2
+		case messenger.OutcomeUnknown:
+			return 1
+		default:
+			return 0
+		}
+	}
+	return rank(r.outcome) > rank(s.outcome)
+}
+
+// hedge chooses another backend server for a second attempt, or returns nil.
+func (q *request) hedge(first *attempt, began time.Time) *attempt {
+	e := q.entry
+	a := retrier.Attempt{Group: q.call.Pool.Name, Number: q.attempts, Idempotent: q.idempotent, Deadline: q.deadline}
+	if !e.retrier.Hedge(e.settings.Now(), began, a) {
+		return nil
+	}
+	q.call.Avoid = append(q.call.Avoid, first.backend)
+	d := &router.Decision{}
+	if e.router.Choose(e.settings.Now(), &q.call, d) != nil {
+		return nil
+	}
+	second := q.begin(d)
+	event := second.event(recorder.KindRetried, "hedge beside "+first.backend)
+	event.Choices = d.Choices()
+	e.settings.Recorder.Record(event)
+	e.metrics.retries.WithLabelValues("Hedge").Inc()
+	return second
+}
--- a/internal/transport/gatekeeper/request.go
+++ b/internal/transport/gatekeeper/request.go
@@ -29,8 +29,10 @@
 	// claim is nil for a call that may be run again.
 	claim *claim
 
-	answer   *answer
-	decision router.Decision
+	// answer is the latest attempt's. It has begun only if it is the last one.
+	answer *answer
+	// decision is the latest choice.
+	decision *router.Decision
 	attempts int
 	// ran tells that an attempt may have run. It never goes back to false.
 	ran bool
@@ -55,7 +57,7 @@
 
 	ctx, cancel := q.context()
 	defer cancel()
-	q.answer = newAnswer(q)
+	q.answer, q.decision = newAnswer(q), &router.Decision{}
 	if q.claim != nil {
 		if fault, done := q.claim.acquire(ctx, q); done {
 			return q.ended(fault)
@@ -151,11 +153,12 @@
 func (q *request) choose(last *result) *translator.Fault {
 	e := q.entry
 	e.members()
+	q.decision = &router.Decision{}
 	began := time.Now()
-	err := e.router.Choose(e.settings.Now(), &q.call, &q.decision)
+	err := e.router.Choose(e.settings.Now(), &q.call, q.decision)
 	if errors.Is(err, router.ErrNoneWell) && len(q.call.Avoid) > 0 {
 		q.call.Avoid = q.call.Avoid[:0]
-		err = e.router.Choose(e.settings.Now(), &q.call, &q.decision)
+		err = e.router.Choose(e.settings.Now(), &q.call, q.decision)
 	}
 	e.metrics.choices.Observe(time.Since(began).Seconds())
 	event := q.event(recorder.KindRouted, "")
--- a/internal/transport/gatekeeper/resume.go
+++ b/internal/transport/gatekeeper/resume.go
@@ -49,7 +49,7 @@
 
 // expendable reports whether the request may be run again elsewhere.
 func (a *attempt) expendable() bool {
-	return a.request.idempotent && !a.request.answer.begun
+	return a.request.idempotent && !a.answer.begun
 }
 
 func (a *attempt) unreachable() result {
@@ -61,9 +61,9 @@
 // resume asks for the rest on the connection. It returns the result with ended,
 // or ok where pieces come again; with neither the connection broke too.
 func (a *attempt) resume(ctx context.Context, conn *messenger.Conn) (res result, ended, ok bool) {
-	q, e := a.request, a.request.entry
+	e := a.request.entry
 	e.metrics.resumes.Inc()
-	e.settings.Recorder.Record(q.event(recorder.KindResumed, ""))
+	e.settings.Recorder.Record(a.event(recorder.KindResumed, ""))
 	ask := messenger.Resume{Request: a.id.request, Attempt: a.id.attempt, Offset: a.assembler.Next()}
 	var accepted messenger.Accepted
 	err := conn.Call(ctx, messenger.MethodResume, ask, &accepted)
@@ -106,8 +106,7 @@
 
 // cancel gives the attempt up at the companion, on whatever connection there is.
 func (a *attempt) cancel(ctx context.Context) {
-	q := a.request
-	q.entry.settings.Recorder.Record(q.event(recorder.KindCancelled, ""))
+	a.request.entry.settings.Recorder.Record(a.event(recorder.KindCancelled, ""))
 	a.notify(ctx, messenger.MethodCancel, messenger.Cancel{Request: a.id.request, Attempt: a.id.attempt})
 }
 
