--- a/cmd/marigoldpoint/main.go
+++ b/cmd/marigoldpoint/main.go
@@ -36,7 +36,7 @@
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in for what the system serves"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a whole small deployment on loopback and check its promises"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"drive a deployment with load, or compare two reports"`
-	Probe    *probeCommand    `arg:"subcommand:probe" help:"measure what nodes cost the control hosts"`
+	Probe    *probeCommand    `arg:"subcommand:probe" help:"measure what nodes and streams cost"`
 }
 
 // Version returns the line that --version prints.
--- a/cmd/marigoldpoint/probe.go
+++ b/cmd/marigoldpoint/probe.go
@@ -9,8 +9,14 @@
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 )
 
-// probeCommand measures what nodes cost the control hosts.
+// probeCommand groups the measurements of what each thing costs.
 type probeCommand struct {
+	Nodes   *probeNodesCommand   `arg:"subcommand:nodes" help:"measure what nodes cost the control hosts"`
+	Streams *probeStreamsCommand `arg:"subcommand:streams" help:"measure what streams cost an entry and a companion"`
+}
+
+// probeNodesCommand measures what nodes cost the control hosts.
+type probeNodesCommand struct {
 	Settings   string        `arg:"required" placeholder:"FILE" help:"settings file that names the control hosts and their group"`
 	Phase      string        `arg:"required" placeholder:"NAME" help:"idle, changes, renewals, reports, claims or permits"`
 	Sizes      []int         `arg:"--size,separate,required" placeholder:"N" help:"clients, or claims or permits a second; give one for each point"`
@@ -23,7 +29,7 @@
 	Repeat     int           `default:"3" help:"measurements of each size"`
 }
 
-func (c *probeCommand) run(ctx context.Context, out io.Writer) error {
+func (c *probeNodesCommand) run(ctx context.Context, out io.Writer) error {
 	phase, err := prober.ParsePhase(c.Phase)
 	if err != nil {
 		return usageError{err}
@@ -51,3 +57,44 @@
 	prober.WriteSlopes(out, phase, rows)
 	return nil
 }
+
+// probeStreamsCommand measures what streams cost an entry and a companion.
+type probeStreamsCommand struct {
+	Settings  string        `arg:"required" placeholder:"FILE" help:"settings file that names the control hosts and their group"`
+	Entry     string        `arg:"required" placeholder:"IP:PORT" help:"callers' listener of an entry"`
+	Processes []int         `arg:"--process,separate" placeholder:"PID" help:"process whose usage is read"`
+	Callers   []int         `arg:"--callers,separate,required" placeholder:"N" help:"streams open at once; give one for each point"`
+	Tokens    []int         `arg:"--tokens,separate,required" placeholder:"N" help:"tokens of each answer; give one for each point"`
+	Window    time.Duration `default:"10s" help:"length of one measurement"`
+	Repeat    int           `default:"3" help:"measurements of each pair"`
+}
+
+func (c *probeStreamsCommand) run(ctx context.Context, out io.Writer) error {
+	file, err := configurer.Load(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	s := prober.StreamSettings{
+		Hosts: file.ControlHosts, Group: file.Control.Group, Entry: c.Entry, Processes: c.Processes, Window: c.Window,
+	}
+	preparing, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	if err := prober.PrepareStreams(preparing, s); err != nil {
+		return err
+	}
+	var rows []prober.StreamRow
+	for range c.Repeat {
+		for _, s.Callers = range c.Callers {
+			for _, s.Tokens = range c.Tokens {
+				row, err := prober.RunStreams(ctx, s)
+				if err != nil {
+					return err
+				}
+				row.Write(out)
+				rows = append(rows, row)
+			}
+		}
+	}
+	prober.WriteStreamSlopes(out, rows)
+	return nil
+}
--- a/internal/standin/prober/crowd.go
+++ b/internal/standin/prober/crowd.go
@@ -164,10 +164,10 @@
 		if l.Lease.Epoch != 0 {
 			errs = append(errs, l.Leave(ctx, l.Name, l.Lease.Epoch, true))
 		}
-		errs = append(errs, l.Client.Close()) //nolint:contextcheck // A client ends by itself.
+		errs = append(errs, l.Close()) //nolint:contextcheck // A client ends by itself.
 	}
 	for _, l := range c.Entries {
-		errs = append(errs, l.Client.Close()) //nolint:contextcheck // A client ends by itself.
+		errs = append(errs, l.Close()) //nolint:contextcheck // A client ends by itself.
 	}
 	return stderrors.Join(errs...)
 }
