--- a/internal/standin/driver/driver_test.go
+++ b/internal/standin/driver/driver_test.go
@@ -133,6 +133,11 @@
 
 // run drives two addresses of one entry for a moment.
 func run(meddle func(string) string, observed func(*behind) []driver.Observed) *driver.Report {
+	GinkgoHelper()
+	return runUntil(context.Background(), meddle, observed)
+}
+
+func runUntil(ctx context.Context, meddle func(string) string, observed func(*behind) []driver.Observed) *driver.Report {
 	GinkgoHelper()
 	w := driver.Peachtree().WithAdapters(60)
 	service := responder.NewService(responder.Settings{Name: w.Service.Name})
@@ -147,7 +152,7 @@
 		Observed: observed(&behind{service: service, engine: engine}),
 	})
 	Expect(err).NotTo(HaveOccurred())
-	r, err := d.Run(context.Background())
+	r, err := d.Run(ctx)
 	Expect(err).NotTo(HaveOccurred())
 	return r
 }
@@ -208,6 +213,19 @@
 		Expect(r.Promises[driver.NotRunDidNotRun].Tried).To(BeNil())
 	})
 
+	It("stops when it is told to, with an answer to all it sent", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		r := runUntil(ctx, func(stream string) string {
+			cancel()
+			return stream
+		}, (*behind).local)
+		Expect(r.Stopped).To(BeTrue())
+		Expect(r.Faults).To(BeEmpty())
+		Expect(r.All.Endings.Calls).To(BeNumerically("<", 300))
+		Expect(r.All.Endings.Completed).To(Equal(r.All.Endings.Calls))
+	})
+
 	It("refuses to drive what is not on the loopback", func() {
 		w := driver.Peachtree()
 		_, err := driver.NewDriver(driver.Settings{
