loader: fairness by loads instead of slots; measured against least recently used

The limit of slots by share, one or two of eight, had workspaces with several hot adapters evict them one for the other beside slots that nobody used, and victims of workspaces over the limit went first whatever their value. Change: loads go between workspaces by start-time fair queueing, victims by value alone; the share of slots restrains only a workspace that holds more than it while others wait. Planning is skipped where nothing waits.

--- a/internal/coordination/loader/fairness.go
+++ b/internal/coordination/loader/fairness.go
@@ -2,10 +2,13 @@
 
 import "time"
 
-// workspaceActivity is how lately a workspace asked for anything.
+// workspaceActivity is how lately and how much a workspace asked for.
 type workspaceActivity struct {
 	activity
 	share int
+	// finish is the virtual time, in loads for a share of one, at which the
+	// workspace's last load counts as done.
+	finish float64
 }
 
 func (t *Table) activity(v *version) *workspaceActivity {
@@ -18,11 +21,24 @@
 	return a
 }
 
+// tag is the virtual time at which the next load of v's workspace begins: loads
+// go by start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996), so that
+// the workspace that asks for few of them goes first.
+func (t *Table) tag(v *version) float64 { return max(t.activity(v).finish, t.virtual) }
+
+// charge counts a load against the workspace of v.
+func (t *Table) charge(v *version) {
+	t.virtual = t.tag(v)
+	t.activity(v).finish = t.virtual + 1/float64(v.share)
+}
+
 // fairness is the division of the slots among workspaces at one moment.
 //
 // Without it one workspace that calls hundreds of cold adapters takes every
-// slot and every load, and the single call of another workspace stands behind
-// all of them.
+// slot, and the single call of another workspace stands behind all of them. It
+// restrains a workspace only where another one waits: a limit by share alone
+// would have a workspace with many hot adapters evict them one for the other
+// beside slots that nobody uses.
 type fairness struct {
 	policy Policy
 	slots  int
@@ -79,37 +95,31 @@
 	}
 }
 
-// limit is the number of slots that the workspace may hold: all of them where
-// it is alone, all but one where others are active, its share rounded up where
-// others wait.
-func (f fairness) limit(workspace string) int {
-	share := f.shares[workspace]
-	if f.total == share || f.slots == 1 {
+// most is the number of slots that the workspace may hold: one is left for
+// others where others are active.
+func (f fairness) most(workspace string) int {
+	if f.total == f.shares[workspace] || f.slots == 1 {
 		return f.slots
 	}
+	return f.slots - 1
+}
+
+// over tells whether the workspace of v holds more than its share, rounded up,
+// while others wait.
+func (f fairness) over(v *version) bool {
 	others := len(f.starved)
-	if f.starved[workspace] {
+	if f.starved[v.workspace] {
 		others--
 	}
-	if others == 0 {
-		return f.slots - 1
+	if f.policy != PolicyDemand || others == 0 {
+		return false
 	}
-	return min(f.slots-1, max(1, (f.slots*share+f.total-1)/f.total))
-}
-
-// load is the part of its share that the workspace of v holds.
-func (f fairness) load(v *version) float64 {
-	return float64(f.held[v.workspace]) / float64(v.share)
-}
-
-// over tells whether the workspace of v holds more than its limit.
-func (f fairness) over(v *version) bool {
-	return f.policy == PolicyDemand && f.slotted[v.workspace] > f.limit(v.workspace)
+	return f.slotted[v.workspace]*f.total > f.slots*f.shares[v.workspace]+f.total-1
 }
 
 // mayGrow tells whether the workspace of v may hold one slot more.
 func (f fairness) mayGrow(v *version) bool {
-	return f.policy != PolicyDemand || f.held[v.workspace]+f.unheld(v) <= f.limit(v.workspace)
+	return f.policy != PolicyDemand || f.held[v.workspace]+f.unheld(v) <= f.most(v.workspace)
 }
 
 // unheld is 1 where v itself does not count among the slots held yet.
@@ -121,7 +131,7 @@
 }
 
 // mayTake tells whether v may take the slot of other: always one of its own
-// workspace, else only within its limit.
+// workspace, else only where it may grow.
 func (f fairness) mayTake(v, other *version) bool {
 	return v.workspace == other.workspace || f.mayGrow(v)
 }
--- a/internal/coordination/loader/plan.go
+++ b/internal/coordination/loader/plan.go
@@ -5,12 +5,16 @@
 // plan asks for permits as far as slots can be had for them, and closes
 // residents where patience has run out.
 func (t *Table) plan(now time.Time, actions []Action) []Action {
+	if !t.contended(now) {
+		return actions
+	}
 	for {
 		v := t.nextPending(now)
 		if v == nil {
 			break
 		}
 		t.setPermit(v, true)
+		t.charge(v)
 		actions = append(actions, PermitAction{
 			Version: v.name, Workspace: v.workspace, Share: v.share,
 			Waiters: len(v.waiters), Oldest: v.oldest(),
@@ -19,6 +23,17 @@
 	return t.settleClosing(now, actions)
 }
 
+// contended tells whether any version waits for a slot or closes. Mostly none
+// does, and there is nothing to plan.
+func (t *Table) contended(now time.Time) bool {
+	for _, v := range t.waiting {
+		if v.pending(now) {
+			return true
+		}
+	}
+	return t.closings() > 0
+}
+
 // nextPending returns the version to ask a permit for, or nil.
 func (t *Table) nextPending(now time.Time) *version {
 	if t.permits() >= t.settings.MaxPermits {
@@ -27,18 +42,18 @@
 	f := t.fairness(now)
 	var best *version
 	for _, v := range t.waiting {
-		if v.pending(now) && t.obtainable(v, f) && (best == nil || t.goesBefore(now, v, best, f)) {
+		if v.pending(now) && t.obtainable(v, f) && (best == nil || t.goesBefore(now, v, best)) {
 			best = v
 		}
 	}
 	return best
 }
 
-// goesBefore orders pending versions: first the workspace that holds the least
-// for its share, then the longest waits in sum.
-func (t *Table) goesBefore(now time.Time, a, b *version, f fairness) bool {
+// goesBefore orders pending versions: first the workspace that had the fewest
+// loads for its share, then the longest waits in sum.
+func (t *Table) goesBefore(now time.Time, a, b *version) bool {
 	if t.settings.Policy == PolicyDemand {
-		x, y := f.load(a), f.load(b)
+		x, y := t.tag(a), t.tag(b)
 		if x != y {
 			return x < y
 		}
@@ -91,7 +106,7 @@
 }
 
 // spare counts the slots that v could take now. A workspace that holds more than
-// its limit leaves as many as other workspaces wait for, also of its own: else
+// its share leaves as many as other workspaces wait for, also of its own: else
 // each slot that comes free goes to its own next load, and the others wait for
 // all the loads that it asked for before them.
 func (t *Table) spare(v *version, f fairness) int {
@@ -108,7 +123,7 @@
 		return n
 	}
 	for _, other := range t.waiting {
-		if other.workspace != v.workspace && other.phase == PhaseEmpty && other.victim == nil && f.mayGrow(other) {
+		if other.workspace != v.workspace && other.phase == PhaseEmpty && other.victim == nil && !f.over(other) {
 			n--
 		}
 	}
@@ -120,16 +135,15 @@
 	f := t.fairness(now)
 	var best *version
 	for _, other := range t.slotted {
-		if other.evictable() && f.mayTake(v, other) && (best == nil || t.evictsBefore(now, other, best, f)) {
+		if other.evictable() && f.mayTake(v, other) && (best == nil || t.evictsBefore(now, other, best)) {
 			best = other
 		}
 	}
 	return best
 }
 
-// evictsBefore orders victims: first those that close, then those of workspaces
-// over their cap, then the least valuable.
-func (t *Table) evictsBefore(now time.Time, a, b *version, f fairness) bool {
+// evictsBefore orders victims: first those that close, then the least valuable.
+func (t *Table) evictsBefore(now time.Time, a, b *version) bool {
 	if a.closing != b.closing {
 		return a.closing
 	}
@@ -139,9 +153,6 @@
 		}
 		return a.name < b.name
 	}
-	if x, y := f.over(a), f.over(b); x != y {
-		return x
-	}
 	if x, y := a.value(now, t.settings), b.value(now, t.settings); x != y {
 		return x < y
 	}
--- a/internal/coordination/loader/table.go
+++ b/internal/coordination/loader/table.go
@@ -20,6 +20,8 @@
 	waiting map[string]*version
 	// workspaces remember how lately each workspace asked for anything.
 	workspaces map[string]*workspaceActivity
+	// virtual is the tag of the last load asked for. It never goes back.
+	virtual float64
 	// holders maps each request to the version that it waits for or pins.
 	holders map[string]*version
 	// fence is the last fencing number given; it only rises.
@@ -205,7 +207,7 @@
 		}
 	}
 	for name, a := range t.workspaces {
-		if a.demandNow(now, t.settings.HalfLife) < leastDemand {
+		if a.demandNow(now, t.settings.HalfLife) < leastDemand && a.finish <= t.virtual {
 			delete(t.workspaces, name)
 		}
 	}
--- a/internal/transport/companion/metrics.go
+++ b/internal/transport/companion/metrics.go
@@ -52,9 +52,9 @@
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 	}
 	m := &metrics{
-		stall: prometheus.NewHistogram(histogram("load_stall_seconds",
+		stall: prometheus.NewHistogram(histogram("backend_load_stall_seconds",
 			"Time that requests waited for their adapter version while the batch had a place for them.", seconds)),
-		queueWait: prometheus.NewHistogramVec(histogram("queue_wait_seconds",
+		queueWait: prometheus.NewHistogramVec(histogram("backend_queue_wait_seconds",
 			"Time that requests waited for a place in the batch.", seconds), []string{"workspace"}),
 		permitWait: prometheus.NewHistogram(histogram("load_permit_wait_seconds",
 			"Time from asking for a load permit to having it.", seconds)),
