--- a/internal/coordination/replicator/replicator_bench_test.go
+++ b/internal/coordination/replicator/replicator_bench_test.go
@@ -22,15 +22,26 @@
 func BenchmarkCommitHosts(b *testing.B) {
 	for _, hosts := range []int{1, 3, 5} {
 		for _, callers := range []int{1, 16, 256} {
-			b.Run(fmt.Sprintf("Hosts%dCallers%d", hosts, callers), func(b *testing.B) { benchmarkCommit(b, hosts, callers) })
+			b.Run(fmt.Sprintf("Hosts%dCallers%d", hosts, callers), func(b *testing.B) { benchmarkCommit(b, hosts, callers, 0) })
 		}
 	}
 }
 
-func benchmarkCommit(b *testing.B, hosts, callers int) {
+// BenchmarkCommitFarHosts is the same with links of 50 ms one way, as between
+// regions.
+func BenchmarkCommitFarHosts(b *testing.B) {
+	for _, callers := range []int{1, 256} {
+		b.Run(fmt.Sprintf("Hosts5Callers%dDelay50ms", callers), func(b *testing.B) {
+			benchmarkCommit(b, 5, callers, 50*time.Millisecond)
+		})
+	}
+}
+
+func benchmarkCommit(b *testing.B, hosts, callers int, delay time.Duration) {
 	RegisterTestingT(b)
 	g := newGroup(b, hosts, nil)
 	defer g.close()
+	g.wire.delay = delay
 	l := g.wire.hosts[g.leader(0)]
 	took := hdrhistogram.New(1, int64(time.Minute), 3)
 	var lock sync.Mutex
--- a/internal/coordination/replicator/replicator_test.go
+++ b/internal/coordination/replicator/replicator_test.go
@@ -60,6 +60,8 @@
 	lock  sync.Mutex
 	hosts map[HostID]*Replicator
 	cut   map[[2]HostID]bool
+	// delay is the one-way delay of all links.
+	delay time.Duration
 }
 
 type wireEnd struct {
@@ -71,11 +73,19 @@
 	e.wire.lock.Lock()
 	host, cut := e.wire.hosts[to], e.wire.cut[[2]HostID{e.self, to}]
 	e.wire.lock.Unlock()
-	for _, m := range ms {
-		if host != nil && !cut {
+	if host == nil || cut {
+		return
+	}
+	deliver := func() {
+		for _, m := range ms {
 			host.Deliver(m)
 		}
 	}
+	if e.wire.delay > 0 {
+		time.AfterFunc(e.wire.delay, deliver)
+		return
+	}
+	deliver()
 }
 
 func (w *wire) setCut(from, to HostID, cut bool) {
