--- a/internal/coordination/replicator/admitter.go
+++ b/internal/coordination/replicator/admitter.go
@@ -11,11 +11,11 @@
 	if m.Group != r.identity.Group || m.To != r.settings.Self.ID {
 		return r.refuse(m, "of another group or for another host")
 	}
-	switch m.Kind {
-	case FoundRequest:
+	if m.Kind == FoundRequest {
 		r.answerFounder(m)
 		return nil
-	case FoundReply:
+	}
+	if m.Kind == FoundReply {
 		return r.stepFounder(m)
 	}
 	if m.Formation == 0 || (r.identity.Formation != 0 && m.Formation != r.identity.Formation) {
--- a/internal/coordination/replicator/applier.go
+++ b/internal/coordination/replicator/applier.go
@@ -59,6 +59,7 @@
 	}
 	var result any
 	switch e.Kind {
+	case EntryBlank:
 	case EntryCommand:
 		result = a.machine.Apply(e.Index, e.Data)
 	case EntryMembership:
--- a/internal/coordination/replicator/configuration.go
+++ b/internal/coordination/replicator/configuration.go
@@ -104,5 +104,8 @@
 // decodeConfiguration reads the data of an EntryMembership.
 func decodeConfiguration(b []byte) (Configuration, error) {
 	var c Configuration
-	return c, errors.Annotate(json.Unmarshal(b, &c), "decode configuration")
+	if err := json.Unmarshal(b, &c); err != nil {
+		return c, errors.Annotate(err, "decode configuration")
+	}
+	return c, nil
 }
--- a/internal/coordination/replicator/faults_test.go
+++ b/internal/coordination/replicator/faults_test.go
@@ -65,7 +65,7 @@
 		s.cut = make(map[[2]HostID]bool)
 		s.isolate(a)
 		s.run(60, false)
-		Expect(s.leader() == nil).To(BeTrue(), "nobody may be elected")
+		Expect(s.leader()).To(BeNil(), "nobody may be elected")
 		Expect(b.replica.core.isVoter()).To(BeFalse())
 		s.heal()
 	})
@@ -88,7 +88,7 @@
 		Expect(b.replica.core.isVoter()).To(BeTrue())
 		s.wipe(a)
 		s.run(40, false)
-		Expect(s.leader() == nil).To(BeFalse())
+		Expect(s.leader()).NotTo(BeNil())
 		Expect(len(s.committed)).To(BeNumerically(">", accepted))
 		s.replace(a)
 		s.heal()
@@ -187,7 +187,7 @@
 		term := l.replica.core.hard.Term
 		s.cut[[2]HostID{l.id, a.id}] = true
 		s.run(100, false)
-		Expect(s.leader() == l).To(BeTrue())
+		Expect(s.leader()).To(BeIdenticalTo(l))
 		Expect(l.replica.core.hard.Term).To(Equal(term))
 		s.heal()
 	})
@@ -201,7 +201,7 @@
 		a, b := s.others(l)
 		s.cut[[2]HostID{a.id, l.id}], s.cut[[2]HostID{b.id, l.id}] = true, true
 		s.run(40, false)
-		Expect(s.leader() == l).To(BeFalse())
+		Expect(s.leader()).NotTo(BeIdenticalTo(l))
 		Expect(l.replica.core.role).NotTo(Equal(Leader))
 		s.heal()
 	})
--- a/internal/coordination/replicator/follower.go
+++ b/internal/coordination/replicator/follower.go
@@ -12,28 +12,33 @@
 	switch m.Kind {
 	case PreVoteRequest:
 		c.stepPreVote(m)
-		return nil
 	case VoteRequest:
 		c.stepVote(m)
-		return nil
 	case AppendRequest, SnapshotRequest:
 		return c.stepFromLeader(m)
-	}
-	// A granted pre-vote names the term that the campaign would have.
-	if m.Term > c.hard.Term && (m.Kind != PreVoteReply || m.Rejected) {
-		c.becomeFollower(m.Term, 0)
-	}
-	switch m.Kind {
 	case PreVoteReply, VoteReply:
+		c.seeTerm(m)
 		c.stepVoteReply(m)
 	case AppendReply, SnapshotReply:
+		c.seeTerm(m)
 		c.stepToLeader(m)
 	case TimeoutNow:
+		c.seeTerm(m)
 		c.stepTimeoutNow(m)
+	case FoundRequest, FoundReply:
+		// The owner answers them before there is a group.
 	}
 	return nil
 }
 
+// seeTerm follows a newer term. A granted pre-vote names only the term that the
+// campaign would have.
+func (c *Core) seeTerm(m Message) {
+	if m.Term > c.hard.Term && (m.Kind != PreVoteReply || m.Rejected) {
+		c.becomeFollower(m.Term, 0)
+	}
+}
+
 // stepFromLeader handles what only a leader sends.
 func (c *Core) stepFromLeader(m Message) error {
 	if m.Term < c.hard.Term {
--- a/internal/coordination/replicator/membership.go
+++ b/internal/coordination/replicator/membership.go
@@ -18,7 +18,7 @@
 	}
 	old, found := Configuration{Members: r.Status().Members}.Find(m.ID)
 	if found && old.Voter && old.Address == m.Address && old.FailureDomain == m.FailureDomain {
-		return r.ReadBarrier(ctx)
+		return r.confirmVoter(ctx, m.ID)
 	}
 	if err := r.change(ctx, AddLearner{Member: m}); err != nil || !m.Voter || old.Voter {
 		return errors.Trace(err)
@@ -35,6 +35,18 @@
 	return errors.Trace(r.change(ctx, PromoteLearner{ID: m.ID}))
 }
 
+// confirmVoter answers a repeated call. A voter whose disk was lost is told from
+// one that works by its silence.
+func (r *Replicator) confirmVoter(ctx context.Context, id HostID) error {
+	if err := r.ReadBarrier(ctx); err != nil {
+		return err
+	}
+	if id != r.settings.Self.ID && !slices.Contains(r.shown().caughtUp, id) {
+		return errors.Trace(ErrChangeRefused{Reason: "the host is a voter that does not follow; if its disk was lost, remove it first"})
+	}
+	return nil
+}
+
 // RemoveMember removes a host and returns when that is committed. A leader can't
 // remove itself: after TransferLeadership the next one can.
 func (r *Replicator) RemoveMember(ctx context.Context, id HostID) error {
--- a/internal/coordination/replicator/queue.go
+++ b/internal/coordination/replicator/queue.go
@@ -133,6 +133,11 @@
 		return nil
 	}
 	m, err := r.applier.take(r.settings.Now)
+	var outdated snapshotter.ErrOutdated
+	if errors.As(err, &outdated) {
+		// The loop has received a newer one, which the next batch restores.
+		return nil
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/coordination/replicator/quorum_bench_test.go
+++ b/internal/coordination/replicator/quorum_bench_test.go
@@ -66,6 +66,7 @@
 }
 
 func benchmarkFastTrack(b *testing.B, hosts int, delay time.Duration) {
+	b.Helper()
 	journals := make([]*journaler.Journal, hosts)
 	for i := range journals {
 		var err error
--- a/internal/coordination/replicator/replicator_bench_test.go
+++ b/internal/coordination/replicator/replicator_bench_test.go
@@ -38,6 +38,7 @@
 }
 
 func benchmarkCommit(b *testing.B, hosts, callers int, delay time.Duration) {
+	b.Helper()
 	RegisterTestingT(b)
 	g := newGroup(b, hosts, nil)
 	defer g.close()
--- a/internal/coordination/replicator/replicator_test.go
+++ b/internal/coordination/replicator/replicator_test.go
@@ -101,9 +101,10 @@
 	settings func(HostID) Settings
 }
 
-func newGroup(t testing.TB, hosts int, adjust func(*Settings)) *group {
+func newGroup(tb testing.TB, hosts int, adjust func(*Settings)) *group {
+	tb.Helper()
 	g := &group{wire: &wire{hosts: make(map[HostID]*Replicator), cut: make(map[[2]HostID]bool)}, machines: make(map[HostID]*tally)}
-	folder := t.TempDir()
+	folder := tb.TempDir()
 	var list []Member
 	for i := 1; i <= hosts; i++ {
 		list = append(list, Member{ID: HostID(i), Address: fmt.Sprintf("10.0.0.%d:7", i)})
--- a/internal/standin/disker/disk.go
+++ b/internal/standin/disker/disk.go
@@ -332,6 +332,7 @@
 
 type unlocker func()
 
+// Close releases the lock.
 func (u unlocker) Close() error {
 	u()
 	return nil
--- a/internal/state/journaler/journal_test.go
+++ b/internal/state/journaler/journal_test.go
@@ -208,6 +208,7 @@
 
 // benchmarkAppend appends to a real disk with real syncs.
 func benchmarkAppend(b *testing.B, writers int) {
+	b.Helper()
 	j, err := journaler.Open(journaler.Settings{Folder: b.TempDir()}, func(uint64, []byte) error { return nil })
 	if err != nil {
 		b.Fatal(err)
--- a/internal/state/snapshotter/identity.go
+++ b/internal/state/snapshotter/identity.go
@@ -72,7 +72,10 @@
 	if err != nil {
 		return false, err
 	}
-	return true, errors.Trace(json.Unmarshal(b, into))
+	if err := json.Unmarshal(b, into); err != nil {
+		return false, errors.Trace(err)
+	}
+	return true, nil
 }
 
 func (s *Store) save(name string, value any) error {
--- a/internal/state/snapshotter/writer.go
+++ b/internal/state/snapshotter/writer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"hash/crc32"
 	"io"
 
@@ -18,11 +19,23 @@
 	snapshotHeadSize = len(snapshotMagic) + 4
 )
 
+// ErrOutdated reports that a snapshot was not written because a newer one is
+// kept already, received meanwhile perhaps.
+type ErrOutdated struct {
+	// Index is that of the snapshot asked for, Latest that of the newest one.
+	Index, Latest uint64
+}
+
+// Error returns a text that names both.
+func (e ErrOutdated) Error() string {
+	return fmt.Sprintf("snapshot at %d is not newer than the one at %d", e.Index, e.Latest)
+}
+
 // Create writes a snapshot whose body comes from write, and returns when it
-// lasts. It must be newer than all others, or it returns an error.
+// lasts. It returns ErrOutdated where it isn't newer than all others.
 func (s *Store) Create(m Metadata, write func(io.Writer) error) (Metadata, error) {
 	if latest, ok := s.Latest(); ok && latest.Index >= m.Index {
-		return m, errors.Errorf("snapshot at %d is not newer than the one at %d", m.Index, latest.Index)
+		return m, errors.Trace(ErrOutdated{Index: m.Index, Latest: latest.Index})
 	}
 	name := s.path(snapshotName(m))
 	temporary := name + temporarySuffix
