distributor: a companion that was spared changes does not see a gap

Cause: the feed moved its cursor past changes which a companion is spared, and the next delta named that cursor as its beginning; the companion, which had never heard of it, took it for a gap and left its control host. Seen as 111 failed deltas and 73 changes of the control host in 28 s of load, and engines which stopped loading for want of permits. Ruled out: lost messages (one connection, in order) and the permit table (it waited for reports). Change: a delta begins where the subscriber was last told to stand. Figures: the test fails before ("delta from 4 to 6 at revision 1") and passes after.

--- a/internal/coordination/distributor/feed.go
+++ b/internal/coordination/distributor/feed.go
@@ -46,6 +46,12 @@
 	// cursor is the revision up to which everything has been given out. It
 	// never falls below what the subscriber holds.
 	cursor uint64
+	// told is the revision that the subscriber holds once it has taken all that
+	// was given out. It is behind cursor after changes that the subscriber does
+	// not need. A delta that named cursor as its beginning would look like a gap
+	// to a companion, which would leave its control host at every change of a
+	// workspace that follows one of an adapter.
+	told uint64
 	// sent and taken count the deltas given out and acknowledged.
 	sent, taken uint64
 	// acknowledged is the revision that the subscriber holds for certain.
@@ -61,7 +67,7 @@
 func NewFeed(s FeedSettings) *Feed {
 	s.Window = cmp.Or(s.Window, DefaultWindow)
 	s.BatchLimit = cmp.Or(s.BatchLimit, DefaultBatchLimit)
-	return &Feed{settings: s, cursor: s.After, acknowledged: s.After}
+	return &Feed{settings: s, cursor: s.After, told: s.After, acknowledged: s.After}
 }
 
 // Next returns the next delta to send, and false where there is none now:
@@ -90,7 +96,6 @@
 		if upTo <= f.cursor {
 			break
 		}
-		from := f.cursor
 		f.cursor = upTo
 		kept := f.inScope(changes)
 		if len(kept) == 0 && f.settings.Scope != ScopeEntry {
@@ -99,6 +104,8 @@
 			f.settle()
 			continue
 		}
+		from := f.told
+		f.told = upTo
 		f.sent++
 		return Delta{Last: true, From: from, UpTo: upTo, Changes: kept}, true
 	}
@@ -145,7 +152,7 @@
 	d := Delta{Reset: true, UpTo: f.resetTo, Resources: f.reset[:n:n], Last: n == len(f.reset)}
 	f.reset = f.reset[n:]
 	if d.Last {
-		f.cursor = f.resetTo
+		f.cursor, f.told = f.resetTo, f.resetTo
 		f.reset = nil
 	}
 	f.sent++
--- a/internal/coordination/distributor/feed_test.go
+++ b/internal/coordination/distributor/feed_test.go
@@ -134,6 +134,33 @@
 		Expect(ok).To(BeFalse())
 		Expect(f.Acknowledged()).To(BeEquivalentTo(5))
 	})
+
+	// Symptom: companions leave their control hosts again and again, and stop
+	// loading for want of permits. Sequence: a workspace changes, then adapters,
+	// which the companion is spared, then a workspace again. Cause: the delta began
+	// at the feed's cursor, past what the companion had been told, which the
+	// companion took for a gap.
+	It("goes on where the subscriber stands after changes that it was spared", func() {
+		h := &host{head: 1}
+		f := distributor.NewFeed(distributor.FeedSettings{Scope: distributor.ScopeCompanion, Backend: "c"})
+		n := &node{shares: make(map[string]int), fatal: func(format string, args ...any) { Fail(fmt.Sprintf(format, args...)) }}
+		var a distributor.Assembler
+		take := func(src distributor.Source) {
+			for d, ok := f.Next(src); ok; d, ok = f.Next(src) {
+				taken, err := a.Take(n, d)
+				Expect(err).NotTo(HaveOccurred())
+				f.Acknowledge(taken)
+			}
+		}
+		take(h)
+		h.head = 4
+		take(adapters{h})
+		Expect(n.revision).To(BeEquivalentTo(1))
+		h.head = 6
+		take(h)
+		Expect(n.revision).To(BeEquivalentTo(6))
+		Expect(f.Acknowledged()).To(BeEquivalentTo(6))
+	})
 })
 
 // adapters is a host whose changes are all of adapters.
