--- a/cmd/marigoldpoint/demo.go
+++ b/cmd/marigoldpoint/demo.go
@@ -22,6 +22,7 @@
 	Services  int           `default:"1" help:"backend servers of the plain service"`
 	Adapters  int           `default:"240" help:"adapters"`
 	Duration  time.Duration `default:"8s" help:"length of the load"`
+	WarmUp    time.Duration `arg:"--warm-up" default:"0s" help:"part of the duration before the measuring begins"`
 	TimeScale float64       `arg:"--time-scale" default:"0.1" help:"seconds that a second of the workload takes"`
 	RateScale float64       `arg:"--rate-scale" default:"1" help:"factor of the number of calls"`
 	Slots     int           `default:"4" help:"adapter slots of each engine"`
@@ -84,7 +85,7 @@
 func (c *demoCommand) settings() (demonstrator.Run, error) {
 	r := demonstrator.Run{
 		Entries: c.Entries, Engines: c.Engines, Services: c.Services, Slots: c.Slots, MaxBatch: c.MaxBatch,
-		TimeScale: c.TimeScale, RateScale: c.RateScale, Duration: c.Duration, Seed: c.Seed, Folder: c.Folder, Label: c.Policy,
+		TimeScale: c.TimeScale, RateScale: c.RateScale, Duration: c.Duration, WarmUp: c.WarmUp, Seed: c.Seed, Folder: c.Folder, Label: c.Policy,
 	}
 	var err error
 	if r.Workload, err = driver.WorkloadByName(c.Workload); err != nil {
--- a/internal/standin/demonstrator/run.go
+++ b/internal/standin/demonstrator/run.go
@@ -31,7 +31,9 @@
 	// TimeScale is the length of a second of the workload, in seconds.
 	TimeScale float64
 	Duration  time.Duration
-	Seed      uint64
+	// WarmUp is the part of Duration that is checked and not measured.
+	WarmUp time.Duration
+	Seed   uint64
 	// Policy is how entries choose and companions evict: the baselines evict the
 	// version used longest ago.
 	Policy configurer.Policy
@@ -99,6 +101,7 @@
 			TimeScale: r.TimeScale,
 			RateScale: rate * float64(len(d.Engines())) / float64(r.Workload.Size.Engines),
 		},
+		WarmUp:   r.WarmUp,
 		Keys:     keys,
 		Label:    r.Label,
 		Progress: r.Progress,
