storer: bounds for names of deleted versions; no acceptance for what is skipped

A log entry that was applied before was answered with a zero result, which reads as accepted. Change: a week, and MaxRecords bounds the names too: beyond it a deletion is refused. A skipped entry is answered with VerdictStale.

--- a/internal/state/storer/bench_test.go
+++ b/internal/state/storer/bench_test.go
@@ -69,6 +69,43 @@
 	}
 }
 
+// BenchmarkStoreRecordHeap gives the heap in MB of the answers kept to n changes
+// with keys, and of the names kept of n deleted versions.
+func BenchmarkStoreRecordHeap(b *testing.B) {
+	for _, n := range []int{10_000, 50_000, 200_000} {
+		b.Run(fmt.Sprintf("answers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				s := NewStore(Settings{Retention: Retention{HistoryChanges: 1}})
+				for i := range n {
+					e := Envelope{Time: 1, IdempotencyKey: fmt.Sprintf("key-%022d", i), Digest: make([]byte, 32), Command: put(KindAdapter, "title", AdapterSpec{BaseModel: "clearance-8b"})}
+					data, err := Encode(e)
+					if err != nil {
+						b.Fatal(err)
+					}
+					s.Apply(uint64(i+1), data)
+				}
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "MB")
+				runtime.KeepAlive(s)
+			}
+		})
+		b.Run(fmt.Sprintf("deleted=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				s := NewStore(Settings{Retention: Retention{HistoryChanges: 1}})
+				mustApply(b, s, 1, put(KindAdapter, "title", AdapterSpec{BaseModel: "clearance-8b"}))
+				for i := range n {
+					name := fmt.Sprintf("title@v%07d", i)
+					mustApply(b, s, uint64(2*i+2), put(KindVersion, name, VersionSpec{Source: name}))
+					mustApply(b, s, uint64(2*i+3), remove(KindVersion, name))
+				}
+				b.ReportMetric(float64(heapInUse()-before)/1e6, "MB")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
 func heapInUse() uint64 {
 	runtime.GC()
 	runtime.GC()
--- a/internal/state/storer/resources.go
+++ b/internal/state/storer/resources.go
@@ -168,6 +168,9 @@
 		return refused(VerdictInUse, reason, old)
 	}
 	if k.Kind == KindVersion {
+		if s.retired.live >= s.retention.MaxRecords {
+			return Result{Verdict: VerdictFull, Reason: "too many names of deleted versions", Revision: old.Metadata.Revision}
+		}
 		s.retire(index, p, old)
 	}
 	s.rehash(p, k, nil)
--- a/internal/state/storer/result.go
+++ b/internal/state/storer/result.go
@@ -24,8 +24,8 @@
 	VerdictHeld
 	// VerdictStale means that the membership meant has ended or been replaced.
 	VerdictStale
-	// VerdictFull means that the store holds as many records of calls or of
-	// resent changes as it may; the command had no effect.
+	// VerdictFull means that the store holds as many records of calls, of
+	// changes or of deleted versions as it may; the command had no effect.
 	VerdictFull
 )
 
--- a/internal/state/storer/retention.go
+++ b/internal/state/storer/retention.go
@@ -9,7 +9,7 @@
 const (
 	DefaultIdempotencyAge  = 24 * time.Hour
 	DefaultClaimAge        = 30 * time.Minute
-	DefaultVersionNameAge  = 30 * 24 * time.Hour
+	DefaultVersionNameAge  = 7 * 24 * time.Hour
 	DefaultMinEntries      = 10_000
 	DefaultMaxRecords      = 1_000_000
 	DefaultHistoryChanges  = 50_000
@@ -42,9 +42,9 @@
 	// MinEntries is the number of later log entries after which a record may be
 	// forgotten.
 	MinEntries int `cbor:"4,keyasint,omitempty"`
-	// MaxRecords bounds the claims, and apart from them the idempotency
-	// records. Beyond it new ones are refused with VerdictFull rather than old
-	// ones forgotten early.
+	// MaxRecords bounds the claims, the idempotency records and the names of
+	// deleted versions, each by itself. Beyond it new ones are refused with
+	// VerdictFull rather than old ones forgotten early.
 	MaxRecords int `cbor:"5,keyasint,omitempty"`
 	// HistoryChanges is the number of latest changes kept for watchers.
 	HistoryChanges int `cbor:"6,keyasint,omitempty"`
--- a/internal/state/storer/store.go
+++ b/internal/state/storer/store.go
@@ -54,14 +54,15 @@
 }
 
 // Apply applies the command encoded in data, which the log holds at index, and
-// returns a Result. An index which was applied before is passed over, with a
-// zero Result: a log may hand entries again that a snapshot already covers.
+// returns a Result. An index which was applied before is passed over with
+// VerdictStale: a log may hand entries again that a snapshot already covers, and
+// what became of them the first time is not known any more.
 func (s *Store) Apply(index uint64, data []byte) any {
 	e, err := Decode(data)
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	if index <= s.applied {
-		return Result{}
+		return Result{Verdict: VerdictStale, Reason: "the log position was applied before"}
 	}
 	s.applied = index
 	if err != nil {
--- a/internal/state/storer/store_test.go
+++ b/internal/state/storer/store_test.go
@@ -167,7 +167,8 @@
 		m := declared(Retention{})
 		data, err := Encode(Envelope{Command: remove(KindAdapter, "title")})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(m.Apply(2, data)).To(Equal(Result{}))
+		Expect(m.Apply(2, data).(Result).Verdict).To(Equal(VerdictStale))
+		Expect(m.Revision()).To(BeEquivalentTo(3))
 		Expect(m.Apply(9, []byte("damaged")).(Result).Verdict).To(Equal(VerdictInvalid))
 	})
 
@@ -244,6 +245,11 @@
 		m.must(claim)
 		claim.Key = "b"
 		Expect(m.do(claim).Verdict).To(Equal(VerdictFull))
+		for _, name := range []string{"title@v1", "title@v2"} {
+			m.must(put(KindVersion, name, VersionSpec{Source: name}))
+		}
+		m.must(remove(KindVersion, "title@v1"))
+		Expect(m.do(remove(KindVersion, "title@v2")).Verdict).To(Equal(VerdictFull))
 	})
 })
 
