storer, operator: refusals that read as sentences

Cause: refusals ended in the library's "not valid", as in "text of 0 bytes; 1 to 1024 of UTF-8 are allowed; it not valid", and named Go types. Change: each says what is wrong and what is allowed.

--- a/internal/state/storer/claims.go
+++ b/internal/state/storer/claims.go
@@ -45,7 +45,7 @@
 // settleClaim records how the claimed call ended.
 func (s *Store) settleClaim(index uint64, c SettleClaim) Result {
 	if c.State <= ClaimStateClaimed || c.State > ClaimStateUnknown {
-		return invalid(errors.NotValidf("outcome %d of a claim", int(c.State)))
+		return invalid(errors.Errorf("a claim does not end as %d", int(c.State)))
 	}
 	h := s.shard(c.Workspace)
 	h.mu.Lock()
@@ -99,10 +99,10 @@
 		return errors.Annotate(err, "workspace")
 	}
 	if key == "" || len(key) > MaxIdempotencyKey {
-		return errors.NotValidf("key of %d bytes", len(key))
+		return errors.Errorf("key of %d bytes; 1 to %d are allowed", len(key), MaxIdempotencyKey)
 	}
 	if holder == "" || len(holder) > MaxIdempotencyKey {
-		return errors.NotValidf("holder of %d bytes", len(holder))
+		return errors.Errorf("holder of %d bytes; 1 to %d are allowed", len(holder), MaxIdempotencyKey)
 	}
 	return nil
 }
--- a/internal/state/storer/codec.go
+++ b/internal/state/storer/codec.go
@@ -118,7 +118,7 @@
 	case SetRetention:
 		return commandSetRetention, nil
 	default:
-		return 0, errors.NotValidf("command of type %T", c)
+		return 0, errors.Errorf("unknown command %T", c)
 	}
 }
 
@@ -157,7 +157,7 @@
 // MarshalCBOR encodes the resource with the form of its kind's spec.
 func (r Resource) MarshalCBOR() ([]byte, error) {
 	if !specFits(r.Kind, r.Spec) {
-		return nil, errors.NotValidf("spec %T of a resource of kind %v", r.Spec, r.Kind)
+		return nil, errors.Errorf("spec %T does not belong to kind %v", r.Spec, r.Kind)
 	}
 	spec, err := encoding.Marshal(r.Spec)
 	if err != nil {
@@ -231,7 +231,7 @@
 	case KindMember:
 		return specAs[MemberSpec](unmarshal)
 	default:
-		return nil, errors.NotValidf("resource kind %d", int(kind))
+		return nil, errors.Errorf("unknown resource kind %d", int(kind))
 	}
 }
 
--- a/internal/state/storer/json.go
+++ b/internal/state/storer/json.go
@@ -59,13 +59,16 @@
 		return errors.Trace(err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return errors.NotValidf("text after the JSON value")
+		return errors.New("text after the JSON value")
 	}
 	return nil
 }
 
 func checkValue(d *json.Decoder, depth int) error {
 	token, err := d.Token()
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return errors.Annotate(err, "JSON")
 	}
@@ -74,7 +77,7 @@
 		return nil
 	}
 	if depth == maxNesting {
-		return errors.NotValidf("JSON more than %d levels deep", maxNesting)
+		return errors.Errorf("JSON is more than %d levels deep", maxNesting)
 	}
 	names := map[string]struct{}{}
 	for d.More() {
@@ -102,7 +105,7 @@
 	// By way of the capitals, so that letters with two small forms meet too.
 	folded := strings.ToLower(strings.ToUpper(name))
 	if _, ok := names[folded]; ok {
-		return errors.NotValidf("field %.40q, which is given twice,", name)
+		return errors.Errorf("field %.40q is given twice", name)
 	}
 	names[folded] = struct{}{}
 	return nil
--- a/internal/state/storer/members.go
+++ b/internal/state/storer/members.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-
-	"github.com/juju/errors"
 )
 
 // joinMember begins a membership, or renews it for the same incarnation behind
@@ -99,7 +97,7 @@
 		}
 	}
 	if len(changes) == 0 {
-		return Result{Verdict: VerdictStale, Reason: errors.NotFoundf("membership").Error()}
+		return Result{Verdict: VerdictStale, Reason: "the memberships have ended"}
 	}
 	s.publish(index, changes...)
 	return Result{Revision: index}
--- a/internal/state/storer/resources.go
+++ b/internal/state/storer/resources.go
@@ -14,7 +14,7 @@
 	r := c.Resource
 	r.Metadata.Workspace = r.Key().normalized().Workspace
 	if r.Kind == KindMember {
-		return invalid(errors.NotValidf("write of a member, which announces itself,"))
+		return invalid(errors.New("members announce themselves"))
 	}
 	if err := Validate(r); err != nil {
 		return invalid(err)
@@ -60,7 +60,7 @@
 	case AdapterSpec:
 		if spec.Current != "" {
 			if _, ok := p.get(KindVersion, VersionName(r.Metadata.Name, spec.Current)); !ok {
-				return invalid(errors.NotFoundf("Spec.Current: version %q of adapter %q", spec.Current, r.Metadata.Name)), false
+				return invalid(errors.Errorf("Spec.Current: adapter %q has no version %q", r.Metadata.Name, spec.Current)), false
 			}
 		}
 		if was, ok := old.Spec.(AdapterSpec); ok && exists && was.BaseModel != spec.BaseModel && p.versions[r.Metadata.Name] > 0 {
@@ -70,10 +70,10 @@
 		adapter, _, _ := SplitVersionName(r.Metadata.Name)
 		a, ok := p.get(KindAdapter, adapter)
 		if !ok {
-			return invalid(errors.NotFoundf("adapter %q", adapter)), false
+			return invalid(errors.Errorf("there is no adapter %q", adapter)), false
 		}
 		if was, ok := p.retired[r.Metadata.Name]; ok && !bytes.Equal(was.Content, versionContent(a, spec)) {
-			return invalid(errors.NotValidf("content: a deleted version of this name held another one; it")), false
+			return invalid(errors.New("a deleted version of this name held another content; declare a new version")), false
 		}
 	case KeySpec:
 		return s.checkHash(r, spec)
@@ -89,7 +89,7 @@
 		return invalid(err), false
 	}
 	if holder, ok := s.hashes[hash]; ok && holder != r.Key() {
-		return invalid(errors.NotValidf("Spec.Hash, which another key has,")), false
+		return invalid(errors.New("Spec.Hash belongs to another key")), false
 	}
 	return Result{}, true
 }
@@ -147,7 +147,7 @@
 func (s *Store) deleteResource(index uint64, c DeleteResource) Result {
 	k := c.Key.normalized()
 	if k.Kind == KindMember {
-		return invalid(errors.NotValidf("deletion of a member, which leaves by itself,"))
+		return invalid(errors.New("members leave by themselves"))
 	}
 	if err := validateKey(k); err != nil {
 		return invalid(err)
--- a/internal/state/storer/snapshot.go
+++ b/internal/state/storer/snapshot.go
@@ -103,7 +103,7 @@
 
 func decodeAll[T any](d itemDecoder, n int) ([]T, error) {
 	if n < 0 {
-		return nil, errors.NotValidf("count %d", n)
+		return nil, errors.Errorf("count %d is negative", n)
 	}
 	// The count comes from outside: it must not reserve memory by itself.
 	items := make([]T, 0, min(n, 1<<16))
@@ -181,7 +181,7 @@
 		return errors.Annotate(err, "read snapshot")
 	}
 	if c.header.Applied > index {
-		return errors.NotValidf("snapshot of index %d, which holds the command of index %d,", index, c.header.Applied)
+		return errors.Errorf("the snapshot of index %d holds the command of index %d", index, c.header.Applied)
 	}
 	fresh := NewStore(Settings{Retention: c.header.Retention})
 	fresh.fill(c)
--- a/internal/state/storer/store.go
+++ b/internal/state/storer/store.go
@@ -91,7 +91,7 @@
 		return r
 	}
 	if len(e.IdempotencyKey) > MaxIdempotencyKey {
-		return invalid(errors.NotValidf("idempotency key of %d bytes", len(e.IdempotencyKey)))
+		return invalid(errors.Errorf("idempotency key of %d bytes; up to %d are allowed", len(e.IdempotencyKey), MaxIdempotencyKey))
 	}
 	if s.records.live >= s.retention.MaxRecords {
 		return Result{Verdict: VerdictFull, Reason: "too many idempotency records"}
@@ -129,7 +129,7 @@
 		s.history.trim(s.retention.HistoryChanges)
 		return Result{}
 	default:
-		return invalid(errors.NotValidf("command of type %T", c))
+		return invalid(errors.Errorf("unknown command %T", c))
 	}
 }
 
--- a/internal/state/storer/text.go
+++ b/internal/state/storer/text.go
@@ -50,7 +50,7 @@
 
 func marshalName[E enum](e, last E) ([]byte, error) {
 	if e < 0 || e > last {
-		return nil, errors.NotValidf("%T %d", e, int(e))
+		return nil, errors.Errorf("%T %d has no name", e, int(e))
 	}
 	return []byte(e.String()), nil
 }
@@ -62,5 +62,5 @@
 			return nil
 		}
 	}
-	return errors.NotValidf("%T %q", *e, text)
+	return errors.Errorf("unknown name %q", text)
 }
--- a/internal/state/storer/validator.go
+++ b/internal/state/storer/validator.go
@@ -33,7 +33,7 @@
 // ParseHash returns the SHA-256 which text gives in lower-case hexadecimal.
 func ParseHash(text string) (hash [hashLength]byte, err error) {
 	if len(text) != hex.EncodedLen(hashLength) || strings.ToLower(text) != text {
-		return hash, errors.NotValidf("hash, which is not 64 lower-case hexadecimal digits,")
+		return hash, errors.New("a hash is 64 lower-case hexadecimal digits")
 	}
 	_, err = hex.Decode(hash[:], []byte(text))
 	return hash, errors.Annotate(err, "hash")
@@ -43,7 +43,7 @@
 // depends on other resources is checked when the write is applied.
 func Validate(r Resource) error {
 	if !specFits(r.Kind, r.Spec) {
-		return errors.NotValidf("spec %T of a resource of kind %v", r.Spec, r.Kind)
+		return errors.Errorf("spec %T does not belong to kind %v", r.Spec, r.Kind)
 	}
 	if err := validateKey(r.Key()); err != nil {
 		return errors.Trace(err)
@@ -65,7 +65,7 @@
 	case MemberSpec:
 		return validateMember(s)
 	default:
-		return errors.NotValidf("spec %T", s)
+		return errors.Errorf("unknown spec %T", s)
 	}
 }
 
@@ -80,7 +80,7 @@
 func validateKey(k Key) error {
 	if k.Kind == KindMember {
 		if k.Workspace != "" {
-			return errors.NotValidf("workspace of a member, which has none,")
+			return errors.New("a member belongs to no workspace")
 		}
 		return errors.Annotate(validateMemberName(k.Name), "name of the member")
 	}
@@ -90,13 +90,13 @@
 	switch k.Kind {
 	case KindWorkspace:
 		if k.Name != k.Workspace {
-			return errors.NotValidf("workspace %q named %q", k.Workspace, k.Name)
+			return errors.Errorf("workspace %q can't be named %q", k.Workspace, k.Name)
 		}
 		return nil
 	case KindVersion:
 		adapter, version, ok := SplitVersionName(k.Name)
 		if !ok {
-			return errors.NotValidf("version name %q, which is not ADAPTER@VERSION,", k.Name)
+			return errors.Errorf("version name %q is not ADAPTER@VERSION", k.Name)
 		}
 		if err := validateName(adapter); err != nil {
 			return errors.Annotate(err, "adapter of the version")
@@ -105,7 +105,7 @@
 	case KindAdapter, KindPriorityRule, KindService, KindKey:
 		return errors.Annotate(validateName(k.Name), "name")
 	default:
-		return errors.NotValidf("resource kind %d", int(k.Kind))
+		return errors.Errorf("unknown resource kind %d", int(k.Kind))
 	}
 }
 
@@ -114,11 +114,11 @@
 // in metric labels without escapes.
 func validateName(name string) error {
 	if name == "" || len(name) > MaxName {
-		return errors.NotValidf("name %.20q, which has not 1 to %d characters,", name, MaxName)
+		return errors.Errorf("%.20q is not 1 to %d characters long", name, MaxName)
 	}
 	for i := range len(name) {
 		if c := name[i]; !isNameByte(c) || (i == 0 || i == len(name)-1) && !isAlphanumeric(c) {
-			return errors.NotValidf("name %q, which holds more than lower-case letters, digits and inner '-', '_' and '.',", name)
+			return errors.Errorf("%q holds more than lower-case letters, digits and inner '-', '_' and '.'", name)
 		}
 	}
 	return nil
@@ -131,11 +131,11 @@
 // validateMemberName accepts what the settings allow as a node's name.
 func validateMemberName(name string) error {
 	if name == "" || len(name) > MaxName {
-		return errors.NotValidf("name %.20q, which has not 1 to %d characters,", name, MaxName)
+		return errors.Errorf("%.20q is not 1 to %d characters long", name, MaxName)
 	}
 	for i := range len(name) {
 		if c := name[i]; !isNameByte(c) && (c < 'A' || c > 'Z') {
-			return errors.NotValidf("name %q, which holds more than letters, digits, '-', '_' and '.',", name)
+			return errors.Errorf("%q holds more than letters, digits, '-', '_' and '.'", name)
 		}
 	}
 	return nil
@@ -144,10 +144,10 @@
 // validateText accepts 1 to MaxText bytes of UTF-8 without control characters.
 func validateText(text string) error {
 	if text == "" || len(text) > MaxText || !utf8.ValidString(text) {
-		return errors.NotValidf("text of %d bytes; 1 to %d of UTF-8 are allowed; it", len(text), MaxText)
+		return errors.Errorf("%d bytes given; 1 to %d of UTF-8 are allowed", len(text), MaxText)
 	}
 	if i := strings.IndexFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f }); i >= 0 {
-		return errors.NotValidf("text with a control character at byte %d", i)
+		return errors.Errorf("control character at byte %d", i)
 	}
 	return nil
 }
@@ -155,9 +155,9 @@
 func validateWorkspace(s WorkspaceSpec) error {
 	switch {
 	case s.Share < 0 || s.Share > MaxShare:
-		return errors.NotValidf("Spec.Share %d, which is not within 0 to %d,", s.Share, MaxShare)
+		return errors.Errorf("Spec.Share %d is not within 0 to %d", s.Share, MaxShare)
 	case s.MaxInFlight < 0:
-		return errors.NotValidf("negative Spec.MaxInFlight %d", s.MaxInFlight)
+		return errors.Errorf("Spec.MaxInFlight %d is negative", s.MaxInFlight)
 	default:
 		return nil
 	}
@@ -178,7 +178,7 @@
 		return errors.Annotate(err, "Spec.Source")
 	}
 	if s.SizeBytes < 0 {
-		return errors.NotValidf("negative Spec.SizeBytes %d", s.SizeBytes)
+		return errors.Errorf("Spec.SizeBytes %d is negative", s.SizeBytes)
 	}
 	if s.Digest == "" {
 		return nil
@@ -200,9 +200,9 @@
 	}
 	switch {
 	case s.Priority < 0 || s.Priority > MaxPriority:
-		return errors.NotValidf("Spec.Priority %d, which is not within 0 to %d,", s.Priority, MaxPriority)
+		return errors.Errorf("Spec.Priority %d is not within 0 to %d", s.Priority, MaxPriority)
 	case s.DeadlineMillis < 0 || s.DeadlineMillis > MaxDeadlineMillis:
-		return errors.NotValidf("Spec.DeadlineMillis %d, which is not within 0 to %d,", s.DeadlineMillis, MaxDeadlineMillis)
+		return errors.Errorf("Spec.DeadlineMillis %d is not within 0 to %d", s.DeadlineMillis, MaxDeadlineMillis)
 	default:
 		return nil
 	}
@@ -210,14 +210,14 @@
 
 func validateService(s ServiceSpec) error {
 	if len(s.IdempotentMethods) > MaxPaths || len(s.IdempotentPaths) > MaxPaths {
-		return errors.NotValidf("more than %d idempotent methods or paths; the spec", MaxPaths)
+		return errors.Errorf("more than %d idempotent methods or paths", MaxPaths)
 	}
 	for _, m := range s.IdempotentMethods {
 		if err := validateText(m); err != nil {
 			return errors.Annotate(err, "Spec.IdempotentMethods")
 		}
 		if strings.ToUpper(m) != m || strings.ContainsAny(m, " /") {
-			return errors.NotValidf("Spec.IdempotentMethods %q", m)
+			return errors.Errorf("Spec.IdempotentMethods: %q is not a method in capitals", m)
 		}
 	}
 	for _, p := range s.IdempotentPaths {
@@ -230,10 +230,10 @@
 
 func validateMember(s MemberSpec) error {
 	if s.Kind < MemberKindEngine || s.Kind > MemberKindService {
-		return errors.NotValidf("Spec.Kind %d", int(s.Kind))
+		return errors.Errorf("unknown Spec.Kind %d", int(s.Kind))
 	}
 	if s.State < MemberStateServing || s.State > MemberStateLeaving {
-		return errors.NotValidf("Spec.State %d", int(s.State))
+		return errors.Errorf("unknown Spec.State %d", int(s.State))
 	}
 	for _, text := range []string{s.Address, s.Incarnation} {
 		if err := validateText(text); err != nil {
@@ -241,7 +241,7 @@
 		}
 	}
 	if s.Slots < 0 || s.MaxBatch < 0 {
-		return errors.NotValidf("negative Spec.Slots %d or Spec.MaxBatch %d", s.Slots, s.MaxBatch)
+		return errors.Errorf("Spec.Slots %d or Spec.MaxBatch %d is negative", s.Slots, s.MaxBatch)
 	}
 	return nil
 }
--- a/internal/transport/operator/change.go
+++ b/internal/transport/operator/change.go
@@ -136,7 +136,7 @@
 	digest := sha256.Sum256(data)
 	key := r.Header.Get(headerIdempotencyKey)
 	if len(key) > storer.MaxIdempotencyKey {
-		return storer.Envelope{}, errors.NotValidf("%s of %d bytes", headerIdempotencyKey, len(key))
+		return storer.Envelope{}, errors.Errorf("%s of %d bytes; up to %d are allowed", headerIdempotencyKey, len(key), storer.MaxIdempotencyKey)
 	}
 	if key == "" {
 		key = a.settings.NewKey()
--- a/internal/transport/operator/document.go
+++ b/internal/transport/operator/document.go
@@ -125,13 +125,13 @@
 	}
 	switch {
 	case b.Kind != nil && *b.Kind != key.Kind:
-		return storer.Resource{}, errors.NotValidf("Kind %v at the path of a %v", *b.Kind, key.Kind)
+		return storer.Resource{}, errors.Errorf("Kind is %v, the path that of a %v", *b.Kind, key.Kind)
 	case b.Metadata.Workspace != "" && b.Metadata.Workspace != key.Workspace:
-		return storer.Resource{}, errors.NotValidf("Metadata.Workspace %q at the path of %q", b.Metadata.Workspace, key.Workspace)
+		return storer.Resource{}, errors.Errorf("Metadata.Workspace is %q, that of the path %q", b.Metadata.Workspace, key.Workspace)
 	case b.Metadata.Name != "" && b.Metadata.Name != key.Name:
-		return storer.Resource{}, errors.NotValidf("Metadata.Name %q at the path of %q", b.Metadata.Name, key.Name)
+		return storer.Resource{}, errors.Errorf("Metadata.Name is %q, that of the path %q", b.Metadata.Name, key.Name)
 	case len(b.Spec) == 0:
-		return storer.Resource{}, errors.NotValidf("body without Spec")
+		return storer.Resource{}, errors.New("the body has no Spec")
 	}
 	spec, err := parseSpec(key.Kind, b.Spec)
 	if err != nil {
@@ -152,18 +152,18 @@
 	var k keyBody
 	if err := storer.UnmarshalStrict(data, &k); err != nil {
 		// The error may quote the body: a secret must not get into an answer.
-		return nil, errors.NotValidf("key, whose fields are Secret or Hash, and Disabled,")
+		return nil, errors.New("the fields are Secret or Hash, and Disabled")
 	}
 	if k.Secret == "" {
 		return storer.KeySpec{Hash: k.Hash, Disabled: k.Disabled}, nil
 	}
 	if len(k.Secret) < minSecret || len(k.Secret) > maxSecret {
-		return nil, errors.NotValidf("Secret of %d bytes, which has not %d to %d,", len(k.Secret), minSecret, maxSecret)
+		return nil, errors.Errorf("Secret of %d bytes; %d to %d are allowed", len(k.Secret), minSecret, maxSecret)
 	}
 	sum := sha256.Sum256([]byte(k.Secret))
 	hash := hex.EncodeToString(sum[:])
 	if k.Hash != "" && k.Hash != hash {
-		return nil, errors.NotValidf("Hash, which is not that of Secret,")
+		return nil, errors.New("Hash is not that of Secret")
 	}
 	return storer.KeySpec{Hash: hash, Disabled: k.Disabled}, nil
 }
--- a/internal/transport/operator/problem.go
+++ b/internal/transport/operator/problem.go
@@ -71,7 +71,7 @@
 			return nil
 		}
 	}
-	return errors.NotValidf("reason %q", text)
+	return errors.Errorf("unknown reason %q", text)
 }
 
 // status returns the HTTP status which belongs to the reason.
--- a/internal/transport/operator/read.go
+++ b/internal/transport/operator/read.go
@@ -96,7 +96,7 @@
 	number, name, _ := strings.Cut(text, placeSeparator)
 	count, err := strconv.ParseUint(number, 10, 32)
 	if err != nil {
-		return place{}, errors.NotValidf("%s=%s", queryContinue, text)
+		return place{}, errors.Errorf("%s=%s is no place in a list", queryContinue, text)
 	}
 	return place{count: count, name: name}, nil
 }
@@ -145,7 +145,7 @@
 	}
 	n, err := strconv.ParseUint(text, 10, 63)
 	if err != nil {
-		return 0, errors.NotValidf("%s=%s", name, text)
+		return 0, errors.Errorf("%s=%s is no number", name, text)
 	}
 	return n, nil
 }
--- a/internal/transport/operator/watch.go
+++ b/internal/transport/operator/watch.go
@@ -55,7 +55,7 @@
 			return nil
 		}
 	}
-	return errors.NotValidf("event type %q", text)
+	return errors.Errorf("unknown event type %q", text)
 }
 
 // watch answers with the changes after a revision, as they come. An empty name
