--- a/internal/transport/companion/companion_test.go
+++ b/internal/transport/companion/companion_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -11,6 +15,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
 	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
+	"marigoldpoint.example/marigoldpoint/internal/transport/streamer"
 )
 
 var _ = Describe("A companion", func() {
@@ -49,6 +54,42 @@
 		Expect(b.engine.Record().Runs).To(BeEmpty())
 	})
 
+	It("passes a plain service's answers on, and never repeats a call", func() {
+		var calls atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			body, _ := io.ReadAll(r.Body)
+			if r.URL.Path == "/cut" {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Desk", r.Header.Get("Desk"))
+			w.WriteHeader(http.StatusCreated)
+			_, _ = w.Write(append([]byte("booked "), body...))
+		}))
+		DeferCleanup(server.Close)
+		b := &bench{control: &fakeControl{}}
+		service := orderer.NewService(orderer.Settings{Address: server.Listener.Addr().String()})
+		b.companion = b.compose(false, nil, service)
+		Expect(b.companion.Start(context.Background())).To(Succeed())
+		DeferCleanup(b.companion.Close)
+		l := newLink(b.companion)
+		d := messenger.Dispatch{
+			Request: "r1", Attempt: 1, Kind: messenger.CallKindService, Workspace: "w", Epoch: b.companion.epoch(),
+			Method: http.MethodPost, Path: "/bookings", Header: []messenger.HeaderField{{Name: "Desk", Value: "7"}},
+			Body: []byte("press 4"),
+		}
+		l.send(d)
+		Expect(l.wait("r1").Outcome).To(Equal(messenger.OutcomeCompleted))
+		Expect(l.bytes("r1")).To(Equal("booked press 4"))
+		head := l.calls[streamer.ID{Request: "r1", Attempt: 1}].head
+		Expect(head.Status).To(Equal(http.StatusCreated))
+		Expect(head.Header).To(ContainElement(messenger.HeaderField{Name: "Desk", Value: "7"}))
+		d.Request, d.Path = "r2", "/cut"
+		l.send(d)
+		Expect(l.wait("r2").Outcome).To(Equal(messenger.OutcomeUnknown))
+		Expect(calls.Load()).To(Equal(int32(2)))
+	})
+
 	It("drains without cutting a stream", func() {
 		b := newBench(generator.Settings{})
 		l := newLink(b.companion)
--- a/internal/transport/companion/faults_test.go
+++ b/internal/transport/companion/faults_test.go
@@ -176,6 +176,28 @@
 		Expect(l.refused(b.call("r2", "w/a@1", 5)).Reason).To(Equal(messenger.ReasonNeverSeen))
 	})
 
+	It("holds the pin of a request that it gave up until the engine is done with it", func() {
+		// Symptom: the engine fails requests in mid-answer after an eviction.
+		// Events: the engine hangs; a request on it goes silent and ends as unknown;
+		// another adapter needs the slot; the engine wakes up and goes on with both.
+		// Cause: the pin ended with the request instead of with the engine's work.
+		s := slow
+		s.Slots = 1
+		b := newBench(s)
+		l := newLink(b.companion)
+		held := b.call("held", "w/a@1", 400)
+		held.Idempotent = false
+		l.send(held)
+		l.streaming("held")
+		b.engine.Inject(generator.Faults{Frozen: true})
+		Expect(l.wait("held").Outcome).To(Equal(messenger.OutcomeUnknown))
+		l.send(b.call("next", "w/b@1", 5))
+		Expect(b.companion.pins("w/a@1")).To(Equal(1))
+		b.engine.Inject(generator.Faults{})
+		Expect(l.wait("next").Outcome).To(Equal(messenger.OutcomeCompleted))
+		Expect(b.engine.Record().UnloadsInUse).To(BeZero())
+	})
+
 	It("loads at its static share without a control host", func() {
 		b := newBench(generator.Settings{})
 		b.control.lost = true
--- a/internal/transport/companion/suite_test.go
+++ b/internal/transport/companion/suite_test.go
@@ -220,6 +220,7 @@
 func newBench(s generator.Settings) *bench {
 	GinkgoHelper()
 	s.TimeScale = max(s.TimeScale, 0.05)
+	s.HeartbeatInterval = 50 * time.Millisecond
 	b := &bench{engine: generator.NewEngine(s), control: &fakeControl{}}
 	address, err := b.engine.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -232,8 +233,21 @@
 // start starts a companion beside the engine.
 func (b *bench) start(checksFencing bool) *Companion {
 	GinkgoHelper()
-	client := orderer.NewEngine(orderer.Settings{Address: b.address, ResumePause: 5 * time.Millisecond})
+	client := orderer.NewEngine(orderer.Settings{
+		Address: b.address, ResumePause: 5 * time.Millisecond, SilenceLimit: 500 * time.Millisecond,
+	})
 	b.lives++
+	c := b.compose(checksFencing, client, nil)
+	Expect(c.Start(context.Background())).To(Succeed())
+	DeferCleanup(func() {
+		Expect(c.Close()).To(Succeed())
+		client.Close()
+	})
+	return c
+}
+
+// compose returns a companion with short times.
+func (b *bench) compose(checksFencing bool, engine Engine, service Service) *Companion {
 	b.recorder = recorder.NewRecorder(recorder.Settings{Node: "atl-a-1"})
 	settings := configurer.Settings{Companion: configurer.CompanionSettings{
 		BaseModel: "base", ChecksFencing: checksFencing,
@@ -244,18 +258,15 @@
 			Initial: configurer.Duration(50 * time.Millisecond), Max: configurer.Duration(200 * time.Millisecond),
 		},
 	}}.WithDefaults()
-	c := NewCompanion(Settings{
+	if service != nil {
+		settings.Companion.Kind = configurer.BackendKindService
+	}
+	return NewCompanion(Settings{
 		Node: "atl-a-1", Region: "atl", FailureDomain: "atl-a", Address: "127.0.0.1:1",
-		Companion: settings.Companion, Stop: settings.Stop, Engine: client, Control: b.control,
+		Companion: settings.Companion, Stop: settings.Stop, Engine: engine, Service: service, Control: b.control,
 		Recorder: b.recorder, Registerer: prometheus.NewRegistry(), Log: zerolog.Nop(),
 		Now: time.Now, Random: rand.New(rand.NewPCG(1, b.lives)),
 	})
-	Expect(c.Start(context.Background())).To(Succeed())
-	DeferCleanup(func() {
-		Expect(c.Close()).To(Succeed())
-		client.Close()
-	})
-	return c
 }
 
 // call is a dispatch of a completion.
@@ -277,3 +288,9 @@
 
 // tokensOf returns the number of tokens that a call asks for.
 func tokensOf(d messenger.Dispatch) int { return int(d.Tokens) }
+
+func (c *Companion) pins(version string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Pins(version)
+}
