controller: operators replace a host; Bootstrap is asked for

Cause: operators had no way to change the control group. And the host with the lowest number formed a group whenever all hosts were empty, also without Control.Bootstrap: hosts that all lost their disks would have begun anew by themselves, where the settings page says that only Bootstrap does that.

Change: controller.Administration serves GET /api/v1/control, PUT and DELETE /api/v1/control/hosts/{id} and POST /api/v1/control/transfer over a client; the process has to mount it behind the operators' key. The host with the lowest number forms the group only with Bootstrap.

Test: a follower loses its disk, is removed, a new host joins, then the leader is lost: the group accepts changes and holds the old ones.

--- /dev/null
+++ b/internal/transport/controller/administration.go
@@ -0,0 +1,141 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+)
+
+// AdministrationPath is the path below which Administration serves.
+const AdministrationPath = "/api/v1/control"
+
+const (
+	// administrationTimeout bounds a change of the group; a new voter first
+	// takes the whole state over.
+	administrationTimeout = 2 * time.Minute
+	// administrationBody bounds the body of a request, in bytes.
+	administrationBody = 64 << 10
+	wildcardHost       = "id"
+)
+
+// GroupClient changes the control group. *subscriber.Client is one.
+type GroupClient interface {
+	Group(ctx context.Context) (distributor.Group, error)
+	ChangeGroup(ctx context.Context, g distributor.GroupChange) (distributor.Group, error)
+}
+
+// Administration returns the handler by which operators see and change the
+// control group; the caller guards it:
+//
+//	GET    /api/v1/control             the group, as one of its hosts sees it
+//	PUT    /api/v1/control/hosts/{id}  add a host; body {"Address","FailureDomain","Voter"}
+//	DELETE /api/v1/control/hosts/{id}  remove a host
+//	POST   /api/v1/control/transfer    hand leadership to another host
+//
+// NotAccepted reports whether an error of ChangeGroup proves that the change has
+// no effect.
+func Administration(group GroupClient, notAccepted func(error) bool) http.Handler {
+	a := administration{group: group, notAccepted: notAccepted}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+AdministrationPath, a.show)
+	mux.HandleFunc("PUT "+AdministrationPath+"/hosts/{"+wildcardHost+"}", a.add)
+	mux.HandleFunc("DELETE "+AdministrationPath+"/hosts/{"+wildcardHost+"}", a.remove)
+	mux.HandleFunc("POST "+AdministrationPath+"/transfer", a.transfer)
+	return mux
+}
+
+type administration struct {
+	group       GroupClient
+	notAccepted func(error) bool
+}
+
+// administrationProblem is the body of a refusal.
+type administrationProblem struct {
+	Reason string
+	// Accepted is "No" where the change certainly has no effect, else "Unknown".
+	Accepted string
+}
+
+func (a administration) show(w http.ResponseWriter, r *http.Request) {
+	g, err := a.group.Group(r.Context())
+	if err != nil {
+		a.refuse(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	answerJSON(w, http.StatusOK, g)
+}
+
+func (a administration) add(w http.ResponseWriter, r *http.Request) {
+	id, ok := a.host(w, r)
+	if !ok {
+		return
+	}
+	var h distributor.GroupHost
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, administrationBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&h); err != nil {
+		answerJSON(w, http.StatusBadRequest, administrationProblem{Reason: err.Error(), Accepted: acceptedNo})
+		return
+	}
+	h.ID = id
+	a.change(w, r, distributor.GroupChange{Action: distributor.GroupAdd, Host: h})
+}
+
+func (a administration) remove(w http.ResponseWriter, r *http.Request) {
+	if id, ok := a.host(w, r); ok {
+		a.change(w, r, distributor.GroupChange{Action: distributor.GroupRemove, Host: distributor.GroupHost{ID: id}})
+	}
+}
+
+func (a administration) transfer(w http.ResponseWriter, r *http.Request) {
+	a.change(w, r, distributor.GroupChange{Action: distributor.GroupTransfer})
+}
+
+func (a administration) change(w http.ResponseWriter, r *http.Request, g distributor.GroupChange) {
+	ctx, cancel := context.WithTimeout(r.Context(), administrationTimeout)
+	defer cancel()
+	answer, err := a.group.ChangeGroup(ctx, g)
+	switch {
+	case err == nil:
+		answerJSON(w, http.StatusOK, answer)
+	case a.notAccepted(err):
+		a.refuse(w, http.StatusConflict, err)
+	default:
+		a.refuse(w, http.StatusGatewayTimeout, err)
+	}
+}
+
+// host returns the number of the host in the path.
+func (a administration) host(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	id, err := strconv.ParseUint(r.PathValue(wildcardHost), 10, 64)
+	if err != nil || id == 0 {
+		answerJSON(w, http.StatusBadRequest, administrationProblem{Reason: "a host's id is a number above 0", Accepted: acceptedNo})
+		return 0, false
+	}
+	return id, true
+}
+
+// The values of administrationProblem.Accepted.
+const (
+	acceptedNo      = "No"
+	acceptedUnknown = "Unknown"
+)
+
+func (a administration) refuse(w http.ResponseWriter, status int, err error) {
+	p := administrationProblem{Reason: err.Error(), Accepted: acceptedUnknown}
+	if a.notAccepted(err) {
+		p.Accepted = acceptedNo
+	}
+	answerJSON(w, status, p)
+}
+
+func answerJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A client that has gone needs no answer.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -254,6 +259,49 @@
 		Expect(upTo).To(Equal(revision))
 	})
 
+	// Symptom: after the loss of a disk the group stays one short, and the next
+	// loss costs the quorum.
+	// Sequence: a follower loses its disk; operators remove it and add a new host
+	// with an empty disk; then another of the old hosts is lost for good.
+	// Cause to prevent: a repair that takes a new disk for the old one.
+	It("replaces a host that lost its disk, by the operators' listener, and bears another loss after it", func() {
+		entry := g.node("entry", "d1", distributor.ScopeEntry, shortLease)
+		DeferCleanup(entry.Close)
+		handler := controller.Administration(entry, func(err error) bool { return errors.Is(err, subscriber.ErrNotAccepted) })
+		operate := func(method, path, body string) int {
+			answer := httptest.NewRecorder()
+			handler.ServeHTTP(answer, httptest.NewRequest(method, controller.AdministrationPath+path, strings.NewReader(body)))
+			return answer.Code
+		}
+		before, err := putWorkspace(entry, "before", 1)
+		Expect(err).NotTo(HaveOccurred())
+		lost := (g.leader() + 1) % 3
+		Expect(g.kill(lost)).To(Succeed())
+		Expect(os.RemoveAll(filepath.Join(g.folder, nodeOf(g.hosts[lost].ID)))).To(Succeed())
+		Expect(operate("DELETE", fmt.Sprintf("/hosts/%d", g.hosts[lost].ID), "")).To(Equal(200))
+
+		l := listen()
+		g.hosts = append(g.hosts, configurer.ControlHost{ID: 4, Address: l.Addr().String(), FailureDomain: "d4", Region: "r"})
+		g.controls, g.metrics = append(g.controls, nil), append(g.metrics, nil)
+		g.adjust = func(s *controller.Settings) {
+			shortLeases(s)
+			s.Control.Bootstrap, s.Control.Join = false, true
+		}
+		Expect(g.start(3, l)).To(Succeed())
+		body := fmt.Sprintf(`{"Address":%q,"FailureDomain":"d4","Voter":true}`, l.Addr())
+		Expect(operate("PUT", "/hosts/4", body)).To(Equal(200))
+
+		Expect(g.kill(g.leader())).To(Succeed())
+		again := g.node("again", "d4", distributor.ScopeEntry, shortLease)
+		DeferCleanup(again.Close)
+		after, err := putWorkspace(again, "after", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.Revision).To(BeNumerically(">", before.Revision))
+		_, found, _, err := again.Get(ctx, storer.Key{Kind: storer.KindWorkspace, Workspace: "before", Name: "before"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeTrue())
+	})
+
 	It("hands leadership over at a planned stop", func() {
 		old := g.leader()
 		stopping := g.controls[old]
--- a/internal/transport/controller/settings.go
+++ b/internal/transport/controller/settings.go
@@ -129,7 +129,10 @@
 		Now:               s.Now,
 		Log:               s.Log,
 	}
-	if s.Control.Join {
+	if s.Control.Join || !s.Control.Bootstrap && s.lowest() {
+		// The host with the lowest number forms the group; without Bootstrap it
+		// waits, so that hosts which all lost their disks form no other one by
+		// themselves.
 		return rs
 	}
 	for _, h := range s.Hosts {
@@ -140,6 +143,16 @@
 	return rs
 }
 
+// lowest reports whether this host has the lowest number of all in the settings.
+func (s Settings) lowest() bool {
+	for _, h := range s.Hosts {
+		if h.ID < s.ID {
+			return false
+		}
+	}
+	return true
+}
+
 // retention returns what the replicated state is to remember.
 func (s Settings) retention() storer.Retention {
 	return storer.Retention{
