prober: a phase of loads that stay on their level; a line through one X has no slope

Cause: the mean of equal X is not exactly X, so that Fit gave a slope of 5.8e5 with an error of 4.5e19 where it knows none. Change: sums of squares under the rounding error count as none. PhaseLoads has each heartbeat tell another load of the same level.

--- a/cmd/marigoldpoint/probe.go
+++ b/cmd/marigoldpoint/probe.go
@@ -18,7 +18,7 @@
 // probeNodesCommand measures what nodes cost the control hosts.
 type probeNodesCommand struct {
 	Settings   string        `arg:"required" placeholder:"FILE" help:"settings file that names the control hosts and their group"`
-	Phase      string        `arg:"required" placeholder:"NAME" help:"idle, changes, renewals, reports, claims or permits"`
+	Phase      string        `arg:"required" placeholder:"NAME" help:"idle, changes, renewals, loads, reports, claims or permits"`
 	Sizes      []int         `arg:"--size,separate,required" placeholder:"N" help:"clients, or claims or permits a second; give one for each point"`
 	Processes  []int         `arg:"--process,separate" placeholder:"PID" help:"process of a control host whose usage is read"`
 	Entries    int           `help:"entries besides those that the size counts"`
--- a/internal/standin/prober/line.go
+++ b/internal/standin/prober/line.go
@@ -28,12 +28,13 @@
 		meanX += p.X / n
 		meanY += p.Y / n
 	}
-	var squares, products float64
+	var squares, products, scale float64
 	for _, p := range points {
+		scale += p.X * p.X
 		squares += (p.X - meanX) * (p.X - meanX)
 		products += (p.X - meanX) * (p.Y - meanY)
 	}
-	if squares == 0 {
+	if squares <= scale*rounding {
 		l.Slope, l.Intercept = math.NaN(), math.NaN()
 		return l
 	}
@@ -56,6 +57,9 @@
 // coefficients is the number of a line's coefficients.
 const coefficients = 2
 
+// rounding is the part of the sum of squares that sums of equal X leave.
+const rounding = 1e-24
+
 // At returns the line's value at x.
 func (l Line) At(x float64) float64 { return l.Intercept + l.Slope*x }
 
--- a/internal/standin/prober/line_test.go
+++ b/internal/standin/prober/line_test.go
@@ -24,7 +24,7 @@
 		two := Fit([]Point{{1, 2}, {2, 4}})
 		Expect(two.Slope).To(Equal(2.0))
 		Expect(math.IsNaN(two.SlopeError)).To(BeTrue())
-		Expect(math.IsNaN(Fit([]Point{{1, 2}, {1, 4}, {1, 9}}).Slope)).To(BeTrue())
+		Expect(math.IsNaN(Fit([]Point{{0.1, 2}, {0.1, 4}, {0.1, 9}}).Slope)).To(BeTrue())
 	})
 })
 
--- a/internal/standin/prober/phase.go
+++ b/internal/standin/prober/phase.go
@@ -21,7 +21,7 @@
 type Phase int
 
 // The phases. The size of a probe counts entries for the first two, companions
-// for the next two, and events a second for the others.
+// for the next three, and events a second for the others.
 const (
 	// PhaseIdle has connected entries do nothing.
 	PhaseIdle Phase = iota
@@ -29,6 +29,9 @@
 	PhaseChanges
 	// PhaseRenewals has companions renew their leases, with nothing else to tell.
 	PhaseRenewals
+	// PhaseLoads has companions renew their leases, each time with another load of
+	// the same level.
+	PhaseLoads
 	// PhaseReports has companions renew their leases, each time with a load of
 	// another level, one version loaded and one evicted.
 	PhaseReports
@@ -147,14 +150,19 @@
 	return nil
 }
 
-// renew has every companion renew in turn; with moving, each tells another state.
-func (w *work) renew(i int, moving bool) {
+// renew has every companion renew in turn, with what the phase has it tell.
+func (w *work) renew(i int, p Phase) {
 	l := w.crowd.Companions[i%len(w.crowd.Companions)]
-	turn := 0
-	if moving {
-		turn = i / len(w.crowd.Companions)
+	turn := i / len(w.crowd.Companions)
+	r := registrar.Renewal{Name: l.Name, Epoch: l.Lease.Epoch, Load: registrar.Load{MaxBatch: batch}}
+	switch p {
+	case PhaseReports:
+		r.Load.Running = turn % 2 * batch
+	case PhaseLoads:
+		r.Load.Running, turn = 1+turn%(batch/2-1), 0
+	default:
+		turn = 0
 	}
-	r := registrar.Renewal{Name: l.Name, Epoch: l.Lease.Epoch, Load: registrar.Load{MaxBatch: batch, Running: turn % 2 * batch}}
 	for v := range slots {
 		r.Resident = append(r.Resident, fmt.Sprintf("%s/%s@v%05d", workspaceName, adapterName, turn+v))
 	}
--- a/internal/standin/prober/phase_string.go
+++ b/internal/standin/prober/phase_string.go
@@ -11,14 +11,15 @@
 	_ = x[PhaseIdle-0]
 	_ = x[PhaseChanges-1]
 	_ = x[PhaseRenewals-2]
-	_ = x[PhaseReports-3]
-	_ = x[PhaseClaims-4]
-	_ = x[PhasePermits-5]
+	_ = x[PhaseLoads-3]
+	_ = x[PhaseReports-4]
+	_ = x[PhaseClaims-5]
+	_ = x[PhasePermits-6]
 }
 
-const _Phase_name = "IdleChangesRenewalsReportsClaimsPermits"
+const _Phase_name = "IdleChangesRenewalsLoadsReportsClaimsPermits"
 
-var _Phase_index = [...]uint8{0, 4, 11, 19, 26, 32, 39}
+var _Phase_index = [...]uint8{0, 4, 11, 19, 24, 31, 37, 44}
 
 func (i Phase) String() string {
 	idx := int(i) - 0
--- a/internal/standin/prober/probe.go
+++ b/internal/standin/prober/probe.go
@@ -111,7 +111,7 @@
 	switch s.Phase {
 	case PhaseIdle, PhaseChanges:
 		cs.Entries += size
-	case PhaseRenewals, PhaseReports:
+	case PhaseRenewals, PhaseLoads, PhaseReports:
 		cs.Companions += size
 	case PhaseClaims, PhasePermits:
 	}
@@ -179,9 +179,9 @@
 	switch s.Phase {
 	case PhaseChanges:
 		steady(ctx, s.Rate, d, func(i int) { w.declare(ctx, i) })
-	case PhaseRenewals, PhaseReports:
+	case PhaseRenewals, PhaseLoads, PhaseReports:
 		rate := float64(len(w.crowd.Companions)) / s.HeartbeatInterval.Seconds()
-		steady(ctx, rate, d, func(i int) { w.renew(i, s.Phase == PhaseReports) })
+		steady(ctx, rate, d, func(i int) { w.renew(i, s.Phase) })
 	case PhaseClaims:
 		steady(ctx, float64(size), d, func(i int) { w.claim(ctx, i) })
 	case PhasePermits:
--- a/internal/standin/prober/report.go
+++ b/internal/standin/prober/report.go
@@ -41,7 +41,7 @@
 			{"read by entries, B/change by entry", bySize, perChange(func(r Row) float64 { return r.Work.EntryRead })},
 			{"written by entries, B/change by entry", bySize, perChange(func(r Row) float64 { return r.Work.EntryWritten })},
 		}
-	case PhaseRenewals, PhaseReports:
+	case PhaseRenewals, PhaseLoads, PhaseReports:
 		return []slope{
 			{"control hosts, µs by heartbeat", byEvents, hosts},
 			{"companions and entries, µs by heartbeat", byEvents, own},
