demonstrator, starter: tests of planned stops, at most once, and of the checks

Cause: the fault runs had no tests: a check that can't fail proves nothing, and what a fault run meets by chance must also be forced.

Ruled out: a race of the runs' own between the load's seed and the streams' count, found by -race.

--- a/internal/standin/demonstrator/network.go
+++ b/internal/standin/demonstrator/network.go
@@ -32,6 +32,9 @@
 	// changed is closed and replaced when cuts or delays change; guarded by mu.
 	changed chan struct{}
 	closed  bool // guarded by mu
+	// dialling, if set, is called with the processes before each dial, so that a
+	// process can be ended at that very moment; guarded by mu.
+	dialling func(from, to string)
 }
 
 // route is one direction of connecting.
@@ -70,8 +73,11 @@
 func (n *network) dialFrom(process string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
-		to := n.owners[address]
+		to, dialling := n.owners[address], n.dialling
 		n.mu.Unlock()
+		if dialling != nil {
+			dialling(process, to)
+		}
 		// The packets that open a connection are lost in a cut of either way.
 		if err := n.await(ctx, process, to, true); err != nil {
 			return nil, errors.Trace(err)
@@ -114,6 +120,13 @@
 	return r, nil
 }
 
+// onDial has f called before each dial; nil ends that.
+func (n *network) onDial(f func(from, to string)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dialling = f
+}
+
 // setCut cuts a process off; the zero cut mends it.
 func (n *network) setCut(process string, c cut) {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/standin/demonstrator/suite_test.go
@@ -0,0 +1,57 @@
+package demonstrator
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/driver"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func TestDemonstrator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "demonstrator")
+}
+
+const (
+	// testLimit bounds what a test waits for; it is no measure of speed.
+	testLimit = 60 * time.Second
+	testPause = 5 * time.Millisecond
+)
+
+// deploy runs a small deployment with relays, which ends with the spec or its
+// container.
+func deploy(ctx context.Context) (*faultRun, *Deployment) {
+	folder, err := os.MkdirTemp("", "demonstrator")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, folder)
+	r := Run{
+		Workload: driver.Peachtree().WithAdapters(10), Entries: 3, Engines: 2, Services: 1,
+		Slots: 4, MaxBatch: 16, TimeScale: 0.1, RateScale: 1, Seed: 1, Folder: folder,
+	}
+	s := FaultRun{Run: r}.settings()
+	s.Services = 1
+	d, err := NewDeployment(s)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	keys, err := r.declare(ctx, d, io.Discard)
+	Expect(err).NotTo(HaveOccurred())
+	f := newFaultRun(r, d, keys)
+	DeferCleanup(f.client.CloseIdleConnections)
+	return f, d
+}
+
+// restarted starts processes that are down and waits until all is ready.
+func restarted(ctx context.Context, f *faultRun, names ...string) {
+	GinkgoHelper()
+	Expect(f.restart(ctx, names...)).To(Succeed())
+	Expect(f.deployment.Ready(ctx)).To(Succeed())
+}
--- /dev/null
+++ b/internal/transport/starter/stop_test.go
@@ -0,0 +1,114 @@
+package starter_test
+
+import (
+	"net"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/demonstrator"
+	"marigoldpoint.example/marigoldpoint/internal/standin/driver"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/starter"
+)
+
+// testLimit bounds what a test waits for; it is no measure of speed.
+const testLimit = 100 * time.Second
+
+// Symptom: callers lose answers at every deployment of a new version, although
+// each host was stopped as planned. A process gets SIGTERM while it carries
+// streams: an entry to its callers, a companion from its engine, a leader's host
+// both those and the acceptance of changes. It ends before they do.
+var _ = Describe("a planned stop under streaming load", Ordered, func() {
+	stopped := []demonstrator.Fault{demonstrator.CompanionStop, demonstrator.LeaderStop, demonstrator.EntryStop}
+	var report *demonstrator.FaultReport
+
+	BeforeAll(func(ctx SpecContext) {
+		folder, err := os.MkdirTemp("", "starter")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(os.RemoveAll, folder)
+		report, err = demonstrator.FaultRun{
+			Run: demonstrator.Run{
+				Workload: driver.Peachtree().WithAdapters(10), Entries: 3, Engines: 2, Services: 2,
+				Slots: 4, MaxBatch: 16, TimeScale: 0.05, RateScale: 0.3, Seed: 1, Folder: folder,
+			},
+			Faults: stopped,
+			Out:    GinkgoWriter,
+		}.Do(ctx)
+		Expect(err).NotTo(HaveOccurred())
+	}, NodeTimeout(testLimit))
+
+	figures := func(fault demonstrator.Fault) demonstrator.FaultFigures {
+		GinkgoHelper()
+		for _, f := range report.Faults {
+			if f.Fault == fault {
+				return f
+			}
+		}
+		Fail("no figures of " + fault.String())
+		return demonstrator.FaultFigures{}
+	}
+
+	DescribeTable("cuts off no request",
+		func(fault demonstrator.Fault) {
+			f := figures(fault)
+			Expect(f.Streams).To(BeNumerically(">", 0))
+			Expect(f.StreamsWhole).To(Equal(f.Streams))
+			Expect(f.Endings.Calls).To(BeNumerically(">", 0))
+			Expect(f.Endings.Cut).To(BeZero())
+			tried := int64(0)
+			for _, p := range f.Promises {
+				Expect(p.Broken).To(BeZero(), "%v: %v", p.Promise, p.Examples)
+				if p.Promise == demonstrator.StopCutsNothing {
+					tried = p.Tried
+				}
+			}
+			Expect(tried).To(BeNumerically(">", f.Streams/2))
+		},
+		Entry("through a companion", demonstrator.CompanionStop),
+		Entry("through the control leader", demonstrator.LeaderStop),
+		Entry("through an entry", demonstrator.EntryStop),
+	)
+
+	It("breaks no promise to callers", func() { Expect(report.Broken()).To(BeZero()) })
+})
+
+var _ = Describe("a process that can't start", func() {
+	// Symptom: a host that was started with a taken address holds its other
+	// addresses for good, so that no second start works either.
+	It("frees what it had opened", func() {
+		taken, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer taken.Close()
+		var opened []string
+		folder, err := os.MkdirTemp("", "starter")
+		Expect(err).NotTo(HaveOccurred())
+		defer os.RemoveAll(folder)
+		c := configurer.Settings{
+			Node: "entry-1", Region: "r", FailureDomain: "d", DataFolder: folder,
+			Roles:        []configurer.Role{configurer.RoleEntry, configurer.RoleControl},
+			ControlHosts: []configurer.ControlHost{{ID: 1, Address: "127.0.0.1:1", FailureDomain: "d", Region: "r"}},
+			Control:      configurer.ControlSettings{ID: 1, Listen: "127.0.0.1:1", Group: "g", Bootstrap: true},
+		}
+		c.Entry.Listen, c.Operators.Listen = "127.0.0.1:2", taken.Addr().String()
+		_, err = starter.NewProcess(starter.Settings{Configuration: c.WithDefaults(), Listen: func(address string) (net.Listener, error) {
+			if address == taken.Addr().String() {
+				return net.Listen("tcp", address)
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err == nil {
+				opened = append(opened, l.Addr().String())
+			}
+			return l, err
+		}})
+		Expect(err).To(MatchError(ContainSubstring("entry-1")))
+		Expect(opened).To(HaveLen(2))
+		for _, address := range opened {
+			l, err := net.Listen("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(l.Close()).To(Succeed())
+		}
+	})
+})
