registrar: at most four changes of load alone in one digest

Cause: each change of a backend server's level of load went to every entry. Change: Board.Collect puts changes of load alone off beyond LoadLimit, the steepest and then the oldest first. Changes of residency never wait. Test: ten servers change load, one also residency: 1 + 4, then 4, then 1.

--- a/internal/coordination/registrar/board.go
+++ b/internal/coordination/registrar/board.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -13,8 +14,11 @@
 	// published holds the state that Collect gave out last. It is never newer
 	// than servers, and each change that Collect returns builds on it.
 	published map[string]ServerState
-	// dirty names the servers that changed since the last Collect.
-	dirty map[string]struct{}
+	// dirty names the servers that changed since they were last published, with
+	// the round of Collect in which they began to differ.
+	dirty map[string]uint64
+	// round counts the calls of Collect.
+	round uint64
 	// gone names the published servers dropped since the last Collect.
 	gone map[string]struct{}
 }
@@ -24,7 +28,7 @@
 	return &Board{
 		servers:   make(map[string]ServerState),
 		published: make(map[string]ServerState),
-		dirty:     make(map[string]struct{}),
+		dirty:     make(map[string]uint64),
 		gone:      make(map[string]struct{}),
 	}
 }
@@ -49,7 +53,9 @@
 		return !newer
 	}
 	b.servers[c.Name] = next
-	b.dirty[c.Name] = struct{}{}
+	if _, dirty := b.dirty[c.Name]; !dirty {
+		b.dirty[c.Name] = b.round
+	}
 	return true
 }
 
@@ -68,24 +74,68 @@
 	delete(b.dirty, name)
 }
 
-// Collect returns the changes since the last call, sorted by name. It leaves
-// out what is not worth a message: see ServerState.SameAs.
+// LoadLimit is the number of changes of load alone that Collect gives out at
+// once. Load travels with each answer too; these are for the backend servers
+// that an entry has not heard from. Without a limit each entry would be told of
+// each change of every backend server's load.
+const LoadLimit = 4
+
+// Collect returns the changes since the last call, sorted by name. It leaves out
+// what is not worth a message (see ServerState.SameAs), and puts off changes of
+// load alone beyond LoadLimit: those of two levels or more come first, then the
+// oldest.
 func (b *Board) Collect() DigestBatch {
 	var batch DigestBatch
-	for _, name := range slices.Sorted(maps.Keys(b.dirty)) {
+	var loads []string
+	for name := range b.dirty {
 		former, now := b.published[name], b.servers[name]
-		if former.Sequence != 0 && now.SameAs(former) {
-			continue
+		switch {
+		case former.Sequence != 0 && now.SameAs(former):
+			delete(b.dirty, name)
+		case now.sameResidency(former):
+			loads = append(loads, name)
+		default:
+			batch.Changes = append(batch.Changes, b.publish(name))
 		}
-		batch.Changes = append(batch.Changes, now.ChangeFrom(former))
-		b.published[name] = now
 	}
+	slices.SortFunc(loads, b.compareLoads)
+	for _, name := range loads[:min(len(loads), LoadLimit)] {
+		batch.Changes = append(batch.Changes, b.publish(name))
+	}
+	slices.SortFunc(batch.Changes, func(x, y ServerChange) int { return cmp.Compare(x.Name, y.Name) })
 	batch.Gone = slices.Sorted(maps.Keys(b.gone))
-	clear(b.dirty)
 	clear(b.gone)
+	b.round++
 	return batch
 }
 
+// publish returns the change from the published state of a server.
+func (b *Board) publish(name string) ServerChange {
+	now := b.servers[name]
+	c := now.ChangeFrom(b.published[name])
+	b.published[name] = now
+	delete(b.dirty, name)
+	return c
+}
+
+// compareLoads orders changes of load alone.
+func (b *Board) compareLoads(x, y string) int {
+	return cmp.Or(
+		cmp.Compare(b.steepness(y), b.steepness(x)),
+		cmp.Compare(b.dirty[x], b.dirty[y]),
+		cmp.Compare(x, y),
+	)
+}
+
+// steepness is 1 for a change of load by two levels or more, else 0.
+func (b *Board) steepness(name string) int {
+	step := b.servers[name].Load.Level() - b.published[name].Load.Level()
+	if step >= 2 || step <= -2 {
+		return 1
+	}
+	return 0
+}
+
 // Whole returns the changes that make the published states out of nothing, so
 // that the next Collect builds on them.
 func (b *Board) Whole() DigestBatch {
--- a/internal/coordination/registrar/board_test.go
+++ b/internal/coordination/registrar/board_test.go
@@ -36,6 +36,38 @@
 	})
 })
 
+var _ = Describe("Board at the planned size", func() {
+	// Symptom: entries spend their network on the loads of backend servers that
+	// they never call.
+	// Sequence: the load of a whole region changes at once.
+	// Cause to prevent: a message for each change, whoever needs it.
+	It("puts changes of load alone off, the steepest first, and no change of residency", func() {
+		b := registrar.NewBoard()
+		report := func(sequence uint64, i, running int, resident ...string) {
+			b.Apply(registrar.ServerChange{
+				Name: fmt.Sprintf("s%d", i), Epoch: 1, Sequence: sequence,
+				Load: registrar.Load{Running: running, MaxBatch: 8}, Loaded: resident,
+			})
+		}
+		for i := range 10 {
+			report(1, i, 0)
+		}
+		b.Collect()
+		for i := range 9 {
+			report(2, i, 1)
+		}
+		report(2, 9, 8)
+		report(3, 0, 1, "w/a@1")
+		first := b.Collect().Changes
+		Expect(first).To(HaveLen(1 + registrar.LoadLimit))
+		Expect(first[0].Name).To(Equal("s0"))
+		Expect(first[len(first)-1].Name).To(Equal("s9"))
+		Expect(b.Collect().Changes).To(HaveLen(registrar.LoadLimit))
+		Expect(b.Collect().Changes).To(HaveLen(1))
+		Expect(b.Collect().Changes).To(BeEmpty())
+	})
+})
+
 // A subscriber that took Whole once and every Collect since holds what the
 // board published, whenever it came.
 func TestPropertyBoardFollowed(t *testing.T) {
--- a/internal/coordination/registrar/digest.go
+++ b/internal/coordination/registrar/digest.go
@@ -107,7 +107,11 @@
 // SameAs reports whether s and former differ by nothing worth a message:
 // the same residency and the same level of load.
 func (s ServerState) SameAs(former ServerState) bool {
-	return s.Epoch == former.Epoch && s.Load.Level() == former.Load.Level() && slices.Equal(s.Resident, former.Resident)
+	return s.sameResidency(former) && s.Load.Level() == former.Load.Level()
+}
+
+func (s ServerState) sameResidency(former ServerState) bool {
+	return s.Epoch == former.Epoch && slices.Equal(s.Resident, former.Resident)
 }
 
 func sortedSet(versions []string) []string {
