prober: what control hosts write, to nodes, to each other and to disk

Cause: the clients' connections show nothing of what control hosts send each other. Change: the probe reads the bytes that processes wrote from /proc/PID/io.

--- a/internal/standin/prober/connection_test.go
+++ b/internal/standin/prober/connection_test.go
@@ -31,7 +31,7 @@
 		var traffic Traffic
 		var ends []*messenger.Conn
 		for range n {
-			dialled, err := net.Dial("tcp", l.Addr().String())
+			dialled, err := (&net.Dialer{}).DialContext(b.Context(), "tcp", l.Addr().String())
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/standin/prober/probe.go
+++ b/internal/standin/prober/probe.go
@@ -65,6 +65,9 @@
 	// Hosts is the processor time of all control hosts, Own that of the crowd, in
 	// microseconds a second.
 	Hosts, Own float64
+	// HostsWritten is what all control hosts write to connections and files, in
+	// bytes a second.
+	HostsWritten float64
 	// EntryRead to CompanionWritten are bytes a second, of all clients together.
 	EntryRead, EntryWritten, CompanionRead, CompanionWritten float64
 	// DigestEntries are the states of backend servers that reached entries.
@@ -77,6 +80,7 @@
 func (c Cost) minus(base Cost) Cost {
 	c.Hosts -= base.Hosts
 	c.Own -= base.Own
+	c.HostsWritten -= base.HostsWritten
 	c.EntryRead -= base.EntryRead
 	c.EntryWritten -= base.EntryWritten
 	c.CompanionRead -= base.CompanionRead
@@ -207,7 +211,7 @@
 	cost := after.minus(before)
 	cost.Window = took
 	for _, v := range []*float64{
-		&cost.Hosts, &cost.Own, &cost.EntryRead, &cost.EntryWritten, &cost.CompanionRead, &cost.CompanionWritten, &cost.DigestEntries,
+		&cost.Hosts, &cost.Own, &cost.HostsWritten, &cost.EntryRead, &cost.EntryWritten, &cost.CompanionRead, &cost.CompanionWritten, &cost.DigestEntries,
 	} {
 		*v /= took.Seconds()
 	}
@@ -232,6 +236,7 @@
 			return Cost{}, err
 		}
 		total.Hosts += microseconds(u.Processor)
+		total.HostsWritten += float64(u.Written)
 		total.Private = max(total.Private, u.Private)
 	}
 	return total, nil
--- a/internal/standin/prober/report.go
+++ b/internal/standin/prober/report.go
@@ -23,6 +23,8 @@
 func hosts(r Row) float64 { return r.Work.Hosts }
 func own(r Row) float64   { return r.Work.Own }
 
+func written(r Row) float64 { return r.Work.HostsWritten }
+
 // slopes returns the lines of a phase.
 func (p Phase) slopes() []slope {
 	switch p {
@@ -38,6 +40,7 @@
 		return []slope{
 			{"control hosts, µs/change by entry", bySize, perChange(hosts)},
 			{"entries, µs/change by entry", bySize, perChange(own)},
+			{"written by control hosts, B/change by entry", bySize, perChange(written)},
 			{"read by entries, B/change by entry", bySize, perChange(func(r Row) float64 { return r.Work.EntryRead })},
 			{"written by entries, B/change by entry", bySize, perChange(func(r Row) float64 { return r.Work.EntryWritten })},
 		}
@@ -45,6 +48,7 @@
 		return []slope{
 			{"control hosts, µs by heartbeat", byEvents, hosts},
 			{"companions and entries, µs by heartbeat", byEvents, own},
+			{"written by control hosts, B by heartbeat", byEvents, written},
 			{"written by companions, B by heartbeat", byEvents, func(r Row) float64 { return r.Work.CompanionWritten }},
 			{"read by companions, B by heartbeat", byEvents, func(r Row) float64 { return r.Work.CompanionRead }},
 			{"read by entries, B by state of a backend server", func(r Row) float64 { return r.Work.DigestEntries }, func(r Row) float64 { return r.Work.EntryRead }},
@@ -53,6 +57,7 @@
 		return []slope{
 			{"control hosts, µs by event", byEvents, hosts},
 			{"clients, µs by event", byEvents, own},
+			{"written by control hosts, B by event", byEvents, written},
 			{"read by clients, B by event", byEvents, func(r Row) float64 { return r.Work.EntryRead + r.Work.CompanionRead }},
 			{"written by clients, B by event", byEvents, func(r Row) float64 { return r.Work.EntryWritten + r.Work.CompanionWritten }},
 		}
@@ -61,15 +66,15 @@
 
 // WriteHead writes the heading of the rows.
 func WriteHead(out io.Writer) {
-	fmt.Fprintf(out, "%6s %8s | %10s %10s | %10s %10s %10s %10s %10s | %8s %8s %8s %8s | %8s\n",
-		"size", "events/s", "rest-host", "rest-own", "host µs/s", "own µs/s", "read B/s", "writ. B/s", "digest/s",
+	fmt.Fprintf(out, "%6s %8s | %10s %10s | %10s %10s %10s %10s %10s %10s | %8s %8s %8s %8s | %8s\n",
+		"size", "events/s", "rest-host", "rest-own", "host µs/s", "own µs/s", "hostw B/s", "read B/s", "writ. B/s", "digest/s",
 		"p50", "p99", "force50", "force99", "host MB")
 }
 
 // Write writes the row as one line. Read and written bytes are the clients'.
 func (r Row) Write(out io.Writer) {
-	fmt.Fprintf(out, "%6d %8.1f | %10.0f %10.0f | %10.0f %10.0f %10.0f %10.0f %10.0f | %8s %8s %8s %8s | %8.1f\n",
-		r.Size, r.Events, r.Rest.Hosts, r.Rest.Own, r.Work.Hosts, r.Work.Own,
+	fmt.Fprintf(out, "%6d %8.1f | %10.0f %10.0f | %10.0f %10.0f %10.0f %10.0f %10.0f %10.0f | %8s %8s %8s %8s | %8.1f\n",
+		r.Size, r.Events, r.Rest.Hosts, r.Rest.Own, r.Work.Hosts, r.Work.Own, r.Work.HostsWritten,
 		r.Work.EntryRead+r.Work.CompanionRead, r.Work.EntryWritten+r.Work.CompanionWritten, r.Work.DigestEntries,
 		millis(r.Half), millis(r.Worst), millis(r.InForceHalf), millis(r.InForceWorst), float64(max(r.Rest.Private, r.Work.Private))/1e6)
 }
--- a/internal/standin/prober/usage.go
+++ b/internal/standin/prober/usage.go
@@ -18,6 +18,8 @@
 	// Resident is the physical memory in use, in bytes. Private is the part of it
 	// that belongs to no file: heap, stacks and the runtime's own.
 	Resident, Private int64
+	// Written is what was written to connections and files, in bytes.
+	Written int64
 }
 
 // ticksPerSecond is the kernel's unit of processor time in /proc, the same on
@@ -55,20 +57,26 @@
 	if err != nil {
 		return Usage{}, errors.Annotatef(err, "read the memory of process %d", pid)
 	}
+	io, err := os.ReadFile(folder + "io")
+	if err != nil {
+		return Usage{}, errors.Annotatef(err, "read what process %d wrote", pid)
+	}
 	return Usage{
+		Written:   field(string(io), "wchar:"),
 		Processor: time.Duration(ticks) * time.Second / ticksPerSecond,
-		Resident:  kibibytes(string(status), "VmRSS:"),
-		Private:   kibibytes(string(status), "RssAnon:"),
+		Resident:  field(string(status), "VmRSS:") << 10,
+		Private:   field(string(status), "RssAnon:") << 10,
 	}, nil
 }
 
-// kibibytes returns a line of /proc/PID/status in bytes; 0 where it is missing.
-func kibibytes(status, name string) int64 {
-	_, rest, _ := strings.Cut(status, name)
+// field returns the number in a line of one of the process's files, in the unit
+// that the line has; 0 where it is missing.
+func field(file, name string) int64 {
+	_, rest, _ := strings.Cut(file, name)
 	line, _, _ := strings.Cut(rest, "\n")
 	n, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(line), " kB"), 10, 64)
 	if err != nil {
 		return 0
 	}
-	return n << 10
+	return n
 }
