companion: a drain is bounded by its own DrainTimeout

Cause: the drain was bounded by Stop.GracePeriod, which bounds the whole process, while the settings name Companion.DrainTimeout for it. Conclusion: the two bounds of a stop are apart again.

--- a/internal/transport/companion/drain.go
+++ b/internal/transport/companion/drain.go
@@ -19,11 +19,11 @@
 
 // Drain leaves in good order: it announces the leaving, takes nothing new, waits
 // until all requests have ended and their answers were taken, and ends the
-// membership. It returns early with an error if the context ends or the grace
-// period passes first. Close comes after it.
+// membership. It returns early with an error if the context ends or DrainTimeout
+// passes first. Close comes after it.
 func (c *Companion) Drain(ctx context.Context) error {
 	d := drainer.NewDrain(drainer.Settings{
-		Role: drainer.RoleCompanion, GracePeriod: time.Duration(c.settings.Stop.GracePeriod),
+		Role: drainer.RoleCompanion, GracePeriod: time.Duration(c.settings.Companion.DrainTimeout),
 	})
 	d.Signal(c.settings.Now())
 	c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindMemberLeaving, Backend: c.settings.Node})
@@ -75,8 +75,8 @@
 	}
 }
 
-// refuseWaiting ends as not run what has not begun by the end of the grace
-// period.
+// refuseWaiting ends as not run what has not begun by the end of
+// DrainTimeout.
 func (c *Companion) refuseWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
