permitter: the store serves the next load while an engine activates

Cause: a permit was held over transfer and activation, so that the store stood idle during every activation; loads ran at 7.2/s where 20/s are allowed. Ruled out: the tick of the duties (grants follow a finish at once) and the companions' order of loads (the queue of permits was never empty). Change: grants are spaced by the rate, and the number of permits held widens while loads take no longer than alone and halves when they do; setting Control.StoreOverlap. Finish takes the time. The stall that is left is to be looked at next: load order and placement.

--- a/example_test.go
+++ b/example_test.go
@@ -59,7 +59,7 @@
 
 	for _, g := range t.Grant(later) {
 		fmt.Println(g.Companion, g.Version)
-		t.Finish(marigoldpoint.PermitFinish{Number: g.Number})
+		t.Finish(later, marigoldpoint.PermitFinish{Number: g.Number, Companion: g.Companion, Version: g.Version})
 	}
 	// Output: engine-2 portal/b@v1
 }
--- a/internal/coordination/permitter/grant.go
+++ b/internal/coordination/permitter/grant.go
@@ -10,7 +10,7 @@
 		return nil
 	}
 	var grants []Grant
-	for len(t.held) < t.settings.Parallel && !now.Before(t.next) {
+	for len(t.held) < t.pace.limit && !now.Before(t.next) {
 		l := t.fairest()
 		if l == nil {
 			break
@@ -30,7 +30,7 @@
 	if !t.open(now) && t.openAt.After(at) {
 		at = t.openAt
 	}
-	if len(t.held) < t.settings.Parallel {
+	if len(t.held) < t.pace.limit {
 		return at, true
 	}
 	var first time.Time
@@ -96,7 +96,7 @@
 		Version:   first.Version,
 		Expiry:    t.settings.Expiry,
 	}
-	t.held[key] = &held{grant: g, reported: now}
+	t.held[key] = &held{grant: g, since: now, reported: now}
 	t.next = now.Add(t.settings.interval())
 	return g
 }
--- a/internal/coordination/permitter/permitter_benchmark_test.go
+++ b/internal/coordination/permitter/permitter_benchmark_test.go
@@ -22,7 +22,7 @@
 				now = now.Add(time.Second)
 				t.Request(now, request(fmt.Sprintf("w%d", i%20), i, i%50))
 				for _, g := range t.Grant(now) {
-					t.Finish(permitter.Finish{Number: g.Number, Companion: g.Companion, Version: g.Version})
+					t.Finish(now, permitter.Finish{Number: g.Number, Companion: g.Companion, Version: g.Version})
 				}
 			}
 		})
--- a/internal/coordination/permitter/table.go
+++ b/internal/coordination/permitter/table.go
@@ -10,6 +10,7 @@
 const (
 	DefaultRate     = 3.0
 	DefaultParallel = 1
+	DefaultOverlap  = 1
 	DefaultExpiry   = 30 * time.Second
 	DefaultMaxAge   = 5 * time.Second
 )
@@ -20,10 +21,15 @@
 	// DefaultRate by default.
 	Rate float64
 
-	// Parallel is the number of permits held at once; DefaultParallel by
-	// default.
+	// Parallel is the number of transfers that the store serves at full speed
+	// at once; DefaultParallel by default.
 	Parallel int
 
+	// Overlap is the most permits that may be held for each of Parallel, where
+	// loads are seen not to disturb each other; DefaultOverlap, one load after
+	// the other, by default.
+	Overlap int
+
 	// Expiry is the life of a permit whose holder no longer reports it;
 	// DefaultExpiry by default.
 	Expiry time.Duration
@@ -36,6 +42,7 @@
 func (s Settings) withDefaults() Settings {
 	s.Rate = cmp.Or(s.Rate, DefaultRate)
 	s.Parallel = cmp.Or(s.Parallel, DefaultParallel)
+	s.Overlap = cmp.Or(s.Overlap, DefaultOverlap)
 	s.Expiry = cmp.Or(s.Expiry, DefaultExpiry)
 	s.MaxAge = cmp.Or(s.MaxAge, DefaultMaxAge)
 	return s
@@ -54,6 +61,8 @@
 
 type held struct {
 	grant Grant
+	// since is when the permit was granted.
+	since time.Time
 	// reported is when the holder was last known to hold the permit.
 	reported time.Time
 	// confirmed is the sequence of the holder's first report of the permit; 0
@@ -82,6 +91,8 @@
 	// virtual is the start tag of the last grant. It never falls.
 	virtual float64
 	held    map[target]*held
+	// pace bounds the number of permits in held.
+	pace pace
 	// next is the earliest time of the next grant by the store's rate.
 	next time.Time
 
@@ -105,6 +116,7 @@
 		term:     term,
 		lanes:    make(map[string]*lane),
 		held:     make(map[target]*held),
+		pace:     newPace(s),
 		openAt:   now.Add(s.Expiry),
 		next:     now.Add(s.interval()),
 	}
@@ -157,9 +169,12 @@
 
 // Finish ends a permit or withdraws a request. A number that is not the
 // permit's own ends nothing.
-func (t *Table) Finish(f Finish) {
+func (t *Table) Finish(now time.Time, f Finish) {
 	key := target{companion: f.Companion, version: f.Version}
 	if h, ok := t.held[key]; ok && (f.Number == 0 || f.Number == h.grant.Number) {
+		if f.Number != 0 {
+			t.pace.finished(now.Sub(h.since), t.settings.interval())
+		}
 		delete(t.held, key)
 	}
 	if f.Number != 0 {
--- a/internal/coordination/permitter/table_test.go
+++ b/internal/coordination/permitter/table_test.go
@@ -31,7 +31,7 @@
 		arrive(now, i)
 		for _, g := range t.Grant(now) {
 			order = append(order, g.Version)
-			t.Finish(permitter.Finish{Number: g.Number, Companion: g.Companion, Version: g.Version})
+			t.Finish(now, permitter.Finish{Number: g.Number, Companion: g.Companion, Version: g.Version})
 		}
 	}
 	return order
@@ -69,7 +69,7 @@
 		again, ok := t.Request(now, request("w", 0, 1))
 		Expect(ok).To(BeTrue())
 		Expect(again.Number).To(Equal(lost[0].Number))
-		t.Finish(permitter.Finish{Companion: "c", Version: "w/a0@1"})
+		t.Finish(now, permitter.Finish{Companion: "c", Version: "w/a0@1"})
 		Expect(t.Held()).To(BeZero())
 	})
 
@@ -195,7 +195,7 @@
 				t.Fatalf("%d grants, %d held", len(granted), table.Held())
 			}
 			g := granted[0]
-			table.Finish(permitter.Finish{Number: g.Number, Companion: g.Companion, Version: g.Version})
+			table.Finish(now, permitter.Finish{Number: g.Number, Companion: g.Companion, Version: g.Version})
 			workspace := g.Version[:2]
 			gap := gaps["w0"]
 			if gap == nil || workspace == "w0" {
@@ -267,7 +267,7 @@
 			case 2:
 				if l := running[c]; l != nil {
 					if rapid.Bool().Draw(t, "finish arrives") {
-						table.Finish(permitter.Finish{Number: l.Number, Companion: l.Companion, Version: l.Version})
+						table.Finish(now, permitter.Finish{Number: l.Number, Companion: l.Companion, Version: l.Version})
 					}
 					delete(running, c)
 				}
--- a/internal/state/configurer/control.go
+++ b/internal/state/configurer/control.go
@@ -16,6 +16,7 @@
 	DefaultConfigurationLease   = Duration(10 * time.Second)
 	DefaultStoreRate            = 3.0
 	DefaultStoreParallel        = 1
+	DefaultStoreOverlap         = 4
 	DefaultPermitExpiry         = Duration(30 * time.Second)
 	DefaultClaimRetention       = Duration(30 * time.Minute)
 	DefaultIdempotencyRetention = Duration(24 * time.Hour)
@@ -80,6 +81,12 @@
 	// speed at once; DefaultStoreParallel by default.
 	StoreParallel int
 
+	// StoreOverlap is the most loads in progress for each of StoreParallel:
+	// while one engine activates what it fetched, the store serves the next.
+	// They overlap only as far as they are seen not to slow each other down;
+	// DefaultStoreOverlap by default.
+	StoreOverlap int
+
 	// PermitExpiry is the life of a load permit whose holder no longer
 	// reports; DefaultPermitExpiry by default.
 	PermitExpiry Duration
@@ -102,6 +109,7 @@
 	c.ConfigurationLease = cmp.Or(c.ConfigurationLease, DefaultConfigurationLease)
 	c.StoreRate = cmp.Or(c.StoreRate, DefaultStoreRate)
 	c.StoreParallel = cmp.Or(c.StoreParallel, DefaultStoreParallel)
+	c.StoreOverlap = cmp.Or(c.StoreOverlap, DefaultStoreOverlap)
 	c.PermitExpiry = cmp.Or(c.PermitExpiry, DefaultPermitExpiry)
 	c.ClaimRetention = cmp.Or(c.ClaimRetention, DefaultClaimRetention)
 	c.IdempotencyRetention = cmp.Or(c.IdempotencyRetention, DefaultIdempotencyRetention)
@@ -134,6 +142,7 @@
 	checkRange(c, "Control.ConfigurationLease", t.ConfigurationLease, Duration(time.Second), Duration(time.Hour))
 	checkRange(c, "Control.StoreRate", t.StoreRate, 0.001, 10000)
 	checkRange(c, "Control.StoreParallel", t.StoreParallel, 1, 1000)
+	checkRange(c, "Control.StoreOverlap", t.StoreOverlap, 1, 100)
 	checkRange(c, "Control.PermitExpiry", t.PermitExpiry, Duration(time.Second), Duration(time.Hour))
 	checkRange(c, "Control.ClaimRetention", t.ClaimRetention, Duration(time.Minute), 30*maxTimeout)
 	checkRange(c, "Control.IdempotencyRetention", t.IdempotencyRetention, Duration(time.Minute), 30*maxTimeout)
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -52,7 +52,7 @@
 		leases:  registrar.NewTable(registrar.Settings{Lease: time.Duration(s.MemberLease)}, now, memberships),
 		seen:    revision,
 		permits: permitter.NewTable(permitter.Settings{
-			Rate: s.StoreRate, Parallel: s.StoreParallel, Expiry: time.Duration(s.PermitExpiry),
+			Rate: s.StoreRate, Parallel: s.StoreParallel, Overlap: s.StoreOverlap, Expiry: time.Duration(s.PermitExpiry),
 		}, term, now, c.permitHolders(now, members)),
 		waiters: make(map[permitKey]chan permitter.Grant),
 	}
@@ -237,7 +237,7 @@
 		// Another call for the same permit may have taken this one's place
 		// after its connection broke; then it is not withdrawn.
 		delete(d.waiters, key)
-		d.permits.Finish(permitter.Finish{Companion: r.Companion, Version: r.Version})
+		d.permits.Finish(d.control.settings.Now(), permitter.Finish{Companion: r.Companion, Version: r.Version})
 	}
 	if d.ctx.Err() != nil {
 		return permitter.Grant{}, messenger.NewRefusal(messenger.ReasonUnavailable, "leadership ended")
@@ -247,7 +247,7 @@
 
 func (d *duties) finishPermit(f permitter.Finish) {
 	d.permitsMu.Lock()
-	d.permits.Finish(f)
+	d.permits.Finish(d.control.settings.Now(), f)
 	d.permitsMu.Unlock()
 	d.grant()
 }
