router: cold starts go where a slot can be had, and stay at their homes

Change: reports tell the slots that can be had, and the entry counts the versions that its own calls hold; a cold start pays for a slot that it must wait for. A stray cold start pays a whole load more; a waiting load in the same lane costs a quarter, since loads mostly wait for the shared store. The whole demand is the entry's own times what reports show, instead of a setting.

--- a/internal/coordination/router/backend.go
+++ b/internal/coordination/router/backend.go
@@ -15,6 +15,9 @@
 	// LoadsWaiting counts the versions that wait for a load, of all entries;
 	// negative means not told.
 	LoadsWaiting int
+	// SlotsFree is the number of slots that are empty or could be evicted;
+	// negative means not told.
+	SlotsFree int
 	// LoadTime is the recent mean time of one load; 0 means not told.
 	LoadTime time.Duration
 	// Age is the time since the backend server measured it.
@@ -54,6 +57,10 @@
 	// othersLoads is the number of loads waiting for other entries at
 	// reportedAt; guarded by mu.
 	othersLoads float64
+	// pinned counts the versions that the entry's own calls hold in a slot, or
+	// wait to; othersPinned those of other entries at reportedAt; guarded by mu.
+	pinned       int
+	othersPinned float64
 	// told are the versions in the last digest, sorted; guarded by mu.
 	told []string
 	// own holds inFlight at past seconds, the one for second t at t modulo
@@ -74,6 +81,9 @@
 	// loads is the expected number of loads waiting there.
 	loads float64
 	full  bool
+	// room is the expected number of slots that a cold start could have; it is
+	// negative where cold starts wait for one.
+	room float64
 }
 
 // remember writes inFlight to the past seconds that have gone by since the
@@ -147,7 +157,10 @@
 	if r.LoadsWaiting >= 0 {
 		b.othersLoads = float64(max(r.LoadsWaiting-b.loads, 0))
 	}
-	b.averages.sampleReport(b.others, r.LoadTime)
+	if r.SlotsFree >= 0 && b.member.Spec.Slots > 0 {
+		b.othersPinned = float64(max(b.member.Spec.Slots-r.SlotsFree-b.pinned, 0))
+	}
+	b.averages.sampleReport(b.others, float64(b.inFlight), r.LoadTime)
 }
 
 func (b *backend) suspect(until time.Time) {
@@ -158,6 +171,12 @@
 	}
 }
 
+func (b *backend) countPinned(by int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pinned += by
+}
+
 func (b *backend) countResidents(by int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -170,11 +189,12 @@
 func (b *backend) condition(now time.Time, halfLife time.Duration, mean float64) condition {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	others, loads := mean, 0.0
+	others, loads, pinned := mean, 0.0, 0.0
 	if !b.reportedAt.IsZero() {
 		left := halved(now.Sub(b.reportedAt), halfLife)
 		others = mean + (b.others-mean)*left
 		loads = b.othersLoads * left
+		pinned = b.othersPinned * left
 	}
 	size := b.maxBatch
 	if size <= 0 {
@@ -185,6 +205,7 @@
 		depth:    float64(b.inFlight) + others,
 		maxBatch: float64(size),
 		loads:    float64(b.loads) + loads,
+		room:     float64(max(b.member.Spec.Slots, 1)-b.pinned) - pinned,
 		full:     b.member.Spec.Slots > 0 && b.residents >= b.member.Spec.Slots,
 	}
 }
--- a/internal/coordination/router/choose.go
+++ b/internal/coordination/router/choose.go
@@ -32,7 +32,7 @@
 		router: r, view: w, pool: p, shard: s, version: v,
 		now: now, call: c, decision: d, mean: p.averages.read(), best: -1,
 	}
-	rate := v.call(now, r.settings.DemandHalfLife) * float64(r.settings.Entries)
+	rate := v.call(now, r.settings.DemandHalfLife) * ch.mean.entries(r.settings.Entries)
 	ch.spread(rate)
 	ch.gather()
 	if ch.best < 0 {
@@ -207,6 +207,9 @@
 	if h.call.Version != "" {
 		p, made := h.version.ensure(h.view, b, h.now)
 		p.pinned++
+		if p.pinned == 1 {
+			b.countPinned(1)
+		}
 		if made {
 			b.countResidents(1)
 			d.loading = true
--- a/internal/coordination/router/finish.go
+++ b/internal/coordination/router/finish.go
@@ -61,6 +61,9 @@
 	}
 	if p := d.known.find(d.chosen); p != nil {
 		p.pinned--
+		if p.pinned == 0 {
+			d.chosen.countPinned(-1)
+		}
 		if e.LoadFailed || p.pinned == 0 && p.evidence == evidenceLoading {
 			d.known.drop(d.chosen, p)
 		}
--- a/internal/coordination/router/pool.go
+++ b/internal/coordination/router/pool.go
@@ -27,10 +27,23 @@
 	// depth is the smoothed number of calls that reports show at one backend
 	// server; guarded by mu.
 	depth float64
+	// own is the like for the entry's own calls; guarded by mu.
+	own float64
 }
 
 // estimate is a copy of the averages at one moment.
-type estimate struct{ loadTime, serviceTime, depth float64 }
+type estimate struct{ loadTime, serviceTime, depth, own float64 }
+
+// entries returns how many entries like this one share the pool's work: all
+// calls that reports show over the entry's own. The entry sees only its own part
+// of the demand for a version, and no entry tells another.
+func (e estimate) entries(guess int) float64 {
+	const few, most = 0.05, 64
+	if e.own < few {
+		return float64(guess)
+	}
+	return min((e.own+e.depth)/e.own, most)
+}
 
 func newAverages(s *Settings) *averages {
 	return &averages{loadTime: s.LoadTime.Seconds(), serviceTime: s.ServiceTime.Seconds()}
@@ -39,14 +52,16 @@
 func (a *averages) read() estimate {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return estimate{loadTime: a.loadTime, serviceTime: a.serviceTime, depth: a.depth}
+	return estimate{loadTime: a.loadTime, serviceTime: a.serviceTime, depth: a.depth, own: a.own}
 }
 
-// sampleReport takes in the depth and the load time of a report.
-func (a *averages) sampleReport(depth float64, load time.Duration) {
+// sampleReport takes in what a report shows: other entries' calls, the entry's
+// own at the time, and the load time.
+func (a *averages) sampleReport(depth, own float64, load time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.depth += smoothing * (depth - a.depth)
+	a.own += smoothing * (own - a.own)
 	if load > 0 {
 		a.loadTime += smoothing * (load.Seconds() - a.loadTime)
 	}
--- a/internal/coordination/router/score.go
+++ b/internal/coordination/router/score.go
@@ -7,11 +7,17 @@
 
 // Shares of a load's time that belong to a score.
 const (
-	// strayShare is added for a cold start away from the version's homes:
-	// other entries wouldn't find it there.
-	strayShare = 0.25
+	// strayShare is added for a cold start away from the version's homes: other
+	// entries wouldn't find it there, and would have it loaded a second time.
+	strayShare = 1.0
+	// laneShare is added for each load that waits there already. It is well under
+	// one, since what loads mostly wait for is the store, which all share.
+	laneShare = 0.25
 	// evictShare is added where a cold start needs another version evicted.
-	evictShare = 0.5
+	evictShare = 0.25
+	// pinShare is the part of a call's time that a cold start waits for a slot,
+	// for each version more than there are slots that calls in progress hold.
+	pinShare = 1.0
 	// batchShare is what an empty batch costs, and half of the worst that a bad
 	// fill does. Two fills differ by less than one load, so that with equal
 	// weights the wish to pack never loads a version that is resident elsewhere.
@@ -48,7 +54,7 @@
 	case PolicyMarigold:
 		k.Stall = h.stall(b, c, reason)
 		k.Batch = h.batch(c)
-		k.Score = s.StallWeight*(k.Stall+k.Wait) + s.BatchWeight*k.Batch + b.distance - h.cached(b)
+		k.Score = s.StallWeight*(k.Stall+k.Wait) + s.BatchWeight*k.Batch + b.distance + h.stray(b, reason) - h.cached(b)
 	case PolicyLeastLoaded:
 		k.Score = c.depth
 	default:
@@ -96,7 +102,7 @@
 		return 0
 	}
 	load := h.mean.loadTime
-	cold := load * (1 + c.loads)
+	cold := load*(1+laneShare*c.loads) + pinShare*h.mean.serviceTime*max(1-c.room, 0)
 	if c.full {
 		cold += evictShare * load
 	}
@@ -105,18 +111,27 @@
 	case p == nil && reason == ReasonPioneer:
 		// The calls that this home will serve share the cost of its load.
 		return cold / (1 + h.worth)
-	case p == nil && reason != ReasonHome:
-		return cold + strayShare*load
 	case p == nil:
 		return cold
 	case p.evidence == evidenceLoading:
 		passed := time.Duration(h.now.UnixNano() - p.at).Seconds()
-		return max(load*max(c.loads, 1)-passed, lastShare*load)
+		return max(load-passed, lastShare*load)
 	default:
 		return (1 - p.certainty(h.now, h.router.settings.ResidencyHalfLife)) * cold
 	}
 }
 
+// stray is what a cold start away from the version's homes costs the other
+// entries. It counts by the larger weight, so that no wish of this entry's own
+// outweighs it lightly.
+func (h *choice) stray(b *backend, reason Reason) float64 {
+	if h.call.Version == "" || reason == ReasonHome || reason == ReasonPioneer || h.version.find(b) != nil {
+		return 0
+	}
+	s := &h.router.settings
+	return strayShare * h.mean.loadTime * max(s.StallWeight, s.BatchWeight)
+}
+
 // batch is the engine time wasted by placing the call there. Up to the target
 // the emptier batch costs more; past the target each costs more than an empty
 // one, so that calls are packed to the target and then spill.
--- a/internal/coordination/router/settings.go
+++ b/internal/coordination/router/settings.go
@@ -40,9 +40,9 @@
 	// DefaultTargetFill by default.
 	TargetFill float64
 
-	// Entries is the number of entries that share the callers. The entry sees
-	// its own calls only and takes the whole demand to be Entries times that;
-	// 1 by default.
+	// Entries is the first guess of the number of entries that share the callers,
+	// by which the entry's own part of the demand for a version is multiplied; 1
+	// by default. Load reports replace it.
 	Entries int
 
 	// LoadTime is the first guess of the stall of a cold start, ServiceTime of
--- a/internal/coordination/router/version.go
+++ b/internal/coordination/router/version.go
@@ -10,11 +10,11 @@
 
 // certainty of a place, by what it rests on.
 const (
-	hintCertainty   = 0.9
+	hintCertainty   = 0.95
 	answerCertainty = 1.0
-	// agedCertainty is what an old answer is still worth: versions that were
-	// used stay resident more often than not.
-	agedCertainty = 0.5
+	// agedCertainty is what an old answer is still worth: an eviction is told by
+	// the digests.
+	agedCertainty = 0.9
 )
 
 // evidence tells why a version is believed to be at a backend server.
--- a/internal/transport/gatekeeper/entry.go
+++ b/internal/transport/gatekeeper/entry.go
@@ -199,7 +199,7 @@
 	for _, s := range d.Servers {
 		e.router.Report(now, s.Name, router.Report{
 			Running: s.Load.Running, Queued: s.Load.Queued, MaxBatch: s.Load.MaxBatch,
-			LoadsWaiting: -1, Age: digestAge,
+			LoadsWaiting: -1, SlotsFree: -1, Age: digestAge,
 		})
 		e.router.Digest(now, s.Name, s.Epoch, s.Resident)
 	}
@@ -212,6 +212,6 @@
 	}
 	e.router.Report(e.settings.Now(), backend, router.Report{
 		Running: l.Running, Queued: l.Queued, MaxBatch: l.MaxBatch,
-		LoadsWaiting: l.LoadsWaiting, LoadTime: time.Duration(l.LoadMillis) * time.Millisecond,
+		LoadsWaiting: l.LoadsWaiting, SlotsFree: l.SlotsFree, LoadTime: time.Duration(l.LoadMillis) * time.Millisecond,
 	})
 }
