--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -302,16 +303,41 @@
 		Expect(found).To(BeTrue())
 	})
 
-	It("hands leadership over at a planned stop", func() {
+	// Symptom: operators' changes end with unknown outcome at each upgrade.
+	// Sequence: a node writes, without idempotency keys, through the leader's host
+	// while that is stopped as planned.
+	// Cause to prevent: connections closed under calls, and an election timeout
+	// without a leader.
+	It("loses no change at a planned stop of the leader", func() {
 		old := g.leader()
-		stopping := g.controls[old]
+		entry := g.node("entry", g.hosts[old].FailureDomain, distributor.ScopeEntry, shortLease)
+		DeferCleanup(entry.Close)
+		Eventually(entry.Host, patience).Should(Equal(g.hosts[old].Address))
+		stopped := make(chan struct{})
+		var outcomes []error
+		var writer sync.WaitGroup
+		writer.Go(func() {
+			for i := 0; ; i++ {
+				_, err := entry.Propose(ctx, storer.Envelope{Command: storer.PutResource{Resource: storer.Resource{
+					Kind: storer.KindWorkspace, Metadata: storer.Metadata{Workspace: "w", Name: "w"},
+					Spec: storer.WorkspaceSpec{Share: i%1000 + 1},
+				}}})
+				outcomes = append(outcomes, err)
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+			}
+		})
 		bound, cancel := context.WithTimeout(ctx, patience)
 		defer cancel()
-		Expect(stopping.Stop(bound)).To(Succeed())
+		Expect(g.controls[old].Stop(bound)).To(Succeed())
 		Expect(g.kill(old)).To(Succeed())
-		entry := g.node("entry", "d1", distributor.ScopeEntry, shortLease)
-		DeferCleanup(entry.Close)
-		_, err := putWorkspace(entry, "w", 1)
-		Expect(err).NotTo(HaveOccurred())
+		close(stopped)
+		writer.Wait()
+		for _, err := range outcomes {
+			Expect(err).NotTo(HaveOccurred())
+		}
 	})
 })
--- a/internal/transport/controller/leadership.go
+++ b/internal/transport/controller/leadership.go
@@ -79,8 +79,11 @@
 	if d == nil {
 		return
 	}
-	c.metrics.leading.Set(0)
 	d.close()
+	c.metrics.leading.Set(0)
+	c.metrics.members.Set(0)
+	c.metrics.waiting.Set(0)
+	c.metrics.held.Set(0)
 }
 
 // retain has the group remember what the settings ask for.
--- a/internal/transport/starter/operators.go
+++ b/internal/transport/starter/operators.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
 	"marigoldpoint.example/marigoldpoint/internal/transport/inspector"
 	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 	"marigoldpoint.example/marigoldpoint/internal/transport/operator"
@@ -45,9 +46,10 @@
 // operatorsHandler serves health to anyone who reaches the listener, and the
 // rest to operators.
 func (p *Process) operatorsHandler(key configurer.Secret) http.Handler {
+	notAccepted := func(err error) bool { return errors.Is(err, subscriber.ErrNotAccepted) }
 	api := operator.NewAPI(operator.Settings{
 		Control:     p.client,
-		NotAccepted: func(err error) bool { return errors.Is(err, subscriber.ErrNotAccepted) },
+		NotAccepted: notAccepted,
 		Key:         key.Reveal(),
 		Now:         p.settings.Now,
 		Recorder:    p.recorder,
@@ -56,6 +58,9 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle("/api/", api)
+	group := api.Guard(controller.Administration(p.client, notAccepted))
+	mux.Handle(controller.AdministrationPath, group)
+	mux.Handle(controller.AdministrationPath+"/", group)
 	mux.Handle("GET "+inspector.EventsPath, api.Guard(inspector.Handler(p.recorder)))
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.settings.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
