subscriber: a heartbeat reports a load of another level only

Cause: a companion's heartbeat carried a report whenever its exact load differed, and a busy one differs at each. Found by bytes that control hosts write, while what entries read was nothing. Ruled out: comparing at the control host only, which leaves the companions' bytes. Change: the report is made by ServerState.SameAs, as the digest is. The exact load travels with each answer, as registrar.Level says.

--- a/internal/transport/subscriber/memberships.go
+++ b/internal/transport/subscriber/memberships.go
@@ -125,8 +125,10 @@
 		h := registrar.Heartbeat{
 			Name: name, Epoch: r.Epoch, Term: term, Sequence: m.sequence, Permits: slices.Clone(m.permits[name]),
 		}
-		sent, told := m.sent[name]
-		if !told || sent.Epoch != state.Epoch || sent.Load != state.Load || !slices.Equal(sent.Resident, state.Resident) {
+		// A busy backend server's load differs at each heartbeat. Told exactly, it
+		// would travel twice a second to its control host and on to all the others,
+		// none of which passes on more than its level.
+		if sent, told := m.sent[name]; !told || !state.SameAs(sent) {
 			change := state.ChangeFrom(sent)
 			h.Report = &change
 			m.sent[name] = state
