--- a/internal/standin/prober/state_test.go
+++ b/internal/standin/prober/state_test.go
@@ -127,15 +127,22 @@
 		x := indexer.NewIndex(indexer.Settings{})
 		for page := range slices.Chunk(rs, distributor.DefaultBatchLimit) {
 			began := used()
-			data, err := json.Marshal(distributor.Delta{Reset: true, UpTo: uint64(len(rs)), Resources: page})
+			packed, err := distributor.Pack(distributor.Delta{Reset: true, UpTo: uint64(len(rs)), Resources: page})
+			if err != nil {
+				b.Fatal(err)
+			}
+			data, err := json.Marshal(packed)
 			if err != nil {
 				b.Fatal(err)
 			}
 			encode += used() - began
 			total += len(data)
 			began = used()
-			var d distributor.Delta
-			if err := json.Unmarshal(data, &d); err != nil {
+			if err := json.Unmarshal(data, &packed); err != nil {
+				b.Fatal(err)
+			}
+			d, err := packed.Unpack()
+			if err != nil {
 				b.Fatal(err)
 			}
 			if _, err := assembler.Take(x, d); err != nil {
