companion, streamer: a planned stop doesn't wait for answers that nobody awaits

Cause: the drain counts answers whose ending no entry has acknowledged as in progress, for AnswerRetention (2 min). An entry that cancels an attempt (its caller left, a hedge lost) never acknowledges it, an entry that was killed can't, and an acknowledgement that got lost isn't sent again. So each left caller delayed every planned stop within the next two minutes.

Ruled out: work at the engine (the time line shows its requests ended within 3 s), a leaving that wasn't announced (MemberLeaving was accepted within 10 ms), new requests after it (LeavingGetsNothing held).

Change: a cancelled attempt's answer is released at once. Another one counts while an entry reads it, and for 20 s after the last reader left: entries give up coming back after 15 s, and need 2 s to find a silent connection.

Left: a stop within 20 s of an entry's loss still waits for the rest of them.

--- a/internal/transport/companion/dispatch.go
+++ b/internal/transport/companion/dispatch.go
@@ -172,6 +172,7 @@
 	defer func() {
 		cancel()
 		<-watched
+		reader.Detach(c.settings.Now())
 	}()
 	for {
 		piece, err := reader.Next(ctx)
@@ -196,9 +197,11 @@
 	id := streamer.ID{Request: x.Request, Attempt: x.Attempt}
 	// A notification can overtake the dispatch, which is handled in a goroutine
 	// of its own. Find bars the attempt then, or it would run for nobody.
-	if _, err := c.buffer.Find(c.settings.Now(), id); err != nil {
+	answer, err := c.buffer.Find(c.settings.Now(), id)
+	if err != nil {
 		return
 	}
+	answer.Release()
 	c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindCancelled, Request: x.Request, Backend: c.settings.Node})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/companion/drain.go
+++ b/internal/transport/companion/drain.go
@@ -14,6 +14,11 @@
 // leaveLimit bounds one announcement of leaving.
 const leaveLimit = 2 * time.Second
 
+// returnLimit is the time after which no entry comes back for an answer. Entries
+// give up 15 s after they find their connection lost, which a silent one takes 2 s
+// to show.
+const returnLimit = 20 * time.Second
+
 // errCut means that a planned stop did not wait for all requests.
 const errCut = errors.ConstError("requests in progress were cut off")
 
@@ -46,13 +51,13 @@
 }
 
 // facts are what the drain's next phase depends on. An answer that no entry has
-// acknowledged counts as in progress: the entry would come back for it.
+// acknowledged counts as in progress while one may come back for it.
 func (c *Companion) facts() drainer.Facts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return drainer.Facts{
 		Announced: true, Before: true,
-		InProgress: len(c.works) + c.running + c.buffer.Unreleased(),
+		InProgress: len(c.works) + c.running + c.buffer.Unreleased(c.settings.Now(), returnLimit),
 	}
 }
 
--- a/internal/transport/streamer/answer.go
+++ b/internal/transport/streamer/answer.go
@@ -31,10 +31,12 @@
 	head         *messenger.Head
 	end          *messenger.End
 	endedAt      time.Time
-	// released tells that an entry acknowledged the ending.
+	// released tells that an entry acknowledged the ending or gave the attempt up.
 	released bool
 	// link counts the readers; only the latest one is served.
 	link int
+	// leftAt is when the latest reader ended; zero while it reads.
+	leftAt time.Time
 	// changed is closed and replaced whenever a reader or writer may go on.
 	changed chan struct{}
 }
@@ -116,7 +118,32 @@
 	return a.acknowledged
 }
 
-// Released tells whether an entry has taken the whole answer with its ending.
+// Release notes that no entry will come for the answer: its attempt was
+// cancelled.
+func (a *Answer) Release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.released = true
+}
+
+// awaited tells whether an entry may still take the answer: one is reading it, or
+// the last one left no more than the limit ago. Nobody comes back for an answer
+// whose entry was lost, and an acknowledgement that got lost is not sent again.
+func (a *Answer) awaited(now time.Time, limit time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.released:
+		return false
+	case a.end == nil || a.leftAt.IsZero():
+		return true
+	default:
+		return now.Sub(a.leftAt) <= limit
+	}
+}
+
+// Released tells whether an entry has taken the whole answer with its ending, or
+// gave the attempt up.
 func (a *Answer) Released() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -177,6 +204,7 @@
 		return nil, errors.Trace(ErrNotHeld)
 	}
 	a.link++
+	a.leftAt = time.Time{}
 	a.wake()
 	return &Reader{answer: a, link: a.link, offset: offset, first: true}, nil
 }
@@ -189,6 +217,16 @@
 	first  bool
 }
 
+// Detach notes that the reader has ended.
+func (r *Reader) Detach(now time.Time) {
+	a := r.answer
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.link == r.link {
+		a.leftAt = now
+	}
+}
+
 // Next waits for the next piece. It returns ErrReplaced once another reader was
 // attached, and the context's error. The piece with the ending is the last.
 func (r *Reader) Next(ctx context.Context) (messenger.Piece, error) {
--- a/internal/transport/streamer/buffer.go
+++ b/internal/transport/streamer/buffer.go
@@ -224,15 +224,16 @@
 	a.wake()
 }
 
-// Unreleased returns the number of answers that no entry has taken whole.
-func (b *Buffer) Unreleased() int {
+// Unreleased returns the number of answers that no entry has taken whole and that
+// one may still take: entries come back for an answer within the limit.
+func (b *Buffer) Unreleased(now time.Time, limit time.Duration) int {
 	n := 0
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
 		for _, answers := range s.requests {
 			for _, a := range answers {
-				if !a.Released() {
+				if a.awaited(now, limit) {
 					n++
 				}
 			}
