demonstrator, marigoldpoint: a fault run asks a cold adapter, and counts old orders

Change: Recovers asks for an adapter that is hardly resident anywhere; the longest wait for a first token is reported; OrdersRise counts the orders with an older fencing number that engines obeyed; --no-fencing has engines ignore the numbers.

--- a/cmd/marigoldpoint/faults.go
+++ b/cmd/marigoldpoint/faults.go
@@ -15,6 +15,7 @@
 	Faults     bool     `help:"produce faults one after the other under load, a short list that stays the same"`
 	Fault      []string `placeholder:"NAME" help:"produce these faults only, or All"`
 	Rounds     int      `default:"1" help:"how often each fault is produced"`
+	NoFencing  bool     `arg:"--no-fencing" help:"have engines ignore fencing numbers while faults are produced"`
 	Timelines  string   `placeholder:"FOLDER" help:"write the time line of each fault that broke a promise"`
 	ListFaults bool     `arg:"--list-faults" help:"list the faults and end"`
 }
@@ -24,7 +25,7 @@
 // runFaults produces the faults and prints promise by promise what was tried and
 // how often it broke.
 func (c *faultOptions) runFaults(ctx context.Context, r demonstrator.Run, path string, out io.Writer) error {
-	f := demonstrator.FaultRun{Run: r, Faults: demonstrator.ShortFaults(), Rounds: c.Rounds, Out: out, Timelines: c.Timelines}
+	f := demonstrator.FaultRun{Run: r, Faults: demonstrator.ShortFaults(), Rounds: c.Rounds, Out: out, Timelines: c.Timelines, IgnoreFencing: c.NoFencing}
 	if len(c.Fault) > 0 {
 		var err error
 		if f.Faults, err = demonstrator.ParseFaults(strings.Join(c.Fault, ",")); err != nil {
--- a/internal/standin/demonstrator/faultcheck_test.go
+++ b/internal/standin/demonstrator/faultcheck_test.go
@@ -38,7 +38,7 @@
 			}
 		}))
 		defer server.Close()
-		s := &stream{prompt: "prompt", first: make(chan struct{})}
+		s := &stream{prompt: "prompt", tokens: streamTokens, first: make(chan struct{})}
 		if err := s.read(ctx, server.Client(), server.Listener.Addr().String(), "w/a@v1", "key"); err != nil {
 			s.failure = err.Error()
 		}
--- a/internal/standin/demonstrator/faultpromise.go
+++ b/internal/standin/demonstrator/faultpromise.go
@@ -33,9 +33,12 @@
 	// InForceSoon: an accepted change is in force on every ready entry within
 	// inForceLimit.
 	InForceSoon
-	// Recovers: after the fault every process is ready again and a change is
-	// accepted, within recoveryLimit.
+	// Recovers: after the fault every process is ready again, a change is accepted
+	// and an adapter that was not resident answers, within recoveryLimit.
 	Recovers
+	// OrdersRise: no engine obeys an order with an older fencing number than one
+	// before it. An engine that ignores fencing numbers obeys whatever it gets.
+	OrdersRise
 
 	faultPromises = iota
 )
--- a/internal/standin/demonstrator/faultreport.go
+++ b/internal/standin/demonstrator/faultreport.go
@@ -39,8 +39,10 @@
 	// came, and those of them that came whole.
 	Streams      int
 	StreamsWhole int
-	Operators    OperatorFigures
-	Endings      driver.EndingCounts
+	// FirstTokenMaxMillis is the longest wait of one of them for its first token.
+	FirstTokenMaxMillis int64
+	Operators           OperatorFigures
+	Endings             driver.EndingCounts
 	// Promises are those of this package, CallPromises those of the load.
 	Promises     []FaultPromiseFigures
 	CallPromises []driver.PromiseFigures
@@ -88,8 +90,8 @@
 	fmt.Fprintf(w, "%s, round %d: %s (%s; %.1f s, recovered in %.1f s)\n", g.Fault, g.Round, verdict, g.Detail, g.Seconds, g.RecoverySeconds)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	e := &g.Endings
-	fmt.Fprintf(t, "  calls\t%d: %d completed, %d not run, %d unknown, %d cut, %d unanswered; %d of %d long streams whole\n",
-		e.Calls, e.Completed, e.NotRun, e.Unknown, e.Cut, e.Unanswered, g.StreamsWhole, g.Streams)
+	fmt.Fprintf(t, "  calls\t%d: %d completed, %d not run, %d unknown, %d cut, %d unanswered; %d of %d long streams whole, first token after %d ms at most\n",
+		e.Calls, e.Completed, e.NotRun, e.Unknown, e.Cut, e.Unanswered, g.StreamsWhole, g.Streams, g.FirstTokenMaxMillis)
 	o := &g.Operators
 	fmt.Fprintf(t, "  changes\t%d accepted, %d lost races, %d sent again, %d unresolved; in force after %d ms at most\n",
 		o.Accepted, o.Conflicts, o.Resent, o.Unresolved, o.InForceMaxMillis)
--- a/internal/standin/demonstrator/faultrun.go
+++ b/internal/standin/demonstrator/faultrun.go
@@ -42,6 +42,8 @@
 	Rounds int
 	// Out takes what each fault gave, as text.
 	Out io.Writer
+	// IgnoreFencing has engines obey orders whatever their fencing number.
+	IgnoreFencing bool
 	// Timelines is a folder for the time line of each fault that broke a promise;
 	// empty for none.
 	Timelines string
@@ -58,9 +60,11 @@
 	// ledger and changes are those of the fault in progress.
 	ledger  *ledger
 	changes *changes
-	// streamCount numbers the long streams, turn chooses followers.
+	// streamCount numbers the long streams, turn chooses followers, cold the cold
+	// adapters.
 	streamCount int
 	turn        int
+	cold        int
 }
 
 // Do starts a deployment and produces the faults one after the other under load.
@@ -118,6 +122,7 @@
 func (r FaultRun) settings() Settings {
 	s := r.Run.deployment()
 	s.Relays = true
+	s.Engine.ChecksFencing = !r.IgnoreFencing
 	s.Services = max(s.Services, faultServices)
 	s.Control.ConfigurationLease = configurer.Duration(faultLease)
 	s.Stop.BalancerDelay = configurer.Duration(faultBalancerDelay)
@@ -153,6 +158,7 @@
 	if err != nil {
 		return figures, errors.Trace(err)
 	}
+	orders := f.orders()
 	load, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	changing, stopChanging := context.WithCancel(ctx)
@@ -187,6 +193,8 @@
 	looking.Wait()
 	stopLoad()
 	driving.Wait()
+	now := f.orders()
+	f.ledger.checks(OrdersRise, now.all-orders.all, now.stale-orders.stale, "engines obeyed older fencing numbers")
 	figures.Detail, figures.Seconds = o.detail, seconds(time.Since(began))
 	figures.fill(f, s, report)
 	return figures, errors.Trace(firstError(ctx.Err(), loadErr))
@@ -205,6 +213,7 @@
 func (g *FaultFigures) fill(f *faultRun, s *streams, report *driver.Report) {
 	g.Streams = len(s.all)
 	for _, c := range s.all {
+		g.FirstTokenMaxMillis = max(g.FirstTokenMaxMillis, c.waited.Milliseconds())
 		if c.whole() {
 			g.StreamsWhole++
 		}
@@ -224,7 +233,8 @@
 	return r.Drive(ctx, f.deployment, f.keys)
 }
 
-// recover waits until every process is ready and a change is accepted.
+// recover waits until every process is ready, a change is accepted and a cold
+// adapter answers.
 func (f *faultRun) recover(ctx context.Context, cause error) {
 	ctx, cancel := context.WithTimeout(ctx, recoveryLimit)
 	defer cancel()
@@ -237,6 +247,9 @@
 			cause = errors.New("no change is accepted")
 		}
 	}
+	if cause == nil {
+		cause = f.askCold(ctx)
+	}
 	f.ledger.check(Recovers, cause == nil, "%v", cause)
 }
 
@@ -274,4 +287,19 @@
 	}
 }
 
+// orderCounts count the orders to all engines.
+type orderCounts struct {
+	all   int64
+	stale int64
+}
+
+func (f *faultRun) orders() (c orderCounts) {
+	for _, e := range f.deployment.Engines() {
+		r := e.Record()
+		c.all += int64(len(r.Orders))
+		c.stale += int64(r.StaleOrders)
+	}
+	return c
+}
+
 func seconds(d time.Duration) float64 { return math.Round(d.Seconds()*1000) / 1000 }
--- a/internal/standin/demonstrator/faults_string.go
+++ b/internal/standin/demonstrator/faults_string.go
@@ -53,11 +53,12 @@
 	_ = x[NeverReverts-5]
 	_ = x[InForceSoon-6]
 	_ = x[Recovers-7]
+	_ = x[OrdersRise-8]
 }
 
-const _FaultPromise_name = "StopCutsNothingLeavingGetsNothingOthersGoOnSilenceKeepsStreamsChangeTakenOnceNeverRevertsInForceSoonRecovers"
+const _FaultPromise_name = "StopCutsNothingLeavingGetsNothingOthersGoOnSilenceKeepsStreamsChangeTakenOnceNeverRevertsInForceSoonRecoversOrdersRise"
 
-var _FaultPromise_index = [...]uint8{0, 15, 33, 43, 62, 77, 89, 100, 108}
+var _FaultPromise_index = [...]uint8{0, 15, 33, 43, 62, 77, 89, 100, 108, 118}
 
 func (i FaultPromise) String() string {
 	idx := int(i) - 0
--- a/internal/standin/demonstrator/faultstream.go
+++ b/internal/standin/demonstrator/faultstream.go
@@ -52,6 +52,10 @@
 	problem string
 	done    bool
 	ended   time.Time
+	// tokens is the number of tokens asked for, waited the time to the first.
+	tokens int
+	began  time.Time
+	waited time.Duration
 	// first is closed at the first token or the end.
 	first chan struct{}
 	once  sync.Once
@@ -59,7 +63,7 @@
 
 // whole reports whether the caller got the whole answer.
 func (s *stream) whole() bool {
-	return s.done && s.text.String() == generator.Expected(s.version, s.prompt, streamTokens)
+	return s.done && s.text.String() == generator.Expected(s.version, s.prompt, s.tokens)
 }
 
 // refused reports whether the stream never began.
@@ -89,7 +93,7 @@
 		for j := range streamsPerEntry {
 			f.streamCount++
 			c := &stream{
-				entry: f.deployment.Names()[i], first: make(chan struct{}),
+				entry: f.deployment.Names()[i], tokens: streamTokens, first: make(chan struct{}),
 				prompt: fmt.Sprintf("the long review number %d", f.streamCount),
 			}
 			s.all = append(s.all, c)
@@ -114,6 +118,25 @@
 	return s
 }
 
+// askCold has an adapter answer that is hardly resident anywhere.
+func (f *faultRun) askCold(ctx context.Context) error {
+	f.cold++
+	w := &f.run.Workload.Workspaces[f.cold%len(f.keys)]
+	model := fmt.Sprintf("%s/%s-%04d", w.Name, w.AdapterPrefix, w.Adapters-1-f.cold%(w.Adapters/2+1))
+	addresses := f.deployment.CallerAddresses()
+	for {
+		f.streamCount++
+		s := &stream{prompt: fmt.Sprintf("a quick lookup, number %d", f.streamCount), tokens: 1, first: make(chan struct{})}
+		err := s.read(ctx, f.client, addresses[f.streamCount%len(addresses)], model, f.keyOf(w.Name))
+		if s.whole() {
+			return nil
+		}
+		if !wait(ctx, resendPause) {
+			return errors.Errorf("%s does not answer: %s, %v", model, s, err)
+		}
+	}
+}
+
 func (f *faultRun) keyOf(workspace string) string {
 	for _, k := range f.keys {
 		if k.Workspace == workspace {
@@ -126,7 +149,8 @@
 // begin sends the call until it isn't refused any more, as an entry may not know
 // yet of backend servers that have just joined, and reads its answer.
 func (s *stream) begin(ctx context.Context, client *http.Client, address, model, key string) {
-	limit := time.Now().Add(streamStart)
+	s.began = time.Now()
+	limit := s.began.Add(streamStart)
 	for {
 		s.problem = ""
 		if err := s.read(ctx, client, address, model, key); err != nil {
@@ -142,7 +166,7 @@
 func (s *stream) read(ctx context.Context, client *http.Client, address, model, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, streamLimit)
 	defer cancel()
-	body, err := json.Marshal(orderer.CompletionRequest{Model: model, Prompt: s.prompt, MaxTokens: streamTokens, Stream: true})
+	body, err := json.Marshal(orderer.CompletionRequest{Model: model, Prompt: s.prompt, MaxTokens: s.tokens, Stream: true})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -206,7 +230,10 @@
 	for _, c := range p.Choices {
 		s.text.WriteString(c.Text)
 	}
-	s.once.Do(func() { close(s.first) })
+	s.once.Do(func() {
+		s.waited = time.Since(s.began)
+		close(s.first)
+	})
 	return nil
 }
 
