--- a/internal/transport/controller/outcome_test.go
+++ b/internal/transport/controller/outcome_test.go
@@ -17,6 +17,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/replicator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
 	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
@@ -24,7 +25,10 @@
 )
 
 // follower is a replicated log whose leader is elsewhere.
-type follower struct{ leader replicator.Member }
+type follower struct {
+	leader    replicator.Member
+	formation uint64
+}
 
 func (f follower) Propose(context.Context, []byte) (uint64, any, error) {
 	return 0, nil, replicator.ErrNotLeader{Leader: f.leader}
@@ -35,7 +39,7 @@
 func (follower) LeaderContact() time.Duration        { return 0 }
 func (f follower) Leader() (replicator.Member, bool) { return f.leader, true }
 func (f follower) Status() replicator.Status {
-	return replicator.Status{Leader: f.leader.ID, Members: []replicator.Member{f.leader}}
+	return replicator.Status{Formation: f.formation, Leader: f.leader.ID, Members: []replicator.Member{f.leader}}
 }
 func (follower) AddMember(context.Context, replicator.Member) error    { return nil }
 func (follower) RemoveMember(context.Context, replicator.HostID) error { return nil }
@@ -78,6 +82,45 @@
 	return l
 }
 
+var _ = Describe("A control group that was formed anew", func() {
+	// Symptom: an entry answers by the rules of a lost group for ever, and is
+	// ready.
+	// Sequence: a majority of the disks is lost; operators form a new group, whose
+	// revisions begin anew, and forget to restart the entry. It holds a higher
+	// revision, so that the new group never has a delta for it.
+	// Cause to prevent: comparing the revisions of two logs.
+	It("refuses a node that outlived the old one", func() {
+		start := func(l net.Listener, formation uint64) *controller.Control {
+			c, err := controller.NewControl(controller.Settings{
+				Node: "host", ID: 1, Listener: l, Log: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)),
+				Control: configurer.ControlSettings{Listen: l.Addr().String(), Group: "test"},
+				Open: func(replicator.Settings, *storer.Store, replicator.Transport) (controller.Agreement, error) {
+					return follower{formation: formation}, nil
+				},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			c.Start()
+			return c
+		}
+		l := listen()
+		address := l.Addr().String()
+		g := &group{hosts: []configurer.ControlHost{{ID: 1, Address: address, FailureDomain: "d1", Region: "r"}}}
+		g.network.cut, g.network.open = make(map[string]bool), make(map[string][]net.Conn)
+		events := recorder.NewRecorder(recorder.Settings{Node: "entry"})
+		old := start(l, 1)
+		entry := g.node("entry", "d1", distributor.ScopeEntry, func(s *subscriber.Settings) { s.Recorder = events })
+		DeferCleanup(entry.Close)
+		Eventually(entry.Host, patience).Should(Equal(address))
+		Expect(old.Close()).To(Succeed())
+		again, err := net.Listen("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(start(again, 2).Close)
+		Eventually(func() []recorder.Event { return events.Events("").Events }, patience).
+			Should(ContainElement(HaveField("Detail", ContainSubstring("formed anew"))))
+		Expect(entry.Host()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("A forwarded change", func() {
 	var proposals atomic.Int64
 	var answer func() error
@@ -107,7 +150,7 @@
 			Control: configurer.ControlSettings{Listen: own.Addr().String(), Group: "test"},
 			Random:  rand.New(rand.NewPCG(1, 1)),
 			Open: func(replicator.Settings, *storer.Store, replicator.Transport) (controller.Agreement, error) {
-				return follower{replicator.Member{ID: 2, Address: leads.Address(), Voter: true}}, nil
+				return follower{leader: replicator.Member{ID: 2, Address: leads.Address(), Voter: true}}, nil
 			},
 		})
 		Expect(err).NotTo(HaveOccurred())
