distributor: a restarting node takes the pages of a reset in as they come

Assembler gathered all pages as resources before Target.Reset. A target that has Begin, as indexer.Index does, now gets each page at once; nothing is in force before the last, and a whole state that is not newer is passed over, as before. Targets without Begin get Reset as they did. The property of monotone nodes now runs over the compact replica too.

--- a/internal/coordination/distributor/assembler.go
+++ b/internal/coordination/distributor/assembler.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -18,29 +19,33 @@
 	Reset(resources []storer.Resource, revision uint64) error
 }
 
+// PagedTarget is a Target that takes a whole state in page by page, and goes on
+// answering by what it holds until the last. indexer.Index is one.
+type PagedTarget interface {
+	Target
+	Begin() *indexer.Loading
+}
+
 // Assembler takes the deltas of one subscription in, in order of arrival.
 type Assembler struct {
-	// pages collects the state of a reset until its last page.
+	// loading holds a reset under way at a PagedTarget; nil where none is.
+	loading *indexer.Loading
+	// pages collects the state of a reset for any other Target.
 	pages []storer.Resource
 	// batches counts the deltas taken in.
 	batches uint64
 }
 
-// Take applies one delta to target and returns the acknowledgement to send. A
-// delta that is not newer than target is acknowledged and changes nothing.
+// Take applies one delta to target, which must be the same each time, and
+// returns the acknowledgement to send. A delta that is not newer than target is
+// acknowledged and changes nothing.
 func (a *Assembler) Take(target Target, d Delta) (AcknowledgeRevision, error) {
 	held := target.Revision()
 	switch {
 	case d.Reset:
-		a.pages = append(a.pages, d.Resources...)
-		if d.Last {
-			pages := a.pages
-			a.pages = nil
-			if d.UpTo > held {
-				if err := target.Reset(pages, d.UpTo); err != nil {
-					return AcknowledgeRevision{}, errors.Annotatef(err, "taking the whole state at revision %d", d.UpTo)
-				}
-			}
+		if err := a.takePage(target, d); err != nil {
+			a.loading, a.pages = nil, nil
+			return AcknowledgeRevision{}, errors.Annotatef(err, "taking the whole state at revision %d", d.UpTo)
 		}
 	case d.From > held:
 		return AcknowledgeRevision{}, errors.Annotatef(ErrGap, "delta from %d to %d at revision %d", d.From, d.UpTo, held)
@@ -52,3 +57,38 @@
 	a.batches++
 	return AcknowledgeRevision{Revision: target.Revision(), Batches: a.batches}, nil
 }
+
+// takePage takes in one page of a whole state. Nothing of it is in force before
+// the last page, and nothing at all where the target holds as much: half a state
+// is no state, and an older one would take back what is in force.
+func (a *Assembler) takePage(target Target, d Delta) error {
+	if d.UpTo <= target.Revision() {
+		a.loading, a.pages = nil, nil
+		return nil
+	}
+	paged, ok := target.(PagedTarget)
+	if !ok {
+		a.pages = append(a.pages, d.Resources...)
+		if !d.Last {
+			return nil
+		}
+		pages := a.pages
+		a.pages = nil
+		return target.Reset(pages, d.UpTo)
+	}
+	// All pages held as resources would take several times the memory of the
+	// replica that is made of them, on every node of a region at once when its
+	// control hosts come back.
+	if a.loading == nil {
+		a.loading = paged.Begin()
+	}
+	if err := a.loading.Add(d.Resources); err != nil {
+		return err
+	}
+	if !d.Last {
+		return nil
+	}
+	loading := a.loading
+	a.loading = nil
+	return loading.Finish(d.UpTo)
+}
--- a/internal/coordination/distributor/feed_test.go
+++ b/internal/coordination/distributor/feed_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -176,13 +177,15 @@
 
 // A node that moves between hosts which are ahead or behind, with histories cut
 // anywhere and connections lost in the middle of a page, never goes back, and
-// holds exactly the state of its revision.
+// holds exactly the state of its revision; the compact replica, which takes the
+// pages of a reset as they come, moves with it.
 func TestPropertyMonotone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := []*host{{head: 5}, {head: 9}, {head: 2}}
 		n := &node{shares: make(map[string]int), fatal: t.Fatalf}
+		x := indexer.NewIndex(indexer.Settings{})
 		var feed *distributor.Feed
-		var assembler *distributor.Assembler
+		var assembler, paged *distributor.Assembler
 		var at *host
 		var under []distributor.Delta
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
@@ -192,7 +195,8 @@
 				h.head += uint64(rapid.IntRange(0, 30).Draw(t, "written"))
 				h.floor = uint64(rapid.IntRange(int(h.floor), int(h.head)).Draw(t, "floor"))
 			case 1:
-				at, assembler, under = h, &distributor.Assembler{}, nil
+				at, under = h, nil
+				assembler, paged = &distributor.Assembler{}, &distributor.Assembler{}
 				feed = distributor.NewFeed(distributor.FeedSettings{After: n.revision, Window: 3, BatchLimit: 3})
 			case 2:
 				if feed != nil {
@@ -208,6 +212,10 @@
 				if err != nil {
 					t.Fatalf("delta refused: %v", err)
 				}
+				b, err := paged.Take(x, under[0])
+				if err != nil || a != b {
+					t.Fatalf("the replica answered %v, %v instead of %v", b, err, a)
+				}
 				under = under[1:]
 				feed.Acknowledge(a)
 				if feed.Acknowledged() > n.revision {
@@ -220,6 +228,9 @@
 					if got := n.shares[written(r).Metadata.Name]; got != int(r) {
 						t.Fatalf("at revision %d share %d is in force instead of %d", n.revision, got, r)
 					}
+					if w, _ := x.Workspace(written(r).Metadata.Name); w.Share != int(r) {
+						t.Fatalf("at revision %d the replica has share %d in force instead of %d", n.revision, w.Share, r)
+					}
 				}
 			}
 		}
