replicator: leases and reads under random faults

Cause: the properties checked the log only. A lease that outlives the promises it rests on shows as a read which misses an accepted change.

Change: in schedules without clock jumps no host may have a lease and lack a committed entry, and no read may miss what was committed when it began; the simulation ticks four times a heartbeat, holds messages back, mutes leaders and bounces followers. Two tests tell the stories of a follower that forgot its promise by a restart, and of a lease counted from the arrival of answers.

--- a/internal/coordination/replicator/faults_test.go
+++ b/internal/coordination/replicator/faults_test.go
@@ -206,6 +206,55 @@
 		s.heal()
 	})
 
+	// Symptom: a read under the lease misses an accepted change. Events: one
+	// follower doesn't hear the leader and campaigns; the other one has just
+	// answered it, restarts, and gives its vote; the leader is cut off. Cause:
+	// the restarted host has forgotten that the leader relies on its silence.
+	ginkgo.It("holds no lease that a restarted follower has forgotten", func() {
+		elections := 0
+		for seed := range uint64(40) {
+			s := quiet(seed)
+			l := s.leader()
+			a, b := s.others(l)
+			s.cut[[2]HostID{l.id, a.id}] = true
+			s.run(10, false)
+			s.isolate(l)
+			b.disk.Crash()
+			b.replica = nil
+			s.restart(b)
+			s.run(10, false)
+			elections += s.elections
+			s.heal()
+		}
+		Expect(elections).To(BeNumerically(">", 60))
+	})
+
+	// Symptom: as before. Events: the answers of the followers are held back on
+	// the way, the leader is muted, others elect a new one, the answers arrive.
+	// Cause: a lease counted from the arrival of answers, not from the round
+	// that they answer.
+	ginkgo.It("counts a lease from the round that was answered", func() {
+		for seed := range uint64(40) {
+			s := quiet(seed)
+			l := s.leader()
+			s.act(heldBack)
+			s.run(1, false)
+			s.act(muted)
+			for c := l.replica.core; c.LeaseUntil()-c.clock > 2*simulatedTick; {
+				s.tick()
+				s.deliver(false)
+			}
+			s.act(released)
+			s.tick()
+			s.deliver(false)
+			s.isolate(l)
+			Expect(l.replica.core.role).To(Equal(Leader))
+			s.run(10, false)
+			Expect(l.replica.core.role).To(Equal(Follower))
+			s.heal()
+		}
+	})
+
 	// Symptom: a lease seems valid for hours. Events: the wall clock is set
 	// back. Cause: an end of the lease in that clock's time is far ahead.
 	ginkgo.It("goes on after a clock is set back", func() {
--- a/internal/coordination/replicator/property_test.go
+++ b/internal/coordination/replicator/property_test.go
@@ -28,10 +28,14 @@
 	s := newSimulation(t.Fatalf, rand.New(rand.NewPCG(seed, 0)), voters, 1, messageBytes)
 	s.run(20, false)
 	// The second kind of schedule is all about leaders that are cut off just
-	// after, or just before, they could tell the others something.
+	// after, or just before, they could tell the others something; the third
+	// one about leases, and those whose promise they rest on.
 	action := rapid.IntRange(0, 99)
-	if rapid.Bool().Draw(t, "Leaders") {
+	switch rapid.IntRange(0, 2).Draw(t, "Kind") {
+	case 1:
 		action = rapid.SampledFrom([]int{longRun, longRun, delivery, delivery, delivery, proposals, leadersCut, leadersCut})
+	case 2:
+		action = rapid.SampledFrom([]int{shortRun, shortRun, shortRun, proposals, leadersCut, bounce, unheard, muted, heldBack, released, allHealed})
 	}
 	actions := rapid.SliceOfN(action, 20, 120).Draw(t, "Actions")
 	for _, a := range actions {
@@ -42,10 +46,17 @@
 
 // Some of the actions, see act.
 const (
+	shortRun   = 21
 	longRun    = 31
 	delivery   = 43
 	proposals  = 55
 	leadersCut = 89
+	allHealed  = 91
+	bounce     = 100
+	unheard    = 101
+	heldBack   = 102
+	released   = 103
+	muted      = 104
 )
 
 // act carries out one action of a schedule on a random host.
@@ -53,7 +64,7 @@
 	h := s.hosts[s.random.IntN(len(s.hosts))]
 	o := s.hosts[s.random.IntN(len(s.hosts))]
 	switch {
-	case action < 22:
+	case action <= shortRun:
 		s.run(1+s.random.IntN(5), true)
 	case action <= longRun:
 		s.run(6+s.random.IntN(6), true)
@@ -61,6 +72,7 @@
 		s.deliver(true)
 	case action <= proposals:
 		for _, h := range s.hosts {
+			s.read(h)
 			s.propose(h)
 		}
 	case action < 61:
@@ -83,9 +95,10 @@
 				s.isolate(h)
 			}
 		}
-	case action < 92:
+	case action <= allHealed:
 		s.cut = make(map[[2]HostID]bool)
 	case action < 94:
+		s.jumped = true
 		h.offset += time.Duration(s.random.IntN(4)) * simulatedTimeout
 	case action < 97:
 		for _, h := range s.hosts {
@@ -95,8 +108,36 @@
 		if h.replica != nil && h.replica.core.Transfer() == nil {
 			s.finish(h, nil)
 		}
-	default:
+	case action == 99:
 		s.wipe(h)
+	default:
+		s.actOnLeases(action, o)
+	}
+}
+
+// actOnLeases carries out the actions on leaders and their followers.
+func (s *simulation) actOnLeases(action int, o *simulatedHost) {
+	if action == released {
+		s.held = make(map[[2]HostID]bool)
+	}
+	for _, h := range s.hosts {
+		leads := h.replica != nil && h.replica.core.role == Leader
+		switch {
+		case action == bounce && h.replica != nil && !leads:
+			h.disk.Crash()
+			h.replica, h.applier = nil, nil
+			s.restart(h)
+		case action == unheard && leads:
+			s.cut[[2]HostID{h.id, o.id}] = true
+		case action == heldBack && leads:
+			for _, o := range s.hosts {
+				s.held[[2]HostID{o.id, h.id}] = true
+			}
+		case action == muted && leads:
+			for _, o := range s.hosts {
+				s.cut[[2]HostID{h.id, o.id}] = true
+			}
+		}
 	}
 }
 
--- a/internal/coordination/replicator/replicator_test.go
+++ b/internal/coordination/replicator/replicator_test.go
@@ -237,6 +237,7 @@
 			Expect(CertainlyNotAccepted(err)).To(BeFalse())
 			Expect(time.Since(start)).To(BeNumerically("<=", DefaultElectionTimeout))
 			Expect(old.LeaseValid()).To(BeFalse())
+			Expect(old.LeaderContact()).To(BeNumerically(">=", DefaultElectionTimeout-DefaultElectionTimeout/5))
 			Expect(old.ReadBarrier(ctx)).NotTo(Succeed())
 			_, _, err = old.Propose(ctx, []byte("after"))
 			Expect(CertainlyNotAccepted(err)).To(BeTrue())
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -12,10 +12,12 @@
 	"marigoldpoint.example/marigoldpoint/internal/state/snapshotter"
 )
 
-// Times of the simulation: a step is a heartbeat interval.
+// Times of the simulation: a step is a heartbeat interval of several ticks, so
+// that an election fits into the life of a lease.
 const (
-	simulatedStep    = 50 * time.Millisecond
-	simulatedTimeout = 200 * time.Millisecond
+	simulatedTick    = 10 * time.Millisecond
+	simulatedStep    = 4 * simulatedTick
+	simulatedTimeout = 4 * simulatedStep
 )
 
 // chain is a state machine whose state is a hash over all commands so far.
@@ -64,6 +66,8 @@
 	// messageBytes is CoreSettings.MessageBytes; 1 sends each entry alone.
 	messageBytes int
 	cut          map[[2]HostID]bool
+	// held are the links whose messages wait.
+	held map[[2]HostID]bool
 	// leaders holds who led each term, committed what was committed where, and
 	// hashes the state after each entry.
 	leaders   map[uint64]HostID
@@ -71,6 +75,10 @@
 	hashes    map[uint64]uint64
 	proposed  uint64
 	seen      map[string]bool
+	// reads holds how much was committed when each read began; jumped says
+	// that a clock has jumped, so that leases prove nothing.
+	reads  []int
+	jumped bool
 	// elections and faults count what the run has met.
 	elections, faults int
 }
@@ -78,7 +86,7 @@
 // newSimulation starts the given number of voters and as many spare hosts.
 func newSimulation(fail func(string, ...any), random *rand.Rand, voters, spares, messageBytes int) *simulation {
 	s := &simulation{
-		fail: fail, random: random, cut: make(map[[2]HostID]bool), leaders: make(map[uint64]HostID),
+		fail: fail, random: random, cut: make(map[[2]HostID]bool), held: make(map[[2]HostID]bool), leaders: make(map[uint64]HostID),
 		messageBytes: messageBytes,
 		hashes:       make(map[uint64]uint64), seen: make(map[string]bool),
 	}
@@ -97,7 +105,7 @@
 func (s *simulation) start(h *simulatedHost) {
 	settings := Settings{
 		Group: "simulated", Self: Member{ID: h.id, Address: fmt.Sprint(h.id)}, DataFolder: "/data",
-		ElectionTimeout: simulatedTimeout, HeartbeatInterval: simulatedStep, PieceBytes: 64,
+		ElectionTimeout: simulatedTimeout, HeartbeatInterval: simulatedStep, LeaseDrift: simulatedTick, PieceBytes: 64,
 		SnapshotEvery: 8, CatchUpEntries: 4, MessageBytes: s.messageBytes, Random: s.random, FileSystem: h.disk,
 	}.withDefaults()
 	if int(h.id) <= len(s.voters) {
@@ -112,7 +120,7 @@
 	r.send = func(ms []Message) { s.network = append(s.network, ms...) }
 	r.commit = func(es []Entry) { s.apply(h, es) }
 	r.install = func(snapshotter.Metadata) { s.restore(h) }
-	r.answer = func(ReadState) {}
+	r.answer = func(a ReadState) { s.checkRead(h, a) }
 	h.replica, h.applier = r, a
 	h.startedAt = s.now + h.offset
 	s.restore(h)
@@ -207,7 +215,7 @@
 
 // tick advances the time on all hosts.
 func (s *simulation) tick() {
-	s.now += simulatedStep
+	s.now += simulatedTick
 	for _, h := range s.hosts {
 		if h.replica == nil {
 			continue
@@ -230,6 +238,10 @@
 		s.random.Shuffle(len(batch), func(i, j int) { batch[i], batch[j] = batch[j], batch[i] })
 	}
 	for _, m := range batch {
+		if s.held[[2]HostID{m.From, m.To}] {
+			s.network = append(s.network, m)
+			continue
+		}
 		if faulty {
 			switch roll := s.random.IntN(100); {
 			case roll < 4:
@@ -242,6 +254,38 @@
 			}
 		}
 		s.pass(m)
+		s.checkLeases()
+	}
+}
+
+// checkLeases checks that a host whose lease holds knows all that is committed:
+// reads under the lease are answered from its state.
+func (s *simulation) checkLeases() {
+	for _, h := range s.hosts {
+		if h.replica == nil || s.jumped {
+			continue
+		}
+		c := h.replica.core
+		if c.clock < c.LeaseUntil() && c.commit < uint64(len(s.committed)) {
+			s.fail("host %d has a lease in term %d but knows of only %d of %d committed entries", h.id, c.hard.Term, c.commit, len(s.committed))
+		}
+	}
+}
+
+// read begins a read on a host.
+func (s *simulation) read(h *simulatedHost) {
+	if h.replica == nil {
+		return
+	}
+	s.reads = append(s.reads, len(s.committed))
+	h.replica.core.Read(uint64(len(s.reads) - 1))
+	s.finish(h, nil)
+}
+
+// checkRead checks that a read sees all that was committed when it began.
+func (s *simulation) checkRead(h *simulatedHost, a ReadState) {
+	if !a.Failed && !s.jumped && a.Index < uint64(s.reads[a.ID]) {
+		s.fail("a read on host %d sees %d entries, but %d were committed when it began", h.id, a.Index, s.reads[a.ID])
 	}
 }
 
@@ -256,10 +300,9 @@
 
 // run lets some steps go by.
 func (s *simulation) run(steps int, faulty bool) {
-	for range steps {
+	for range steps * int(simulatedStep/simulatedTick) {
 		s.tick()
 		s.deliver(faulty)
-		s.deliver(faulty)
 	}
 }
 
@@ -330,7 +373,7 @@
 
 // heal ends all faults and checks that the group works and agrees again.
 func (s *simulation) heal() {
-	s.cut = make(map[[2]HostID]bool)
+	s.cut, s.held = make(map[[2]HostID]bool), make(map[[2]HostID]bool)
 	for _, h := range s.hosts {
 		h.disk.CrashIn(0)
 		s.restart(h)
