--- a/cmd/marigoldpoint/demo.go
+++ b/cmd/marigoldpoint/demo.go
@@ -51,7 +51,7 @@
 		if r.Folder, err = os.MkdirTemp("", "marigoldpoint-demo-"); err != nil {
 			return errors.Trace(err)
 		}
-		defer os.RemoveAll(r.Folder)
+		defer func() { _ = os.RemoveAll(r.Folder) }()
 	}
 	closeLog, err := c.openLog(&r)
 	if err != nil {
--- a/cmd/marigoldpoint/serve.go
+++ b/cmd/marigoldpoint/serve.go
@@ -30,14 +30,14 @@
 	log := newLog(s, out)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	p, err := starter.NewProcess(starter.Settings{Configuration: s, Registry: registry, Log: log})
+	p, err := starter.NewProcess(starter.Settings{Configuration: s, Registry: registry, Log: log}) //nolint:contextcheck // A signal begins a planned stop, it does not cut.
 	if err != nil {
 		return err
 	}
 	log.Info().Str("FailureDomain", s.FailureDomain).Msg("serving")
 	select {
 	case <-ctx.Done():
-		return stopProcess(p, log)
+		return stopProcess(p, log) //nolint:contextcheck // The first signal has ended ctx; a second ends the stop.
 	case err := <-p.Failed():
 		log.Error().Err(err).Msg("the process can't go on")
 		return stderrors.Join(err, p.Close())
