--- a/internal/protocol/translator/fault.go
+++ b/internal/protocol/translator/fault.go
@@ -37,7 +37,6 @@
 	CodeOverloaded       Code = "overloaded"
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeLoadFailed       Code = "load_failed"
-	CodeRetriesSpent     Code = "retries_spent"
 	CodeEngineRefused    Code = "engine_refused"
 	CodeClaimUnavailable Code = "claim_unavailable"
 	CodeKeyInProgress    Code = "idempotency_key_in_progress"
@@ -47,7 +46,6 @@
 	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeAnswerCut        Code = "answer_cut"
 	CodeWrongModel       Code = "wrong_model"
-	CodeAnswerTooLarge   Code = "answer_too_large"
 	CodeCancelled        Code = "cancelled"
 )
 
