replicator: messages that wait go before timeouts

Cause: a host that was held up by its disk looked at its timers first. A follower then campaigned although heartbeats lay in its inbox, and a leader counted itself as cut off without the answers that had come.

Change: the loop sets the core's clock, passes on the messages, and ticks then; proposals come last, so that they meet a host that knows whether it leads. A test bounds what a leader keeps for followers that don't answer.

--- a/internal/coordination/replicator/core.go
+++ b/internal/coordination/replicator/core.go
@@ -187,9 +187,15 @@
 	}
 }
 
-// Tick tells the time since some origin, which must not fall.
+// SetClock tells the time since some origin, which must not fall, without acting
+// on it. An owner that was held up, by its disk perhaps, calls it and passes on
+// the messages that wait before it calls Tick: else a follower would campaign,
+// and a leader step down, for want of messages that have arrived.
+func (c *Core) SetClock(now time.Duration) { c.clock = max(c.clock, now) }
+
+// Tick tells the time and acts on the timeouts that have passed.
 func (c *Core) Tick(now time.Duration) {
-	c.clock = max(c.clock, now)
+	c.SetClock(now)
 	if c.role == Leader {
 		c.tickLeader()
 		return
--- a/internal/coordination/replicator/faults_test.go
+++ b/internal/coordination/replicator/faults_test.go
@@ -309,3 +309,26 @@
 		s.heal()
 	})
 })
+
+var _ = ginkgo.Describe("slow followers", func() {
+	// Symptom: a leader runs out of memory. Events: its followers stop
+	// answering while callers go on proposing. Cause: messages or entries
+	// without bound wait for answers.
+	ginkgo.It("bound what goes out without an answer, and what waits for a commit", func() {
+		s := quiet(9)
+		l := s.leader()
+		c := l.replica.core
+		a, _ := s.others(l)
+		s.isolate(l)
+		var refused ErrNotAccepted
+		for err := error(nil); !errors.As(err, &refused); {
+			_, _, err = c.Propose(make([]byte, 4096))
+			Expect(err == nil || CertainlyNotAccepted(err)).To(BeTrue())
+			c.Flush()
+		}
+		Expect(c.pendingBytes).To(BeNumerically("<=", DefaultPendingBytes))
+		Expect(c.pendingBytes).To(BeNumerically(">", DefaultPendingBytes/2))
+		Expect(len(c.peers[a.id].window)).To(BeNumerically("<=", DefaultWindowMessages))
+		Expect(len(c.out.Early)).To(BeNumerically("<=", 2*(DefaultWindowMessages+1)))
+	})
+})
--- a/internal/coordination/replicator/loop.go
+++ b/internal/coordination/replicator/loop.go
@@ -66,6 +66,14 @@
 // turn handles some events and carries out what follows from them.
 func (r *Replicator) turn(events []event) error {
 	now := r.clock.read()
+	r.replica.core.SetClock(now)
+	for _, e := range events {
+		if d, ok := e.(delivered); ok {
+			if err := r.replica.step(d.message); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
 	r.replica.core.Tick(now)
 	if f := r.replica.founder; f != nil {
 		r.replica.emit(f.tick(now, r.settings.HeartbeatInterval))
@@ -87,11 +95,11 @@
 	return nil
 }
 
-// handle takes in one event.
+// handle takes in one event other than a message. Messages come first, so that
+// a proposal meets a host that knows whether it still leads.
 func (r *Replicator) handle(e event) error {
 	switch t := e.(type) {
 	case delivered:
-		return errors.Trace(r.replica.step(t.message))
 	case proposal:
 		r.propose(t)
 	case readRequest:
