configurer: Bootstrap is refused but on the host with the lowest ID

On any other host of ControlHosts it had no effect: a group whose operators set it there never came up, and nothing told why.

--- a/internal/state/configurer/control.go
+++ b/internal/state/configurer/control.go
@@ -37,7 +37,8 @@
 	Group string
 
 	// Bootstrap has this host form the group out of ControlHosts, where its
-	// data folder is empty. Set it on exactly one host, for its first start.
+	// data folder is empty. Set it on the host with the lowest ID, for its
+	// first start; on any other it is refused, since it has no effect there.
 	Bootstrap bool
 
 	// Join has this host, with an empty data folder, wait until the group takes
@@ -131,6 +132,10 @@
 	switch {
 	case id == 0 || own < 0:
 		c.fault("Control.ID", "no host in ControlHosts has this host's ID or the address in Control.Listen")
+	case t.Bootstrap && slices.ContainsFunc(s.ControlHosts, func(h ControlHost) bool { return h.ID < id }):
+		// Elsewhere it has no effect: the group would never come up, and
+		// nothing would tell why.
+		c.fault("Control.Bootstrap", "has an effect only on the host with the lowest ID in ControlHosts")
 	case s.ControlHosts[own].FailureDomain != s.FailureDomain:
 		c.fault(element("ControlHosts", own)+".FailureDomain", "differs from FailureDomain, %q", s.FailureDomain)
 	case s.ControlHosts[own].Region != s.Region:
