indexer: less waste in the replica after deltas

A shard was built anew only when a quarter of its texts were waste; now at a 32nd. Arenas of a workspace's rules grow by an eighth and begin at 128 bytes, and a full array of rules by an eighth instead of to its double.

--- a/internal/state/indexer/arena.go
+++ b/internal/state/indexer/arena.go
@@ -8,7 +8,12 @@
 	// maxChunk is the size of a full chunk in bytes. A text never crosses a
 	// chunk's end, so it bounds the length of a text.
 	maxChunk = 1 << chunkBits
-	minChunk = 1 << 8
+	minChunk = 1 << 7
+	// wasteShare is the part of the live bytes that may be waste besides: 1/32.
+	// A shard of the planned size is then built anew after some hundred changes.
+	wasteShare = 32
+	// growthShare is the part of the live bytes by which an arena grows: 1/8.
+	growthShare = 8
 )
 
 // textRef is the place of a text in an arena: chunk and offset.
@@ -61,7 +66,7 @@
 	}
 	size := a.expected
 	if size == 0 {
-		size = max(a.live/4, minChunk)
+		size = max(a.live/growthShare, minChunk)
 	}
 	a.last = &strings.Builder{}
 	a.last.Grow(max(min(size, maxChunk), length))
@@ -81,4 +86,4 @@
 }
 
 // wasteful reports whether so much was dropped that building anew pays.
-func (a *arena) wasteful() bool { return a.dead > minChunk+a.live/4 }
+func (a *arena) wasteful() bool { return a.dead > minChunk+a.live/wasteShare }
--- a/internal/state/indexer/rules.go
+++ b/internal/state/indexer/rules.go
@@ -125,6 +125,10 @@
 	}
 	r.remove(name)
 	i = r.position(s.Adapter, s.Key, name)
+	if len(r.records) == cap(r.records) {
+		// By itself it would grow to twice its size, in every workspace.
+		r.records = append(make([]ruleRecord, 0, len(r.records)*9/8+1), r.records...)
+	}
 	r.records = slices.Insert(r.records, i, r.record(name, s))
 }
 
