demonstrator: a change that never comes into force is found on an unready entry

Cause: a planted fault (an index that stops at revision 300) broke nothing: the entry that lacked the changes knew it and was unready, and only ready ones were looked at. So a change that an entry never gets passed.

Change: at the end of each fault every entry must hold every accepted change. Tests for that, and for an entry that goes back.

--- a/internal/standin/demonstrator/faultcheck_test.go
+++ b/internal/standin/demonstrator/faultcheck_test.go
@@ -101,6 +101,25 @@
 		Expect(broken(f.ledger, InForceSoon)).To(BeEquivalentTo(1))
 	})
 
+	It("finds what is not in force at the end, on an unready entry too", func() {
+		f.changes.accept(change{revision: 5, at: time.Now()}, true)
+		f.changes.accept(change{revision: 6, at: time.Now()}, true)
+		w.checkInForce(5)
+		w.checkEnd()
+		Expect(broken(f.ledger, InForceSoon)).To(BeEquivalentTo(1))
+	})
+
+	It("finds an entry that goes back", func() {
+		w.checkMonotone(7)
+		w.checkMonotone(7)
+		w.checkMonotone(6)
+		Expect(broken(f.ledger, NeverReverts)).To(BeEquivalentTo(1))
+		w.compareShown(listing{Data: []listed{{ID: "w/" + markerName + "@v1"}, {ID: "w/a"}}})
+		w.compareShown(listing{Data: []listed{{ID: "w/" + markerName + "@v1"}, {ID: "w/" + markerName + "@v2"}}})
+		w.compareShown(listing{Data: []listed{{ID: "w/" + markerName + "@v2"}}})
+		Expect(broken(f.ledger, NeverReverts)).To(BeEquivalentTo(2))
+	})
+
 	It("notes how long a change took to be in force", func() {
 		f.changes.accept(change{revision: 5, at: time.Now().Add(-time.Second)}, true)
 		w.checkInForce(7)
--- a/internal/standin/demonstrator/faultrun.go
+++ b/internal/standin/demonstrator/faultrun.go
@@ -191,6 +191,12 @@
 	f.awaitForce(ctx)
 	stopWatching()
 	looking.Wait()
+	for _, w := range f.watchers {
+		if p := f.deployment.Process(w.name); p != nil {
+			w.checkInForce(p.Revision())
+		}
+		w.checkEnd()
+	}
 	stopLoad()
 	driving.Wait()
 	now := f.orders()
--- a/internal/standin/demonstrator/faultwatcher.go
+++ b/internal/standin/demonstrator/faultwatcher.go
@@ -59,9 +59,7 @@
 	}
 	ready := p.Ready()
 	revision := p.Revision()
-	l := w.run.ledger
-	l.check(NeverReverts, revision >= w.revision, "%s went from revision %d back to %d", w.name, w.revision, revision)
-	w.revision = revision
+	w.checkMonotone(revision)
 	if !ready {
 		w.steady = time.Time{}
 		return
@@ -75,6 +73,12 @@
 	}
 }
 
+// checkMonotone compares the revision with the one before, of the same life.
+func (w *watcher) checkMonotone(revision uint64) {
+	w.run.ledger.check(NeverReverts, revision >= w.revision, "%s went from revision %d back to %d", w.name, w.revision, revision)
+	w.revision = revision
+}
+
 // checkInForce compares the accepted changes with the revision applied by the
 // ready entry.
 func (w *watcher) checkInForce(revision uint64) {
@@ -101,6 +105,15 @@
 	}
 }
 
+// checkEnd finds what is not in force at the end, when every entry is up and has
+// had the time: an entry that knows of its lag is not ready, and would never be.
+func (w *watcher) checkEnd() {
+	if lacking := w.run.changes.after(w.next); len(lacking) > 0 {
+		w.run.ledger.checks(InForceSoon, int64(len(lacking)), int64(len(lacking)),
+			"%s holds revision %d at the end and lacks %d accepted changes", w.name, w.revision, len(lacking))
+	}
+}
+
 // listing is the part of OpenAI's list of models that is read.
 type listing struct {
 	Data []listed `json:"data"`
@@ -131,6 +144,12 @@
 	if w.run.deployment.Process(w.name) != p || !p.Ready() {
 		return nil // Another life answered, or one that is not to be asked.
 	}
+	w.compareShown(l)
+	return nil
+}
+
+// compareShown looks for what callers were shown before and aren't now.
+func (w *watcher) compareShown(l listing) {
 	now := make(map[string]struct{}, len(l.Data))
 	for _, m := range l.Data {
 		if isMarker(m.ID) {
@@ -145,5 +164,4 @@
 	}
 	w.run.ledger.check(NeverReverts, lacking == "", "%s showed %s before, and lists %d without it", w.name, lacking, len(now))
 	w.shown = now
-	return nil
 }
