sealer: processes prove to each other who they are

Cause: nothing authenticated our processes to each other. Whoever reached a companion's or a control host's messenger port could dispatch, propose, or void a membership.

Change: with the new section Peers in the settings (certificate, key and authority), all connections between processes are mutual TLS 1.3 by crypto/tls. A certificate's URI names marigoldpoint://ROLE/NODE say who the process is. The dialler checks the role that it means to reach; the listener checks the dialler's certificate and says so with one byte, since in TLS 1.3 a dialler's handshake ends before its certificate was seen, and a request sent then would end as Unknown though it was never read. sealer.Authorize, a plain function, holds each message against its sender's roles and name, through the new messenger.Settings.Allow; what is not allowed is answered by the new ReasonForbidden. Files are read again when they have changed. Without Peers all is as before, and a messenger listener off the loopback is warned of. `marigoldpoint certificates authority|node` makes the files.

With Peers a companion's operators' listener no longer reads or changes resources: its certificate does not carry that right.

Tests (go test -race, green): wrong authority either way, wrong role, expired, torn and whole rotation, a move to another authority, names of other backend servers; a golden table of who may send what; a whole small deployment with Peers (demonstrator, Settings.Sealed).

Conclusion: a companion's key opens what that companion is for, no more.

--- a/cmd/marigoldpoint/main.go
+++ b/cmd/marigoldpoint/main.go
@@ -29,14 +29,15 @@
 
 // arguments are the subcommands of the program; exactly one is set.
 type arguments struct {
-	Serve    *serveCommand    `arg:"subcommand:serve" help:"run the roles that a settings file names"`
-	Settings *settingsCommand `arg:"subcommand:settings" help:"check settings files"`
-	Resource *resourceCommand `arg:"subcommand:resource" help:"read, write and watch resources"`
-	Timeline *timelineCommand `arg:"subcommand:timeline" help:"merge the events of several processes into one time line"`
-	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in for what the system serves"`
-	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a whole small deployment on loopback and check its promises"`
-	Load     *loadCommand     `arg:"subcommand:load" help:"drive a deployment with load, or compare two reports"`
-	Probe    *probeCommand    `arg:"subcommand:probe" help:"measure what nodes and streams cost"`
+	Serve        *serveCommand        `arg:"subcommand:serve" help:"run the roles that a settings file names"`
+	Settings     *settingsCommand     `arg:"subcommand:settings" help:"check settings files"`
+	Certificates *certificatesCommand `arg:"subcommand:certificates" help:"make the certificates by which processes know each other"`
+	Resource     *resourceCommand     `arg:"subcommand:resource" help:"read, write and watch resources"`
+	Timeline     *timelineCommand     `arg:"subcommand:timeline" help:"merge the events of several processes into one time line"`
+	Standin      *standinCommand      `arg:"subcommand:standin" help:"run a stand-in for what the system serves"`
+	Demo         *demoCommand         `arg:"subcommand:demo" help:"run a whole small deployment on loopback and check its promises"`
+	Load         *loadCommand         `arg:"subcommand:load" help:"drive a deployment with load, or compare two reports"`
+	Probe        *probeCommand        `arg:"subcommand:probe" help:"measure what nodes and streams cost"`
 }
 
 // Version returns the line that --version prints.
--- a/internal/protocol/messenger/conn.go
+++ b/internal/protocol/messenger/conn.go
@@ -52,7 +52,11 @@
 	Recorder *recorder.Recorder
 	// Handler serves the other end's calls; nil refuses them all.
 	Handler Handler
-	Log     zerolog.Logger
+	// Allow decides whether the other end of a network connection may send a
+	// message, before Handler is given it; its error, a *Refusal, is the answer.
+	// Nil allows all.
+	Allow func(network net.Conn, method Method, params json.RawMessage) error
+	Log   zerolog.Logger
 }
 
 // Conn is one connection between two processes. It may be used by several
--- a/internal/protocol/messenger/handler.go
+++ b/internal/protocol/messenger/handler.go
@@ -75,6 +75,11 @@
 	if given != nil {
 		params = *given
 	}
+	if allow := h.conn.settings.Allow; allow != nil {
+		if err := allow(h.conn.network, method, params); err != nil {
+			return nil, err
+		}
+	}
 	return h.conn.settings.Handler.Handle(ctx, h.conn, method, params)
 }
 
--- a/internal/protocol/messenger/reason_string.go
+++ b/internal/protocol/messenger/reason_string.go
@@ -25,11 +25,12 @@
 	_ = x[ReasonEngine-14]
 	_ = x[ReasonCancelled-15]
 	_ = x[ReasonInternal-16]
+	_ = x[ReasonForbidden-17]
 }
 
-const _Reason_name = "NoneMalformedUnsupportedNotLeaderUnavailableStoppingOverloadedDeadlineStaleEpochNeverSeenDuplicateLoadFailedOutcomeUnknownCompactedEngineCancelledInternal"
+const _Reason_name = "NoneMalformedUnsupportedNotLeaderUnavailableStoppingOverloadedDeadlineStaleEpochNeverSeenDuplicateLoadFailedOutcomeUnknownCompactedEngineCancelledInternalForbidden"
 
-var _Reason_index = [...]uint8{0, 4, 13, 24, 33, 44, 52, 62, 70, 80, 89, 98, 108, 122, 131, 137, 146, 154}
+var _Reason_index = [...]uint8{0, 4, 13, 24, 33, 44, 52, 62, 70, 80, 89, 98, 108, 122, 131, 137, 146, 154, 163}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/protocol/messenger/refusal.go
+++ b/internal/protocol/messenger/refusal.go
@@ -48,6 +48,8 @@
 	ReasonCancelled
 	// ReasonInternal means that the handler failed; the effect is unknown.
 	ReasonInternal
+	// ReasonForbidden means that the sender may not make the call.
+	ReasonForbidden
 )
 
 // Refusal is the typed error of a call that the other end answered.
--- a/internal/standin/demonstrator/deployment.go
+++ b/internal/standin/demonstrator/deployment.go
@@ -39,6 +39,8 @@
 	engines  []*generator.Engine
 	services []*responder.Service
 	hosts    []configurer.ControlHost
+	// authority signs the processes' certificates; nil means that they have none.
+	authority *authority
 	// network carries the connections between the processes; nil means that
 	// nothing stands between them.
 	network *network
@@ -112,6 +114,9 @@
 
 // configure makes the settings of all processes and opens the stand-ins.
 func (d *Deployment) configure() error {
+	if err := d.startAuthority(); err != nil {
+		return errors.Trace(err)
+	}
 	for i := range d.settings.Entries {
 		address, err := d.ports.reserve()
 		if err != nil {
@@ -191,6 +196,9 @@
 		d.network.own(*listen, c.Node)
 		d.network.own(c.Control.Listen, c.Node)
 	}
+	if err = d.certify(c); err != nil {
+		return errors.Trace(err)
+	}
 	d.nodes = append(d.nodes, &node{configuration: c.WithDefaults()})
 	return nil
 }
--- a/internal/standin/demonstrator/settings.go
+++ b/internal/standin/demonstrator/settings.go
@@ -59,6 +59,9 @@
 	// Relays puts relays between the processes, through which faults of the
 	// network are produced.
 	Relays bool
+	// Sealed gives the processes certificates, by which they authenticate each
+	// other.
+	Sealed bool
 	// Seed seeds all random sources; 0 means 1.
 	Seed uint64
 	// Log is the log of all processes; the zero value drops it.
--- a/internal/state/configurer/check.go
+++ b/internal/state/configurer/check.go
@@ -45,6 +45,7 @@
 		c.fault("Companion.HeartbeatInterval", "more than a third of Control.MemberLease, %v, so that one late heartbeat ends it", s.Control.MemberLease)
 	}
 	c.operators(s.Operators)
+	c.peers(s.Peers)
 	checkEnum(c, "Log.Level", s.Log.Level, LogLevelError)
 	checkEnum(c, "Log.Format", s.Log.Format, LogFormatConsole)
 	checkRange(c, "Stop.BalancerDelay", s.Stop.BalancerDelay, minInterval, Duration(10*time.Minute))
--- a/internal/state/configurer/settings.go
+++ b/internal/state/configurer/settings.go
@@ -51,6 +51,9 @@
 	// Operators is the listener for operators.
 	Operators OperatorsSettings
 
+	// Peers says how the processes prove to each other who they are.
+	Peers PeersSettings
+
 	// Log says what is logged and how.
 	Log LogSettings
 
--- /dev/null
+++ b/internal/transport/sealer/files.go
@@ -0,0 +1,105 @@
+package sealer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+)
+
+// material is what the files of a process hold. It is not changed once made.
+type material struct {
+	certificate tls.Certificate
+	authority   *x509.CertPool
+	identity    Identity
+}
+
+// stamp tells whether a file has changed.
+type stamp struct {
+	modified int64
+	size     int64
+}
+
+// stamps are those of the certificate, the key and the authority.
+type stamps [3]stamp
+
+func stampsOf(files configurer.PeersSettings) (s stamps, err error) {
+	for i, path := range [...]string{files.CertificateFile, files.KeyFile, files.AuthorityFile} {
+		info, err := os.Stat(path)
+		if err != nil {
+			return stamps{}, errors.Trace(err)
+		}
+		s[i] = stamp{modified: info.ModTime().UnixNano(), size: info.Size()}
+	}
+	return s, nil
+}
+
+// load reads the files and checks that they fit each other: other processes
+// would refuse what this one refuses here, and say so only in their own logs.
+func load(files configurer.PeersSettings, now time.Time) (*material, error) {
+	key, err := configurer.ReadSecret(files.KeyFile)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	certificate, err := os.ReadFile(files.CertificateFile)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	authority, err := os.ReadFile(files.AuthorityFile)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	m := &material{authority: x509.NewCertPool()}
+	if m.certificate, err = tls.X509KeyPair(certificate, []byte(key.Reveal())); err != nil {
+		return nil, errors.Annotatef(err, "%s with its key", files.CertificateFile)
+	}
+	if !m.authority.AppendCertsFromPEM(authority) {
+		return nil, errors.NotValidf("%s: an authority without a certificate", files.AuthorityFile)
+	}
+	if m.identity, err = IdentityOf(m.certificate.Leaf); err != nil {
+		return nil, errors.Annotate(err, files.CertificateFile)
+	}
+	chain, err := chainOf(m.certificate)
+	if err != nil {
+		return nil, errors.Annotate(err, files.CertificateFile)
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth} {
+		if err := m.verify(chain, usage, now); err != nil {
+			return nil, errors.Annotate(err, files.CertificateFile)
+		}
+	}
+	return m, nil
+}
+
+// chainOf returns a process's certificate and those between it and the authority.
+func chainOf(c tls.Certificate) ([]*x509.Certificate, error) {
+	chain := make([]*x509.Certificate, 0, len(c.Certificate))
+	for _, der := range c.Certificate {
+		parsed, err := x509.ParseCertificate(der)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		chain = append(chain, parsed)
+	}
+	return chain, nil
+}
+
+// verify checks that the authority signed the chain's first certificate, and
+// that it is valid now.
+func (m *material) verify(chain []*x509.Certificate, usage x509.ExtKeyUsage, now time.Time) error {
+	if len(chain) == 0 {
+		return errors.NotValidf("peer without a certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		between.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots: m.authority, Intermediates: between, CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{usage},
+	})
+	return errors.Trace(err)
+}
--- /dev/null
+++ b/internal/transport/sealer/metrics.go
@@ -0,0 +1,36 @@
+package sealer
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// The outcomes by which handshakes are counted.
+const (
+	outcomeAccepted = "Accepted"
+	outcomeRefused  = "Refused"
+)
+
+const namespace = "marigoldpoint_peers"
+
+// metrics are those of a process's connections to its peers.
+type metrics struct {
+	handshakes *prometheus.CounterVec
+	messages   prometheus.Counter
+	expiry     prometheus.Gauge
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		handshakes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "handshakes_total", Help: "Handshakes with other processes, by outcome.",
+		}, []string{"outcome"}),
+		messages: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "messages_refused_total", Help: "Messages whose sender may not send them.",
+		}),
+		expiry: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "certificate_expiry_timestamp_seconds", Help: "Time at which this process's certificate expires.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.handshakes, m.messages, m.expiry)
+	}
+	return m
+}
--- a/internal/transport/starter/process.go
+++ b/internal/transport/starter/process.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
-	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
@@ -23,6 +22,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/transport/dialer"
 	"marigoldpoint.example/marigoldpoint/internal/transport/gatekeeper"
 	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
+	"marigoldpoint.example/marigoldpoint/internal/transport/sealer"
 	"marigoldpoint.example/marigoldpoint/internal/transport/subscriber"
 )
 
@@ -78,6 +78,9 @@
 	dispatches *listener.Listener
 	operators  *listener.HTTP
 
+	// sealer authenticates the connections between processes; nil without Peers.
+	sealer *sealer.Sealer
+
 	// starting ends with Close; the companion joins under it.
 	starting context.Context
 	abandon  context.CancelFunc
@@ -108,6 +111,9 @@
 // start opens the roles in the order in which they rely on each other.
 func (p *Process) start() error {
 	c := p.settings.Configuration
+	if err := p.startSealer(); err != nil {
+		return errors.Annotate(err, "reading the certificate")
+	}
 	if c.HasRole(configurer.RoleControl) {
 		if err := p.startControl(); err != nil {
 			return errors.Annotate(err, "starting control")
@@ -132,11 +138,6 @@
 	return rand.New(rand.NewPCG(p.random.Uint64(), p.random.Uint64()))
 }
 
-// messenger returns the settings of connections.
-func (p *Process) messenger(h messenger.Handler) messenger.Settings {
-	return messenger.Settings{Recorder: p.recorder, Log: p.settings.Log, Handler: h}
-}
-
 // Recorder returns the process's events.
 func (p *Process) Recorder() *recorder.Recorder { return p.recorder }
 
--- a/internal/transport/starter/roles.go
+++ b/internal/transport/starter/roles.go
@@ -20,7 +20,7 @@
 
 func (p *Process) startControl() error {
 	c := p.settings.Configuration
-	network, err := p.settings.Listen(c.Control.Listen)
+	network, err := p.listenPeers(c.Control.Listen)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -33,7 +33,7 @@
 		Control:       c.Control,
 		DataFolder:    c.DataFolder,
 		Listener:      network,
-		Dial:          p.settings.Dial,
+		Dial:          p.dialPeers(configurer.RoleControl),
 		Messenger:     p.messenger(nil),
 		Recorder:      p.recorder,
 		Registerer:    p.settings.Registry,
@@ -84,7 +84,7 @@
 		Log:                p.settings.Log,
 		Now:                p.settings.Now,
 		Random:             p.fork(),
-		Dial:               p.settings.Dial,
+		Dial:               p.dialPeers(configurer.RoleControl),
 	})
 }
 
@@ -95,7 +95,9 @@
 		return errors.Trace(err)
 	}
 	pieces := gatekeeper.NewPieces()
-	p.pool = dialer.NewPool(dialer.Settings{Messenger: p.messenger(pieces), Random: p.fork(), Dial: p.settings.Dial})
+	p.pool = dialer.NewPool(dialer.Settings{
+		Messenger: p.messenger(pieces), Random: p.fork(), Dial: p.dialPeers(configurer.RoleCompanion),
+	})
 	p.entry = gatekeeper.NewEntry(gatekeeper.Settings{
 		Node:          c.Node,
 		Region:        c.Region,
@@ -117,7 +119,7 @@
 
 func (p *Process) startCompanion() error {
 	c := p.settings.Configuration
-	network, err := p.settings.Listen(c.Companion.Listen)
+	network, err := p.listenPeers(c.Companion.Listen)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/transport/subscriber/errors.go
+++ b/internal/transport/subscriber/errors.go
@@ -44,7 +44,7 @@
 		case messenger.ReasonOutcomeUnknown, messenger.ReasonInternal:
 			return effectUnknown
 		case messenger.ReasonMalformed, messenger.ReasonUnsupported, messenger.ReasonStaleEpoch,
-			messenger.ReasonOverloaded, messenger.ReasonCompacted:
+			messenger.ReasonOverloaded, messenger.ReasonCompacted, messenger.ReasonForbidden:
 			return effectRefused
 		default:
 			return effectNone
