controller: pages of every list go by name

Lists of workspaces and members were paged by position: a resource deleted from an earlier page made the next one pass over another.

--- a/internal/coordination/distributor/propose.go
+++ b/internal/coordination/distributor/propose.go
@@ -46,6 +46,9 @@
 	// Key is the resource for ReadGet; its Kind and Workspace select for
 	// ReadList, and its Name is the last name of the page before.
 	Key storer.Key
+	// LastWorkspace is the workspace of the last resource of the page before, in
+	// a ReadList over all workspaces.
+	LastWorkspace string `json:",omitempty"`
 	// After is the revision for ReadSince.
 	After uint64
 	// Limit bounds the changes or resources of the answer; 0 means ReadLimit.
--- a/internal/transport/controller/reader.go
+++ b/internal/transport/controller/reader.go
@@ -52,22 +52,42 @@
 	return a
 }
 
-// readList returns the page after the name in the key. A list over all
-// workspaces may hold a name twice, and so its pages go by position instead.
+// readList returns the page after the last name of the page before. By position,
+// a page would pass over a resource for each one before it that was deleted
+// meanwhile: a list read while backend servers leave would lack some that stay.
 func (c *Control) readList(r distributor.Read, limit int) distributor.ReadAnswer {
 	all, revision := c.store.List(r.Key.Kind, r.Key.Workspace)
-	if r.Key.Workspace == "" {
-		all = all[min(r.After, uint64(len(all))):]
-	} else if r.Key.Name != "" {
-		i, _ := slices.BinarySearchFunc(all, r.Key.Name+"\x00", func(e storer.Resource, name string) int {
-			return cmp.Compare(e.Metadata.Name, name)
+	if r.Key.Name != "" {
+		last := lastOf(r)
+		i, found := slices.BinarySearchFunc(all, last, func(e storer.Resource, last storer.Metadata) int {
+			return cmp.Or(
+				cmp.Compare(e.Metadata.Workspace, last.Workspace),
+				cmp.Compare(e.Metadata.Name, last.Name),
+			)
 		})
+		if found {
+			i++
+		}
 		all = all[i:]
 	}
 	n := min(limit, len(all))
 	return distributor.ReadAnswer{Resources: all[:n], Revision: revision, More: n < len(all)}
 }
 
+// lastOf returns the workspace and name of the last resource of the page before.
+func lastOf(r distributor.Read) storer.Metadata {
+	last := storer.Metadata{Workspace: r.Key.Workspace, Name: r.Key.Name}
+	switch {
+	case r.Key.Kind == storer.KindWorkspace:
+		last.Workspace = r.Key.Name
+	case r.Key.Kind == storer.KindMember:
+		last.Workspace = ""
+	case last.Workspace == "":
+		last.Workspace = r.LastWorkspace
+	}
+	return last
+}
+
 func (c *Control) readSince(ctx context.Context, r distributor.Read, limit int) distributor.ReadAnswer {
 	if r.WaitMillis > 0 {
 		waiting, cancel := context.WithTimeout(ctx, time.Duration(r.WaitMillis)*time.Millisecond)
--- a/internal/transport/operator/read.go
+++ b/internal/transport/operator/read.go
@@ -111,7 +111,7 @@
 		answer, err := a.settings.Control.Read(ctx, distributor.Read{
 			Kind:          distributor.ReadList,
 			Key:           key,
-			After:         from.count,
+			After:         from.count, // for control hosts of an earlier build
 			Limit:         limit,
 			TimeoutMillis: millis(a.settings.Timeout),
 		})
--- a/internal/transport/subscriber/reader.go
+++ b/internal/transport/subscriber/reader.go
@@ -40,7 +40,9 @@
 		if !a.More || len(a.Resources) == 0 {
 			return all, revision, nil
 		}
-		request.Key.Name = a.Resources[len(a.Resources)-1].Metadata.Name
+		last := a.Resources[len(a.Resources)-1].Metadata
+		request.Key.Name, request.LastWorkspace = last.Name, last.Workspace
+		// Control hosts of an earlier build page by position.
 		request.After = uint64(len(all))
 	}
 }
