companion: a load order that did not reach a restarting engine is sent again

The load after an engine's restart met a connection that the engine still closed; the one failure ended all who waited for the version. Ruled out: the test's patience, and the engine's outcome, which was certain: nothing of the order had left. Conclusion: only what the engine itself refuses, or may have begun, is final.

--- a/internal/coordination/loader/table.go
+++ b/internal/coordination/loader/table.go
@@ -115,6 +115,13 @@
 	return v != nil && v.phase == PhaseResident && !v.closing
 }
 
+// Orders tells whether the order with the fencing number is the one in flight for
+// the version.
+func (t *Table) Orders(name string, fence uint64) bool {
+	v := t.versions[name]
+	return v != nil && v.fence == fence
+}
+
 // LoadTime returns the expected time of a load of the version.
 func (t *Table) LoadTime(name string) time.Duration {
 	if v := t.versions[name]; v != nil && v.loadTime > 0 {
--- a/internal/transport/companion/order.go
+++ b/internal/transport/companion/order.go
@@ -164,7 +164,7 @@
 // load orders the engine to load and tells the table how it went.
 func (c *Companion) load(ctx context.Context, a loader.LoadAction) {
 	began := c.settings.Now()
-	err := c.settings.Engine.Load(ctx, a.Fence, a.Version, a.Source)
+	err := c.orderLoad(ctx, a)
 	outcome := loadOutcome(err)
 	cause := ""
 	if err != nil {
@@ -181,6 +181,33 @@
 	})
 }
 
+// loadAttempts bounds the sendings of a load order.
+const loadAttempts = 4
+
+// orderLoad sends the order, and again while it certainly did not reach the
+// engine: one that is just restarting must not cost all who wait for the version
+// their answer.
+func (c *Companion) orderLoad(ctx context.Context, a loader.LoadAction) error {
+	wait := settleInitial
+	for attempt := 1; ; attempt++ {
+		err := c.settings.Engine.Load(ctx, a.Fence, a.Version, a.Source)
+		var e *orderer.Error
+		unsent := errors.Is(err, orderer.ErrNotRun) && errors.As(err, &e) && e.Status == 0
+		if !unsent || attempt == loadAttempts || !pause(ctx, wait) || !c.orders(a) {
+			return err
+		}
+		wait *= 2
+	}
+}
+
+// orders tells whether the table still waits for the order. It does not once the
+// engine has been found restarted, and then gives another.
+func (c *Companion) orders(a loader.LoadAction) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Orders(a.Version, a.Fence)
+}
+
 // noteLoad keeps a moving mean of the time of a load. The caller holds mu.
 func (c *Companion) noteLoad(d time.Duration) {
 	if c.loadTime == 0 {
