replicator: a diverged group stops the host by an error

Cause: two leaders of one term, or an append that replaces a committed entry, panicked. That is bad data from another host (an old copy of its disk), not misuse by the programmer.

Change: ErrDiverged, which stops the replicator; an append whose entries have gaps is ignored.

--- a/internal/coordination/replicator/errors.go
+++ b/internal/coordination/replicator/errors.go
@@ -66,6 +66,17 @@
 		e.Last, e.Acknowledged)
 }
 
+// ErrDiverged reports what can't be while every host keeps what it promised: a
+// disk was restored from an old copy, or two hosts share an identity. The host
+// stops before it drops anything that is committed.
+type ErrDiverged struct {
+	// Reason says what was seen.
+	Reason string
+}
+
+// Error returns a text with the reason.
+func (e ErrDiverged) Error() string { return "the group has diverged: " + e.Reason }
+
 // ErrStopped reports that the replicator has stopped for good.
 type ErrStopped struct {
 	// Cause is the failure that stopped it, nil after Close.
--- a/internal/coordination/replicator/follower.go
+++ b/internal/coordination/replicator/follower.go
@@ -48,7 +48,7 @@
 		return nil
 	}
 	if c.role == Leader && m.Term == c.hard.Term {
-		panic("replicator: two leaders in one term")
+		return errors.Trace(ErrDiverged{Reason: "another host leads this host's own term"})
 	}
 	c.becomeFollower(m.Term, m.From)
 	c.heardAt, c.heardAge = c.clock, m.QuorumAge
@@ -68,8 +68,14 @@
 	return c.appendEntries(m)
 }
 
-// appendEntries takes entries over where they fit the log.
+// appendEntries takes entries over where they fit the log. A message whose
+// entries have gaps is ignored.
 func (c *Core) appendEntries(m Message) error {
+	for i, e := range m.Entries {
+		if e.Index != m.LogIndex+1+uint64(i) {
+			return nil
+		}
+	}
 	if m.LogIndex < c.commit {
 		// Committed entries agree; what follows them is looked at.
 		known := c.commit - m.LogIndex
@@ -92,6 +98,9 @@
 		if c.log.holds(e.Index, e.Term) {
 			continue
 		}
+		if e.Index <= c.commit {
+			return errors.Trace(ErrDiverged{Reason: "the leader replaces a committed entry"})
+		}
 		if e.Index <= c.log.last() {
 			c.truncate(e.Index)
 		}
@@ -126,9 +135,6 @@
 
 // truncate drops entries of an older leader, with the configurations in them.
 func (c *Core) truncate(index uint64) {
-	if index <= c.commit {
-		panic("replicator: a committed entry would be dropped")
-	}
 	c.log.truncate(index)
 	for c.changeIndex() >= index {
 		c.configurations = c.configurations[:len(c.configurations)-1]
