companion: its own orders that overtake each other don't make it give up

Cause: orders go out on several connections. Load order ...804 arrived after ...806 of the same companion (log: "fencing number is below"), was refused, and the refusal was taken for proof of another companion.

Ruled out: a second companion (one life of engine-5's process since 18:20:00, and its membership epoch, the number's upper half, is that of both orders); an engine that restarted (no such event).

Change: a refused number has the companion read the engine's state, and it gives up only where the engine has seen a higher number than its own highest, the check that it makes before joining again.

After: go test -race -count=1 ./internal/transport/companion, three times: ok; the test of a companion that really was replaced still passes.

--- a/internal/transport/companion/order.go
+++ b/internal/transport/companion/order.go
@@ -45,7 +45,10 @@
 		case loader.ReadStateAction:
 			c.read()
 		case loader.FencedAction:
-			c.supersede()
+			// Orders go out on several connections: a refused one may have been
+			// overtaken by a later one of this companion. Only the engine's highest
+			// number tells whether another companion has come.
+			c.spawnLocked(func(ctx context.Context) { c.replaced(ctx) })
 		}
 	}
 }
