controller, storer: the leader stamps changes with its clock

Envelope.Time was the clock of whoever proposed, of which there are as many as nodes: the one furthest ahead aged all records. The leader now replaces it before the change goes into the log. The state's time still never goes back and advances by at most a minute for each entry. Proposers no longer stamp; data that is no envelope is refused before it reaches the log.

--- a/internal/state/storer/bench_test.go
+++ b/internal/state/storer/bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 )
 
@@ -170,3 +171,24 @@
 		})
 	}
 }
+
+// BenchmarkStamp gives what the leader spends on stamping a change.
+func BenchmarkStamp(b *testing.B) {
+	data, err := Encode(Envelope{
+		IdempotencyKey: strings.Repeat("k", 36), Digest: make([]byte, 32),
+		Command: PutResource{Resource: Resource{
+			Kind: KindAdapter, Metadata: Metadata{Workspace: "savannah", Name: "title"}, Spec: AdapterSpec{BaseModel: "clearance", Current: "v1"},
+		}},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run(fmt.Sprintf("bytes=%d", len(data)), func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := Stamp(data, 1); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/state/storer/codec.go
+++ b/internal/state/storer/codec.go
@@ -99,6 +99,18 @@
 	return Envelope{Time: w.Time, IdempotencyKey: w.IdempotencyKey, Digest: w.Digest, Command: command}, nil
 }
 
+// Stamp returns an encoded envelope with its Time set to t. It does not look into
+// the command; its error tells that data is no envelope.
+func Stamp(data []byte, t Instant) ([]byte, error) {
+	var w wireEnvelope
+	if err := decoding.Unmarshal(data, &w); err != nil {
+		return nil, errors.Annotate(err, "decode envelope")
+	}
+	w.Time = t
+	stamped, err := encoding.Marshal(w)
+	return stamped, errors.Annotate(err, "encode envelope")
+}
+
 func kindOfCommand(c Command) (commandKind, error) {
 	switch c.(type) {
 	case PutResource:
--- a/internal/state/storer/command.go
+++ b/internal/state/storer/command.go
@@ -2,8 +2,9 @@
 
 // Envelope carries one command through the replicated log.
 type Envelope struct {
-	// Time is the proposer's clock. The state's own time follows it, but never
-	// goes back and never leaps: see Retention.
+	// Time is the clock of the leader which took the change in; what a proposer
+	// writes here is replaced. The state's own time follows it, but never goes
+	// back and never leaps: see Retention.
 	Time Instant
 	// IdempotencyKey identifies a resent change; empty means none.
 	IdempotencyKey string
--- a/internal/state/storer/retention.go
+++ b/internal/state/storer/retention.go
@@ -23,7 +23,7 @@
 //
 // A record is forgotten when it is older than its age by the state's time and
 // also MinEntries or more entries of the log came after it. Time alone would
-// let one proposer whose clock runs ahead empty the memory at once; position
+// let one leader whose clock runs ahead empty the memory at once; position
 // alone would let a rush push out, within seconds, what a caller still resends.
 // The state's time never goes back, and advances by at most a minute for each
 // entry: a single false stamp can't age anything by more, and a quiet log only
--- a/internal/state/storer/store.go
+++ b/internal/state/storer/store.go
@@ -73,7 +73,7 @@
 	return s.applyOnce(index, e)
 }
 
-// advance moves the state's time towards a proposer's clock.
+// advance moves the state's time towards a leader's clock.
 func (s *Store) advance(t Instant) {
 	if s.now != 0 {
 		t = min(t, s.now+maxTimeStep)
--- a/internal/transport/controller/proposal.go
+++ b/internal/transport/controller/proposal.go
@@ -23,9 +23,6 @@
 // are *messenger.Refusal; all but those with ReasonOutcomeUnknown prove that the
 // change has no effect.
 func (c *Control) Propose(ctx context.Context, e storer.Envelope) (storer.Result, error) {
-	if e.Time == 0 {
-		e.Time = storer.InstantOf(c.settings.Now())
-	}
 	data, err := storer.Encode(e)
 	if err != nil {
 		return storer.Result{}, messenger.NewRefusal(messenger.ReasonMalformed, err.Error())
@@ -49,8 +46,15 @@
 	return answer, err
 }
 
-// proposeHere proposes at this host, which must lead.
+// proposeHere proposes at this host, which must lead, and stamps the change with
+// its clock. Were it the proposers' clocks that the state's time follows, the one
+// that runs furthest ahead among all nodes would age every record: resent changes
+// would take effect twice, and nobody could tell which clock to mend.
 func (c *Control) proposeHere(ctx context.Context, data []byte) (storer.Result, error) {
+	data, err := storer.Stamp(data, storer.InstantOf(c.settings.Now()))
+	if err != nil {
+		return storer.Result{}, messenger.NewRefusal(messenger.ReasonMalformed, err.Error())
+	}
 	index, answer, err := c.agreement.Propose(ctx, data)
 	if err != nil {
 		outcome := outcomeUnknown
--- a/internal/transport/operator/change.go
+++ b/internal/transport/operator/change.go
@@ -142,7 +142,6 @@
 		key = a.settings.NewKey()
 	}
 	return storer.Envelope{
-		Time:           storer.InstantOf(a.settings.Now()),
 		IdempotencyKey: key,
 		Digest:         digest[:],
 		Command:        command,
--- a/internal/transport/subscriber/proposer.go
+++ b/internal/transport/subscriber/proposer.go
@@ -15,9 +15,6 @@
 // while the change certainly has no effect, or where sending it twice is safe.
 // Its errors are ErrNotAccepted and ErrOutcomeUnknown.
 func (c *Client) Propose(ctx context.Context, e storer.Envelope) (storer.Result, error) {
-	if e.Time == 0 {
-		e.Time = storer.InstantOf(c.settings.Now())
-	}
 	data, err := storer.Encode(e)
 	if err != nil {
 		return storer.Result{}, errors.Annotatef(ErrNotAccepted, "%v", err)
