--- a/internal/standin/prober/phase.go
+++ b/internal/standin/prober/phase.go
@@ -167,7 +167,6 @@
 		r.Resident = append(r.Resident, fmt.Sprintf("%s/%s@v%05d", workspaceName, adapterName, turn+v))
 	}
 	l.Renew(r)
-	w.done(0, change{}, nil)
 }
 
 // claim has entry i claim a call and settle it.
--- a/internal/standin/prober/probe.go
+++ b/internal/standin/prober/probe.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -180,15 +181,22 @@
 func (s Settings) work(ctx context.Context, w *work, size int, d time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, d+callTimeout)
 	defer cancel()
+	beats := float64(len(w.crowd.Companions)) / s.HeartbeatInterval.Seconds()
 	switch s.Phase {
 	case PhaseChanges:
 		steady(ctx, s.Rate, d, func(i int) { w.declare(ctx, i) })
 	case PhaseRenewals, PhaseLoads, PhaseReports:
-		rate := float64(len(w.crowd.Companions)) / s.HeartbeatInterval.Seconds()
-		steady(ctx, rate, d, func(i int) { w.renew(i, s.Phase) })
+		steady(ctx, beats, d, func(i int) {
+			w.renew(i, s.Phase)
+			w.done(0, change{}, nil)
+		})
 	case PhaseClaims:
 		steady(ctx, float64(size), d, func(i int) { w.claim(ctx, i) })
 	case PhasePermits:
+		// Only members get permits, so that the companions' leases must live.
+		var renewals sync.WaitGroup
+		defer renewals.Wait()
+		renewals.Go(func() { steady(ctx, beats, d, func(i int) { w.renew(i, PhaseRenewals) }) })
 		steady(ctx, float64(size), d, func(i int) { w.permit(ctx, i) })
 	case PhaseIdle:
 		rest(ctx, d)
