companion: whole answers keep tool calls, log probabilities and the rest

Cause: an answer which was asked for whole is put together from the engine's stream, and only its text was joined: tool calls, log probabilities, reasoning and details of usage were lost, though a streamed answer showed them. Change: texts of any name follow each other, tool calls join by index, lists of log probabilities follow each other, and of what is not known the last stays. Conclusion: a whole answer tells what its stream tells.

--- a/internal/transport/companion/run.go
+++ b/internal/transport/companion/run.go
@@ -89,7 +89,7 @@
 		if !p.Done {
 			return r.whole.add(p.Data)
 		}
-		body, err := r.whole.body(r.usage)
+		body, err := r.whole.body()
 		if err != nil {
 			return err
 		}
--- a/internal/transport/companion/whole.go
+++ b/internal/transport/companion/whole.go
@@ -26,34 +26,75 @@
 // stream, since only a stream can be resumed.
 type whole struct {
 	chat bool
-	// first is the first chunk, which names the answer.
-	first   *orderer.Chunk
-	choices []wholeChoice
+	// answer names the answer, from the first chunk; nil before it.
+	answer  *wholeAnswer
+	choices []*wholeChoice
+}
+
+// wholeAnswer is the answer in OpenAI's shape.
+type wholeAnswer struct {
+	ID          string          `json:"id"`
+	Object      string          `json:"object"`
+	Created     int64           `json:"created"`
+	Model       string          `json:"model"`
+	Fingerprint json.RawMessage `json:"system_fingerprint,omitempty"`
+	Choices     []*wholeChoice  `json:"choices"`
+	Usage       json.RawMessage `json:"usage,omitempty"`
+}
+
+// wholeChunk is one chunk of the stream.
+type wholeChunk struct {
+	wholeAnswer
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Index        int             `json:"index"`
+	Text         *string         `json:"text"`
+	Delta        delta           `json:"delta"`
+	Logprobs     logprobs        `json:"logprobs"`
+	FinishReason json.RawMessage `json:"finish_reason"`
+	StopReason   json.RawMessage `json:"stop_reason"`
 }
 
 type wholeChoice struct {
-	text   strings.Builder
-	role   string
-	finish *string
+	Index        int             `json:"index"`
+	Text         *string         `json:"text,omitempty"`
+	Message      *message        `json:"message,omitempty"`
+	Logprobs     logprobs        `json:"logprobs"`
+	FinishReason json.RawMessage `json:"finish_reason"`
+	StopReason   json.RawMessage `json:"stop_reason,omitempty"`
+
+	text strings.Builder
 }
 
+// logprobs are the lists of OpenAI's log probabilities, by name: those of a
+// stream's chunks follow each other.
+type logprobs map[string][]json.RawMessage
+
 // add takes in one chunk.
 func (w *whole) add(data []byte) error {
-	var chunk orderer.Chunk
+	var chunk wholeChunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return errors.Annotate(err, "chunk")
 	}
-	if w.first == nil {
-		w.first = &chunk
+	if w.answer == nil {
+		w.answer = &wholeAnswer{ID: chunk.ID, Created: chunk.Created, Model: chunk.Model, Fingerprint: chunk.Fingerprint}
+	}
+	if given(chunk.Usage) {
+		w.answer.Usage = chunk.Usage
 	}
-	for _, c := range chunk.Choices {
+	for i := range chunk.Choices {
+		c := &chunk.Choices[i]
 		if c.Index < 0 || c.Index >= maxChoices {
 			return errors.NotValidf("choice %d", c.Index)
 		}
 		for len(w.choices) <= c.Index {
-			w.choices = append(w.choices, wholeChoice{})
+			w.choices = append(w.choices, &wholeChoice{Index: len(w.choices), FinishReason: jsonNull})
+		}
+		if err := w.choices[c.Index].add(c); err != nil {
+			return errors.Annotatef(err, "choice %d", c.Index)
 		}
-		w.choices[c.Index].add(c)
 	}
 	return nil
 }
@@ -61,43 +102,55 @@
 // maxChoices bounds the number of choices in an answer, as OpenAI does.
 const maxChoices = 128
 
-func (w *wholeChoice) add(c orderer.Choice) {
+var jsonNull = json.RawMessage("null")
+
+// given tells whether a member was there and is not null.
+func given(v json.RawMessage) bool { return len(v) > 0 && string(v) != "null" }
+
+func (w *wholeChoice) add(c *chunkChoice) error {
 	if c.Text != nil {
 		w.text.WriteString(*c.Text)
 	}
-	if c.Delta != nil {
-		w.text.WriteString(c.Delta.Content)
-		if c.Delta.Role != "" {
-			w.role = c.Delta.Role
+	for name, list := range c.Logprobs {
+		if w.Logprobs == nil {
+			w.Logprobs = logprobs{}
 		}
+		w.Logprobs[name] = append(w.Logprobs[name], list...)
+	}
+	if given(c.FinishReason) {
+		w.FinishReason = c.FinishReason
 	}
-	if c.FinishReason != nil {
-		w.finish = c.FinishReason
+	if given(c.StopReason) {
+		w.StopReason = c.StopReason
 	}
+	if c.Delta == nil {
+		return nil
+	}
+	if w.Message == nil {
+		w.Message = newMessage()
+	}
+	return w.Message.add(c.Delta)
 }
 
 // body returns the whole answer.
-func (w *whole) body(usage *orderer.Usage) ([]byte, error) {
-	if w.first == nil {
+func (w *whole) body() ([]byte, error) {
+	if w.answer == nil {
 		return nil, errors.New("answer without a chunk")
 	}
-	answer := orderer.Chunk{
-		ID: w.first.ID, Object: "text_completion", Created: w.first.Created, Model: w.first.Model, Usage: usage,
-	}
+	w.answer.Object = "text_completion"
 	if w.chat {
-		answer.Object = "chat.completion"
+		w.answer.Object = "chat.completion"
 	}
-	for i := range w.choices {
-		c := &w.choices[i]
-		text := c.text.String()
-		choice := orderer.Choice{Index: i, FinishReason: c.finish}
-		if w.chat {
-			choice.Message = &orderer.Delta{Role: c.role, Content: text}
-		} else {
-			choice.Text = &text
+	for _, c := range w.choices {
+		if w.chat && c.Message == nil {
+			c.Message = newMessage()
+		}
+		if !w.chat {
+			text := c.text.String()
+			c.Text = &text
 		}
-		answer.Choices = append(answer.Choices, choice)
 	}
-	data, err := json.Marshal(answer)
+	w.answer.Choices = w.choices
+	data, err := json.Marshal(w.answer)
 	return data, errors.Trace(err)
 }
