--- a/internal/coordination/replicator/applier.go
+++ b/internal/coordination/replicator/applier.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,9 @@
 	// entries applied since.
 	snapshot uint64
 	bytes    int64
+
+	// saving is held while a snapshot is written: one at a time.
+	saving sync.Mutex
 }
 
 // restore replaces the state by the latest snapshot, if it is newer.
@@ -80,15 +84,34 @@
 	return a.applied-a.snapshot >= s.SnapshotEvery || a.bytes >= s.SnapshotBytes
 }
 
-// take writes a snapshot of the present state.
-func (a *applier) take(now func() time.Time) (snapshotter.Metadata, error) {
+// frozen is the state after an entry, to be written as a snapshot.
+type frozen struct {
+	metadata snapshotter.Metadata
+	write    func(w io.Writer) error
+	// apart tells that write may run while entries are applied.
+	apart bool
+}
+
+// freeze takes the present state.
+func (a *applier) freeze() frozen {
+	f := frozen{
+		metadata: snapshotter.Metadata{Index: a.applied, Term: a.term, Extra: encodeConfiguration(a.configuration)},
+		write:    a.machine.Snapshot,
+	}
+	if m, ok := a.machine.(Freezer); ok {
+		f.write, f.apart = m.Freeze(), true
+	}
+	a.snapshot, a.bytes = a.applied, 0
+	return f
+}
+
+// save writes a snapshot of a frozen state. It uses nothing that apply changes.
+func (a *applier) save(f frozen, now func() time.Time) (snapshotter.Metadata, error) {
 	start := now()
-	m := snapshotter.Metadata{Index: a.applied, Term: a.term, Extra: encodeConfiguration(a.configuration)}
-	m, err := a.store.Create(m, func(w io.Writer) error { return a.machine.Snapshot(w) })
+	m, err := a.store.Create(f.metadata, f.write)
 	if err != nil {
 		return m, errors.Annotate(err, "take snapshot")
 	}
-	a.snapshot, a.bytes = m.Index, 0
 	a.observe(SnapshotTaken{Index: m.Index, Bytes: m.Size, Took: now().Sub(start)})
 	return m, nil
 }
--- a/internal/coordination/replicator/queue.go
+++ b/internal/coordination/replicator/queue.go
@@ -24,9 +24,12 @@
 	// closed ends the applier. Guarded by lock.
 	closed bool
 
-	// failed is closed, after cause is set, when the applier has failed.
+	// failed is closed, after cause is set, when the applier has failed or a
+	// snapshot could not be written.
 	failed chan struct{}
 	cause  error
+	// failing has the first failure count.
+	failing sync.Once
 	// ended is closed when the applier has ended.
 	ended chan struct{}
 }
@@ -92,20 +95,28 @@
 	q.wake.Broadcast()
 }
 
+// fail tells the loop to stop the replicator.
+func (q *applyQueue) fail(cause error) {
+	q.failing.Do(func() {
+		q.cause = cause
+		close(q.failed)
+	})
+}
+
 func (q *applyQueue) wait() { <-q.ended }
 
 // applyLoop is the goroutine that owns the applier and the state machine.
 func (r *Replicator) applyLoop() {
 	defer r.workers.Done()
 	defer close(r.queue.ended)
+	defer r.saving.Wait()
 	for {
 		es, install, ok := r.queue.pop()
 		if !ok {
 			return
 		}
 		if err := r.applyBatch(es, install); err != nil {
-			r.queue.cause = err
-			close(r.queue.failed)
+			r.queue.fail(err)
 			return
 		}
 	}
@@ -129,10 +140,29 @@
 		r.ledger.applyDone(e, result)
 	}
 	r.queue.done(es)
-	if !r.applier.due(r.settings) {
+	if !r.applier.due(r.settings) || !r.applier.saving.TryLock() {
 		return nil
 	}
-	m, err := r.applier.take(r.settings.Now)
+	f := r.applier.freeze()
+	if !f.apart {
+		return r.saveSnapshot(f)
+	}
+	// At the planned size a snapshot takes the better part of a second to write.
+	// Written here, it would hold up all accepted changes for as long, on all
+	// hosts at about the same position of the log.
+	r.saving.Go(func() {
+		if err := r.saveSnapshot(f); err != nil {
+			r.queue.fail(err)
+		}
+	})
+	return nil
+}
+
+// saveSnapshot writes a snapshot and tells the loop of it. It releases the
+// applier's saving.
+func (r *Replicator) saveSnapshot(f frozen) error {
+	defer r.applier.saving.Unlock()
+	m, err := r.applier.save(f, r.settings.Now)
 	var outdated snapshotter.ErrOutdated
 	if errors.As(err, &outdated) {
 		// The loop has received a newer one, which the next batch restores.
--- a/internal/coordination/replicator/replicator.go
+++ b/internal/coordination/replicator/replicator.go
@@ -28,9 +28,12 @@
 
 	inbox chan event
 	// closing is closed by Close, stopped when the replicator no longer works.
-	closing  chan struct{}
-	stopped  chan struct{}
-	workers  sync.WaitGroup
+	closing chan struct{}
+	stopped chan struct{}
+	workers sync.WaitGroup
+	// saving counts the goroutines that write a snapshot; the applier waits for
+	// them at its end.
+	saving   sync.WaitGroup
 	stopOnce sync.Once
 	// observing keeps calls of Observe apart.
 	observing sync.Mutex
--- a/internal/coordination/replicator/settings.go
+++ b/internal/coordination/replicator/settings.go
@@ -47,6 +47,15 @@
 	Restore(r io.Reader, index uint64) error
 }
 
+// Freezer is a StateMachine that goes on applying commands while a snapshot is
+// written. With any other, all changes wait for as long as that takes.
+type Freezer interface {
+	StateMachine
+	// Freeze returns a function that writes the state as it is now, as Snapshot
+	// would. That function is called from another goroutine.
+	Freeze() func(w io.Writer) error
+}
+
 // Settings are the options of a Replicator.
 type Settings struct {
 	// Group is the name of the group. It must be the same on all hosts.
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -186,7 +186,7 @@
 	}
 	if err == nil && h.applier.due(h.replica.settings) {
 		var m snapshotter.Metadata
-		if m, err = h.applier.take(time.Now); err == nil {
+		if m, err = h.applier.save(h.applier.freeze(), time.Now); err == nil {
 			err = h.replica.compact(m)
 		}
 	}
