--- a/internal/standin/demonstrator/suite_test.go
+++ b/internal/standin/demonstrator/suite_test.go
@@ -39,7 +39,7 @@
 	}
 	s := FaultRun{Run: r}.settings()
 	s.Services = 1
-	d, err := NewDeployment(s)
+	d, err := NewDeployment(s) //nolint:contextcheck // Close ends it.
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(d.Close)
 	keys, err := r.declare(ctx, d, io.Discard)
