requester, marigoldpoint: group commands, and a back-up of all resources

group show, add, remove and transfer go over the controllers' API; a change of the group is sent once. resource export prints all declared resources as JSON lines, callers' keys by their hashes; resource import declares them in an order that fits, 16 at once, each with an idempotency key, and goes on under its identity after it broke off. An adapter with a current version is created without it where it is missing and declared whole after the versions, so that a living one never loses its current version.

Tests go over a real control host: a back-up declared in a new group over three lost answers is exported again byte for byte.

--- a/cmd/marigoldpoint/main.go
+++ b/cmd/marigoldpoint/main.go
@@ -33,6 +33,7 @@
 	Settings     *settingsCommand     `arg:"subcommand:settings" help:"check settings files"`
 	Certificates *certificatesCommand `arg:"subcommand:certificates" help:"make the certificates by which processes know each other"`
 	Resource     *resourceCommand     `arg:"subcommand:resource" help:"read, write and watch resources"`
+	Group        *groupCommand        `arg:"subcommand:group" help:"show and change the control group"`
 	Timeline     *timelineCommand     `arg:"subcommand:timeline" help:"merge the events of several processes into one time line"`
 	Standin      *standinCommand      `arg:"subcommand:standin" help:"run a stand-in for what the system serves"`
 	Demo         *demoCommand         `arg:"subcommand:demo" help:"run a whole small deployment on loopback and check its promises"`
--- a/cmd/marigoldpoint/resource.go
+++ b/cmd/marigoldpoint/resource.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"os"
 
@@ -16,16 +18,23 @@
 	Put    *resourcePutCommand    `arg:"subcommand:put" help:"declare a resource"`
 	Delete *resourceDeleteCommand `arg:"subcommand:delete" help:"end a resource"`
 	Watch  *resourceWatchCommand  `arg:"subcommand:watch" help:"print changes as they come"`
+	Export *resourceExportCommand `arg:"subcommand:export" help:"print all that operators have declared, one resource a line"`
+	Import *resourceImportCommand `arg:"subcommand:import" help:"declare what export printed"`
 }
 
-// operatorArguments name the listener asked and the resource meant.
-type operatorArguments struct {
+// listenerArguments name the listener asked.
+type listenerArguments struct {
 	Operator string `arg:"required" placeholder:"IP:PORT" help:"operators' listener"`
 	KeyFile  string `arg:"--key-file" placeholder:"FILE" help:"file with the operators' bearer key"`
-	Path     string `arg:"positional,required" placeholder:"PATH" help:"WORKSPACE, WORKSPACE/KIND or WORKSPACE/KIND/NAME; kinds are adapters, versions, priorityrules, services, keys"`
 }
 
-func (a operatorArguments) client() (*requester.Client, error) {
+// operatorArguments name the listener asked and the resource meant.
+type operatorArguments struct {
+	listenerArguments
+	Path string `arg:"positional,required" placeholder:"PATH" help:"WORKSPACE, WORKSPACE/KIND or WORKSPACE/KIND/NAME; kinds are adapters, versions, priorityrules, services, keys"`
+}
+
+func (a listenerArguments) client() (*requester.Client, error) {
 	key, err := readKey(a.KeyFile)
 	if err != nil {
 		return nil, usageError{err}
@@ -103,6 +112,48 @@
 	return client.Watch(ctx, c.Path, c.After, out)
 }
 
+// resourceExportCommand prints a back-up.
+type resourceExportCommand struct{ listenerArguments }
+
+func (c *resourceExportCommand) run(ctx context.Context, out io.Writer) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	_, err = client.Export(ctx, out)
+	return errors.Trace(err)
+}
+
+// resourceImportCommand declares what is in a back-up.
+type resourceImportCommand struct {
+	listenerArguments
+	Identity string `placeholder:"TEXT" help:"identity of an import that broke off, to go on with it"`
+	File     string `arg:"positional,required" placeholder:"FILE" help:"back-up to declare; - reads standard input"`
+}
+
+func (c *resourceImportCommand) run(ctx context.Context, out io.Writer) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	backup, err := readDocument(c.File)
+	if err != nil {
+		return usageError{err}
+	}
+	imported, err := client.Import(ctx, bytes.NewReader(backup), c.Identity)
+	for _, r := range imported.Refused {
+		fmt.Fprintln(out, "refused:", r)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Fprintf(out, "%d resources declared, %d refused\n", imported.Declared, len(imported.Refused))
+	if len(imported.Refused) > 0 {
+		return errors.Errorf("%d changes refused", len(imported.Refused))
+	}
+	return nil
+}
+
 func readDocument(path string) ([]byte, error) {
 	if path == "-" {
 		return io.ReadAll(os.Stdin)
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -160,7 +160,7 @@
 	Deleted bool `cbor:"3,keyasint,omitempty"`
 }
 
-// Instant is a proposer's wall clock reading in nanoseconds since 1970, UTC.
+// Instant is a leader's wall clock reading in nanoseconds since 1970, UTC.
 type Instant int64
 
 // InstantOf returns t as an Instant.
--- a/internal/transport/controller/administration.go
+++ b/internal/transport/controller/administration.go
@@ -53,8 +53,8 @@
 	notAccepted func(error) bool
 }
 
-// administrationProblem is the body of a refusal.
-type administrationProblem struct {
+// AdministrationProblem is the body of a refusal.
+type AdministrationProblem struct {
 	Reason string
 	// Accepted is "No" where the change certainly has no effect, else "Unknown".
 	Accepted string
@@ -78,7 +78,7 @@
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, administrationBody))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&h); err != nil {
-		answerJSON(w, http.StatusBadRequest, administrationProblem{Reason: err.Error(), Accepted: acceptedNo})
+		answerJSON(w, http.StatusBadRequest, AdministrationProblem{Reason: err.Error(), Accepted: acceptedNo})
 		return
 	}
 	h.ID = id
@@ -113,20 +113,20 @@
 func (a administration) host(w http.ResponseWriter, r *http.Request) (uint64, bool) {
 	id, err := strconv.ParseUint(r.PathValue(wildcardHost), 10, 64)
 	if err != nil || id == 0 {
-		answerJSON(w, http.StatusBadRequest, administrationProblem{Reason: "a host's id is a number above 0", Accepted: acceptedNo})
+		answerJSON(w, http.StatusBadRequest, AdministrationProblem{Reason: "a host's id is a number above 0", Accepted: acceptedNo})
 		return 0, false
 	}
 	return id, true
 }
 
-// The values of administrationProblem.Accepted.
+// The values of AdministrationProblem.Accepted.
 const (
 	acceptedNo      = "No"
 	acceptedUnknown = "Unknown"
 )
 
 func (a administration) refuse(w http.ResponseWriter, status int, err error) {
-	p := administrationProblem{Reason: err.Error(), Accepted: acceptedUnknown}
+	p := AdministrationProblem{Reason: err.Error(), Accepted: acceptedUnknown}
 	if a.notAccepted(err) {
 		p.Accepted = acceptedNo
 	}
--- /dev/null
+++ b/internal/transport/requester/backup.go
@@ -0,0 +1,234 @@
+package requester
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/operator"
+)
+
+const (
+	// exportPage is the number of resources asked for at once.
+	exportPage = "1000"
+	// importParallel is the number of changes sent at once. Changes that wait
+	// together are committed together.
+	importParallel = 16
+	// maxLine bounds a line of a back-up, in bytes; the API takes no longer body.
+	maxLine = 64 << 10
+)
+
+// exportedKinds are what operators declare in a workspace, in an order in which
+// each can be declared after those before it. An adapter's current version is
+// the exception: it must be there first.
+var exportedKinds = []storer.Kind{
+	storer.KindAdapter, storer.KindVersion, storer.KindPriorityRule, storer.KindService, storer.KindKey,
+}
+
+// Export writes all that operators have declared to w, one resource a line. Of
+// callers' keys it writes the hashes. It returns the number of resources.
+//
+// It reads list after list, so changes made meanwhile may be in it in part. An
+// adapter is read before its versions: the one that was current then can't be
+// missing unless it was deleted meanwhile.
+func (c *Client) Export(ctx context.Context, w io.Writer) (count int, err error) {
+	e := exporter{client: c, out: json.NewEncoder(w)}
+	workspaces, err := e.list(ctx, workspacesPath)
+	if err != nil {
+		return e.count, err
+	}
+	for _, space := range workspaces {
+		for _, kind := range exportedKinds {
+			if _, err := e.list(ctx, resourcePath(space+"/"+kind.PathSegment())); err != nil {
+				return e.count, err
+			}
+		}
+	}
+	return e.count, nil
+}
+
+type exporter struct {
+	client *Client
+	out    *json.Encoder
+	count  int
+}
+
+// list writes the resources at path and returns their names.
+func (e *exporter) list(ctx context.Context, path string) (names []string, err error) {
+	query := url.Values{"Limit": {exportPage}}
+	for {
+		data, err := e.client.once(ctx, http.MethodGet, path+"?"+query.Encode(), nil, nil)
+		if err != nil {
+			return nil, errors.Annotatef(err, "list %s", path)
+		}
+		var page operator.List
+		if err := json.Unmarshal(data, &page); err != nil {
+			return nil, errors.Annotatef(err, "list %s", path)
+		}
+		for _, d := range page.Items {
+			// A revision put back would be a condition, which no new group meets.
+			d.Metadata.Revision = 0
+			if err := e.out.Encode(storer.Resource{Kind: d.Kind, Metadata: d.Metadata, Spec: d.Spec}); err != nil {
+				return nil, errors.Annotate(err, "write")
+			}
+			e.count++
+			names = append(names, d.Metadata.Name)
+		}
+		if page.Continue == "" {
+			return names, nil
+		}
+		query.Set("Continue", page.Continue)
+	}
+}
+
+// Imported tells what became of a back-up's lines.
+type Imported struct {
+	// Declared counts the resources in force as the back-up has them.
+	Declared int
+	// Refused tells why the others are not, by their names.
+	Refused []string
+}
+
+// Import declares what Export wrote. Resources that the back-up does not hold
+// stay as they are. The changes bear idempotency keys that begin with identity:
+// an import that broke off, and is begun again with the same one, changes nothing
+// twice. An empty identity means a new one.
+//
+// An error tells that it broke off; refusals of single resources are in Imported.
+func (c *Client) Import(ctx context.Context, r io.Reader, identity string) (Imported, error) {
+	if identity == "" {
+		identity = rand.Text()
+	}
+	resources, err := readBackup(r)
+	if err != nil {
+		return Imported{}, err
+	}
+	i := importer{client: c, identity: identity}
+	for _, step := range importSteps(resources) {
+		if err := i.declare(ctx, step); err != nil {
+			return i.imported, errors.Annotatef(err, "the import broke off; begin it again with identity %s", identity)
+		}
+	}
+	return i.imported, nil
+}
+
+func readBackup(r io.Reader) ([]storer.Resource, error) {
+	var resources []storer.Resource
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for number := 1; lines.Scan(); number++ {
+		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
+			continue
+		}
+		var one storer.Resource
+		if err := json.Unmarshal(lines.Bytes(), &one); err != nil {
+			return nil, errors.Annotatef(err, "line %d", number)
+		}
+		if one.Kind == storer.KindMember {
+			return nil, errors.Errorf("line %d: members announce themselves", number)
+		}
+		one.Metadata.Revision = 0
+		resources = append(resources, one)
+	}
+	return resources, errors.Annotate(lines.Err(), "read the back-up")
+}
+
+// declaration is one change of an import.
+type declaration struct {
+	resource storer.Resource
+	// create leaves alone what exists.
+	create bool
+}
+
+// importSteps puts the resources into an order in which they can be declared;
+// those of one step can be declared at once. An adapter with a current version
+// comes twice: first, only where there is none, without it, and after the
+// versions as it is. A living adapter so never loses its current version.
+func importSteps(resources []storer.Resource) [][]declaration {
+	steps := make([][]declaration, storer.KindMember+1)
+	const last = storer.KindNone
+	for _, r := range resources {
+		adapter, ok := r.Spec.(storer.AdapterSpec)
+		if ok && adapter.Current != "" {
+			steps[last] = append(steps[last], declaration{resource: r})
+			adapter.Current = ""
+			r.Spec = adapter
+			steps[r.Kind] = append(steps[r.Kind], declaration{resource: r, create: true})
+			continue
+		}
+		steps[r.Kind] = append(steps[r.Kind], declaration{resource: r})
+	}
+	ordered := [][]declaration{steps[storer.KindWorkspace]}
+	for _, kind := range exportedKinds {
+		ordered = append(ordered, steps[kind])
+	}
+	return append(ordered, steps[last])
+}
+
+type importer struct {
+	client   *Client
+	identity string
+
+	mu sync.Mutex
+	// imported is guarded by mu.
+	imported Imported
+}
+
+// declare carries out one step.
+func (i *importer) declare(ctx context.Context, step []declaration) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(importParallel)
+	for _, d := range step {
+		group.Go(func() error { return i.put(ctx, d) })
+	}
+	return errors.Trace(group.Wait())
+}
+
+func (i *importer) put(ctx context.Context, d declaration) error {
+	document, err := json.Marshal(d.resource)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	m := d.resource.Metadata
+	path := url.PathEscape(m.Workspace)
+	if d.resource.Kind != storer.KindWorkspace {
+		path += "/" + d.resource.Kind.PathSegment() + "/" + url.PathEscape(m.Name)
+	}
+	_, err = i.client.Put(ctx, path, document, Conditions{
+		Create: d.create, IdempotencyKey: fmt.Sprintf("%s/%t/%v/%s", i.identity, d.create, d.resource.Kind, m.Name),
+	})
+	return i.note(path, d, err)
+}
+
+// note keeps what became of a change, and returns an error that ends the import.
+func (i *importer) note(path string, d declaration, err error) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var refused *RefusedError
+	switch {
+	case err == nil && !d.create:
+		i.imported.Declared++
+		return nil
+	case err == nil:
+		return nil
+	case !errors.As(err, &refused) || refused.Status >= http.StatusInternalServerError ||
+		refused.Problem.Reason == operator.ReasonUnauthorized:
+		return errors.Annotate(err, path)
+	case d.create && refused.Problem.Reason == operator.ReasonConflict:
+		return nil
+	default:
+		i.imported.Refused = append(i.imported.Refused, path+": "+refused.Error())
+		return nil
+	}
+}
--- a/internal/transport/requester/client.go
+++ b/internal/transport/requester/client.go
@@ -13,11 +13,17 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/transport/operator"
 )
 
-// apiPath precedes the path of all resources.
-const apiPath = "/api/v1/workspaces/"
+// workspacesPath is the path of the list of workspaces, and precedes that of all
+// resources but members.
+const workspacesPath = operator.Prefix + "workspaces"
+
+// resourcePath returns the path of WORKSPACE, WORKSPACE/KIND or
+// WORKSPACE/KIND/NAME.
+func resourcePath(path string) string { return workspacesPath + "/" + path }
 
 // maxAnswerBytes bounds an answer that is read whole.
 const maxAnswerBytes = 64 << 20
@@ -84,7 +90,7 @@
 // Get returns the document at path, which is WORKSPACE, WORKSPACE/KIND or
 // WORKSPACE/KIND/NAME.
 func (c *Client) Get(ctx context.Context, path string) ([]byte, error) {
-	return c.once(ctx, http.MethodGet, path, nil, nil)
+	return c.once(ctx, http.MethodGet, resourcePath(path), nil, nil)
 }
 
 // Put declares the resource at path and returns it as accepted.
@@ -104,7 +110,7 @@
 	if after > 0 {
 		query.Set("After", strconv.FormatUint(after, 10))
 	}
-	response, err := c.send(ctx, http.MethodGet, path+"?"+query.Encode(), nil, nil)
+	response, err := c.send(ctx, http.MethodGet, resourcePath(path)+"?"+query.Encode(), nil, nil)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -133,11 +139,11 @@
 		header.Set("If-None-Match", "*")
 	}
 	for attempt := 1; ; attempt++ {
-		answer, err := c.once(ctx, method, path, document, header)
+		answer, err := c.once(ctx, method, resourcePath(path), document, header)
 		if err == nil || attempt == c.settings.Attempts || !again(err) {
 			return answer, errors.Trace(err)
 		}
-		if !pause(ctx, c.settings.Pause) {
+		if !pauser.Pause(ctx, c.settings.Pause) {
 			return nil, errors.Trace(err)
 		}
 	}
@@ -166,7 +172,7 @@
 }
 
 func (c *Client) send(ctx context.Context, method, path string, document []byte, header http.Header) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.settings.Address+apiPath+path, bytes.NewReader(document))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.settings.Address+path, bytes.NewReader(document))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -188,15 +194,3 @@
 	}
 	return r
 }
-
-// pause waits and reports whether the time passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
