gatekeeper: a closed entry begins nothing more beside its requests

Cause: Entry.Close waits for the messages and settlements that run beside the requests, not for the requests, whose connections break at that moment and which then begin more of them. A planned stop is not concerned: Drain waits for the requests first.

Ruled out: the planned stops of the same run (no race), the pool and the companion (the reads are all in attempt.notify).

Change: after Close nothing is begun; a closed entry is as good as lost.

After: go test -race -count=1 ./internal/transport/gatekeeper: ok.

--- a/internal/transport/gatekeeper/entry.go
+++ b/internal/transport/gatekeeper/entry.go
@@ -48,6 +48,9 @@
 	// drained is closed when draining is set and the last request has ended;
 	// guarded by mu.
 	drained chan struct{}
+	// closed keeps requests that still end from beginning more beside them;
+	// guarded by mu.
+	closed bool
 }
 
 // random is a random source for several goroutines.
@@ -136,14 +139,23 @@
 // Close ends what the entry runs beside the requests, and waits for it. The
 // listener is closed before.
 func (e *Entry) Close() error {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
 	e.cancel()
 	e.settling.Wait()
 	return nil
 }
 
-// beside runs f apart from its request, until the limit or Close.
+// beside runs f apart from its request, until the limit or Close. After Close it
+// does nothing: a closed entry is as good as lost.
 func (e *Entry) beside(ctx context.Context, limit time.Duration, f func(ctx context.Context)) {
 	ctx = context.WithoutCancel(ctx)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return
+	}
 	e.settling.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
