--- a/internal/coordination/router/choose.go
+++ b/internal/coordination/router/choose.go
@@ -204,6 +204,7 @@
 	d.Backend, d.Address = b.member.Name, b.member.Spec.Address
 	d.Incarnation, d.Epoch = b.member.Spec.Incarnation, b.member.Spec.Epoch
 	d.chosen = b
+	d.affine = h.shard.holder(h.view, d.prefix) == b
 	if h.call.Version != "" {
 		p, made := h.version.ensure(h.view, b, h.now)
 		p.pinned++
--- a/internal/coordination/router/decision.go
+++ b/internal/coordination/router/decision.go
@@ -70,6 +70,8 @@
 	known  *version
 	shard  *shard
 	prefix uint64
+	// affine tells that the prefix was believed to be cached where the call went.
+	affine bool
 }
 
 // Candidates returns what was weighed. The result is valid until the next
--- a/internal/coordination/router/finish.go
+++ b/internal/coordination/router/finish.go
@@ -10,6 +10,8 @@
 	LoadFailed bool
 	// Stall is the time that the call waited for a load; 0 for none.
 	Stall time.Duration
+	// CachedTokens is the part of the prompt that the engine found in its cache.
+	CachedTokens int64
 	// Ran is the time that the call ran, without its waits.
 	Ran time.Duration
 }
@@ -45,6 +47,9 @@
 	}
 	if e.Served {
 		b.averages.sampleCall(e.Stall, e.Ran)
+		if d.affine {
+			b.averages.samplePrefix(e.CachedTokens > 0)
+		}
 	}
 	if d.known != nil {
 		d.finishVersion(now, e)
--- a/internal/coordination/router/pool.go
+++ b/internal/coordination/router/pool.go
@@ -29,10 +29,16 @@
 	depth float64
 	// own is the like for the entry's own calls; guarded by mu.
 	own float64
+	// hits is the smoothed share of the prefixes believed to be cached that were;
+	// guarded by mu.
+	hits float64
 }
 
+// firstHits is the belief in prefixes before there is a sample.
+const firstHits = 0.5
+
 // estimate is a copy of the averages at one moment.
-type estimate struct{ loadTime, serviceTime, depth, own float64 }
+type estimate struct{ loadTime, serviceTime, depth, own, hits float64 }
 
 // entries returns how many entries like this one share the pool's work: all
 // calls that reports show over the entry's own. The entry sees only its own part
@@ -46,13 +52,13 @@
 }
 
 func newAverages(s *Settings) *averages {
-	return &averages{loadTime: s.LoadTime.Seconds(), serviceTime: s.ServiceTime.Seconds()}
+	return &averages{loadTime: s.LoadTime.Seconds(), serviceTime: s.ServiceTime.Seconds(), hits: firstHits}
 }
 
 func (a *averages) read() estimate {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return estimate{loadTime: a.loadTime, serviceTime: a.serviceTime, depth: a.depth, own: a.own}
+	return estimate{loadTime: a.loadTime, serviceTime: a.serviceTime, depth: a.depth, own: a.own, hits: a.hits}
 }
 
 // sampleReport takes in what a report shows: other entries' calls, the entry's
@@ -67,6 +73,17 @@
 	}
 }
 
+// samplePrefix takes in whether a prefix believed to be cached was.
+func (a *averages) samplePrefix(hit bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sample := 0.0
+	if hit {
+		sample = 1
+	}
+	a.hits += smoothing * (sample - a.hits)
+}
+
 // sampleCall takes in the stall of a cold start, where there was one, and the
 // time that the call ran.
 func (a *averages) sampleCall(stall, ran time.Duration) {
--- a/internal/coordination/router/router_test.go
+++ b/internal/coordination/router/router_test.go
@@ -208,6 +208,33 @@
 		Expect(pick(r, start, c).Backend).To(Equal(packed.Backend))
 	})
 
+	// Symptom: calls queue at a backend server for a prefix that isn't cached there.
+	// Sequence: the cache is small, and drops prefixes long before events tell.
+	It("believes in prefixes as far as they were found", func() {
+		r := newRouter(router.Settings{PrefillRate: 1000}, engines(2, 4, 8))
+		c := router.Call{Version: "town/a@1", Prefix: 99, PromptTokens: 1000}
+		score := func(cached int64) float64 {
+			d := pick(r, start, c)
+			defer r.Finish(start, d, router.Ending{Served: true, CachedTokens: cached})
+			for _, k := range d.Candidates() {
+				if k.Taken {
+					return k.Score
+				}
+			}
+			return 0
+		}
+		score(0)
+		first := score(0)
+		for range 50 {
+			score(0)
+		}
+		Expect(score(0)).To(BeNumerically(">", first+0.4))
+		for range 100 {
+			score(500)
+		}
+		Expect(score(500)).To(BeNumerically("<", first-0.4))
+	})
+
 	// Symptom: minutes of stalls after popularity shifts. Sequence: every call is
 	// for a version that nobody called before, all at once, while the old hot
 	// versions fill the slots. Cause to prevent: all loads in one lane.
--- a/internal/coordination/router/score.go
+++ b/internal/coordination/router/score.go
@@ -145,10 +145,11 @@
 	return worst * (1 + min((fill-target)/max(1-target, 0.01), 1))
 }
 
-// cached is the prompt's computation that a cached prefix saves.
+// cached is the prompt's computation that a cached prefix saves, by how often
+// such a belief held lately: what the cache dropped is told late or never.
 func (h *choice) cached(b *backend) float64 {
 	if h.shard.holder(h.view, h.decision.prefix) != b {
 		return 0
 	}
-	return float64(h.call.PromptTokens) / h.router.settings.PrefillRate
+	return h.mean.hits * float64(h.call.PromptTokens) / h.router.settings.PrefillRate
 }
--- a/internal/transport/gatekeeper/attempt.go
+++ b/internal/transport/gatekeeper/attempt.go
@@ -93,7 +93,7 @@
 	}
 	if end := a.end; end != nil {
 		e.load(a.backend, end.Load)
-		ending.Stall = millis(end.StallMillis)
+		ending.Stall, ending.CachedTokens = millis(end.StallMillis), end.CachedTokens
 		e.metrics.stalls.WithLabelValues(q.dispatch.Workspace).Observe(ending.Stall.Seconds())
 		e.metrics.queueWaits.WithLabelValues(q.dispatch.Workspace).Observe(millis(end.QueueMillis).Seconds())
 	}
--- a/internal/transport/gatekeeper/claim.go
+++ b/internal/transport/gatekeeper/claim.go
@@ -9,6 +9,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/claimer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
@@ -58,7 +59,7 @@
 			e.settings.Recorder.Record(q.event(recorder.KindClaimed, c.machine.Identity().Key))
 			return nil, false
 		case claimer.ProposeAgain:
-			if !pause(ctx, s.Wait) {
+			if !pauser.Pause(ctx, s.Wait) {
 				return c.refused(ctx, q, c.machine.Abandon()), true
 			}
 		case claimer.FetchKept:
@@ -136,7 +137,7 @@
 				e.metrics.settles.WithLabelValues(command.State.String()).Inc()
 				return
 			}
-			if !pause(ctx, e.random.jitter(wait)) {
+			if !pauser.Pause(ctx, e.random.jitter(wait)) {
 				e.settings.Log.Warn().Err(err).Str("Request", q.id).Stringer("State", command.State).Msg("claim not settled")
 				e.metrics.settles.WithLabelValues("Lost").Inc()
 				return
--- a/internal/transport/gatekeeper/request.go
+++ b/internal/transport/gatekeeper/request.go
@@ -13,6 +13,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/router"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -196,19 +197,5 @@
 	if d.Verdict != retrier.VerdictRetry {
 		return false
 	}
-	return pause(ctx, d.Wait)
-}
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pauser.Pause(ctx, d.Wait)
 }
--- a/internal/transport/gatekeeper/resume.go
+++ b/internal/transport/gatekeeper/resume.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -42,7 +43,7 @@
 		case e.settings.Now().Sub(a.lostAt) > resumeLimit:
 			return a.unreachable(), true
 		}
-		pause(ctx, e.random.jitter(wait))
+		pauser.Pause(ctx, e.random.jitter(wait))
 		wait = min(2*wait, resumeMax)
 	}
 }
