loader, companion, permitter: requests for permits that no call needs are taken back

Cause: a request for a permit outlived the calls that it was made for. In a rush 65 of 775 permits came for versions whose callers had passed their deadline, and were given back: the store stood idle for the time of a load each. And a prefetch of an idle workspace went before the calls of others that wait.

Change: the table withdraws a request when its last caller leaves, and one made for a prefetch when a call comes; the permitter gives a turn to a request without calls only where no call waits. A withdrawal goes out without an answer, so the companion waits 0.1 s before the version may be asked for again.

The stories in the three packages' tests and the withdrawals in the loader's property test are new.

--- a/internal/coordination/loader/action.go
+++ b/internal/coordination/loader/action.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Action is something that the owner of a Table must do: one of PermitAction,
-// ReturnPermitAction, LoadAction, UnloadAction, ReadyAction, FailAction,
+// WithdrawAction, ReturnPermitAction, LoadAction, UnloadAction, ReadyAction, FailAction,
 // LostAction, ReadStateAction and FencedAction.
 type Action interface{ action() }
 
@@ -20,6 +20,11 @@
 	Oldest time.Time
 }
 
+// WithdrawAction takes back the request for a permit which no call waits for any
+// more, or which was made for a prefetch that a call now waits for. The owner
+// calls Withdrawn, unless the request's outcome came first.
+type WithdrawAction struct{ Version string }
+
 // ReturnPermitAction gives a permit back without a load.
 type ReturnPermitAction struct{ Version string }
 
@@ -64,6 +69,7 @@
 type FencedAction struct{}
 
 func (PermitAction) action()       {}
+func (WithdrawAction) action()     {}
 func (ReturnPermitAction) action() {}
 func (LoadAction) action()         {}
 func (UnloadAction) action()       {}
--- a/internal/coordination/loader/order.go
+++ b/internal/coordination/loader/order.go
@@ -49,6 +49,31 @@
 	return t.plan(now, t.fail(now, v, cause, nil))
 }
 
+// withdraw takes back the request for v's permit where it stands for what is no
+// longer so.
+//
+// A permit that comes for callers who have all left is given back, and the store
+// stands idle for the time of a load: in a rush that was one permit in twenty.
+// One asked for a prefetch yields to all others, also when a call waits by now.
+func (t *Table) withdraw(v *version, actions []Action) []Action {
+	if !v.permit || v.victim != nil || v.withdrawn || v.prefetch == (len(v.waiters) == 0) {
+		return actions
+	}
+	v.withdrawn = true
+	return append(actions, WithdrawAction{Version: v.name})
+}
+
+// Withdrawn says that the request for the version's permit was taken back
+// without a permit.
+func (t *Table) Withdrawn(now time.Time, name string) []Action {
+	v := t.versions[name]
+	if v == nil || !v.withdrawn {
+		return nil
+	}
+	t.setPermit(v, false)
+	return t.plan(now, nil)
+}
+
 // Loaded says how the load order with the fencing number ended. An answer to any
 // other order than the one in flight, such as one given in an earlier life, is
 // ignored.
--- a/internal/coordination/loader/property_test.go
+++ b/internal/coordination/loader/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	// orders are on their way, permits are asked for.
 	orders  []Action
 	permits []string
+	// withdrawn are the permits whose requests are being taken back.
+	withdrawn map[string]bool
 	// waiting and pinned are the requests by id, with their versions.
 	waiting map[string]string
 	pinned  map[string]string
@@ -35,7 +38,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
 			t: t, now: start, slots: rapid.IntRange(1, 4).Draw(t, "slots"),
-			engine: map[string]bool{}, waiting: map[string]string{}, pinned: map[string]string{},
+			engine: map[string]bool{}, withdrawn: map[string]bool{}, waiting: map[string]string{}, pinned: map[string]string{},
 		}
 		m.table = NewTable(Settings{
 			Slots: m.slots, Prefetch: rapid.Bool().Draw(t, "prefetch"),
@@ -106,6 +109,14 @@
 	i := m.draw("permit", len(m.permits))
 	version := m.permits[i]
 	m.permits = append(m.permits[:i], m.permits[i+1:]...)
+	if m.withdrawn[version] {
+		delete(m.withdrawn, version)
+		// The permit may have been on its way.
+		if m.draw("crossed", 2) == 0 {
+			m.apply(m.table.Withdrawn(m.now, version))
+			return
+		}
+	}
 	if m.draw("denied", 8) == 0 {
 		m.apply(m.table.PermitDenied(m.now, version, "denied"))
 		return
@@ -172,6 +183,11 @@
 		switch a := action.(type) {
 		case PermitAction:
 			m.permits = append(m.permits, a.Version)
+		case WithdrawAction:
+			if m.withdrawn[a.Version] || !slices.Contains(m.permits, a.Version) {
+				m.t.Fatalf("%s is withdrawn without a request", a.Version)
+			}
+			m.withdrawn[a.Version] = true
 		case LoadAction:
 			m.raise(a.Fence)
 			m.single(a.Version)
@@ -247,6 +263,7 @@
 		for len(m.permits)+len(m.orders) > 0 {
 			permits, orders := m.permits, m.orders
 			m.permits, m.orders = nil, nil
+			clear(m.withdrawn)
 			for _, version := range permits {
 				m.apply(m.table.Permitted(m.now, version))
 			}
--- a/internal/coordination/loader/table.go
+++ b/internal/coordination/loader/table.go
@@ -169,7 +169,7 @@
 	v.waiters[w.Request] = now
 	t.track(v)
 	t.holders[w.Request] = v
-	return t.plan(now, nil)
+	return t.plan(now, t.withdraw(v, nil))
 }
 
 // Pin lets the waiting request use its version, and reports whether it may: not
@@ -202,7 +202,7 @@
 		delete(v.pins, request)
 		v.lastUsed = now
 	}
-	return t.plan(now, nil)
+	return t.plan(now, t.withdraw(v, nil))
 }
 
 // Tick does what has become due: loads after a back-off, closing, prefetches.
@@ -271,6 +271,8 @@
 
 func (t *Table) setPermit(v *version, out bool) {
 	v.permit = out
+	v.prefetch = out && len(v.waiters) == 0
+	v.withdrawn = false
 	t.track(v)
 }
 
--- a/internal/coordination/loader/table_test.go
+++ b/internal/coordination/loader/table_test.go
@@ -156,6 +156,31 @@
 		Expect(t.Want(start, want("quiet2", "quiet/r@1"))).To(BeEmpty())
 	})
 
+	It("takes the request for a permit back when all its callers have left", func() {
+		// Symptom: in a rush the store stands idle while hundreds of adapters wait.
+		// Events: a call passes its deadline while it waits for a permit; the permit
+		// comes and is given back.
+		// Cause: a request for a permit outlived the calls that it was made for.
+		t := newTable(Settings{Slots: 2, MaxPermits: 1, Prefetch: true})
+		only[PermitAction](t.Want(start, want("r1", "w/a@1")))
+		t.Want(start, want("r2", "w/a@1"))
+		Expect(t.Drop(start, "r1")).To(BeEmpty(), "r2 waits")
+		Expect(only[WithdrawAction](t.Drop(start, "r2")).Version).To(Equal("w/a@1"))
+		Expect(t.Want(start, want("r3", "w/b@1"))).To(BeEmpty())
+		Expect(only[PermitAction](t.Withdrawn(start, "w/a@1")).Version).To(Equal("w/b@1"))
+
+		// One for a prefetch stands behind all others: it is made anew for a call.
+		t = newTable(Settings{Slots: 1, Prefetch: true})
+		for i := range 4 {
+			only[PermitAction](t.Want(start, want(fmt.Sprint("r", i), "w/a@1")))
+			t.Drop(start, fmt.Sprint("r", i))
+			t.Withdrawn(start, "w/a@1")
+		}
+		Expect(only[PermitAction](t.Tick(start)).Waiters).To(BeZero())
+		only[WithdrawAction](t.Want(start, want("r5", "w/a@1")))
+		Expect(only[PermitAction](t.Withdrawn(start, "w/a@1")).Waiters).To(Equal(1))
+	})
+
 	It("leaves a slot to others though a rush has requests of half a minute on all it may hold", func() {
 		// Symptom: a quiet call waits for the end of some other workspace's request.
 		// Events: long requests of the rush pin every slot.
--- a/internal/coordination/loader/version.go
+++ b/internal/coordination/loader/version.go
@@ -19,6 +19,11 @@
 	closing bool
 	// permit tells that a permit was asked for and not settled.
 	permit bool
+	// prefetch tells that the permit was asked for while no request waited.
+	prefetch bool
+	// withdrawn tells that the request for the permit is being taken back; its
+	// outcome is still to come.
+	withdrawn bool
 	// victim is the version whose slot this one takes over once it is unloaded,
 	// or nil. It is set only while this version is empty and holds a permit.
 	victim *version
--- a/internal/coordination/permitter/grant.go
+++ b/internal/coordination/permitter/grant.go
@@ -54,13 +54,15 @@
 	}
 }
 
-// fairest returns the workspace with the lowest start tag among those with
-// requests, or nil. Workspaces without requests are dropped once their finish
+// fairest returns the workspace with the lowest start tag among those whose calls
+// wait, or where none do among those with requests, or nil. So a prefetch is
+// loaded only while no call waits, whosever it is. Workspaces without requests are dropped once their finish
 // tag lies in the past, where it decides nothing any more.
 func (t *Table) fairest() *lane {
 	var best *lane
 	var bestStart float64
 	var bestName string
+	var bestCalls bool
 	for name, l := range t.lanes {
 		if len(l.requests) == 0 {
 			if l.finish <= t.virtual {
@@ -69,13 +71,30 @@
 			continue
 		}
 		start := max(l.finish, t.virtual)
+		calls := l.calls()
+		if best != nil && calls != bestCalls {
+			if calls {
+				best, bestStart, bestName, bestCalls = l, start, name, true
+			}
+			continue
+		}
 		if best == nil || start < bestStart || start == bestStart && name < bestName {
-			best, bestStart, bestName = l, start, name
+			best, bestStart, bestName, bestCalls = l, start, name, calls
 		}
 	}
 	return best
 }
 
+// calls reports whether calls wait for any of the lane's versions.
+func (l *lane) calls() bool {
+	for _, w := range l.requests {
+		if w.Waiters > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // grant gives a permit to the first request of a workspace.
 func (t *Table) grant(now time.Time, l *lane) Grant {
 	var first *waiting
@@ -101,9 +120,13 @@
 	return g
 }
 
-// before reports whether request a of a workspace goes before b: those older
-// than MaxAge first, by age; then by waiters, and by age among equals.
+// before reports whether request a of a workspace goes before b: those for which
+// calls wait; of these the ones older than MaxAge first, by age; then by waiters,
+// and by age among equals.
 func (t *Table) before(now time.Time, a, b *waiting) bool {
+	if calls := a.Waiters > 0; calls != (b.Waiters > 0) {
+		return calls
+	}
 	aged := now.Sub(a.since) >= t.settings.MaxAge
 	if agedB := now.Sub(b.since) >= t.settings.MaxAge; aged != agedB {
 		return aged
--- a/internal/coordination/permitter/table_test.go
+++ b/internal/coordination/permitter/table_test.go
@@ -56,6 +56,24 @@
 		Expect(order[10:12]).To(ContainElement("quiet/a0@1"))
 	})
 
+	// Symptom: calls wait for loads while adapters are loaded that none waits for.
+	// Sequence: a workspace that was idle prefetches; another one, which has had
+	// many loads, has a call that waits.
+	// Cause to prevent: fairness between workspaces gives the idle one the turn,
+	// and age gives it to an old prefetch.
+	It("loads for a prefetch only while no call waits", func() {
+		t := permitter.NewTable(settings, 1, start, []string{})
+		t.Request(start, request("idle", 0, 0))
+		t.Request(start, request("busy", 10, 0))
+		order := serve(t, start.Add(10*time.Second), 3, func(now time.Time, i int) {
+			if i < 2 {
+				t.Request(now, request("busy", i, 1))
+			}
+		})
+		Expect(order[:2]).To(Equal([]string{"busy/a0@1", "busy/a1@1"}))
+		Expect(order).To(HaveLen(3))
+	})
+
 	// Symptom: nothing loads for 30 s though the store is idle.
 	// Sequence: a grant's answer is lost with its connection; the companion
 	// asks again, or its waiters leave and it withdraws.
--- a/internal/transport/companion/companion.go
+++ b/internal/transport/companion/companion.go
@@ -55,6 +55,9 @@
 	queue *scheduler.Queue
 	// works are the requests that wait or run, by key.
 	works map[string]*work
+	// asks are the requests for permits, by version. One is withdrawn by closing
+	// its channel, which takes it out.
+	asks map[string]chan struct{}
 	// running counts the places taken in the batch.
 	running  int
 	maxBatch int
@@ -89,6 +92,7 @@
 			MaxRequests: s.Companion.QueueLimit, MaxTokens: s.Companion.QueueTokens,
 		}),
 		works:    map[string]*work{},
+		asks:     map[string]chan struct{}{},
 		maxBatch: s.Companion.MaxBatch,
 		reading:  make(chan struct{}, 1),
 		grants:   map[string]permitter.Grant{},
--- a/internal/transport/companion/companion_test.go
+++ b/internal/transport/companion/companion_test.go
@@ -43,6 +43,23 @@
 		Eventually(b.control.resident).WithTimeout(patience).Should(Equal([]string{"w/a@1"}))
 	})
 
+	It("takes its request for a permit back once no call waits, and asks anew for the next", func() {
+		// Symptom: permits are granted for callers who have left, and given back.
+		// Events: the only call for an adapter is cancelled while the store is busy.
+		// Cause: the wait at the control leader knew nothing of the calls.
+		b := newBench(generator.Settings{})
+		b.control.full.Store(true)
+		l := newLink(b.companion)
+		l.send(b.call("r1", "w/a@1", 2))
+		Eventually(b.control.asked.Load).WithTimeout(patience).Should(Equal(int32(1)))
+		b.companion.cancelWork(messenger.Cancel{Request: "r1", Attempt: 1})
+		Eventually(b.control.withdrawn.Load).WithTimeout(patience).Should(Equal(int32(1)))
+		b.control.full.Store(false)
+		l.send(b.call("r2", "w/a@1", 2))
+		Expect(l.wait("r2").Outcome).To(Equal(messenger.OutcomeCompleted))
+		Expect(b.control.asked.Load()).To(Equal(int32(2)))
+	})
+
 	It("refuses another life's dispatches and other base models", func() {
 		b := newBench(generator.Settings{})
 		d := b.call("r1", "w/a@1", 2)
--- a/internal/transport/companion/order.go
+++ b/internal/transport/companion/order.go
@@ -21,8 +21,12 @@
 		switch a := action.(type) {
 		case loader.PermitAction:
 			c.record(recorder.KindLoadRequested, a.Version, "")
-			began := c.settings.Now()
-			c.spawnLocked(func(ctx context.Context) { c.permit(ctx, a, began) })
+			c.askLocked(a)
+		case loader.WithdrawAction:
+			if withdrawn := c.asks[a.Version]; withdrawn != nil {
+				close(withdrawn)
+				delete(c.asks, a.Version)
+			}
 		case loader.ReturnPermitAction:
 			c.returnPermit(a.Version)
 		case loader.LoadAction:
@@ -76,43 +80,83 @@
 	permitPause = 100 * time.Millisecond
 )
 
+// askLocked begins to ask for a permit. The caller holds mu.
+func (c *Companion) askLocked(a loader.PermitAction) {
+	began := c.settings.Now()
+	withdrawn := make(chan struct{})
+	c.asks[a.Version] = withdrawn
+	c.spawnLocked(func(ctx context.Context) {
+		// What takes the request back goes out without an answer, and may be
+		// overtaken by the next request for the same version: the next one would be
+		// withdrawn in its place, and its callers wait for nothing.
+		if !c.permit(ctx, a, began, withdrawn) && pause(ctx, permitPause) {
+			c.answered(a.Version, func(now time.Time) []loader.Action { return c.table.Withdrawn(now, a.Version) })
+		}
+	})
+}
+
+// answered tells the table how a request for a permit ended.
+func (c *Companion) answered(version string, event func(now time.Time) []loader.Action) {
+	c.tell(func(now time.Time) []loader.Action {
+		delete(c.asks, version)
+		return event(now)
+	})
+}
+
 // permit waits for the permit to load: one of the control hosts while there is
 // contact with them, else one of the static share, which keeps loads possible, if
-// slow.
-func (c *Companion) permit(ctx context.Context, a loader.PermitAction, began time.Time) {
-	for ctx.Err() == nil {
+// slow. It returns false where the request was withdrawn.
+func (c *Companion) permit(ctx context.Context, a loader.PermitAction, began time.Time, withdrawn <-chan struct{}) bool {
+	for ctx.Err() == nil && !closed(withdrawn) {
 		switch {
 		case c.settings.Control.LeaseValid():
-			if grant, err := c.ask(ctx, a); err == nil {
+			if grant, err := c.ask(ctx, a, withdrawn); err == nil {
 				c.permitted(a, began, &grant)
-				return
+				return true
 			}
 		case c.staticTurn():
 			c.permitted(a, began, nil)
-			return
+			return true
 		case c.settings.Now().Sub(began) > staticPatience:
-			c.tell(func(now time.Time) []loader.Action {
+			c.answered(a.Version, func(now time.Time) []loader.Action {
 				return c.table.PermitDenied(now, a.Version, "no load permit: no control host reached")
 			})
-			return
+			return true
 		}
 		pause(ctx, permitPause)
 	}
+	return false
+}
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
-// ask waits for a permit of the control hosts, and gives up once contact with
-// them is lost: a wait on a dead connection would hold up the static share.
-func (c *Companion) ask(ctx context.Context, a loader.PermitAction) (permitter.Grant, error) {
+// ask waits for a permit of the control hosts until it is withdrawn, and gives up
+// once contact with them is lost: a wait on a dead connection would hold up the
+// static share.
+func (c *Companion) ask(ctx context.Context, a loader.PermitAction, withdrawn <-chan struct{}) (permitter.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, permitLimit)
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
+		defer cancel()
+		ticker := time.NewTicker(permitPause)
+		defer ticker.Stop()
 		for c.settings.Control.LeaseValid() {
-			if !pause(ctx, permitPause) {
-				break
+			select {
+			case <-withdrawn:
+				return
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
 			}
 		}
-		cancel()
 	}()
 	defer func() {
 		cancel()
@@ -132,7 +176,7 @@
 	waited := c.settings.Now().Sub(began)
 	c.metrics.permitWait.Observe(waited.Seconds())
 	c.record(recorder.KindPermitGranted, a.Version, fmt.Sprintf("%s after %v, %d waiting", source, waited, a.Waiters))
-	c.tell(func(now time.Time) []loader.Action {
+	c.answered(a.Version, func(now time.Time) []loader.Action {
 		if grant != nil {
 			c.grants[a.Version] = *grant
 		}
--- a/internal/transport/companion/suite_test.go
+++ b/internal/transport/companion/suite_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,8 +34,13 @@
 
 const patience = 20 * time.Second
 
-// fakeControl grants memberships and permits at once, unless lost.
+// fakeControl grants memberships and permits at once, unless lost or full.
 type fakeControl struct {
+	// full makes requests for permits wait until they are withdrawn.
+	full atomic.Bool
+	// asked and withdrawn count the requests for permits.
+	asked, withdrawn atomic.Int32
+
 	mu      sync.Mutex
 	epoch   uint64
 	lost    bool
@@ -71,7 +77,13 @@
 
 func (f *fakeControl) OnVoid(g func(string, uint64)) { f.void = g }
 
-func (f *fakeControl) RequestPermit(_ context.Context, r permitter.Request) (permitter.Grant, error) {
+func (f *fakeControl) RequestPermit(ctx context.Context, r permitter.Request) (permitter.Grant, error) {
+	f.asked.Add(1)
+	if f.full.Load() {
+		<-ctx.Done()
+		f.withdrawn.Add(1)
+		return permitter.Grant{}, ctx.Err()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lost {
