--- a/internal/transport/controller/behind_test.go
+++ b/internal/transport/controller/behind_test.go
@@ -161,7 +161,7 @@
 		get := func(query string) *http.Response {
 			request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/api/v1/workspaces"+query, http.NoBody)
 			Expect(err).NotTo(HaveOccurred())
-			answer, err := http.DefaultClient.Do(request)
+			answer, err := server.Client().Do(request)
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(answer.Body.Close)
 			return answer
