controller: a load permit is given when it is due, not at the next tick

Cause: between events the leader looked at the permits at its tick of 50 ms.

Change: the duties keep a timer at the time that the table names (Next).

The story in permits_test.go fails without the change.

--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -36,6 +36,9 @@
 	// waiters hold the latest call that waits for each permit; guarded by
 	// permitsMu.
 	waiters map[permitKey]chan permitter.Grant
+	// due fires when the next permit may be given. Without it the store would
+	// stand idle from then to the next tick.
+	due *time.Timer
 }
 
 func newDuties(c *Control, term uint64) *duties {
@@ -55,6 +58,7 @@
 			Rate: s.StoreRate, Parallel: s.StoreParallel, Overlap: s.StoreOverlap, Expiry: time.Duration(s.PermitExpiry),
 		}, term, now, c.permitHolders(now, members)),
 		waiters: make(map[permitKey]chan permitter.Grant),
+		due:     time.NewTimer(time.Hour),
 	}
 	d.ctx, d.cancel = context.WithCancel(c.ctx)
 	return d
@@ -120,10 +124,14 @@
 	d.retain(d.ctx)
 	ticker := time.NewTicker(d.control.settings.TickInterval)
 	defer ticker.Stop()
+	defer d.due.Stop()
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
+		case <-d.due.C:
+			d.grant()
+			continue
 		case <-ticker.C:
 		}
 		d.follow()
@@ -262,7 +270,8 @@
 	}
 	d.permitsMu.Lock()
 	defer d.permitsMu.Unlock()
-	for _, g := range d.permits.Grant(d.control.settings.Now()) {
+	now := d.control.settings.Now()
+	for _, g := range d.permits.Grant(now) {
 		d.control.metrics.permits.Inc()
 		d.control.settings.Recorder.Record(recorder.Event{
 			Kind: recorder.KindPermitGranted, Backend: g.Companion, Version: g.Version,
@@ -273,6 +282,9 @@
 			w <- g
 		}
 	}
+	if at, ok := d.permits.Next(now); ok && at.After(now) {
+		d.due.Reset(at.Sub(now))
+	}
 	d.control.metrics.waiting.Set(float64(d.permits.Waiting()))
 	d.control.metrics.held.Set(float64(d.permits.Held()))
 }
--- /dev/null
+++ b/internal/transport/controller/permits_test.go
@@ -0,0 +1,45 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
+)
+
+var _ = Describe("Load permits", func() {
+	// Symptom: requests wait for permits while the store does 17 loads of the 20
+	// that it allows a second.
+	// Sequence: a permit is finished before the store's rate allows the next one;
+	// nothing else happens until it does.
+	// Cause: permits were given at requests, finishes and ticks only. Here ticks
+	// alone would take four times the patience.
+	It("are given as soon as the store's rate allows, without a tick", func() {
+		g, err := newGroup(1, func(s *controller.Settings) {
+			s.TickInterval = patience / 5
+			s.Control.StoreRate = 100
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(g.close)
+		backend := g.node("backend", "d1", distributor.ScopeCompanion, nil)
+		DeferCleanup(backend.Close)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		lease, err := backend.Join(ctx, "backend", member("d1", "i1"))
+		Expect(err).NotTo(HaveOccurred())
+		backend.Renew(registrar.Renewal{Name: "backend", Epoch: lease.Epoch})
+		for i := range 20 {
+			grant, err := backend.RequestPermit(ctx, permitter.Request{
+				Companion: "backend", Workspace: "w", Version: fmt.Sprintf("w/a%d@1", i), Waiters: 1,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			backend.FinishPermit(grant)
+		}
+	})
+})
