--- a/internal/protocol/orderer/generate.go
+++ b/internal/protocol/orderer/generate.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
 // Call is one generation call.
@@ -123,7 +125,7 @@
 func (f *follower) resume(ctx context.Context, cause error) error {
 	s := &f.engine.caller.settings
 	for attempt := 0; attempt < s.ResumeAttempts && ctx.Err() == nil; attempt++ {
-		if attempt > 0 && !pause(ctx, s.ResumePause) {
+		if attempt > 0 && !pauser.Pause(ctx, s.ResumePause) {
 			break
 		}
 		before := f.last
@@ -142,17 +144,6 @@
 	return f.unknown(nil, errors.Annotatef(cause, "stream %s after event %d", f.request, f.last))
 }
 
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (f *follower) ask(ctx context.Context) (*http.Response, error) {
 	path := streamPath(f.request) + "?" + QueryStartingAfter + "=" + strconv.FormatInt(f.last, 10)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.engine.caller.url(path), http.NoBody)
--- a/internal/protocol/orderer/load.go
+++ b/internal/protocol/orderer/load.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
 // Load orders the engine to load the adapter and waits until it is resident. The
@@ -57,7 +59,7 @@
 func (e *Engine) settleLoad(ctx context.Context, watch *loadWatch, cause error) error {
 	s := &e.caller.settings
 	for attempt := 0; attempt < s.ResumeAttempts && ctx.Err() == nil; attempt++ {
-		if attempt > 0 && !pause(ctx, s.ResumePause) {
+		if attempt > 0 && !pauser.Pause(ctx, s.ResumePause) {
 			break
 		}
 		state, err := e.State(ctx)
--- a/internal/standin/demonstrator/run.go
+++ b/internal/standin/demonstrator/run.go
@@ -119,7 +119,7 @@
 // Prepare starts the deployment and declares the workload through its operator
 // API. The deployment must be closed.
 func (r Run) Prepare(ctx context.Context, out io.Writer) (*Deployment, []driver.WorkspaceKey, error) {
-	d, err := NewDeployment(r.deployment())
+	d, err := NewDeployment(r.deployment()) //nolint:contextcheck // Close ends it.
 	if err != nil {
 		return nil, nil, errors.Trace(err)
 	}
--- a/internal/standin/generator/loop.go
+++ b/internal/standin/generator/loop.go
@@ -1,10 +1,10 @@
 package generator
 
 import (
-	"context"
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
 // maxLateness bounds how far the steps may lag behind their times before the
@@ -31,28 +31,13 @@
 			continue
 		}
 		due = due.Add(length)
-		if !pause(e.context, time.Until(due)) {
+		if !pauser.Pause(e.context, time.Until(due)) {
 			return
 		}
 		e.endStep(time.Now())
 	}
 }
 
-// pause waits and returns false if the context ended meanwhile.
-func pause(ctx context.Context, length time.Duration) bool {
-	if length <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // beginStep admits waiting sequences and returns the time that the step takes, or
 // false if there is nothing to run.
 func (e *Engine) beginStep(now time.Time) (time.Duration, bool) {
--- a/internal/standin/generator/orders.go
+++ b/internal/standin/generator/orders.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
 const weightsPath = "/weights/"
@@ -88,7 +89,7 @@
 	e.note(time.Now())
 	e.running.Go(func() {
 		err := e.fetch(life, order.Path)
-		if err == nil && !pause(life, e.settings.scaled(e.settings.ActivationTime)) {
+		if err == nil && !pauser.Pause(life, e.settings.scaled(e.settings.ActivationTime)) {
 			err = errors.New("engine stopped")
 		}
 		loaded <- e.endLoad(incarnation, target, order, err)
--- a/internal/standin/generator/transfer.go
+++ b/internal/standin/generator/transfer.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
 // transferred is the content of exported bytes. Only engines of this package read
@@ -30,7 +31,7 @@
 		writeError(w, refused)
 		return
 	}
-	if !pause(r.Context(), e.transferTime(moved)) {
+	if !pauser.Pause(r.Context(), e.transferTime(moved)) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -61,7 +62,7 @@
 		writeError(w, badRequest(err.Error()))
 		return
 	}
-	if !pause(r.Context(), e.transferTime(moved)) {
+	if !pauser.Pause(r.Context(), e.transferTime(moved)) {
 		panic(http.ErrAbortHandler)
 	}
 	if refused := e.restore(r, moved); refused != nil {
--- a/internal/transport/companion/companion.go
+++ b/internal/transport/companion/companion.go
@@ -193,15 +193,3 @@
 	}
 	return l
 }
-
-// pause waits for the time or the context's end, which it reports as false.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transport/companion/drain.go
+++ b/internal/transport/companion/drain.go
@@ -8,6 +8,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/drainer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -35,7 +36,7 @@
 	c.announceLeaving(ctx, false)
 	c.refuseNew()
 	for d.Advance(c.settings.Now(), c.facts()) != drainer.PhaseHandingOver {
-		if !pause(ctx, tickInterval) {
+		if !pauser.Pause(ctx, tickInterval) {
 			d.Signal(c.settings.Now())
 			return errors.Annotate(errCut, context.Cause(ctx).Error())
 		}
--- a/internal/transport/companion/member.go
+++ b/internal/transport/companion/member.go
@@ -9,6 +9,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
@@ -50,7 +51,7 @@
 			return nil
 		}
 		c.settings.Log.Warn().Err(err).Str("Backend", c.settings.Node).Msg("joining failed")
-		if !pause(ctx, c.jitter(wait)) {
+		if !pauser.Pause(ctx, c.jitter(wait)) {
 			return errors.Annotate(context.Cause(ctx), err.Error())
 		}
 		wait = min(2*wait, joinMax)
@@ -134,7 +135,7 @@
 // renew sends heartbeats while the backend server can be reached.
 func (c *Companion) renew(ctx context.Context) {
 	interval := time.Duration(c.settings.Companion.HeartbeatInterval)
-	for pause(ctx, interval) {
+	for pauser.Pause(ctx, interval) {
 		if r, ok := c.renewal(); ok {
 			c.settings.Control.Renew(r)
 		}
--- a/internal/transport/companion/order.go
+++ b/internal/transport/companion/order.go
@@ -11,6 +11,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -89,7 +90,7 @@
 		// What takes the request back goes out without an answer, and may be
 		// overtaken by the next request for the same version: the next one would be
 		// withdrawn in its place, and its callers wait for nothing.
-		if !c.permit(ctx, a, began, withdrawn) && pause(ctx, permitPause) {
+		if !c.permit(ctx, a, began, withdrawn) && pauser.Pause(ctx, permitPause) {
 			c.answered(a.Version, func(now time.Time) []loader.Action { return c.table.Withdrawn(now, a.Version) })
 		}
 	})
@@ -123,7 +124,7 @@
 			})
 			return true
 		}
-		pause(ctx, permitPause)
+		pauser.Pause(ctx, permitPause)
 	}
 	return false
 }
@@ -240,7 +241,7 @@
 		err := c.settings.Engine.Load(ctx, a.Fence, a.Version, a.Source)
 		var e *orderer.Error
 		unsent := errors.Is(err, orderer.ErrNotRun) && errors.As(err, &e) && e.Status == 0
-		if !unsent || attempt == loadAttempts || !pause(ctx, wait) || !c.orders(a) {
+		if !unsent || attempt == loadAttempts || !pauser.Pause(ctx, wait) || !c.orders(a) {
 			return err
 		}
 		wait *= 2
--- a/internal/transport/companion/run.go
+++ b/internal/transport/companion/run.go
@@ -9,6 +9,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -247,7 +248,7 @@
 func (r *run) settle() {
 	c := r.companion
 	wait := settleInitial
-	for pause(c.root, wait) {
+	for pauser.Pause(c.root, wait) {
 		if _, ok := r.stop(c.root); ok || c.idle(r.work) {
 			break
 		}
--- a/internal/transport/companion/watch.go
+++ b/internal/transport/companion/watch.go
@@ -9,6 +9,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -45,7 +46,7 @@
 		return err
 	}
 	if !c.settings.checksFencing(state) {
-		if !pause(ctx, time.Duration(c.settings.Companion.OrderLife)) {
+		if !pauser.Pause(ctx, time.Duration(c.settings.Companion.OrderLife)) {
 			return errors.Trace(context.Cause(ctx))
 		}
 		if state, err = c.firstState(ctx); err != nil {
@@ -77,7 +78,7 @@
 		if err == nil {
 			return state, nil
 		}
-		if !pause(ctx, wait) {
+		if !pauser.Pause(ctx, wait) {
 			return state, errors.Annotate(context.Cause(ctx), err.Error())
 		}
 		wait = min(2*wait, joinMax)
@@ -157,7 +158,7 @@
 // tick does what becomes due by time alone.
 func (c *Companion) tick(ctx context.Context) {
 	var last time.Time
-	for pause(ctx, tickInterval) {
+	for pauser.Pause(ctx, tickInterval) {
 		c.mu.Lock()
 		now := c.settings.Now()
 		for _, r := range c.queue.Expire(now) {
--- a/internal/transport/starter/stop.go
+++ b/internal/transport/starter/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -20,7 +21,7 @@
 	p.stopping.Store(true)
 	p.recorder.Record(recorder.Event{Kind: recorder.KindStopping, Detail: "process"})
 	stop := p.settings.Configuration.Stop
-	if p.entry != nil && !pause(ctx, time.Duration(stop.BalancerDelay)) {
+	if p.entry != nil && !pauser.Pause(ctx, time.Duration(stop.BalancerDelay)) {
 		return errors.Annotate(ctx.Err(), "waiting for the balancer")
 	}
 	grace, cancel := context.WithTimeout(ctx, time.Duration(stop.GracePeriod))
@@ -53,18 +54,6 @@
 	return p.control.Stop(ctx)
 }
 
-// pause waits and reports whether the time passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Close ends all roles at once and waits for them. What was in progress is cut
 // off.
 func (p *Process) Close() error {
