storer: a claim does not go back to a holder that has released it

Cause: a late copy of a holder's proposal, arriving after the holder had given up and released the key, made the claim Claimed again; nobody settles it then, and the key answers "in progress" until it expires. Nothing ran twice. Change: the holder's own proposal is refused once it has released. The property's naive model takes the same rule, which refuses more than before. Conclusion: another holder may still claim a released key.

--- a/internal/state/storer/claims.go
+++ b/internal/state/storer/claims.go
@@ -24,6 +24,11 @@
 		return claimResult(VerdictHeld, "another holder has the claim", old)
 	case exists && old.Holder == c.Holder && old.State == ClaimStateClaimed:
 		return claimResult(VerdictAccepted, "", old)
+	case exists && old.State == ClaimStateReleased && old.Holder == c.Holder:
+		// A proposal that was late, or sent twice, arrives after its holder has
+		// given up and released. The holder is gone: were the claim its again,
+		// nobody would settle it, and the key would stay blocked until it expires.
+		return claimResult(VerdictHeld, "the holder has given the claim back", old)
 	case exists && old.State != ClaimStateReleased:
 		// The holder itself asks again after the end: it must not run the call
 		// a second time.
--- a/internal/state/storer/model_test.go
+++ b/internal/state/storer/model_test.go
@@ -111,7 +111,7 @@
 		return VerdictKeyReused
 	case ok && old.State == ClaimStateClaimed && old.Holder == c.Holder:
 		return VerdictAccepted
-	case ok && old.State != ClaimStateReleased:
+	case ok && (old.State != ClaimStateReleased || old.Holder == c.Holder):
 		return VerdictHeld
 	}
 	m.claims[c.Key] = Claim{Digest: c.Digest, Holder: c.Holder}
--- a/internal/state/storer/store_test.go
+++ b/internal/state/storer/store_test.go
@@ -278,6 +278,18 @@
 		Expect(m.do(other).Verdict).To(Equal(VerdictKeyReused))
 	})
 
+	// Symptom: a key answers "in progress" until it expires, though nobody runs its
+	// call. Sequence: an entry proposes a claim and gives up; it releases the key; a
+	// copy of its proposal arrives late. Cause: the holder's own proposal was
+	// accepted after the holder had released.
+	It("does not go back to a holder that has given it up", func() {
+		m := newMachine(Retention{})
+		m.must(claim)
+		m.must(settle("entry-1", ClaimStateReleased))
+		Expect(m.do(claim).Verdict).To(Equal(VerdictHeld))
+		m.must(second)
+	})
+
 	// Symptom: a booking is made twice. Sequence: the holder's call ends as
 	// unknown, a late message of the holder says that it did not run. Cause: an
 	// outcome was taken back.
