hoster, responder, weigher: one way to serve and end a stand-in

Cause: listening, counting requests and closing stood twice to the letter. Change: a host that both embed. Figures: two copies fewer.

--- a/internal/standin/responder/service.go
+++ b/internal/standin/responder/service.go
@@ -1,15 +1,13 @@
 package responder
 
 import (
-	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
+	"marigoldpoint.example/marigoldpoint/internal/standin/hoster"
 )
 
 // Paths of the service that are not taken for calls.
@@ -63,53 +61,21 @@
 
 // Service is a plain service. Close it after use.
 type Service struct {
+	*hoster.Host
 	settings Settings
-	server   http.Server
-	serving  sync.WaitGroup
-	closed   chan struct{}
-
-	mu      sync.Mutex
-	faults  Faults // guarded by mu
-	runs    []Run  // guarded by mu
-	stopped bool   // set when closed is closed; guarded by mu
+
+	mu     sync.Mutex
+	faults Faults // guarded by mu
+	runs   []Run  // guarded by mu
 }
 
 // NewService returns a service that is not yet listening.
 func NewService(s Settings) *Service {
-	w := &Service{settings: s, faults: s.Faults, closed: make(chan struct{})}
-	w.server.Handler = w.Handler()
+	w := &Service{Host: hoster.NewHost("plain service"), settings: s, faults: s.Faults}
+	w.Handle(w.Handler())
 	return w
 }
 
-// Listen starts to serve on the address, which may end in port 0, and returns the
-// address it got.
-func (s *Service) Listen(address string) (string, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return "", errors.Annotate(err, "plain service")
-	}
-	s.Serve(l)
-	return l.Addr().String(), nil
-}
-
-// Serve starts to serve on the listener, which it closes in the end.
-func (s *Service) Serve(l net.Listener) {
-	s.serving.Go(func() { _ = s.server.Serve(l) })
-}
-
-// Close cuts all calls and waits until the service has stopped.
-func (s *Service) Close() error {
-	s.mu.Lock()
-	if !s.stopped {
-		s.stopped = true
-		close(s.closed)
-	}
-	s.mu.Unlock()
-	err := s.server.Close()
-	s.serving.Wait()
-	return errors.Trace(err)
-}
-
 // Inject replaces the faults in force.
 func (s *Service) Inject(f Faults) {
 	s.mu.Lock()
@@ -137,10 +103,10 @@
 }
 
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
-	if !s.enter() {
+	if !s.Enter() {
 		panic(http.ErrAbortHandler)
 	}
-	defer s.serving.Done()
+	defer s.Leave()
 	size, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
 		return // The caller left in mid-request: nothing ran.
@@ -175,18 +141,6 @@
 	})
 }
 
-// enter counts a call that Close waits for. It returns false if the service has
-// closed.
-func (s *Service) enter() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopped {
-		return false
-	}
-	s.serving.Add(1)
-	return true
-}
-
 // take returns the faults for one call and counts them down.
 func (s *Service) take() Faults {
 	s.mu.Lock()
@@ -214,7 +168,7 @@
 	select {
 	case <-timer.C:
 		return true
-	case <-s.closed:
+	case <-s.Closed():
 		return false
 	}
 }
--- a/internal/standin/weigher/store.go
+++ b/internal/standin/weigher/store.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
+	"marigoldpoint.example/marigoldpoint/internal/standin/hoster"
 )
 
 // HeaderBytes declares the number of bytes of the weights that an answer stands for.
@@ -84,10 +83,8 @@
 
 // Store is a weight store. Close it after use.
 type Store struct {
+	*hoster.Host
 	settings Settings
-	server   http.Server
-	serving  sync.WaitGroup
-	closed   chan struct{}
 
 	mu       sync.Mutex
 	link     link        // guarded by mu
@@ -95,7 +92,6 @@
 	starts   window      // guarded by mu
 	requests window      // guarded by mu
 	report   Report      // guarded by mu
-	stopped  bool        // guarded by mu
 }
 
 // NewStore returns a store that is not yet listening.
@@ -103,45 +99,16 @@
 	s = s.withDefaults()
 	second := time.Duration(float64(time.Second) * s.TimeScale)
 	w := &Store{
+		Host:     hoster.NewHost("weight store"),
 		settings: s,
-		closed:   make(chan struct{}),
 		link:     link{penalty: s.SharingPenalty},
 		starts:   window{length: second},
 		requests: window{length: second},
 	}
-	w.server.Handler = w.Handler()
+	w.Handle(w.Handler())
 	return w
 }
 
-// Listen starts to serve on the address, which may end in port 0, and returns the
-// address it got.
-func (w *Store) Listen(address string) (string, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return "", errors.Annotate(err, "weight store")
-	}
-	w.Serve(l)
-	return l.Addr().String(), nil
-}
-
-// Serve starts to serve on the listener, which it closes in the end.
-func (w *Store) Serve(l net.Listener) {
-	w.serving.Go(func() { _ = w.server.Serve(l) })
-}
-
-// Close ends all transfers and waits until the store has stopped.
-func (w *Store) Close() error {
-	w.mu.Lock()
-	if !w.stopped {
-		w.stopped = true
-		close(w.closed)
-	}
-	w.mu.Unlock()
-	err := w.server.Close()
-	w.serving.Wait()
-	return errors.Trace(err)
-}
-
 // Handler returns the store's HTTP handler.
 func (w *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -161,10 +128,10 @@
 }
 
 func (w *Store) serveWeights(rw http.ResponseWriter, r *http.Request) {
-	if !w.enter() {
+	if !w.Enter() {
 		panic(http.ErrAbortHandler)
 	}
-	defer w.serving.Done()
+	defer w.Leave()
 	if strings.Trim(r.PathValue("path"), "/") == "" {
 		http.Error(rw, "no path", http.StatusNotFound)
 		return
@@ -182,18 +149,6 @@
 	rw.WriteHeader(http.StatusOK)
 }
 
-// enter counts a request that Close waits for. It returns false if the store has
-// closed.
-func (w *Store) enter() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped {
-		return false
-	}
-	w.serving.Add(1)
-	return true
-}
-
 // admit books a start and returns how long it has to wait, or false to refuse.
 func (w *Store) admit(now time.Time) (time.Duration, bool) {
 	w.mu.Lock()
@@ -222,7 +177,7 @@
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
-	case <-w.closed:
+	case <-w.Closed():
 	}
 	return false
 }
@@ -247,7 +202,7 @@
 	case <-t.done:
 		completed = true
 	case <-ctx.Done():
-	case <-w.closed:
+	case <-w.Closed():
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -266,7 +221,7 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if wait, ok := w.link.next(); ok && !w.stopped {
+	if wait, ok := w.link.next(); ok {
 		w.timer = time.AfterFunc(wait, w.tick)
 	}
 }
