controller, dialer: a control host that has returned is dialled within 375 ms

Cause: after failed dials the pool pauses for up to 2 s, half as long again with jitter, during which a control host that has returned gets no message of the log; nodes that rely on it are behind as long. That this was the cause is likely and not confirmed. Change: control hosts bound the pause between themselves to 250 ms.

--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -75,7 +75,7 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	calls := s.Messenger
 	calls.Handler = c
-	c.pool = dialer.NewPool(dialer.Settings{Messenger: calls, Random: s.Random, Dial: s.Dial})
+	c.pool = dialer.NewPool(dialer.Settings{Messenger: calls, Random: s.Random, Dial: s.Dial, BackOffMax: linkBackOffMax})
 	c.links = newLinks(c.pool, s.Hosts)
 	rs := s.replicator()
 	rs.Observe = c.observe
--- a/internal/transport/controller/settings.go
+++ b/internal/transport/controller/settings.go
@@ -26,6 +26,12 @@
 	DefaultCallTimeout    = 5 * time.Second
 )
 
+// linkBackOffMax bounds the pause before a control host that is down is dialled
+// again. Control hosts are few, and one that has returned stays behind, with the
+// nodes that rely on it, until the leader dials it: with the pool's default that
+// took up to 3 s of the time in which a change is to be in force.
+const linkBackOffMax = 250 * time.Millisecond
+
 // renewParts is the part of a lease, as its divisor, for which a control host
 // gathers renewals before it passes them on.
 const renewParts = 10
--- a/internal/transport/dialer/pool_test.go
+++ b/internal/transport/dialer/pool_test.go
@@ -68,6 +68,31 @@
 	})
 }
 
+// Symptom: a control host that has returned stays behind for seconds. Sequence: it
+// is down for long, and each failed dial doubles the pause; it returns just after
+// one. Cause: the pause was bounded by what suits many callers, and not by how long
+// one peer may be missed.
+func TestReturnedHostIsReachedWithinTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const bound = 250 * time.Millisecond
+		h := &host{refuses: true}
+		p := dialer.NewPool(dialer.Settings{Dial: h.dial, Random: rand.New(rand.NewPCG(1, 2)), BackOffMax: bound})
+		for range 600 {
+			_, err := p.Conn(context.Background(), address)
+			g.Expect(err).To(HaveOccurred())
+			<-time.After(100 * time.Millisecond)
+		}
+		g.Expect(h.dials).To(BeNumerically(">", 100))
+		h.refuses = false
+		<-time.After(bound + bound/2)
+		_, err := p.Conn(context.Background(), address)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(p.Close()).To(Succeed())
+		h.close()
+	})
+}
+
 // Symptom: a stream of several minutes is cut by the expiry of idle connections.
 // Sequence: an entry dispatches, then only receives pieces. Cause: idleness was
 // counted from the last use of the pool rather than from the last message.
