dialer, messenger: new calls get a new connection once heartbeats are missed

Cause: when all of an entry's connections went silent at once, each new call was given to one of them and waited for the silence limit of 2 s, its retry met the next silent one, and most calls ended as NotRun, though new connections worked. Ruled out: the retry budget (the refusals name connections) and the router (backend servers were not suspected). Change: a connection on which two heartbeats in a row are missing is given to no new call; a new one is dialled beside it, and what was sent on the old one may still be answered there until its limit.

--- a/internal/protocol/messenger/conn.go
+++ b/internal/protocol/messenger/conn.go
@@ -115,6 +115,13 @@
 	return time.Since(c.began) - time.Duration(c.worked.Load())
 }
 
+// Suspect reports whether two heartbeats in a row have failed to come. The
+// connection may yet recover; a new one is the better choice for what is new.
+func (c *Conn) Suspect() bool {
+	silence := time.Since(c.began) - time.Duration(c.heard.Load())
+	return silence > 2*c.settings.HeartbeatInterval+c.settings.HeartbeatInterval/4
+}
+
 // Done is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
@@ -154,9 +161,27 @@
 func (c *Conn) Call(ctx context.Context, method Method, params, result any) error {
 	waiter, err := c.rpc.DispatchCall(ctx, string(method), params)
 	if err != nil {
-		return &BrokenError{Sent: !errors.Is(err, jsonrpc2.ErrClosed), Cause: err}
+		return c.broken(err)
+	}
+	if err = waiter.Wait(ctx, result); errors.Is(err, jsonrpc2.ErrClosed) {
+		<-c.Done()
+	}
+	return callError(err)
+}
+
+// broken returns the error of a message that could not be sent. By then Done is
+// closed, as it is when a call learns that its connection closed: the library
+// tells waiting calls before it closes Done, and for a write that failed it
+// doesn't. A caller that asked its pool at once would be given the same
+// connection again, and take the other end for one that can't be reached.
+func (c *Conn) broken(err error) error {
+	var failed *writeError
+	if errors.As(err, &failed) {
+		if err := c.abort(); err != nil {
+			c.settings.Log.Debug().Err(err).Str("Peer", c.Peer()).Msg("closing a broken connection")
+		}
 	}
-	return callError(waiter.Wait(ctx, result))
+	return &BrokenError{Sent: !errors.Is(err, jsonrpc2.ErrClosed), Cause: err}
 }
 
 func callError(err error) error {
@@ -185,7 +210,7 @@
 		return c.notice(method, params)
 	}
 	if err := c.rpc.Notify(ctx, string(method), params); err != nil {
-		return &BrokenError{Sent: !errors.Is(err, jsonrpc2.ErrClosed), Cause: err}
+		return c.broken(err)
 	}
 	return nil
 }
@@ -205,7 +230,7 @@
 		c.worked.Store(int64(time.Since(c.began)))
 	}
 	if err := c.stream.writeNotice(method, t, params); err != nil {
-		return &BrokenError{Sent: true, Cause: err}
+		return c.broken(err)
 	}
 	return nil
 }
--- a/internal/transport/dialer/pool.go
+++ b/internal/transport/dialer/pool.go
@@ -82,6 +82,9 @@
 	mu sync.Mutex
 	// conn is the live connection or nil; guarded by mu.
 	conn *messenger.Conn
+	// former holds connections that were replaced while they were suspect: what
+	// was sent on them may still be answered there. Guarded by mu.
+	former []*messenger.Conn
 	// used is the time of the last use; guarded by mu.
 	used time.Time
 	// pause is the current back-off, until the end of which dials fail with
@@ -190,15 +193,22 @@
 	return 0.5 + p.random.Float64()
 }
 
-// live returns the open connection or nil.
+// live returns the open connection, or nil where a new one is to be dialled: when
+// all connections of a process go silent at once, as when a middle box loses its
+// table, calls given to them would each wait for the silence limit, although new
+// connections work.
 func (e *peer) live() *messenger.Conn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.conn == nil {
 		return nil
 	}
-	select {
-	case <-e.conn.Done():
+	switch {
+	case ended(e.conn):
+		e.conn = nil
+		return nil
+	case e.conn.Suspect():
+		e.former = append(e.former, e.conn)
 		e.conn = nil
 		return nil
 	default:
@@ -207,6 +217,36 @@
 	}
 }
 
+func ended(c *messenger.Conn) bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// unused removes and returns the connections that nobody needs any more, or all
+// of them.
+func (e *peer) unused(idle time.Duration, all bool) []*messenger.Conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var unused, kept []*messenger.Conn
+	for _, c := range e.former {
+		if all || ended(c) || c.Idle() > idle {
+			unused = append(unused, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	e.former = kept
+	if e.conn != nil && (all || min(time.Since(e.used), e.conn.Idle()) > idle) {
+		unused = append(unused, e.conn)
+		e.conn = nil
+	}
+	return unused
+}
+
 // pausing returns the last dial's error during the back-off.
 func (e *peer) pausing() error {
 	e.mu.Lock()
@@ -254,12 +294,7 @@
 	defer p.mu.Unlock()
 	var idle []*messenger.Conn
 	for _, e := range p.peers {
-		e.mu.Lock()
-		if e.conn != nil && min(time.Since(e.used), e.conn.Idle()) > p.settings.IdleLimit {
-			idle = append(idle, e.conn)
-			e.conn = nil
-		}
-		e.mu.Unlock()
+		idle = append(idle, e.unused(p.settings.IdleLimit, false)...)
 	}
 	return idle
 }
@@ -275,9 +310,7 @@
 	close(p.stop)
 	var open []*messenger.Conn
 	for _, e := range p.peers {
-		if c := e.live(); c != nil {
-			open = append(open, c)
-		}
+		open = append(open, e.unused(0, true)...)
 	}
 	p.mu.Unlock()
 	p.swept.Wait()
--- a/internal/transport/dialer/pool_test.go
+++ b/internal/transport/dialer/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,23 @@
 	"marigoldpoint.example/marigoldpoint/internal/transport/dialer"
 )
 
+// forgetful is a connection which, once forgotten, swallows what is written to
+// it, as after a middle box lost track of it.
+type forgetful struct {
+	net.Conn
+	forgotten atomic.Bool
+}
+
+func (f *forgetful) Write(b []byte) (int, error) {
+	if f.forgotten.Load() {
+		return len(b), nil
+	}
+	return f.Conn.Write(b)
+}
+
 // host answers dials with pipes, or refuses them.
 type host struct {
+	boxes   []*forgetful
 	dials   int
 	refuses bool
 	far     []*messenger.Conn
@@ -28,7 +44,9 @@
 		return nil, errors.New("refused")
 	}
 	near, far := net.Pipe()
-	h.far = append(h.far, messenger.NewConn(far, messenger.Settings{})) //nolint:contextcheck // The connection outlives its dial.
+	box := &forgetful{Conn: far}
+	h.boxes = append(h.boxes, box)
+	h.far = append(h.far, messenger.NewConn(box, messenger.Settings{})) //nolint:contextcheck // The connection outlives its dial.
 	return near, nil
 }
 
@@ -68,6 +86,36 @@
 	})
 }
 
+// Symptom: after a middle box lost its table an entry refuses calls for more than
+// two seconds, although new connections work. Sequence: all connections go silent;
+// each new call is given to one of them and waits for the silence limit. Cause: the
+// pool gave out connections on which heartbeats were missing already.
+func TestSuspectConnectionIsReplacedForNewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := &host{}
+		p := newPool(h)
+		first, err := p.Conn(context.Background(), address)
+		g.Expect(err).NotTo(HaveOccurred())
+		<-time.After(time.Minute)
+		same, err := p.Conn(context.Background(), address)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(same).To(BeIdenticalTo(first), "heartbeats keep it")
+
+		h.boxes[0].forgotten.Store(true)
+		<-time.After(3 * messenger.DefaultHeartbeatInterval)
+		second, err := p.Conn(context.Background(), address)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(second).NotTo(BeIdenticalTo(first))
+		g.Expect(first.Done()).NotTo(BeClosed(), "what was sent on it may still be answered")
+		<-time.After(messenger.DefaultSilenceLimit)
+		g.Expect(first.Done()).To(BeClosed())
+		g.Expect(second.Done()).NotTo(BeClosed())
+		g.Expect(p.Close()).To(Succeed())
+		h.close()
+	})
+}
+
 // Symptom: a control host that has returned stays behind for seconds. Sequence: it
 // is down for long, and each failed dial doubles the pause; it returns just after
 // one. Cause: the pause was bounded by what suits many callers, and not by how long
