--- a/internal/coordination/replicator/kinds_string.go
+++ b/internal/coordination/replicator/kinds_string.go
@@ -32,7 +32,6 @@
 	}
 	return _MessageKind_name[_MessageKind_index[idx]:_MessageKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -53,7 +52,6 @@
 	}
 	return _EntryKind_name[_EntryKind_index[idx]:_EntryKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/internal/standin/demonstrator/faults_string.go
+++ b/internal/standin/demonstrator/faults_string.go
@@ -40,7 +40,6 @@
 	}
 	return _Fault_name[_Fault_index[idx]:_Fault_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/internal/standin/driver/enum_string.go
+++ b/internal/standin/driver/enum_string.go
@@ -28,7 +28,6 @@
 	}
 	return _CallKind_name[_CallKind_index[idx]:_CallKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -54,7 +53,6 @@
 	}
 	return _Promise_name[_Promise_index[idx]:_Promise_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -77,7 +75,6 @@
 	}
 	return _Ending_name[_Ending_index[idx]:_Ending_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
