--- a/internal/protocol/messenger/stream.go
+++ b/internal/protocol/messenger/stream.go
@@ -81,9 +81,22 @@
 	if s.buffer.Cap() > largestKept {
 		s.buffer = bytes.Buffer{}
 	}
-	return err
+	if err != nil {
+		return &writeError{err}
+	}
+	return nil
 }
 
+// writeError means that a frame may have been written in part: the connection is
+// of no more use.
+type writeError struct{ cause error }
+
+// Error tells the cause.
+func (w *writeError) Error() string { return "write: " + w.cause.Error() }
+
+// Unwrap returns the cause.
+func (w *writeError) Unwrap() error { return w.cause }
+
 // WriteObject implements jsonrpc2.ObjectStream.
 func (s *stream) WriteObject(v any) error {
 	content, err := json.Marshal(v)
