--- a/internal/transport/gatekeeper/answer_test.go
+++ b/internal/transport/gatekeeper/answer_test.go
@@ -56,7 +56,7 @@
 		Expect(a.Trailer.Get("Marigoldpoint-Outcome")).To(Equal("Completed"))
 	})
 
-	// Symptom: a customer gets a clearance by another version than asked for.
+	// Symptom: a caller gets a clearance by another version than asked for.
 	// Sequence: the engine confuses two adapters; the head or only the ending
 	// tells. Cause to prevent: trusting the dispatch instead of the engine's word.
 	It("withholds the answer of another version", func() {
