streamer: answers of callers that left free their memory at once

Cause: Release, by which a companion hears that a caller has left, only noted it. The bytes that the entry had not acknowledged stayed until AnswerRetention, since Reclaim and Acknowledge drop acknowledged bytes only. A writer that waited for room looked again only when its own answer changed, so room freed by others did not start it again.

Change: Release drops the bytes and keeps the ending; what the run still writes until the engine has stopped goes nowhere. The answer to a call that may run only once stays held, for a caller who comes back with its key, until memory is half full. Reclaim takes the entries' return limit and frees first what has ended and nobody comes back for, oldest first, then what is kept for later entries; never what is being read or may be fetched. Writers queue for the common room in order and are woken as many as fit. A dropped answer that had ended whole is never told as ended after fewer bytes: the entry sees the gap. The reader and the reclaiming have files of their own.

Ruled out: waking all writers at each acknowledgement (hundreds of writers for each piece while the buffer is full); shortening AnswerRetention, which the second request with a key needs.

--- a/internal/transport/companion/drain_test.go
+++ b/internal/transport/companion/drain_test.go
@@ -28,3 +28,27 @@
 		Expect(b.companion.Drain(ctx)).To(Succeed())
 	})
 })
+
+var _ = Describe("A companion whose callers leave", func() {
+	// Symptom: new streams slow down and stop; marigoldpoint_answer_buffer_bytes is
+	// at its limit while few callers are there.
+	// Events: callers leave in mid-stream; their entry takes and acknowledges
+	// nothing more, and cancels the attempts.
+	// Cause: bytes that were not acknowledged stayed until AnswerRetention.
+	It("holds nothing of their answers", func() {
+		b := newBench(slow)
+		for _, request := range []string{"r1", "r2", "r3"} {
+			l := newLink(b.companion)
+			l.take = 1
+			l.send(b.call(request, "w/a@1", 5000))
+			l.streaming(request)
+		}
+		Expect(b.companion.buffer.Used()).To(BeNumerically(">", 0))
+		for _, request := range []string{"r1", "r2", "r3"} {
+			b.companion.cancelWork(messenger.Cancel{Request: request, Attempt: 1})
+		}
+		Expect(b.companion.buffer.Used()).To(BeZero())
+		Eventually(func() int { return b.companion.Load().Running }).WithTimeout(patience).Should(BeZero())
+		Expect(b.companion.buffer.Used()).To(BeZero())
+	})
+})
--- a/internal/transport/companion/watch.go
+++ b/internal/transport/companion/watch.go
@@ -174,7 +174,7 @@
 		if slow {
 			last = now
 			c.buffer.Sweep(now)
-			c.buffer.Reclaim(int64(c.settings.Companion.AnswerBuffer) / 2)
+			c.buffer.Reclaim(now, returnLimit, int64(c.settings.Companion.AnswerBuffer)/2)
 		}
 	}
 }
--- a/internal/transport/streamer/answer.go
+++ b/internal/transport/streamer/answer.go
@@ -33,6 +33,9 @@
 	endedAt      time.Time
 	// released tells that an entry acknowledged the ending or gave the attempt up.
 	released bool
+	// dropped tells that bytes were dropped which no entry has taken. None are held
+	// from then on.
+	dropped bool
 	// link counts the readers; only the latest one is served.
 	link int
 	// leftAt is when the latest reader ended; zero while it reads.
@@ -46,43 +49,72 @@
 
 // Write appends to the answer, waiting while there is no room. It returns
 // ErrAbandoned if nobody makes room for patience, and the context's error.
+// Bytes for an answer that was given up go nowhere.
 func (a *Answer) Write(ctx context.Context, patience time.Duration, head *messenger.Head, data []byte) error {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
+	var queued *place
 	for {
-		wait, before := a.append(head, data)
-		if wait == nil {
+		p := a.append(head, data)
+		a.buffer.room.leave(queued)
+		if p.changed == nil {
 			return nil
 		}
+		queued = p.place
 		select {
-		case <-wait:
-			if a.Acknowledged() > before {
+		case <-p.changed:
+			if a.Acknowledged() > p.acknowledged {
 				timer.Reset(patience)
 			}
+		case <-queued.turn():
 		case <-timer.C:
+			a.buffer.room.leave(queued)
 			return errors.Trace(ErrAbandoned)
 		case <-ctx.Done():
+			a.buffer.room.leave(queued)
 			return context.Cause(ctx)
 		}
 	}
 }
 
-// append adds the data if there is room, and else returns the channel that is
-// closed once there may be, and the offset acknowledged so far.
-func (a *Answer) append(head *messenger.Head, data []byte) (wait <-chan struct{}, acknowledged int64) {
+// pause is what a writer without room waits for; the zero value if it need not.
+type pause struct {
+	// changed is closed once the answer itself may have room.
+	changed <-chan struct{}
+	// place is that in the queue for the room of all answers; nil if the answer's
+	// own limit is in the way.
+	place *place
+	// acknowledged is the offset acknowledged so far.
+	acknowledged int64
+}
+
+// append adds the data if there is room, and else returns what to wait for.
+func (a *Answer) append(head *messenger.Head, data []byte) pause {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.head == nil {
 		a.head = head
 	}
+	n := int64(len(data))
+	if a.dropped {
+		a.base += n
+		a.acknowledged = a.base
+		return pause{}
+	}
 	unread := a.base + int64(len(a.data)) - a.acknowledged
-	if unread > 0 && (unread+int64(len(data)) > a.buffer.settings.AnswerLimit || !a.buffer.room(int64(len(data)))) {
-		return a.changed, a.acknowledged
+	p := pause{changed: a.changed, acknowledged: a.acknowledged}
+	if unread > 0 && unread+n > a.buffer.settings.AnswerLimit {
+		return p
+	}
+	if unread > 0 && !a.buffer.room.fits(n) {
+		if p.place = a.buffer.room.join(n); p.place != nil {
+			return p
+		}
 	}
 	a.data = append(a.data, data...)
-	a.buffer.used.Add(int64(len(data)))
+	a.buffer.room.take(n)
 	a.wake()
-	return nil, 0
+	return pause{}
 }
 
 // End ends the answer. The first ending stands.
@@ -119,11 +151,30 @@
 }
 
 // Release notes that no entry will come for the answer: its attempt was
-// cancelled.
+// cancelled. Its bytes go at once, and its ending stays. Without that, the
+// answers of callers that left filled the buffer until the retention's end, and
+// the streams of others stood still.
+//
+// The answer to a call that may run only once keeps its bytes: the caller may
+// ask for them with the same key.
 func (a *Answer) Release() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.released = true
+	if !a.keep {
+		a.discard()
+	}
+}
+
+// discard drops all bytes for good. The caller holds mu.
+func (a *Answer) discard() {
+	n := int64(len(a.data))
+	a.base += n
+	a.acknowledged = a.base
+	a.data = nil
+	a.dropped = true
+	a.buffer.room.free(n)
+	a.wake()
 }
 
 // awaited tells whether an entry may still take the answer: one is reading it, or
@@ -132,6 +183,11 @@
 func (a *Answer) awaited(now time.Time, limit time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.awaitedLocked(now, limit)
+}
+
+// awaitedLocked is awaited for a caller that holds mu.
+func (a *Answer) awaitedLocked(now time.Time, limit time.Duration) bool {
 	switch {
 	case a.released:
 		return false
@@ -185,7 +241,7 @@
 		a.data = a.data[:rest]
 	}
 	a.base = a.acknowledged
-	a.buffer.used.Add(-n)
+	a.buffer.room.free(n)
 	return n
 }
 
@@ -194,83 +250,3 @@
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
-
-// Attach begins a new reader from the offset and ends the one before it: an
-// entry that comes back on a new connection may still have its old one open.
-func (a *Answer) Attach(offset int64) (*Reader, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if offset < a.base || offset > a.base+int64(len(a.data)) {
-		return nil, errors.Trace(ErrNotHeld)
-	}
-	a.link++
-	a.leftAt = time.Time{}
-	a.wake()
-	return &Reader{answer: a, link: a.link, offset: offset, first: true}, nil
-}
-
-// Reader gives the pieces of an answer to one connection.
-type Reader struct {
-	answer *Answer
-	link   int
-	offset int64
-	first  bool
-}
-
-// Detach notes that the reader has ended.
-func (r *Reader) Detach(now time.Time) {
-	a := r.answer
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.link == r.link {
-		a.leftAt = now
-	}
-}
-
-// Next waits for the next piece. It returns ErrReplaced once another reader was
-// attached, and the context's error. The piece with the ending is the last.
-func (r *Reader) Next(ctx context.Context) (messenger.Piece, error) {
-	for {
-		piece, wait, err := r.poll()
-		if wait == nil || err != nil {
-			return piece, err
-		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			return messenger.Piece{}, context.Cause(ctx)
-		}
-	}
-}
-
-func (r *Reader) poll() (messenger.Piece, <-chan struct{}, error) {
-	a := r.answer
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	piece := messenger.Piece{Request: a.id.Request, Attempt: a.id.Attempt, Offset: r.offset}
-	if a.link != r.link {
-		return piece, nil, errors.Trace(ErrReplaced)
-	}
-	// Another connection may have acknowledged what this one has not sent.
-	if r.offset < a.base {
-		r.offset = a.base
-		piece.Offset = a.base
-	}
-	fresh := a.data[r.offset-a.base:]
-	if len(fresh) == 0 && a.end == nil && (!r.first || a.head == nil) {
-		return piece, a.changed, nil
-	}
-	if len(fresh) > MaxPieceBytes {
-		fresh = fresh[:MaxPieceBytes]
-	}
-	piece.Data = append([]byte(nil), fresh...)
-	if r.first {
-		piece.Head = a.head
-	}
-	r.first = r.first && a.head == nil
-	r.offset += int64(len(fresh))
-	if a.end != nil && r.offset == a.base+int64(len(a.data)) {
-		piece.End = a.end
-	}
-	return piece, nil, nil
-}
--- a/internal/transport/streamer/buffer.go
+++ b/internal/transport/streamer/buffer.go
@@ -65,10 +65,9 @@
 // goroutines.
 type Buffer struct {
 	settings Settings
-	// used counts the bytes held in all answers.
-	used   atomic.Int64
-	barred atomic.Int64
-	shards [shardCount]shard
+	room     room
+	barred   atomic.Int64
+	shards   [shardCount]shard
 }
 
 const shardCount = 16
@@ -91,6 +90,7 @@
 	s.Retention = cmp.Or(s.Retention, DefaultRetention)
 	s.MaxBarred = cmp.Or(s.MaxBarred, DefaultMaxBarred)
 	b := &Buffer{settings: s}
+	b.room.limit = s.Limit
 	for i := range b.shards {
 		b.shards[i].requests = map[string][]*Answer{}
 		b.shards[i].barred = map[ID]time.Time{}
@@ -99,7 +99,7 @@
 }
 
 // Used returns the number of bytes held.
-func (b *Buffer) Used() int64 { return b.used.Load() }
+func (b *Buffer) Used() int64 { return b.room.used.Load() }
 
 func (b *Buffer) shard(request string) *shard {
 	return &b.shards[xxhash.Sum64String(request)%shardCount]
@@ -217,66 +217,17 @@
 func (a *Answer) free() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.buffer.used.Add(-int64(len(a.data)))
-	a.base += int64(len(a.data))
-	a.acknowledged = a.base
-	a.data = nil
-	a.wake()
+	a.discard()
 }
 
 // Unreleased returns the number of answers that no entry has taken whole and that
 // one may still take: entries come back for an answer within the limit.
 func (b *Buffer) Unreleased(now time.Time, limit time.Duration) int {
 	n := 0
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, answers := range s.requests {
-			for _, a := range answers {
-				if a.awaited(now, limit) {
-					n++
-				}
-			}
+	for _, a := range b.answers() {
+		if a.awaited(now, limit) {
+			n++
 		}
-		s.mu.Unlock()
 	}
 	return n
 }
-
-// room tells whether n more bytes fit. It does not free anything: the caller
-// holds an answer's lock, and those of other answers must not be taken under it.
-func (b *Buffer) room(n int64) bool { return b.used.Load()+n <= b.settings.Limit }
-
-// Reclaim frees acknowledged bytes that are only kept for entries to come, the
-// oldest ended first, until no more than target bytes are held.
-func (b *Buffer) Reclaim(target int64) {
-	if b.used.Load() <= target {
-		return
-	}
-	var spare []*Answer
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, answers := range s.requests {
-			spare = append(spare, answers...)
-		}
-		s.mu.Unlock()
-	}
-	slices.SortFunc(spare, func(x, y *Answer) int { return x.ended().Compare(y.ended()) })
-	for _, a := range spare {
-		if b.used.Load() <= target {
-			return
-		}
-		a.mu.Lock()
-		if a.drop() > 0 {
-			a.wake()
-		}
-		a.mu.Unlock()
-	}
-}
-
-func (a *Answer) ended() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.endedAt
-}
--- a/internal/transport/streamer/buffer_test.go
+++ b/internal/transport/streamer/buffer_test.go
@@ -70,7 +70,7 @@
 		Expect(string(p.Data)).To(Equal("whole"))
 		Expect(p.End).NotTo(BeNil())
 
-		b.Reclaim(0)
+		b.Reclaim(start, time.Minute, 0)
 		Expect(b.Used()).To(BeZero())
 		_, err = a.Attach(0)
 		Expect(errors.Is(err, ErrNotHeld)).To(BeTrue())
