announcer: backend servers announce themselves to their companion

Cause: a companion knew the address of its engine or plain service from its settings alone, so that the settings files were a list of backend servers.

Change: POST /v1/announce at the companion's operators' listener (package announcer, strict parsing, typed answers 200, 400, 409, 503). With EngineAddress and ServiceAddress both empty the process starts, is unready, and starts its companion from the first announcement that fits its settings. The same address again changes nothing; a new incarnation makes the companion read the engine's state at once; another address is refused. What the settings say wins, and an engine off the loopback needs ChecksFencing in both.

Ways weighed, announcing at an entry among them: docs/design/051.

--- a/cmd/marigoldpoint/standin.go
+++ b/cmd/marigoldpoint/standin.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"crypto/rand"
+	stderrors "errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/protocol/announcer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
 	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
 	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
 	"marigoldpoint.example/marigoldpoint/internal/standin/weigher"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 )
 
 // standinCommand groups the stand-ins for what the system serves.
@@ -28,6 +34,8 @@
 	MaxBatch      int     `arg:"--max-batch" default:"16" help:"sequences that run at once"`
 	WeightStore   string  `arg:"--weight-store" placeholder:"URL" help:"base URL of the weight store; none means loads without a fetch"`
 	ChecksFencing bool    `arg:"--checks-fencing" help:"refuse orders with an old fencing number"`
+	Announce      string  `placeholder:"IP:PORT" help:"operators' listener of the companion to announce itself to"`
+	KeyFile       string  `arg:"--key-file" placeholder:"FILE" help:"file with the operators' bearer key, for --announce"`
 	TimeScale     float64 `arg:"--time-scale" default:"1" help:"factor on the times of work"`
 	Seed          uint64  `default:"1" help:"seed of losses and failures"`
 }
@@ -42,18 +50,42 @@
 		TimeScale:     c.TimeScale,
 		Seed:          c.Seed,
 	})
-	return serveStandin(ctx, out, "engine", c.Listen, engine)
+	return serveStandin(ctx, out, "engine", c.Listen, engine, announcement{
+		companion: c.Announce, keyFile: c.KeyFile,
+		current: func(ctx context.Context, bound string) (announcer.Announcement, error) {
+			// The engine's own state is read each time: a stand-in that was told to
+			// restart has another incarnation.
+			client := orderer.NewEngine(orderer.Settings{Address: bound})
+			defer client.Close()
+			s, err := client.State(ctx)
+			return announcer.Announcement{
+				Address: bound, BaseModel: s.BaseModel, Slots: s.Slots, MaxBatch: s.MaxBatch,
+				ChecksFencing: s.ChecksFencing, Incarnation: s.Incarnation,
+			}, errors.Annotate(err, "reading the engine's state")
+		},
+	})
 }
 
 // standinServiceCommand runs a plain service's stand-in.
 type standinServiceCommand struct {
-	Listen string        `arg:"required" placeholder:"IP:PORT" help:"address to serve on"`
-	Delay  time.Duration `help:"time that each call takes"`
+	Listen   string        `arg:"required" placeholder:"IP:PORT" help:"address to serve on"`
+	Delay    time.Duration `help:"time that each call takes"`
+	Announce string        `placeholder:"IP:PORT" help:"operators' listener of the companion to announce itself to; needs --name"`
+	KeyFile  string        `arg:"--key-file" placeholder:"FILE" help:"file with the operators' bearer key, for --announce"`
+	Name     string        `help:"name under which operators declared the service"`
 }
 
 func (c *standinServiceCommand) run(ctx context.Context, out io.Writer) error {
-	service := responder.NewService(responder.Settings{Faults: responder.Faults{Delay: c.Delay}})
-	return serveStandin(ctx, out, "service", c.Listen, service)
+	service := responder.NewService(responder.Settings{Name: c.Name, Faults: responder.Faults{Delay: c.Delay}})
+	incarnation := rand.Text()
+	return serveStandin(ctx, out, "service", c.Listen, service, announcement{
+		companion: c.Announce, keyFile: c.KeyFile,
+		current: func(_ context.Context, bound string) (announcer.Announcement, error) {
+			return announcer.Announcement{
+				Address: bound, Kind: configurer.BackendKindService, Service: c.Name, Incarnation: incarnation,
+			}, nil
+		},
+	})
 }
 
 // standinStoreCommand runs a weight store's stand-in.
@@ -65,7 +97,7 @@
 
 func (c *standinStoreCommand) run(ctx context.Context, out io.Writer) error {
 	store := weigher.NewStore(weigher.Settings{Rate: c.Rate, FullSpeedTime: c.Time})
-	return serveStandin(ctx, out, "store", c.Listen, store)
+	return serveStandin(ctx, out, "store", c.Listen, store, announcement{})
 }
 
 // standin is a stand-in that can be served on an address.
@@ -74,12 +106,47 @@
 	Close() error
 }
 
-func serveStandin(ctx context.Context, out io.Writer, name, address string, s standin) error {
+// announcement is how a stand-in announces itself.
+type announcement struct {
+	// companion is the address announced to; empty for a stand-in that doesn't.
+	companion string
+	// keyFile holds the operators' key; empty where none is needed.
+	keyFile string
+	// current returns what is true now of the stand-in served on bound.
+	current func(ctx context.Context, bound string) (announcer.Announcement, error)
+}
+
+// repeat announces until ctx ends, and prints each change of the result.
+func (a announcement) repeat(ctx context.Context, out io.Writer, bound string) error {
+	client := announcer.Client{Companion: a.companion, HTTP: &http.Client{}}
+	if a.keyFile != "" {
+		var err error
+		if client.Key, err = configurer.ReadSecret(a.keyFile); err != nil {
+			return usageError{err}
+		}
+	}
+	current := func(ctx context.Context) (announcer.Announcement, error) { return a.current(ctx, bound) }
+	client.Repeat(ctx, announcer.DefaultInterval, current, func(err error) {
+		if err != nil {
+			fmt.Fprintf(out, "not accepted by the companion: %v\n", err)
+			return
+		}
+		fmt.Fprintf(out, "announced to %s\n", a.companion)
+	})
+	return nil
+}
+
+func serveStandin(ctx context.Context, out io.Writer, name, address string, s standin, a announcement) error {
 	bound, err := s.Listen(address)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	fmt.Fprintf(out, "stand-in %s on %s\n", name, bound)
+	if a.companion != "" {
+		if err := a.repeat(ctx, out, bound); err != nil {
+			return stderrors.Join(err, s.Close())
+		}
+	}
 	<-ctx.Done()
 	return errors.Trace(s.Close())
 }
--- a/internal/state/configurer/check.go
+++ b/internal/state/configurer/check.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// IsName tells whether s is a name as the settings take it: 1 to 63 letters,
+// digits, hyphens, underscores and dots.
+func IsName(s string) bool {
+	c := &checker{}
+	c.name("", s)
+	return len(c.problems) == 0
+}
+
 func isNameRune(r rune) bool {
 	return 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || r == '-' || r == '_' || r == '.'
 }
--- a/internal/state/configurer/companion.go
+++ b/internal/state/configurer/companion.go
@@ -30,21 +30,22 @@
 	// Kind is the kind of the backend server; BackendKindEngine by default.
 	Kind BackendKind
 
-	// EngineAddress is the IP and port of the engine. Required with
-	// BackendKindEngine. On the loopback unless ChecksFencing is set: an engine
-	// that takes orders from anybody must not be reachable by anybody.
+	// EngineAddress is the IP and port of the engine, where BackendKindEngine is
+	// set. On the loopback unless ChecksFencing is set: an engine that takes orders
+	// from anybody must not be reachable by anybody. With neither this nor
+	// ServiceAddress the companion waits until its backend server announces itself.
 	EngineAddress string
 
-	// ServiceAddress is the IP and port of the plain service. Required with
-	// BackendKindService.
+	// ServiceAddress is the IP and port of the plain service, where
+	// BackendKindService is set.
 	ServiceAddress string
 
 	// ServiceName is the name under which operators declared the plain service.
-	// Required with BackendKindService.
+	// Required with ServiceAddress; an announcement must not contradict it.
 	ServiceName string
 
 	// BaseModel is the base model that the engine runs. Required with
-	// BackendKindEngine.
+	// EngineAddress; an announcement must not contradict it.
 	BaseModel string
 
 	// Slots is the number of adapters that the engine holds at once. Zero, the
@@ -126,6 +127,15 @@
 	return c
 }
 
+// BackendAddress returns the address of the backend server of c.Kind; empty where
+// the companion waits for an announcement.
+func (c CompanionSettings) BackendAddress() string {
+	if c.Kind == BackendKindService {
+		return c.ServiceAddress
+	}
+	return c.EngineAddress
+}
+
 // companion checks the section Companion.
 func (c *checker) companion(m CompanionSettings, stop StopSettings) {
 	if a, ok := c.address("Companion.Listen", m.Listen); ok && a.Addr().IsUnspecified() {
@@ -136,8 +146,7 @@
 	case BackendKindEngine:
 		c.engine(m)
 	case BackendKindService:
-		c.peer("Companion.ServiceAddress", m.ServiceAddress)
-		c.name("Companion.ServiceName", m.ServiceName)
+		c.service(m)
 	}
 	checkRange(c, "Companion.MaxBatch", m.MaxBatch, 0, maxCount)
 	checkRange(c, "Companion.HeartbeatInterval", m.HeartbeatInterval, minInterval, maxInterval)
@@ -153,12 +162,14 @@
 
 // engine checks what only a companion beside an engine has.
 func (c *checker) engine(m CompanionSettings) {
-	a, ok := c.peer("Companion.EngineAddress", m.EngineAddress)
-	if ok && !m.ChecksFencing && !a.Addr().IsLoopback() {
-		c.fault("Companion.EngineAddress", "%q is not on the loopback, which an engine that doesn't check fencing numbers needs", m.EngineAddress)
-	}
-	if m.BaseModel == "" {
-		c.fault("Companion.BaseModel", "required")
+	if !m.awaits() {
+		a, ok := c.peer("Companion.EngineAddress", m.EngineAddress)
+		if ok && !m.ChecksFencing && !a.Addr().IsLoopback() {
+			c.fault("Companion.EngineAddress", "%q is not on the loopback, which an engine that doesn't check fencing numbers needs", m.EngineAddress)
+		}
+		if m.BaseModel == "" {
+			c.fault("Companion.BaseModel", "required")
+		}
 	}
 	checkRange(c, "Companion.Slots", m.Slots, 0, maxCount)
 	checkRange(c, "Companion.OrderLife", m.OrderLife, minInterval, Duration(time.Hour))
@@ -166,3 +177,18 @@
 	checkRange(c, "Companion.LoadBackoff.Initial", m.LoadBackoff.Initial, minInterval, Duration(time.Hour))
 	checkRange(c, "Companion.LoadBackoff.Max", m.LoadBackoff.Max, m.LoadBackoff.Initial, maxTimeout)
 }
+
+// service checks what only a companion beside a plain service has.
+func (c *checker) service(m CompanionSettings) {
+	if !m.awaits() {
+		c.peer("Companion.ServiceAddress", m.ServiceAddress)
+	}
+	if !m.awaits() || m.ServiceName != "" {
+		c.name("Companion.ServiceName", m.ServiceName)
+	}
+}
+
+// awaits tells whether the settings leave the address to an announcement.
+func (c CompanionSettings) awaits() bool {
+	return c.EngineAddress == "" && c.ServiceAddress == ""
+}
--- a/internal/state/configurer/parse_test.go
+++ b/internal/state/configurer/parse_test.go
@@ -96,6 +96,34 @@
 	return found
 }
 
+var _ = DescribeTable("a companion's settings may leave its backend server to an announcement",
+	func(m configurer.CompanionSettings, faults ...string) {
+		m.Listen = "10.0.0.1:7500"
+		s := configurer.Settings{
+			Node: "a", Region: "r", FailureDomain: "d", Companion: m,
+			Roles:        []configurer.Role{configurer.RoleCompanion},
+			ControlHosts: []configurer.ControlHost{{ID: 1, Address: "10.0.0.1:7400", FailureDomain: "d", Region: "r"}},
+			Operators:    configurer.OperatorsSettings{Listen: "127.0.0.1:9400"},
+		}
+		paths := []string{}
+		for _, p := range s.Check() {
+			paths = append(paths, p.Path)
+		}
+		Expect(paths).To(Equal(faults))
+	},
+	Entry("an engine", configurer.CompanionSettings{}),
+	Entry("a service", configurer.CompanionSettings{Kind: configurer.BackendKindService}),
+	Entry("a service with a wrong name",
+		configurer.CompanionSettings{Kind: configurer.BackendKindService, ServiceName: "a b"}, "Companion.ServiceName"),
+	Entry("an engine with an address alone",
+		configurer.CompanionSettings{EngineAddress: "127.0.0.1:8000"}, "Companion.BaseModel"),
+	Entry("an engine with a service's address", configurer.CompanionSettings{ServiceAddress: "127.0.0.1:8000"},
+		"Companion.EngineAddress", "Companion.BaseModel"),
+	Entry("a service with an engine's address", configurer.CompanionSettings{
+		Kind: configurer.BackendKindService, EngineAddress: "127.0.0.1:8000",
+	}, "Companion.ServiceAddress", "Companion.ServiceName"),
+)
+
 // FuzzParse holds Parse to its promise for any input: it returns settings that
 // are complete, or an *Error whose lines each name the file.
 func FuzzParse(f *testing.F) {
--- /dev/null
+++ b/internal/transport/starter/announce.go
@@ -0,0 +1,75 @@
+package starter
+
+import (
+	"cmp"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/announcer"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
+)
+
+// announced takes the announcement of a backend server. The first one that fits
+// the settings starts the companion; later ones of the same backend server change
+// nothing, but a new incarnation makes the companion look at the engine at once.
+// Refusals are *announcer.Answer.
+func (p *Process) announced(a announcer.Announcement) error {
+	p.standing.Lock()
+	defer p.standing.Unlock()
+	// Close ends what it finds started. A companion begun after that would hold its
+	// address and its membership for good.
+	if p.stopping.Load() || p.starting.Err() != nil {
+		return &announcer.Answer{Reason: announcer.ReasonUnavailable, Detail: "the process is ending"}
+	}
+	m, err := settle(p.beside, a)
+	if err != nil {
+		return err
+	}
+	switch {
+	case p.companion == nil:
+		if err := p.standBeside(m); err != nil {
+			p.fail(errors.Annotate(err, "starting the announced companion"))
+			return errors.Annotate(err, "starting the companion")
+		}
+		p.settings.Log.Info().Str("Address", a.Address).Stringer("Kind", a.Kind).Str("Incarnation", a.Incarnation).
+			Msg("backend server announced itself")
+	case p.incarnation != a.Incarnation:
+		p.companion.Hint()
+	}
+	p.incarnation = a.Incarnation
+	return nil
+}
+
+// settle returns the companion's settings completed by an announcement, or an
+// *announcer.Answer where the two contradict each other. What the settings say
+// wins. Of fencing both must say that the engine checks it: the operator answers
+// for it that no order in flight can still take effect.
+func settle(m configurer.CompanionSettings, a announcer.Announcement) (configurer.CompanionSettings, error) {
+	address := m.BackendAddress()
+	switch {
+	case m.Kind != a.Kind:
+		return m, announcer.Conflict(announcer.FieldKind, "the companion stands beside a backend server of kind "+m.Kind.String())
+	case address != "" && address != a.Address:
+		return m, announcer.Conflict(announcer.FieldAddress, "the companion stands beside the backend server at "+address)
+	case m.BaseModel != "" && a.Kind == configurer.BackendKindEngine && m.BaseModel != a.BaseModel:
+		return m, announcer.Conflict(announcer.FieldBaseModel, "the companion stands beside an engine with "+m.BaseModel)
+	case m.ServiceName != "" && a.Kind == configurer.BackendKindService && m.ServiceName != a.Service:
+		return m, announcer.Conflict(announcer.FieldService, "the companion stands beside the service "+m.ServiceName)
+	case address != "":
+		return m, nil
+	}
+	m.MaxBatch = cmp.Or(m.MaxBatch, a.MaxBatch)
+	if a.Kind == configurer.BackendKindService {
+		m.ServiceAddress, m.ServiceName = a.Address, a.Service
+		return m, nil
+	}
+	ip, err := netip.ParseAddrPort(a.Address)
+	if err != nil || !m.ChecksFencing && !ip.Addr().IsLoopback() {
+		return m, announcer.Conflict(announcer.FieldAddress, "not on the loopback, which an engine needs unless Companion.ChecksFencing is set")
+	}
+	m.ChecksFencing = m.ChecksFencing && a.ChecksFencing
+	m.EngineAddress, m.BaseModel = a.Address, a.BaseModel
+	m.Slots = cmp.Or(m.Slots, a.Slots)
+	return m, nil
+}
--- a/internal/transport/starter/operators.go
+++ b/internal/transport/starter/operators.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"marigoldpoint.example/marigoldpoint/internal/protocol/announcer"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
 	"marigoldpoint.example/marigoldpoint/internal/transport/inspector"
@@ -62,6 +63,9 @@
 	mux.Handle(controller.AdministrationPath, group)
 	mux.Handle(controller.AdministrationPath+"/", group)
 	mux.Handle("GET "+inspector.EventsPath, api.Guard(inspector.Handler(p.recorder)))
+	if p.settings.Configuration.HasRole(configurer.RoleCompanion) {
+		mux.Handle("POST "+announcer.Path, api.Guard(announcer.NewHandler(p.announced)))
+	}
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.settings.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/transport/starter/process.go
+++ b/internal/transport/starter/process.go
@@ -73,10 +73,24 @@
 	entry     *gatekeeper.Entry
 	pool      *dialer.Pool
 	callers   *listener.HTTP
+	operators *listener.HTTP
+
+	// companionRandom is the companion's random source, taken at the start since
+	// random belongs to the goroutine that starts the process.
+	companionRandom *rand.Rand
+
+	// standing guards the companion, which an announcement may start at any time
+	// before Close.
+	standing sync.Mutex
+	// beside are the companion's settings, completed by the announcement that it
+	// began with; guarded by standing, as the rest.
+	beside configurer.CompanionSettings
+	// incarnation is that of the backend server's last announcement.
+	incarnation string
+	// companion is nil while the process waits for an announcement.
 	companion *companion.Companion
 	// dispatches serves the entries' connections to the companion.
 	dispatches *listener.Listener
-	operators  *listener.HTTP
 
 	// sealer authenticates the connections between processes; nil without Peers.
 	sealer *sealer.Sealer
@@ -159,13 +173,28 @@
 	case p.stopping.Load(),
 		p.control != nil && !p.control.Ready(),
 		p.entry != nil && !p.entry.Ready(),
-		p.companion != nil && !p.companion.Ready():
+		p.settings.Configuration.HasRole(configurer.RoleCompanion) && !p.companionReady():
 		return false
 	default:
 		return true
 	}
 }
 
+// companionReady reports whether the companion takes requests; it does not while
+// it waits for an announcement.
+func (p *Process) companionReady() bool {
+	c := p.currentCompanion()
+	return c != nil && c.Ready()
+}
+
+// currentCompanion returns the companion; nil while the process waits for an
+// announcement, or has no such role.
+func (p *Process) currentCompanion() *companion.Companion {
+	p.standing.Lock()
+	defer p.standing.Unlock()
+	return p.companion
+}
+
 // fail notes an error that ends the process.
 func (p *Process) fail(err error) {
 	select {
--- a/internal/transport/starter/roles.go
+++ b/internal/transport/starter/roles.go
@@ -117,9 +117,24 @@
 	return nil
 }
 
+// startCompanion starts the companion, or leaves that to an announcement.
 func (p *Process) startCompanion() error {
+	p.standing.Lock()
+	defer p.standing.Unlock()
+	p.companionRandom = p.fork()
+	p.beside = p.settings.Configuration.Companion
+	if p.beside.BackendAddress() == "" {
+		p.settings.Log.Info().Msg("waiting for the backend server to announce itself")
+		return nil
+	}
+	return p.standBeside(p.beside)
+}
+
+// standBeside starts the companion of the backend server that m names. The caller
+// holds standing.
+func (p *Process) standBeside(m configurer.CompanionSettings) error {
 	c := p.settings.Configuration
-	network, err := p.listenPeers(c.Companion.Listen)
+	network, err := p.listenPeers(m.Listen)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -127,8 +142,8 @@
 		Node:          c.Node,
 		Region:        c.Region,
 		FailureDomain: c.FailureDomain,
-		Address:       c.Companion.Listen,
-		Companion:     c.Companion,
+		Address:       m.Listen,
+		Companion:     m,
 		Stop:          c.Stop,
 		Policy:        p.settings.Eviction,
 		Control:       p.client,
@@ -136,25 +151,27 @@
 		Registerer:    p.settings.Registry,
 		Log:           p.settings.Log,
 		Now:           p.settings.Now,
-		Random:        p.fork(),
+		Random:        p.companionRandom,
 	}
-	switch c.Companion.Kind {
+	switch m.Kind {
 	case configurer.BackendKindService:
-		s.Service = orderer.NewService(orderer.Settings{Address: c.Companion.ServiceAddress})
+		s.Service = orderer.NewService(orderer.Settings{Address: m.ServiceAddress})
 	default:
-		s.Engine = orderer.NewEngine(orderer.Settings{Address: c.Companion.EngineAddress})
+		s.Engine = orderer.NewEngine(orderer.Settings{Address: m.EngineAddress})
 	}
+	p.beside = m
 	p.companion = companion.NewCompanion(s)
 	p.dispatches = listener.NewListener(network, p.messenger(p.companion))
-	p.tasks.Go(p.joinCompanion)
+	begun := p.companion
+	p.tasks.Go(func() { p.joinCompanion(begun) })
 	return nil
 }
 
 // joinCompanion begins the membership apart from the start of the process: an
 // engine or control host that is not up yet must not keep the operators'
 // listener closed.
-func (p *Process) joinCompanion() {
-	if err := p.companion.Start(p.starting); err != nil && p.starting.Err() == nil {
+func (p *Process) joinCompanion(c *companion.Companion) {
+	if err := c.Start(p.starting); err != nil && p.starting.Err() == nil {
 		p.fail(errors.Annotate(err, "starting the companion"))
 	}
 }
--- a/internal/transport/starter/stop.go
+++ b/internal/transport/starter/stop.go
@@ -39,10 +39,11 @@
 }
 
 func (p *Process) stopCompanion(ctx context.Context) error {
-	if p.companion == nil {
+	c := p.currentCompanion()
+	if c == nil {
 		return nil
 	}
-	return p.companion.Drain(ctx)
+	return c.Drain(ctx)
 }
 
 func (p *Process) stopControl(ctx context.Context) error {
@@ -81,6 +82,8 @@
 	if p.pool != nil {
 		parts = append(parts, p.pool)
 	}
+	p.standing.Lock()
+	defer p.standing.Unlock()
 	if p.dispatches != nil {
 		parts = append(parts, p.dispatches)
 	}
