gatekeeper: what came before a loss counts, a due hedge is made, specs don't hang

Symptoms: go test ./internal/transport/gatekeeper hung twice until its timeout, stacks lost.

Causes and changes: - A spec that holds a companion's handler and fails never lets go, and the companion's Close waits for its handlers for good. Now the spec's end opens its gates, heartbeats come every 20 ms, resumes are held too. This is the likely cause of the hangs; their stacks would be needed to be sure. - Test processes that ran at once got each other's requests, at ports that a spec had closed ("expected 1 to be zero", a nil resume). Each process now listens at a loopback address of its own; a resume that isn't scripted is refused. - An attempt whose dispatch broke off was judged before the pieces that had come were taken: a stream that had begun was run elsewhere, or ended as Unknown. - A hedge was asked for once, when its timer fired; with its begin read after the timer's start it could be refused as early by the clock, and was never made.

Before: the two new specs failed.

--- a/internal/transport/gatekeeper/attempt.go
+++ b/internal/transport/gatekeeper/attempt.go
@@ -176,6 +176,12 @@
 func (a *attempt) follow(ctx context.Context) result {
 	for {
 		if a.conn == nil {
+			// What came before the loss is taken first: an answer that has begun
+			// is waited for, and not run elsewhere.
+			if res, ended := a.receive(ctx); ended {
+				return res
+			}
+			a.late = nil
 			if res, ended := a.reconnect(ctx); ended {
 				return res
 			}
@@ -186,13 +192,9 @@
 				return res
 			}
 		case <-a.conn.Done():
-			// What came before the loss is taken first.
-			if res, ended := a.receive(ctx); ended {
-				return res
-			}
-			a.conn, a.late, a.lostAt = nil, nil, a.request.entry.settings.Now()
+			a.conn, a.lostAt = nil, a.request.entry.settings.Now()
 		case <-a.late:
-			a.conn, a.late, a.lostAt = nil, nil, a.request.entry.settings.Now()
+			a.conn, a.lostAt = nil, a.request.entry.settings.Now()
 		case <-ctx.Done():
 			return a.gaveUp(ctx)
 		}
--- a/internal/transport/gatekeeper/claim_test.go
+++ b/internal/transport/gatekeeper/claim_test.go
@@ -63,11 +63,16 @@
 	})
 
 	It("runs the same key through two entries at once only once", func() {
-		hold := make(chan struct{})
-		inner := c.dispatch
+		hold, release := gate()
+		dispatch, resume := c.dispatch, c.resume
 		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
 			<-hold
-			return inner(conn, d)
+			return dispatch(conn, d)
+		}
+		// On a busy machine the connection may go silent meanwhile.
+		c.resume = func(conn *messenger.Conn, r messenger.Resume) error {
+			<-hold
+			return resume(conn, r)
 		}
 		one, two := w.entry(nil), w.entry(nil)
 		answers := make(chan answer, 2)
@@ -80,7 +85,7 @@
 		loser := <-answers
 		Expect(loser.StatusCode).To(Equal(http.StatusConflict))
 		Expect(loser.outcome()).To(Equal("Unknown"), "the other may be running it")
-		close(hold)
+		release()
 		Expect((<-answers).StatusCode).To(Equal(201))
 		Expect(c.dispatched.Load()).To(Equal(int64(1)))
 	})
@@ -160,17 +165,18 @@
 	// chain-of-title review. Sequence: the caller leaves; its work is cancelled
 	// half-way; the claim ends as Unknown for good.
 	It("finishes a claimed call whose caller has left, for its return", func() {
-		started, hold := make(chan struct{}), make(chan struct{})
+		started, start := gate()
+		hold, release := gate()
 		inner := c.dispatch
 		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
-			close(started)
+			start()
 			<-hold
 			return inner(conn, d)
 		}
 		e := w.entry(nil)
 		go func() {
 			<-started
-			close(hold)
+			release()
 		}()
 		client := &http.Client{Timeout: 50 * time.Millisecond}
 		r, err := http.NewRequestWithContext(GinkgoT().Context(), http.MethodPost, e.url+"/services/booking/presses/7", http.NoBody)
--- a/internal/transport/gatekeeper/connection_test.go
+++ b/internal/transport/gatekeeper/connection_test.go
@@ -49,6 +49,40 @@
 		Expect(c.dispatched.Load()).To(Equal(int64(1)))
 	})
 
+	// Symptom: a stream of which half has come is run again elsewhere, or ends as
+	// Unknown where there is no other.
+	// Sequence: pieces come before the dispatch is answered; the connection dies
+	// in between; the first try to resume fails too.
+	// Cause to prevent: judging the loss before taking what came.
+	It("takes what came before a dispatch whose answer was lost", func() {
+		c := newCompanion("engine-1")
+		e := newWorld(c).entry(nil)
+		lose := func(conn *messenger.Conn) {
+			go conn.Close()
+			<-conn.Done()
+		}
+		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+			e.pieces.Put(streamed(d.Request, d.Attempt, "one", "two")[0])
+			lose(conn)
+			return nil
+		}
+		var resumes, offset atomic.Int64
+		c.resume = func(conn *messenger.Conn, r messenger.Resume) error {
+			offset.Store(r.Offset)
+			if resumes.Add(1) == 1 {
+				lose(conn)
+				return nil
+			}
+			send(conn, streamed(r.Request, r.Attempt, "one", "two")[1:]...)
+			return nil
+		}
+		a := e.chat(streamBody)
+		Expect(a.outcome()).To(Equal("Completed"), a.body)
+		Expect(a.body).To(And(ContainSubstring("one"), ContainSubstring("two")))
+		Expect(resumes.Load()).To(Equal(int64(2)))
+		Expect(offset.Load()).To(BeNumerically(">", 0))
+	})
+
 	// Symptom: a booking hangs although the service answered.
 	// Sequence: something between entry and companion loses track of the
 	// connection with the request in it; both ends keep it open for good; new
@@ -196,10 +230,11 @@
 	// stream runs.
 	It("drains: refuses new requests, finishes those in progress", func() {
 		c := newCompanion("engine-1")
-		started, finish := make(chan struct{}), make(chan struct{})
+		started, start := gate()
+		finish, release := gate()
 		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
 			go func() {
-				close(started)
+				start()
 				<-finish
 				send(conn, streamed(d.Request, d.Attempt, "one", "two")...)
 			}()
@@ -218,7 +253,7 @@
 		Expect(refused.outcome()).To(Equal("NotRun"))
 		Expect(refused.body).To(ContainSubstring("stopping"))
 		Expect(drained).NotTo(Receive())
-		close(finish)
+		release()
 		Expect((<-running).outcome()).To(Equal("Completed"))
 		Eventually(drained).Should(Receive(BeNil()))
 	})
@@ -237,7 +272,7 @@
 
 	It("refuses a rush at once, with times to come back that are spread", func() {
 		c := newCompanion("engine-1")
-		hold := make(chan struct{})
+		hold, release := gate()
 		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
 			go func() {
 				<-hold
@@ -261,7 +296,7 @@
 			times[a.Header.Get("Retry-After-Ms")] = true
 		}
 		Expect(len(times)).To(BeNumerically(">", 5))
-		close(hold)
+		release()
 		for range 2 {
 			Expect((<-held).StatusCode).To(Equal(http.StatusOK))
 		}
@@ -272,7 +307,10 @@
 // attempt gives nothing; a second one, beside it, answers; the first answers
 // later. Cause to prevent: two answers mixed, or the slow one left running.
 var _ = Describe("Hedges", func() {
-	It("gives the answer that is whole first, and cancels the other", func() {
+	// The clock that stands still: a request waits for its deadline, seldom, on a
+	// busy machine. Sequence: the hedge comes due; by the clock, read late or set
+	// back, it is not yet due; it is asked for only once.
+	DescribeTable("gives the answer that is whole first, and cancels the other", func(stopped bool) {
 		slow, quick := newCompanion("engine-1"), newCompanion("engine-2")
 		var first atomic.Pointer[companion]
 		for _, c := range []*companion{slow, quick} {
@@ -287,12 +325,19 @@
 				return nil
 			}
 		}
-		e := newWorld(slow, quick).entry(func(s *configurer.EntrySettings) { s.HedgeAfter = configurer.Duration(time.Millisecond) })
-		a := e.chat(chatBody)
+		w := newWorld(slow, quick)
+		if at := time.Now(); stopped {
+			w.now = func() time.Time { return at }
+		}
+		e := w.entry(func(s *configurer.EntrySettings) { s.HedgeAfter = configurer.Duration(time.Millisecond) })
+		a := e.chat(chatBody, "Marigoldpoint-Deadline", "20s")
 		Expect(a.outcome()).To(Equal("Completed"))
 		Expect(a.body).To(And(ContainSubstring("quick"), Not(ContainSubstring("slow"))))
 		Expect(a.Header.Get("Marigoldpoint-Backend")).NotTo(Equal(first.Load().name))
 		Eventually(first.Load().cancelled.Load).Should(Equal(int64(1)))
 		Expect(slow.dispatched.Load() + quick.dispatched.Load()).To(Equal(int64(2)))
-	})
+	},
+		Entry("by a clock that goes", false),
+		Entry("by a clock that stands still", true),
+	)
 })
--- a/internal/transport/gatekeeper/fixture_test.go
+++ b/internal/transport/gatekeeper/fixture_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,8 +37,32 @@
 	stranger = "secret-of-rival"
 	version  = "town/lyrics@3"
 	life     = "first-life"
+	// heartbeat and silence are the connections' intervals.
+	heartbeat = 20 * time.Millisecond
+	silence   = 200 * time.Millisecond
 )
 
+// gates opens the gates of a spec.
+var gates []func()
+
+// A spec's end opens its gates, before entries and companions are closed: these
+// wait for their requests and handlers, so that one which was held when an
+// expectation failed would hold the whole run until its timeout.
+var _ = AfterEach(func() {
+	for _, open := range gates {
+		open()
+	}
+	gates = nil
+})
+
+// gate returns a channel to wait at and the function that opens it.
+func gate() (wait <-chan struct{}, open func()) {
+	c := make(chan struct{})
+	open = sync.OnceFunc(func() { close(c) })
+	gates = append(gates, open)
+	return c, open
+}
+
 // cleanUp has f run at the end of a spec; a benchmark sets its own.
 var cleanUp = func(f func()) { DeferCleanup(f) }
 
@@ -144,7 +169,13 @@
 
 func newCompanion(name string) *companion {
 	c := &companion{name: name, dispatch: greet, bodies: make(chan messenger.Dispatch, 100)}
-	c.server = listener.NewListener(network{listen(), c}, messenger.Settings{Handler: c, Log: zerolog.Nop()})
+	c.resume = func(*messenger.Conn, messenger.Resume) error {
+		return refuse(messenger.ReasonCompacted, "not scripted")
+	}
+	// Its heartbeats come well within the entries' silence limit.
+	c.server = listener.NewListener(network{listen(), c}, messenger.Settings{
+		Handler: c, Log: zerolog.Nop(), HeartbeatInterval: heartbeat,
+	})
 	cleanUp(func() { Expect(c.server.Close()).To(Succeed()) })
 	return c
 }
@@ -154,8 +185,13 @@
 	return nil
 }
 
+// listen opens a port at a loopback address of this process alone. Another test
+// process that ran at the same time was otherwise given a port that a spec had
+// closed, and got the requests that the spec still sent there.
 func listen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	id := os.Getpid()
+	address := net.IPv4(127, byte(1+id>>16&0x7f), byte(id>>8), byte(id))
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: address})
 	Expect(err).NotTo(HaveOccurred())
 	return l
 }
@@ -229,12 +265,15 @@
 	index   *indexer.Index
 	at      uint64
 	random  *rand.Rand
+	// now is the entries' clock.
+	now func() time.Time
 }
 
 func newWorld(companions ...*companion) *world {
 	w := &world{
 		control: &control{store: storer.NewStore(storer.Settings{}), index: 1000},
 		index:   indexer.NewIndex(indexer.Settings{}), random: rand.New(rand.NewPCG(1, 1)),
+		now: time.Now,
 	}
 	w.put(storer.KindWorkspace, "town", "town", storer.WorkspaceSpec{})
 	w.put(storer.KindWorkspace, "rival", "rival", storer.WorkspaceSpec{})
@@ -267,6 +306,7 @@
 	*gatekeeper.Entry
 	url      string
 	recorder *recorder.Recorder
+	pieces   *gatekeeper.Pieces
 }
 
 // entry starts an entry that callers reach by HTTP.
@@ -279,11 +319,11 @@
 	fork := func() *rand.Rand { return rand.New(rand.NewPCG(w.random.Uint64(), 2)) }
 	events := recorder.NewRecorder(recorder.Settings{Node: "entry"})
 	pool := dialer.NewPool(dialer.Settings{Random: fork(), Messenger: messenger.Settings{
-		Handler: pieces, Log: zerolog.Nop(), HeartbeatInterval: 20 * time.Millisecond, SilenceLimit: 200 * time.Millisecond,
+		Handler: pieces, Log: zerolog.Nop(), HeartbeatInterval: heartbeat, SilenceLimit: silence,
 	}})
 	e := gatekeeper.NewEntry(gatekeeper.Settings{
 		Node: "entry", Entry: s, Index: w.index, Control: w.control, Pool: pool, Pieces: pieces,
-		Recorder: events, Log: zerolog.Nop(), Now: time.Now, Random: fork(),
+		Recorder: events, Log: zerolog.Nop(), Now: w.now, Random: fork(),
 	})
 	server := httptest.NewUnstartedServer(e.Handler())
 	limits := gatekeeper.Limits(s)
@@ -294,7 +334,7 @@
 		Expect(e.Close()).To(Succeed())
 		Expect(pool.Close()).To(Succeed())
 	})
-	return &entry{Entry: e, url: server.URL, recorder: events}
+	return &entry{Entry: e, url: server.URL, recorder: events, pieces: pieces}
 }
 
 // answer is what a caller got.
--- a/internal/transport/gatekeeper/hedge.go
+++ b/internal/transport/gatekeeper/hedge.go
@@ -47,15 +47,15 @@
 		a.answer.hedged = true
 		go func() { results <- ended{a, a.run(ctx)} }()
 	}
+	running, began := 1, q.entry.settings.Now()
 	start(first)
 	timer := time.NewTimer(after)
 	defer timer.Stop()
-	running, began := 1, q.entry.settings.Now()
 	var best *ended
 	for running > 0 {
 		select {
 		case <-timer.C:
-			if second := q.hedge(first, began); second != nil {
+			if second := q.hedge(first, began, after); second != nil {
 				start(second)
 				running++
 			}
@@ -89,11 +89,18 @@
 	return rank(r.outcome) > rank(s.outcome)
 }
 
-// hedge chooses another backend server for a second attempt, or returns nil.
-func (q *request) hedge(first *attempt, began time.Time) *attempt {
+// hedge chooses another backend server for a second attempt, or returns nil. It
+// is called once, when the first attempt has run for the time after; that this
+// has passed is the timer's word. By the entry's clock it may not have, if began
+// was read late or the clock was set back, and the hedge would never be made.
+func (q *request) hedge(first *attempt, began time.Time, after time.Duration) *attempt {
 	e := q.entry
+	now := e.settings.Now()
+	if due := began.Add(after); now.Before(due) {
+		now = due
+	}
 	a := retrier.Attempt{Group: q.call.Pool.Name, Number: q.attempts, Idempotent: q.idempotent, Deadline: q.deadline}
-	if !e.retrier.Hedge(e.settings.Now(), began, a) {
+	if !e.retrier.Hedge(now, began, a) {
 		return nil
 	}
 	q.call.Avoid = append(q.call.Avoid, first.backend)
