--- a/internal/protocol/messenger/conn.go
+++ b/internal/protocol/messenger/conn.go
@@ -42,8 +42,8 @@
 
 // Settings are a connection's options.
 type Settings struct {
-	// HeartbeatInterval is the time between heartbeats; 0 means
-	// DefaultHeartbeatInterval.
+	// HeartbeatInterval is the time between heartbeats, the same at both ends; 0
+	// means DefaultHeartbeatInterval.
 	HeartbeatInterval time.Duration
 	// SilenceLimit is the silence after which the connection is closed; 0 means
 	// DefaultSilenceLimit. It must exceed twice the HeartbeatInterval.
@@ -115,8 +115,10 @@
 	return time.Since(c.began) - time.Duration(c.worked.Load())
 }
 
-// Suspect reports whether two heartbeats in a row have failed to come. The
-// connection may yet recover; a new one is the better choice for what is new.
+// Suspect reports whether two heartbeats in a row have failed to come, by this
+// end's own HeartbeatInterval: both ends must beat at the same, or else the one
+// with the shorter interval takes every connection for suspect. The connection may
+// yet recover; a new one is the better choice for what is new.
 func (c *Conn) Suspect() bool {
 	silence := time.Since(c.began) - time.Duration(c.heard.Load())
 	return silence > 2*c.settings.HeartbeatInterval+c.settings.HeartbeatInterval/4
