demonstrator, marigoldpoint: a library's hash, no unused accessor, exit codes held

Cause: read once more: FNV-1a stood by hand where the standard library has it, an accessor had no caller left, and no test held the program's exit codes. Change: hash/fnv, which gives the same sums; the accessor is gone; a table of arguments with their exit codes and complaints. Conclusion: behaviour as before.

--- /dev/null
+++ b/cmd/marigoldpoint/main_test.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Symptom: a script goes on after a mistyped command or a wrong settings file.
+// Sequence: the program complains and ends as if nothing were wrong, or with the
+// code of a failed run. Cause: exit codes that nobody holds.
+func TestExitCodes(t *testing.T) {
+	wrong := filepath.Join(t.TempDir(), "wrong.jsonc")
+	NewWithT(t).Expect(os.WriteFile(wrong, []byte("{ \"Nodes\": 1 }"), 0o600)).To(Succeed())
+	for _, c := range []struct {
+		args      []string
+		code      int
+		complaint string
+	}{
+		{[]string{"--version"}, exitOK, "^$"},
+		{[]string{"--help"}, exitOK, "^$"},
+		{[]string{"demo", "--help"}, exitOK, "^$"},
+		{[]string{"bogus"}, exitUsage, "^marigoldpoint: .*bogus\n$"},
+		{[]string{"demo", "--bogus"}, exitUsage, "^marigoldpoint demo: .*bogus\n$"},
+		{[]string{"demo", "--policy", "Bogus"}, exitUsage, "Bogus"},
+		{[]string{"serve", "--settings", wrong}, exitUsage, "wrong.jsonc:1:.*Nodes"},
+		{[]string{"settings", "check", wrong}, exitUsage, "wrong.jsonc:1:.*Nodes"},
+		{[]string{"resource"}, exitUsage, "Usage"},
+	} {
+		g := NewWithT(t)
+		var out, complaints bytes.Buffer
+		g.Expect(run(c.args, &out, &complaints)).To(Equal(c.code), "%v: %s", c.args, &complaints)
+		g.Expect(complaints.String()).To(MatchRegexp(c.complaint), "%v", c.args)
+	}
+}
--- a/internal/standin/demonstrator/access.go
+++ b/internal/standin/demonstrator/access.go
@@ -8,7 +8,6 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
 	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
-	"marigoldpoint.example/marigoldpoint/internal/standin/weigher"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 	"marigoldpoint.example/marigoldpoint/internal/transport/inspector"
@@ -21,9 +20,6 @@
 // Services returns the plain services.
 func (d *Deployment) Services() []*responder.Service { return d.services }
 
-// Store returns the weight store.
-func (d *Deployment) Store() *weigher.Store { return d.store }
-
 // CallerAddresses returns the entries' listeners for callers.
 func (d *Deployment) CallerAddresses() []string {
 	var addresses []string
--- a/internal/standin/demonstrator/deployment.go
+++ b/internal/standin/demonstrator/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	stderrors "errors"
 	"fmt"
+	"hash/fnv"
 	"path/filepath"
 	"sync"
 	"time"
@@ -225,12 +226,11 @@
 	return nil
 }
 
+// hash sets the seeds of processes apart by their names.
 func hash(name string) uint64 {
-	sum := uint64(14695981039346656037)
-	for _, b := range []byte(name) {
-		sum = (sum ^ uint64(b)) * 1099511628211
-	}
-	return sum
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(name)) // A hash's Write returns no error.
+	return sum.Sum64()
 }
 
 // Ready waits until every process takes work.
