--- a/cmd/marigoldpoint/main.go
+++ b/cmd/marigoldpoint/main.go
@@ -30,6 +30,7 @@
 // arguments are the subcommands of the program; exactly one is set.
 type arguments struct {
 	Serve        *serveCommand        `arg:"subcommand:serve" help:"run the roles that a settings file names"`
+	Platform     *platformCommand     `arg:"subcommand:platform" help:"run the roles that the users' platform names in its settings"`
 	Settings     *settingsCommand     `arg:"subcommand:settings" help:"check settings files"`
 	Certificates *certificatesCommand `arg:"subcommand:certificates" help:"make the certificates by which processes know each other"`
 	Resource     *resourceCommand     `arg:"subcommand:resource" help:"read, write and watch resources"`
--- a/internal/coordination/loader/order.go
+++ b/internal/coordination/loader/order.go
@@ -85,7 +85,7 @@
 	switch o {
 	case OutcomeDone:
 		v.loadTime = now.Sub(v.began)
-		return t.plan(now, t.resident(now, v, nil))
+		return t.plan(now, append(t.resident(now, v, nil), t.evictReplaced(v)...))
 	case OutcomeFailed:
 		t.vacate(v)
 		return t.plan(now, t.fail(now, v, cause, nil))
--- a/internal/coordination/loader/table.go
+++ b/internal/coordination/loader/table.go
@@ -112,7 +112,7 @@
 // Ready tells whether the version can be pinned.
 func (t *Table) Ready(name string) bool {
 	v := t.versions[name]
-	return v != nil && v.phase == PhaseResident && !v.closing
+	return v != nil && v.phase == PhaseResident && !v.closing && !v.replaced
 }
 
 // Orders tells whether the order with the fencing number is the one in flight for
@@ -176,7 +176,7 @@
 // if the version isn't resident or is closing.
 func (t *Table) Pin(request string) bool {
 	v := t.holders[request]
-	if v == nil || v.phase != PhaseResident || v.closing {
+	if v == nil || v.phase != PhaseResident || v.closing || v.replaced {
 		return false
 	}
 	if _, waits := v.waiters[request]; !waits {
@@ -202,7 +202,26 @@
 		delete(v.pins, request)
 		v.lastUsed = now
 	}
-	return t.plan(now, t.withdraw(v, nil))
+	return t.plan(now, t.withdraw(v, t.evictReplaced(v)))
+}
+
+// Replace says that a later version takes the place of the one named: it takes no
+// new pin, and is evicted once no request uses it. An engine holds one version of
+// an adapter at a time, so that the later one can't be loaded before.
+func (t *Table) Replace(now time.Time, name string) []Action {
+	v := t.versions[name]
+	if v == nil || v.phase == PhaseEmpty {
+		return nil
+	}
+	v.replaced = true
+	return t.plan(now, t.evictReplaced(v))
+}
+
+func (t *Table) evictReplaced(v *version) []Action {
+	if !v.replaced || v.phase != PhaseResident || v.pinned() {
+		return nil
+	}
+	return t.evict(v)
 }
 
 // Tick does what has become due: loads after a back-off, closing, prefetches.
@@ -252,6 +271,9 @@
 	if p != PhaseResident {
 		v.closing = false
 	}
+	if p == PhaseEmpty {
+		v.replaced = false
+	}
 	t.track(v)
 }
 
--- a/internal/coordination/loader/version.go
+++ b/internal/coordination/loader/version.go
@@ -17,6 +17,9 @@
 	changed uint64
 	// closing bars new pins; only a resident version closes.
 	closing bool
+	// replaced tells that a later version takes this one's place: it takes no new
+	// pin and is evicted at its last unpin.
+	replaced bool
 	// permit tells that a permit was asked for and not settled.
 	permit bool
 	// prefetch tells that the permit was asked for while no request waited.
--- /dev/null
+++ b/internal/coordination/placer/backend.go
@@ -0,0 +1,174 @@
+package placer
+
+import (
+	"math"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// backend is what an entry knows of one backend server in one life. It is guarded
+// by its pool's lock.
+type backend struct {
+	member tracker.Member
+	// own counts this entry's calls in progress.
+	own int
+	// state is the companion's last report, of reportedAt; zero where none came.
+	state      messenger.BackendState
+	reportedAt time.Time
+	adapters   map[string]messenger.AdapterState
+	recent     map[string]struct{}
+	cached     map[uint32]struct{}
+	// placed is the reading time of prompts placed here since the report.
+	placed time.Duration
+	// readUntil is the report's backlog as a time.
+	readUntil time.Time
+	// placedCalls counts the calls placed here since the report.
+	placedCalls int
+	// load is what the backend server said of its own load, at loadAt: running
+	// and waiting calls.
+	load   int
+	loadAt time.Time
+
+	// suspectUntil is until when it is passed over, and suspicion for how long
+	// the next time.
+	suspectUntil time.Time
+	suspicion    time.Duration
+	// failures is the share of calls that went wrong lately.
+	failures float64
+	// callTime is the mean time of calls; 0 before the first.
+	callTime time.Duration
+}
+
+func newBackend(m tracker.Member) *backend {
+	return &backend{
+		member: m, adapters: make(map[string]messenger.AdapterState),
+		recent: make(map[string]struct{}), cached: make(map[uint32]struct{}),
+	}
+}
+
+// report takes a companion's state in.
+func (b *backend) report(now time.Time, s messenger.BackendState) {
+	if s.Life < b.state.Life || s.Life == b.state.Life && s.Sequence <= b.state.Sequence {
+		return
+	}
+	b.state, b.reportedAt = s, now
+	b.readUntil = now.Add(time.Duration(s.BacklogMillis) * time.Millisecond)
+	b.placed, b.placedCalls = 0, 0
+	clear(b.adapters)
+	for _, a := range s.Adapters {
+		b.adapters[a.Name] = a
+	}
+	clear(b.recent)
+	for _, r := range s.Recent {
+		b.recent[r] = struct{}{}
+	}
+	clear(b.cached)
+	for _, c := range s.Cached {
+		b.cached[c] = struct{}{}
+	}
+}
+
+func (b *backend) reported() bool { return !b.reportedAt.IsZero() }
+
+// running returns the number of calls believed to run there.
+func (b *backend) running() int {
+	if b.reported() {
+		return max(b.state.Running+b.placedCalls, b.own)
+	}
+	return b.own
+}
+
+// backlog returns the reading time of the prompts that wait there.
+func (b *backend) backlog(now time.Time) time.Duration {
+	return max(0, b.readUntil.Sub(now)) + b.placed
+}
+
+// fresh returns the number of the call's tokens that are not cached there.
+func (b *backend) fresh(c *Call) int {
+	fresh := c.Tokens
+	for i, hash := range c.Parts {
+		if _, ok := b.cached[hash]; !ok {
+			break
+		}
+		fresh -= c.PartTokens[i]
+	}
+	return max(fresh, 0)
+}
+
+// Shares of the time that a call waits for its adapter beside the load itself.
+const (
+	// displaceTime is the wait for the requests on an earlier version of the
+	// adapter to end: about half of a long stream.
+	displaceTime = 1200 * time.Millisecond
+	// crowdedTime is the wait for a slot where all adapters are in use.
+	crowdedTime = 800 * time.Millisecond
+	// laneTime is added for each adapter that loads there already.
+	laneTime = 60 * time.Millisecond
+)
+
+// loading returns the expected wait for the call's adapter.
+func (b *backend) loading(c *Call, s *Settings) time.Duration {
+	if c.Adapter == "" || !b.reported() {
+		return 0
+	}
+	name := c.Model + "/" + c.Adapter
+	a, held := b.adapters[name]
+	switch {
+	case held && a.Version >= c.Version && !a.Loading:
+		return 0
+	case held && a.Version >= c.Version:
+		return s.ColdLoad / 2
+	}
+	wait := s.ColdLoad
+	if _, warm := b.recent[name]; warm {
+		wait = s.WarmLoad
+	}
+	if held {
+		wait = s.ColdLoad
+		if a.Pins > 0 {
+			wait += displaceTime
+		}
+		return wait
+	}
+	idle, lanes := b.state.AdapterSlots-len(b.adapters), 0
+	for _, other := range b.adapters {
+		if other.Loading {
+			lanes++
+		} else if other.Pins == 0 {
+			idle++
+		}
+	}
+	if idle <= 0 {
+		wait += crowdedTime
+	}
+	return wait + time.Duration(lanes)*laneTime
+}
+
+// note takes an ending in.
+func (b *backend) note(now time.Time, e Ending, took time.Duration, s *Settings) {
+	const weight = 0.15
+	bad := 0.0
+	switch e {
+	case EndingWell:
+		b.suspicion, b.suspectUntil = 0, time.Time{}
+	case EndingUnreached:
+		b.suspicion = min(max(2*b.suspicion, s.Suspicion), s.SuspicionMax)
+		b.suspectUntil = now.Add(b.suspicion)
+		return
+	case EndingFailed, EndingBroken:
+		bad = 1
+	case EndingRefused, EndingGivenUp:
+		return
+	}
+	b.failures += (bad - b.failures) * weight
+	if e != EndingWell {
+		return
+	}
+	if b.callTime == 0 {
+		b.callTime = took
+		return
+	}
+	b.callTime += time.Duration(math.Round(float64(took-b.callTime) * weight))
+}
--- /dev/null
+++ b/internal/coordination/placer/placer.go
@@ -0,0 +1,277 @@
+package placer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// ErrNoBackend tells that no backend server of the service can take the call now.
+const ErrNoBackend = errors.ConstError("no backend server")
+
+// Placer chooses backend servers. Several goroutines may use it.
+type Placer struct {
+	settings Settings
+
+	mu sync.RWMutex
+	// pools holds the services by name; guarded by mu, each pool by its own lock.
+	pools map[string]*pool
+}
+
+// pool is one service.
+type pool struct {
+	mu sync.Mutex
+	// backends are sorted by name.
+	backends []*backend
+	engine   *tracker.Engine
+	random   *rand.Rand
+}
+
+// NewPlacer returns a placer without services.
+func NewPlacer(s Settings) *Placer {
+	if s.Random == nil {
+		panic("placer: NewPlacer needs a random source")
+	}
+	return &Placer{settings: s.withDefaults(), pools: make(map[string]*pool)}
+}
+
+// SetView brings the placer in line with what is known of the deployment. A
+// backend server in the same life keeps what was learnt of it.
+func (p *Placer) SetView(v *tracker.View) {
+	if v.Routing == nil {
+		return
+	}
+	for i := range v.Routing.Services {
+		s := &v.Routing.Services[i]
+		p.pool(s.Name).set(s.Engine, v.Members(s.Name))
+	}
+}
+
+func (p *Placer) pool(service string) *pool {
+	p.mu.RLock()
+	known := p.pools[service]
+	p.mu.RUnlock()
+	if known != nil {
+		return known
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pools[service] == nil {
+		p.pools[service] = &pool{random: rand.New(rand.NewPCG(p.settings.Random.Uint64(), p.settings.Random.Uint64()))}
+	}
+	return p.pools[service]
+}
+
+func (o *pool) set(engine *tracker.Engine, members []tracker.Member) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.engine = engine
+	was := make(map[string]*backend, len(o.backends))
+	for _, b := range o.backends {
+		was[b.member.Name] = b
+	}
+	o.backends = o.backends[:0:0]
+	for _, m := range members {
+		b := was[m.Name]
+		if b == nil || b.member.Spec.Incarnation != m.Spec.Incarnation {
+			b = newBackend(m)
+		}
+		b.member = m
+		o.backends = append(o.backends, b)
+	}
+}
+
+// Report takes a companion's report in.
+func (p *Placer) Report(now time.Time, service string, s messenger.BackendState) {
+	o := p.pool(service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, b := range o.backends {
+		if b.member.Name == s.Name && (s.Incarnation == "" || b.member.Spec.Incarnation == s.Incarnation) {
+			b.report(now, s)
+		}
+	}
+}
+
+// Choose picks the backend server for a call and counts the call there until
+// Finish. It fails with ErrNoBackend where there is none to take it.
+func (p *Placer) Choose(now time.Time, c *Call, choice *Choice) error {
+	o := p.pool(c.Service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	best := o.best(now, c, &p.settings, func(b *backend) bool {
+		return !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil)
+	})
+	if best == nil {
+		// All are suspect: one that may be well again is better than none.
+		best = o.best(now, c, &p.settings, func(b *backend) bool { return !slices.Contains(c.Avoid, b.member.Name) })
+	}
+	if best == nil {
+		return errors.Trace(ErrNoBackend)
+	}
+	o.take(now, c, best, choice, &p.settings)
+	return nil
+}
+
+func (o *pool) best(now time.Time, c *Call, s *Settings, may func(*backend) bool) *backend {
+	var best *backend
+	var least time.Duration
+	for _, b := range o.backends {
+		if b.member.Spec.State != storer.MemberStateServing || !may(b) {
+			continue
+		}
+		cost := o.cost(now, c, b, s)
+		if best == nil || cost < least {
+			best, least = b, cost
+		}
+	}
+	return best
+}
+
+const (
+	// runTime is what each running call counts for: it slows every token a
+	// little, and spreads calls where all else is equal.
+	runTime = 700 * time.Microsecond
+	// fullTime is what a full batch counts for.
+	fullTime = 2 * time.Second
+	// emptyTime is what an engine without its model counts for.
+	emptyTime = 1500 * time.Millisecond
+	// failureTime is what a share of 1 of failures counts for.
+	failureTime = 2 * time.Second
+	// homeTime is what each place in the adapter's order of engines counts for,
+	// where it is loaded nowhere: entries that choose without each other then
+	// load it at the same engine, which keeps its weights in memory.
+	homeTime = 15 * time.Millisecond
+)
+
+// cost is the expected time until the call's first byte, and what else speaks
+// against the backend server, in time.
+func (o *pool) cost(now time.Time, c *Call, b *backend, s *Settings) time.Duration {
+	cost := time.Duration(b.failures * float64(failureTime))
+	if b.member.Spec.FailureDomain != s.FailureDomain {
+		cost += s.Distance
+	}
+	if o.engine == nil {
+		return cost + o.serviceCost(now, b, s)
+	}
+	cost += b.backlog(now) + tokensTime(b.fresh(c), s) + time.Duration(b.running())*runTime
+	if wait := b.loading(c, s); wait > 0 {
+		cost += wait + time.Duration(o.place(c, b))*homeTime
+	}
+	if b.running() >= o.engine.Slots {
+		cost += fullTime
+	}
+	if b.reported() && c.Model != "" && !slices.Contains(b.state.Models, c.Model) {
+		cost += emptyTime
+	}
+	return cost
+}
+
+func tokensTime(tokens int, s *Settings) time.Duration {
+	return time.Duration(float64(tokens) / s.PrefillRate * float64(time.Second))
+}
+
+// loadAge is the age up to which a backend server's word on its load counts.
+const loadAge = 400 * time.Millisecond
+
+// serviceCost is the time in a plain service's queue: its calls over its places,
+// in call times.
+func (o *pool) serviceCost(now time.Time, b *backend, s *Settings) time.Duration {
+	calls := b.own
+	if now.Sub(b.loadAt) < loadAge {
+		calls = max(calls, b.load)
+	}
+	took := cmp.Or(b.callTime, s.CallTime)
+	places := max(1, b.member.Spec.Slots)
+	return took + time.Duration(float64(calls)/float64(places)*float64(took)) +
+		time.Duration(o.random.Int64N(int64(time.Millisecond)))
+}
+
+// place returns the backend server's place in the adapter's order of engines, the
+// highest hash first.
+func (o *pool) place(c *Call, b *backend) int {
+	own, place := affinity(c, b), 0
+	for _, other := range o.backends {
+		if other != b && other.member.Spec.State == storer.MemberStateServing && affinity(c, other) > own {
+			place++
+		}
+	}
+	return place
+}
+
+func affinity(c *Call, b *backend) uint64 {
+	return xxhash.Sum64String(c.Model + "/" + c.Adapter + " " + b.member.Name)
+}
+
+// take counts the call at the backend server, and fills in the choice.
+func (o *pool) take(now time.Time, c *Call, b *backend, choice *Choice, s *Settings) {
+	*choice = Choice{
+		Name: b.member.Name, Address: b.member.Spec.Address, Incarnation: b.member.Spec.Incarnation,
+		Domain: b.member.Spec.FailureDomain, Running: b.running(), Age: -1, backend: b, pool: o, began: now,
+	}
+	if b.reported() {
+		choice.Age = now.Sub(b.reportedAt)
+	}
+	if o.engine != nil {
+		choice.Backlog, choice.Load = b.backlog(now), b.loading(c, s)
+		choice.Read = tokensTime(b.fresh(c), s)
+		choice.fresh = choice.Read
+		b.placed += choice.Read
+		for _, hash := range c.Parts {
+			b.cached[hash] = struct{}{}
+		}
+		if name := c.Model + "/" + c.Adapter; c.Adapter != "" && choice.Load > 0 {
+			b.adapters[name] = messenger.AdapterState{Name: name, Version: c.Version, Loading: true, Pins: 1}
+		}
+	}
+	choice.Expected = o.cost(now, c, b, s)
+	b.own++
+	b.placedCalls++
+}
+
+// Finish ends a call at the backend server of a choice.
+func (p *Placer) Finish(now time.Time, choice *Choice, e Ending) {
+	o := choice.pool
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b := choice.backend
+	b.own--
+	b.placedCalls = max(0, b.placedCalls-1)
+	b.note(now, e, now.Sub(choice.began), &p.settings)
+}
+
+// First notes that the first byte of the answer came: the prompt has been read.
+func (p *Placer) First(_ time.Time, choice *Choice) {
+	o := choice.pool
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if choice.first {
+		return
+	}
+	choice.first = true
+	choice.backend.placed = max(0, choice.backend.placed-choice.fresh)
+}
+
+// Loaded takes a backend server's own word on its load in: running and waiting
+// calls.
+func (p *Placer) Loaded(now time.Time, choice *Choice, calls int) {
+	choice.pool.mu.Lock()
+	defer choice.pool.mu.Unlock()
+	choice.backend.load, choice.backend.loadAt = calls, now
+}
+
+// Suspect passes a backend server over for a while, which could not be reached.
+func (p *Placer) Suspect(now time.Time, choice *Choice) {
+	choice.pool.mu.Lock()
+	defer choice.pool.mu.Unlock()
+	choice.backend.note(now, EndingUnreached, 0, &p.settings)
+}
--- a/internal/coordination/replicator/admitter.go
+++ b/internal/coordination/replicator/admitter.go
@@ -21,8 +21,10 @@
 	if m.Formation == 0 || (r.identity.Formation != 0 && m.Formation != r.identity.Formation) {
 		return r.refuse(m, "of another formation of the group")
 	}
-	// Only a leader that feeds a learner may not know its disk.
-	unaddressed := m.ToIncarnation == 0 && (m.Kind == AppendRequest || m.Kind == SnapshotRequest) && !r.core.isVoter()
+	// A leader that feeds a learner may not know its disk. This host may still take
+	// itself for the voter that it was before it was removed: what it answers counts
+	// for nothing before the group gives this disk a vote again.
+	unaddressed := m.ToIncarnation == 0 && (m.Kind == AppendRequest || m.Kind == SnapshotRequest)
 	if m.ToIncarnation != r.identity.Incarnation && !unaddressed {
 		return r.refuse(m, "for another disk of this host")
 	}
--- a/internal/coordination/replicator/change.go
+++ b/internal/coordination/replicator/change.go
@@ -61,6 +61,22 @@
 	return n
 }
 
+// silent returns the voters that have not answered this leader lately. A voter
+// counts from the start of the leader's term.
+func (c *Core) silent() []HostID {
+	if c.role != Leader || c.commit < c.opened {
+		return nil
+	}
+	var silent []HostID
+	for _, m := range c.Configuration().Members {
+		p := c.peers[m.ID]
+		if m.Voter && m.ID != c.settings.Self && p != nil && c.clock-max(p.roundAt, c.electedAt) > SilentTimeouts*c.settings.ElectionTimeout {
+			silent = append(silent, m.ID)
+		}
+	}
+	return silent
+}
+
 // changed returns the configuration after a change.
 func (c *Core) changed(change Change) (Configuration, error) {
 	now := c.Configuration()
--- a/internal/coordination/replicator/status.go
+++ b/internal/coordination/replicator/status.go
@@ -7,7 +7,9 @@
 	Group     string
 	Formation uint64
 	Self      HostID
-	Role      Role
+	// Incarnation identifies this host's disk.
+	Incarnation uint64
+	Role        Role
 	Term      uint64
 	// Leader is the known leader, 0 for none.
 	Leader HostID
@@ -18,8 +20,15 @@
 	JournalBytes int64
 	// Members are those in force, committed or not.
 	Members []Member
+	// Silent are the voters that have not answered this leader for longer than
+	// SilentTimeouts election timeouts; none on a host that doesn't lead.
+	Silent []HostID
 }
 
+// SilentTimeouts is the number of election timeouts after which a voter counts as
+// silent: long enough that a lost message or a short pause is passed over.
+const SilentTimeouts = 2
+
 // published is what the loop shows to callers.
 type published struct {
 	status Status
@@ -41,10 +50,10 @@
 		p.contactAt = c.clock - contact
 	}
 	p.status = Status{
-		Group: r.settings.Group, Formation: r.replica.identity.Formation, Self: r.settings.Self.ID,
+		Group: r.settings.Group, Formation: r.replica.identity.Formation, Self: r.settings.Self.ID, Incarnation: r.replica.identity.Incarnation,
 		Role: c.role, Term: c.hard.Term, Leader: c.leader,
 		Commit: c.commit, Last: c.log.last(), Snapshot: c.snapshot.Index,
-		JournalBytes: r.replica.journal.Bytes(), Members: c.Configuration().Members,
+		JournalBytes: r.replica.journal.Bytes(), Members: c.Configuration().Members, Silent: c.silent(),
 	}
 	for _, m := range p.status.Members {
 		if c.CaughtUp(m.ID) {
--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -22,6 +22,16 @@
 	// MethodPiece carries a part of an answer to an entry: Piece.
 	MethodPiece Method = "Entry.Piece"
 
+	// MethodAdmit has an adapter made ready for a request: Admit, answered by
+	// Admitted.
+	MethodAdmit Method = "Companion.Admit"
+	// MethodRelease ends an admission: Release.
+	MethodRelease Method = "Companion.Release"
+	// MethodWatch asks for the backend server's state: Watch.
+	MethodWatch Method = "Companion.Watch"
+	// MethodState carries the backend server's state to an entry: BackendState.
+	MethodState Method = "Entry.State"
+
 	// MethodReplicate carries messages of the replicated log between control
 	// hosts (package replicator).
 	MethodReplicate Method = "Control.Replicate"
@@ -55,6 +65,10 @@
 	// MethodGroup reads and changes the control group (package distributor).
 	MethodGroup Method = "Control.Group"
 
+	// MethodEnlist tells the leader of a control host that wants to belong to the
+	// group (package distributor).
+	MethodEnlist Method = "Control.Enlist"
+
 	// MethodJoin begins a backend server's membership (package registrar).
 	MethodJoin Method = "Control.Join"
 	// MethodRenew renews memberships (package registrar).
--- a/internal/state/configurer/check.go
+++ b/internal/state/configurer/check.go
@@ -18,6 +18,7 @@
 	maxInterval = Duration(time.Minute)
 	maxTimeout  = Duration(24 * time.Hour)
 	maxCount    = 1 << 24
+	maxVoters   = 9
 	maxTokens   = 1 << 40
 )
 
--- a/internal/state/configurer/control.go
+++ b/internal/state/configurer/control.go
@@ -45,6 +45,10 @@
 	// it in as a learner. It excludes Bootstrap.
 	Join bool
 
+	// WantedVoters is the number of voters above which silent ones are removed
+	// without an operator; 0 leaves that to operators.
+	WantedVoters int
+
 	// ElectionTimeout is the least time without word from a leader after which
 	// a follower seeks an election; the real one is drawn from it to its
 	// double. DefaultElectionTimeout by default, and at least three times
@@ -142,6 +146,7 @@
 		c.fault(element("ControlHosts", own)+".Region", "differs from Region, %q", s.Region)
 	}
 	c.elections(t)
+	checkRange(c, "Control.WantedVoters", t.WantedVoters, 0, maxVoters)
 	checkRange(c, "Control.SnapshotEvery", t.SnapshotEvery, 100, maxCount)
 	checkRange(c, "Control.MemberLease", t.MemberLease, Duration(100*time.Millisecond), maxInterval)
 	checkRange(c, "Control.ConfigurationLease", t.ConfigurationLease, Duration(time.Second), Duration(time.Hour))
--- a/internal/state/storer/codec.go
+++ b/internal/state/storer/codec.go
@@ -46,6 +46,10 @@
 	commandLeaveMember    commandKind = 6
 	commandExpireMembers  commandKind = 7
 	commandSetRetention   commandKind = 8
+	commandPutRouting     commandKind = 9
+	commandNameNewest     commandKind = 10
+	commandAnnounce       commandKind = 11
+	commandRetire         commandKind = 12
 )
 
 // wireEnvelope is an Envelope in the log.
@@ -129,6 +133,14 @@
 		return commandExpireMembers, nil
 	case SetRetention:
 		return commandSetRetention, nil
+	case PutRouting:
+		return commandPutRouting, nil
+	case NameNewest:
+		return commandNameNewest, nil
+	case AnnounceMember:
+		return commandAnnounce, nil
+	case RetireMember:
+		return commandRetire, nil
 	default:
 		return 0, errors.Errorf("unknown command %T", c)
 	}
@@ -152,6 +164,14 @@
 		return decodeAs[ExpireMembers](data)
 	case commandSetRetention:
 		return decodeAs[SetRetention](data)
+	case commandPutRouting:
+		return decodeAs[PutRouting](data)
+	case commandNameNewest:
+		return decodeAs[NameNewest](data)
+	case commandAnnounce:
+		return decodeAs[AnnounceMember](data)
+	case commandRetire:
+		return decodeAs[RetireMember](data)
 	default:
 		return nil, errors.NotSupportedf("command kind %d", kind)
 	}
@@ -220,6 +240,10 @@
 		want = KindKey
 	case MemberSpec:
 		want = KindMember
+	case RoutingSpec:
+		want = KindRouting
+	case NewestSpec:
+		want = KindNewest
 	}
 	return want != KindNone && want == kind
 }
@@ -242,6 +266,10 @@
 		return specAs[KeySpec](unmarshal)
 	case KindMember:
 		return specAs[MemberSpec](unmarshal)
+	case KindRouting:
+		return specAs[RoutingSpec](unmarshal)
+	case KindNewest:
+		return specAs[NewestSpec](unmarshal)
 	default:
 		return nil, errors.Errorf("unknown resource kind %d", int(kind))
 	}
--- a/internal/state/storer/command.go
+++ b/internal/state/storer/command.go
@@ -15,8 +15,8 @@
 }
 
 // Command changes the replicated state: one of PutResource, DeleteResource,
-// ClaimCall, SettleClaim, JoinMember, LeaveMember, ExpireMembers and
-// SetRetention.
+// ClaimCall, SettleClaim, JoinMember, LeaveMember, ExpireMembers,
+// SetRetention, PutRouting, NameNewest, AnnounceMember and RetireMember.
 type Command interface{ command() }
 
 // PutResource writes a resource.
@@ -108,6 +108,34 @@
 	Retention Retention `cbor:"1,keyasint"`
 }
 
+// PutRouting declares a whole routing configuration. The highest number takes
+// effect; an equal or lower one is accepted and changes nothing.
+type PutRouting struct {
+	Number   uint64 `cbor:"1,keyasint,omitempty"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// NameNewest names the newest version of an adapter, or of a model, that no
+// workspace owns. A lower number than the one held changes nothing.
+type NameNewest struct {
+	Name    string `cbor:"1,keyasint,omitempty"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// AnnounceMember is a backend server's own word that it is there, under the name
+// of its address. In contrast to JoinMember it never takes back that an
+// incarnation leaves or has ended: such a message is a late one.
+type AnnounceMember struct {
+	Name   string     `cbor:"1,keyasint,omitempty"`
+	Member MemberSpec `cbor:"2,keyasint,omitempty"`
+}
+
+// RetireMember ends the membership of an incarnation for good.
+type RetireMember struct {
+	Name        string `cbor:"1,keyasint,omitempty"`
+	Incarnation string `cbor:"2,keyasint,omitempty"`
+}
+
 func (PutResource) command()    {}
 func (DeleteResource) command() {}
 func (ClaimCall) command()      {}
@@ -116,3 +144,7 @@
 func (LeaveMember) command()    {}
 func (ExpireMembers) command()  {}
 func (SetRetention) command()   {}
+func (PutRouting) command()     {}
+func (NameNewest) command()     {}
+func (AnnounceMember) command() {}
+func (RetireMember) command()   {}
--- a/internal/state/storer/kind.go
+++ b/internal/state/storer/kind.go
@@ -7,8 +7,9 @@
 // Kind tells the sorts of resources apart.
 type Kind int
 
-// The kinds of resources. Members are written by the registrar alone; all
-// others are declared by operators.
+// The kinds of resources. Members are written by the registrar alone, the
+// routing and the named versions by commands of their own; all others are
+// declared by operators one by one.
 const (
 	KindNone Kind = iota
 	KindWorkspace
@@ -18,8 +19,19 @@
 	KindService
 	KindKey
 	KindMember
+	// KindRouting is the whole routing configuration, one document.
+	KindRouting
+	// KindNewest is the newest version of an adapter or model that no workspace
+	// owns.
+	KindNewest
+
+	// kindLast is the last kind.
+	kindLast = KindNewest
 )
 
+// shared reports whether resources of the kind belong to no workspace.
+func (k Kind) shared() bool { return k == KindMember || k == KindRouting || k == KindNewest }
+
 // PathSegment returns the plural under which operators address the kind.
 func (k Kind) PathSegment() string {
 	switch k {
@@ -37,6 +49,10 @@
 		return "keys"
 	case KindMember:
 		return "members"
+	case KindRouting:
+		return "routing"
+	case KindNewest:
+		return "newest"
 	default:
 		return ""
 	}
@@ -44,7 +60,7 @@
 
 // ParsePathSegment returns the kind which operators address by segment.
 func ParsePathSegment(segment string) (Kind, error) {
-	for k := KindWorkspace; k <= KindMember; k++ {
+	for k := KindWorkspace; k <= kindLast; k++ {
 		if k.PathSegment() == segment {
 			return k, nil
 		}
--- a/internal/state/storer/kind_string.go
+++ b/internal/state/storer/kind_string.go
@@ -16,11 +16,13 @@
 	_ = x[KindService-5]
 	_ = x[KindKey-6]
 	_ = x[KindMember-7]
+	_ = x[KindRouting-8]
+	_ = x[KindNewest-9]
 }
 
-const _Kind_name = "NoneWorkspaceAdapterVersionPriorityRuleServiceKeyMember"
+const _Kind_name = "NoneWorkspaceAdapterVersionPriorityRuleServiceKeyMemberRoutingNewest"
 
-var _Kind_index = [...]uint8{0, 4, 13, 20, 27, 39, 46, 49, 55}
+var _Kind_index = [...]uint8{0, 4, 13, 20, 27, 39, 46, 49, 55, 62, 68}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/state/storer/reader.go
+++ b/internal/state/storer/reader.go
@@ -25,7 +25,7 @@
 // Get returns a resource.
 func (s *Store) Get(k Key) (Resource, bool) {
 	k = k.normalized()
-	if k.Kind <= KindNone || k.Kind > KindMember {
+	if k.Kind <= KindNone || k.Kind > kindLast {
 		return Resource{}, false
 	}
 	h := s.shard(k.Workspace)
@@ -43,10 +43,10 @@
 // over the whole state, whatever the workspace; an empty workspace lists any
 // other kind over all workspaces.
 func (s *Store) List(kind Kind, workspace string) (rs []Resource, revision uint64) {
-	if kind <= KindNone || kind > KindMember {
+	if kind <= KindNone || kind > kindLast {
 		return nil, s.Revision()
 	}
-	if workspace == "" || kind == KindWorkspace || kind == KindMember {
+	if workspace == "" || kind == KindWorkspace || kind.shared() {
 		rs, revision = s.collect(kind, kind)
 		slices.SortFunc(rs, compareResources)
 		return rs, revision
@@ -63,7 +63,7 @@
 // All returns all resources, sorted by kind, workspace and name, and the
 // revision which they are at.
 func (s *Store) All() (rs []Resource, revision uint64) {
-	rs, revision = s.collect(KindWorkspace, KindMember)
+	rs, revision = s.collect(KindWorkspace, kindLast)
 	slices.SortFunc(rs, compareResources)
 	return rs, revision
 }
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -142,6 +142,22 @@
 	Epoch uint64 `cbor:"12,keyasint,omitempty"`
 }
 
+// RoutingName is the name of the one routing configuration.
+const RoutingName = "routing"
+
+// RoutingSpec is a whole routing configuration.
+type RoutingSpec struct {
+	// Number is the operator's; the highest is in force.
+	Number uint64 `cbor:"1,keyasint,omitempty"`
+	// Document is the configuration as the operator sent it.
+	Document []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// NewestSpec names the newest version of an adapter or model.
+type NewestSpec struct {
+	Version uint64 `cbor:"1,keyasint,omitempty"`
+}
+
 func (WorkspaceSpec) spec()    {}
 func (AdapterSpec) spec()      {}
 func (VersionSpec) spec()      {}
@@ -149,6 +165,8 @@
 func (ServiceSpec) spec()      {}
 func (KeySpec) spec()          {}
 func (MemberSpec) spec()       {}
+func (RoutingSpec) spec()      {}
+func (NewestSpec) spec()       {}
 
 // Change is one step of the resource history: a resource as written, or its
 // deletion.
--- a/internal/state/storer/resources.go
+++ b/internal/state/storer/resources.go
@@ -13,8 +13,8 @@
 func (s *Store) putResource(index uint64, c PutResource) Result {
 	r := c.Resource
 	r.Metadata.Workspace = r.Key().normalized().Workspace
-	if r.Kind == KindMember {
-		return invalid(errors.New("members announce themselves"))
+	if r.Kind.shared() {
+		return invalid(errors.Errorf("a resource of kind %v is not declared one by one", r.Kind))
 	}
 	if err := Validate(r); err != nil {
 		return invalid(err)
@@ -146,8 +146,8 @@
 // deleteResource ends a resource that nothing refers to.
 func (s *Store) deleteResource(index uint64, c DeleteResource) Result {
 	k := c.Key.normalized()
-	if k.Kind == KindMember {
-		return invalid(errors.New("members leave by themselves"))
+	if k.Kind.shared() {
+		return invalid(errors.Errorf("a resource of kind %v is not deleted one by one", k.Kind))
 	}
 	if err := validateKey(k); err != nil {
 		return invalid(err)
--- a/internal/state/storer/shard.go
+++ b/internal/state/storer/shard.go
@@ -16,15 +16,15 @@
 // it. Only the goroutine that applies the log writes; readers are concurrent.
 type shard struct {
 	mu sync.RWMutex
-	// spaces holds the workspaces by name, and under the empty name the
-	// members; guarded by mu.
+	// spaces holds the workspaces by name, and under the empty name what
+	// belongs to none; guarded by mu.
 	spaces map[string]*space
 }
 
 // space is what belongs to one workspace; guarded by its shard's mu.
 type space struct {
 	// resources holds the resources by kind and name.
-	resources [KindMember + 1]map[string]Resource
+	resources [kindLast + 1]map[string]Resource
 	// versions counts the versions of each adapter that has some.
 	versions map[string]int
 	claims   map[string]Claim
--- a/internal/state/storer/snapshot.go
+++ b/internal/state/storer/snapshot.go
@@ -133,7 +133,7 @@
 		records: make([]record, 0, s.records.live),
 		retired: make([]retiredVersion, 0, s.retired.live),
 	}
-	c.resources, c.header.Revision = s.collect(KindWorkspace, KindMember)
+	c.resources, c.header.Revision = s.collect(KindWorkspace, kindLast)
 	for i := range s.shards {
 		s.shards[i].copyRecords(c)
 	}
--- a/internal/state/storer/store.go
+++ b/internal/state/storer/store.go
@@ -124,6 +124,14 @@
 		return s.leaveMember(index, c)
 	case ExpireMembers:
 		return s.expireMembers(index, c)
+	case PutRouting:
+		return s.putRouting(index, c)
+	case NameNewest:
+		return s.nameNewest(index, c)
+	case AnnounceMember:
+		return s.announceMember(index, c)
+	case RetireMember:
+		return s.retireMember(index, c)
 	case SetRetention:
 		s.retention = c.Retention.withDefaults()
 		s.history.trim(s.retention.HistoryChanges)
--- a/internal/state/storer/text.go
+++ b/internal/state/storer/text.go
@@ -7,10 +7,10 @@
 )
 
 // MarshalText returns the kind's name, as JSON shows it.
-func (k Kind) MarshalText() ([]byte, error) { return marshalName(k, KindMember) }
+func (k Kind) MarshalText() ([]byte, error) { return marshalName(k, kindLast) }
 
 // UnmarshalText is the inverse of MarshalText.
-func (k *Kind) UnmarshalText(text []byte) error { return unmarshalName(k, KindMember, text) }
+func (k *Kind) UnmarshalText(text []byte) error { return unmarshalName(k, kindLast, text) }
 
 // MarshalText returns the kind's name, as JSON shows it.
 func (k MemberKind) MarshalText() ([]byte, error) { return marshalName(k, MemberKindService) }
--- a/internal/state/storer/validator.go
+++ b/internal/state/storer/validator.go
@@ -64,6 +64,8 @@
 		return errors.Annotate(err, "Spec.Hash")
 	case MemberSpec:
 		return validateMember(s)
+	case RoutingSpec, NewestSpec:
+		return nil
 	default:
 		return errors.Errorf("unknown spec %T", s)
 	}
@@ -78,9 +80,12 @@
 }
 
 func validateKey(k Key) error {
-	if k.Kind == KindMember {
+	if k.Kind.shared() {
 		if k.Workspace != "" {
-			return errors.New("a member belongs to no workspace")
+			return errors.Errorf("a resource of kind %v belongs to no workspace", k.Kind)
+		}
+		if k.Kind != KindMember {
+			return errors.Annotate(validateText(k.Name), "name")
 		}
 		return errors.Annotate(validateMemberName(k.Name), "name of the member")
 	}
--- /dev/null
+++ b/internal/transport/attendant/attendant.go
@@ -0,0 +1,191 @@
+package attendant
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+)
+
+// Attendant stands beside one engine. It may be used by several goroutines.
+type Attendant struct {
+	settings Settings
+	metrics  *metrics
+	// life rises with each start of the process.
+	life   uint64
+	root   context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	// look wakes the observer.
+	look chan struct{}
+
+	// ordering is held while an order is given: each bases on the sequence that
+	// the one before left.
+	ordering sync.Mutex
+
+	mu sync.Mutex
+	// table is nil until the engine was seen; guarded by mu, as all below.
+	table *loader.Table
+	// report is the last one, of the life of the engine named incarnation, whose
+	// membership has the epoch.
+	report      Report
+	incarnation string
+	epoch       uint64
+	// reachable tells whether the last look at the engine succeeded.
+	reachable bool
+	guests    map[string]*guest
+	// blocked are guests that wait until an earlier version has left its slot.
+	blocked map[string]*guest
+	// early holds releases that came before their admission, with their time.
+	early    map[string]time.Time
+	watchers map[*messenger.Conn]struct{}
+	book     *cachebook
+	// recent lists adapters that left their slots, the latest last.
+	recent []string
+	// readUntil is when the prompts admitted so far are expected to be read.
+	readUntil time.Time
+	sequence  uint64
+	// changed tells that there is something to tell.
+	changed bool
+	closed  bool
+}
+
+// memoryShare is the part of an engine's memory that is believed to hold cached
+// prompt parts; running requests take the rest.
+const memoryShare = 0.7
+
+// NewAttendant returns an attendant that looks at its engine from now on.
+func NewAttendant(s Settings) *Attendant {
+	if s.Engine == nil || s.View == nil || s.Random == nil {
+		panic("attendant: NewAttendant needs an engine, a view and a random source")
+	}
+	s = s.withDefaults()
+	a := &Attendant{
+		settings: s,
+		life:     uint64(s.Now().UnixNano()),
+		look:     make(chan struct{}, 1),
+		guests:   make(map[string]*guest),
+		blocked:  make(map[string]*guest),
+		early:    make(map[string]time.Time),
+		watchers: make(map[*messenger.Conn]struct{}),
+		book:     newCachebook(0),
+	}
+	a.metrics = newMetrics(s.Registerer)
+	a.root, a.cancel = context.WithCancel(context.Background())
+	a.spawn(a.observe)
+	a.spawn(a.tell)
+	return a
+}
+
+// Ready reports whether the engine was seen.
+func (a *Attendant) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table != nil && a.reachable
+}
+
+// Idle reports whether no request is admitted or waits.
+func (a *Attendant) Idle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.guests) == 0
+}
+
+// Close ends the attendant and waits. The engine goes on with what it runs.
+func (a *Attendant) Close() error {
+	a.mu.Lock()
+	a.closed = true
+	a.mu.Unlock()
+	a.cancel()
+	a.tasks.Wait()
+	return nil
+}
+
+// spawn runs f in a goroutine that Close waits for.
+func (a *Attendant) spawn(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.spawnLocked(f)
+}
+
+func (a *Attendant) spawnLocked(f func()) {
+	if a.closed {
+		return
+	}
+	a.tasks.Go(f)
+}
+
+// pause waits, and returns false when the attendant closes.
+func (a *Attendant) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-a.root.Done():
+		return false
+	}
+}
+
+// Handle serves the messages of entries.
+func (a *Attendant) Handle(ctx context.Context, conn *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
+	switch method {
+	case messenger.MethodAdmit:
+		var m messenger.Admit
+		if err := messenger.Decode(params, &m); err != nil {
+			return nil, err
+		}
+		return a.admit(ctx, conn, m)
+	case messenger.MethodRelease:
+		var m messenger.Release
+		if err := messenger.Decode(params, &m); err != nil {
+			return nil, err
+		}
+		a.release(m.Request)
+		return nil, nil
+	case messenger.MethodWatch:
+		var m messenger.Watch
+		if err := messenger.Decode(params, &m); err != nil {
+			return nil, err
+		}
+		a.watch(conn)
+		return nil, nil
+	default:
+		return nil, messenger.NewRefusal(messenger.ReasonUnsupported, string(method))
+	}
+}
+
+// watch begins to tell an entry of the engine's state, and ends its requests'
+// admissions with the connection.
+func (a *Attendant) watch(conn *messenger.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.watchers[conn]; ok {
+		return
+	}
+	a.watchers[conn] = struct{}{}
+	a.changed = true
+	a.spawnLocked(func() {
+		select {
+		case <-conn.Done():
+		case <-a.root.Done():
+		}
+		a.forget(conn)
+	})
+}
+
+// forget drops an entry whose connection ended, and all that it was admitted: the
+// entry can't release it any more.
+func (a *Attendant) forget(conn *messenger.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.watchers, conn)
+	for _, g := range a.guests {
+		if g.conn == conn {
+			a.drop(g)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/attendant/metrics.go
@@ -0,0 +1,30 @@
+package attendant
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the attendant's.
+type metrics struct {
+	waited  prometheus.Histogram
+	loads   prometheus.Histogram
+	refused prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marigoldpoint_attendant_admission_seconds", Help: "Wait of admitted requests for their adapter.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}),
+		loads: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marigoldpoint_attendant_load_seconds", Help: "Time of adapter loads.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 10),
+		}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marigoldpoint_attendant_refused_total", Help: "Requests that were not admitted.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.waited, m.loads, m.refused)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/transport/attendant/observing.go
@@ -0,0 +1,151 @@
+package attendant
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// observe looks at the engine now and then, and has it hold its model.
+func (a *Attendant) observe() {
+	timer := time.NewTicker(a.settings.ObserveInterval)
+	defer timer.Stop()
+	for {
+		a.notice()
+		select {
+		case <-a.root.Done():
+			return
+		case <-timer.C:
+		case <-a.look:
+		}
+	}
+}
+
+// read asks the engine for its report.
+func (a *Attendant) read() (Report, error) {
+	ctx, cancel := context.WithTimeout(a.root, a.settings.OrderTimeout)
+	defer cancel()
+	r, err := a.settings.Engine.Report(ctx)
+	return r, errors.Trace(err)
+}
+
+// notice brings the slot table in line with the engine.
+func (a *Attendant) notice() {
+	member, known := a.settings.View().Member(a.settings.Name)
+	a.mu.Lock()
+	var sequence uint64
+	if a.table != nil {
+		sequence = a.table.Sequence()
+	}
+	a.mu.Unlock()
+	r, err := a.read()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	was := a.reachable
+	a.reachable = err == nil
+	if err != nil {
+		if was {
+			a.settings.Log.Warn().Err(err).Msg("engine lost")
+		}
+		return
+	}
+	if !was {
+		a.settings.Log.Info().Uint64("Sequence", r.Sequence).Int("Models", len(r.Models)).Msg("engine seen")
+	}
+	now := a.settings.Now()
+	a.take(now, r, member, known, sequence)
+	a.settle(now)
+	for request, at := range a.early {
+		if now.Sub(at) > earlyLimit {
+			delete(a.early, request)
+		}
+	}
+}
+
+// take takes a report in. The caller holds mu.
+func (a *Attendant) take(now time.Time, r Report, member tracker.Member, known bool, sequence uint64) {
+	engine := a.engineOf(member, known)
+	if engine == nil {
+		return
+	}
+	restarted := a.incarnation != "" && member.Spec.Incarnation != a.incarnation || r.Sequence < a.report.Sequence
+	a.incarnation, a.epoch = member.Spec.Incarnation, max(a.epoch, member.Spec.Epoch)
+	a.report = r
+	switch {
+	case a.table == nil:
+		a.begin(now, r, engine)
+	case restarted:
+		a.settings.Log.Warn().Str("Incarnation", a.incarnation).Msg("engine restarted")
+		a.book.clear()
+		a.recent = nil
+		a.apply(a.table.Restarted(now))
+	default:
+		a.apply(a.table.Observe(now, sequence, observed(r)))
+		a.apply(a.table.Tick(now))
+	}
+	if model := wantedModel(engine); model != "" && !r.holds(model) && !r.Busy {
+		a.spawnLocked(func() { a.loadModel(model) })
+	}
+}
+
+// engineOf returns how the service's engines are made, or nil.
+func (a *Attendant) engineOf(member tracker.Member, known bool) *tracker.Engine {
+	routing := a.settings.View().Routing
+	if !known || routing == nil {
+		return nil
+	}
+	service := routing.Service(member.Spec.Service)
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
+func (a *Attendant) begin(now time.Time, r Report, engine *tracker.Engine) {
+	a.table = loader.NewTable(loader.Settings{
+		Slots:           max(1, engine.AdapterSlots),
+		HalfLife:        a.settings.HalfLife,
+		Patience:        a.settings.Patience,
+		AssumedLoadTime: assumedLoadTime,
+		BackoffInitial:  backoffInitial,
+		BackoffMax:      backoffMax,
+		MaxPermits:      maxLoads,
+	}, 0, a.settings.Random)
+	a.book = newCachebook(int(float64(engine.MemoryTokens) * memoryShare))
+	a.table.Adopt(now, observed(r))
+	a.changed = true
+}
+
+// assumedLoadTime is the time of a load that was never seen.
+const assumedLoadTime = 250 * time.Millisecond
+
+func observed(r Report) []loader.Observed {
+	var out []loader.Observed
+	for _, s := range r.slots() {
+		out = append(out, loader.Observed{Version: s.version, Source: s.version, Loading: s.loading})
+	}
+	return out
+}
+
+// wantedModel returns the model that each engine of a service should hold: its
+// only one. Which of several models an engine holds is not decided here.
+func wantedModel(e *tracker.Engine) string {
+	if len(e.Models) != 1 {
+		return ""
+	}
+	return e.Models[0].Name
+}
+
+// loadModel has an engine that restarted empty load its model.
+func (a *Attendant) loadModel(model string) {
+	if err := a.order(Order{Kind: OrderLoad, Model: model}); err != nil {
+		a.settings.Log.Warn().Err(err).Str("Model", model).Msg("model not loaded")
+		return
+	}
+	a.settings.Log.Info().Str("Model", model).Msg("model ordered")
+}
+
--- /dev/null
+++ b/internal/transport/attendant/ordering.go
@@ -0,0 +1,253 @@
+package attendant
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+)
+
+// apply carries out the slot table's actions. The caller holds mu.
+func (a *Attendant) apply(actions []loader.Action) {
+	for _, action := range actions {
+		switch t := action.(type) {
+		case loader.PermitAction:
+			// The engines bound their own loads, and the store serves adapters
+			// without a permit.
+			a.apply(a.table.Permitted(a.settings.Now(), t.Version))
+		case loader.LoadAction:
+			a.spawnLocked(func() { a.load(t) })
+		case loader.UnloadAction:
+			a.noteEvicted(t.Version)
+			a.spawnLocked(func() { a.unload(t) })
+		case loader.FailAction:
+			if g := a.guests[t.Request]; g != nil {
+				g.wanted = false
+				a.refuse(g, loadRefusal(t))
+			}
+		case loader.LostAction:
+			// The engine restarted: the entry sees its request fail by itself.
+			if g := a.guests[t.Request]; g != nil {
+				g.wanted = false
+			}
+		case loader.ReadStateAction, loader.FencedAction:
+			a.wake()
+		case loader.ReadyAction, loader.WithdrawAction, loader.ReturnPermitAction:
+			// Guests are settled after each change; there are no permits to return.
+		}
+	}
+}
+
+// wake has the engine looked at now.
+func (a *Attendant) wake() {
+	select {
+	case a.look <- struct{}{}:
+	default:
+	}
+}
+
+// told passes an outcome to the table and does what follows.
+func (a *Attendant) told(event func(now time.Time) []loader.Action) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.settings.Now()
+	a.apply(event(now))
+	a.settle(now)
+	a.changed = true
+}
+
+// load orders an adapter and waits until the engine holds it.
+func (a *Attendant) load(l loader.LoadAction) {
+	began := a.settings.Now()
+	model, adapter, version := splitVersion(l.Version)
+	err := a.order(Order{Kind: OrderLoad, Model: model, Adapter: adapter, Version: version})
+	if err == nil {
+		err = a.awaitAdapter(l.Version, began)
+	}
+	took := a.settings.Now().Sub(began)
+	outcome, cause := loader.OutcomeDone, ""
+	if err != nil {
+		outcome, cause = loader.OutcomeFailed, err.Error()
+		a.settings.Log.Warn().Err(err).Str("Version", l.Version).Dur("Took", took).Msg("load failed")
+	} else {
+		a.metrics.loads.Observe(took.Seconds())
+	}
+	a.told(func(now time.Time) []loader.Action { return a.table.Loaded(now, l.Version, l.Fence, outcome, cause) })
+}
+
+// awaitAdapter waits until the engine holds the version.
+func (a *Attendant) awaitAdapter(version string, began time.Time) error {
+	missing := 0
+	for a.pause(a.settings.LoadPoll) {
+		r, err := a.read()
+		if err != nil {
+			return err
+		}
+		on := false
+		for _, s := range r.slots() {
+			if s.version != version {
+				continue
+			}
+			if !s.loading {
+				return nil
+			}
+			on = true
+		}
+		if on {
+			missing = 0
+		} else if missing++; missing > missingLimit {
+			return errors.New("the engine gave the load up")
+		}
+		if a.settings.Now().Sub(began) > a.settings.LoadLimit {
+			return errors.New("the load took too long")
+		}
+	}
+	return errors.New("the companion stops")
+}
+
+// missingLimit is the number of reports without a load that was accepted after
+// which it counts as given up: a report may be older than the order.
+const missingLimit = 6
+
+// unload orders an adapter out of its slot.
+func (a *Attendant) unload(u loader.UnloadAction) {
+	model, adapter, _ := splitVersion(u.Version)
+	outcome := loader.OutcomeDone
+	if err := a.order(Order{Kind: OrderUnload, Model: model, Adapter: adapter}); err != nil {
+		outcome = loader.OutcomeUnknown
+		a.settings.Log.Warn().Err(err).Str("Version", u.Version).Msg("unload failed")
+	} else if err := a.awaitGone(u.Version); err != nil {
+		outcome = loader.OutcomeUnknown
+		a.settings.Log.Warn().Err(err).Str("Version", u.Version).Msg("unload not seen")
+	}
+	a.told(func(now time.Time) []loader.Action { return a.table.Unloaded(now, u.Version, u.Fence, outcome) })
+}
+
+// awaitGone waits until the engine holds the version no more.
+func (a *Attendant) awaitGone(version string) error {
+	for began := a.settings.Now(); a.settings.Now().Sub(began) < a.settings.LoadLimit; {
+		r, err := a.read()
+		if err != nil {
+			return err
+		}
+		if !r.occupies(version) {
+			return nil
+		}
+		if !a.pause(a.settings.LoadPoll) {
+			break
+		}
+	}
+	return errors.New("the adapter stays")
+}
+
+func (r Report) occupies(version string) bool {
+	for _, s := range r.slots() {
+		if s.version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// satisfied reports whether the engine is as the order wants it, or on its way.
+func (r Report) satisfied(o Order) bool {
+	if o.Adapter == "" {
+		return r.holds(o.Model) == (o.Kind == OrderLoad)
+	}
+	for _, s := range r.slots() {
+		model, adapter, version := splitVersion(s.version)
+		if model == o.Model && adapter == o.Adapter {
+			return o.Kind == OrderLoad && version == o.Version
+		}
+	}
+	return o.Kind == OrderUnload
+}
+
+// orderAttempts bounds the sendings of one order.
+const orderAttempts = 8
+
+// order gives an order, based on what the engine has accepted so far, until it is
+// accepted or what it asks for is so.
+//
+// An order without an answer may be carried out seconds later. Each names the
+// sequence that it is based on: whichever of two like orders comes first makes the
+// other one void, and one that comes after a later order is refused. Without it a
+// late unload would drop an adapter that was loaded anew.
+func (a *Attendant) order(o Order) error {
+	a.ordering.Lock()
+	defer a.ordering.Unlock()
+	var last error
+	for attempt := range orderAttempts {
+		if attempt > 0 && !a.pause(a.settings.LoadPoll) {
+			break
+		}
+		r, err := a.read()
+		if err != nil {
+			last = err
+			continue
+		}
+		if r.satisfied(o) {
+			return nil
+		}
+		if o.Kind == OrderLoad && o.Adapter != "" && (!r.holds(o.Model) || len(r.slots()) >= a.slotCount()) {
+			// More than fit would crash the engine.
+			last = errors.New("no free slot, or no model")
+			continue
+		}
+		reply, err := a.give(o, r)
+		switch {
+		case err != nil:
+			last = err
+		case reply == ReplyAccepted, reply == ReplyHolds:
+			return nil
+		default:
+			last = errors.Errorf("the engine answered %s", reply)
+			if reply == ReplyFenced || reply == ReplyRefused {
+				return last
+			}
+		}
+	}
+	return last
+}
+
+func (a *Attendant) give(o Order, r Report) (Reply, error) {
+	a.mu.Lock()
+	o.Expect, o.Fence, o.Incarnation = r.Sequence, a.epoch, a.incarnation
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(a.root, a.settings.OrderTimeout)
+	defer cancel()
+	reply, err := a.settings.Engine.Order(ctx, o)
+	a.settings.Log.Debug().Err(err).Stringer("Kind", o.Kind).Str("Model", o.Model).Str("Adapter", o.Adapter).Uint64("Version", o.Version).
+		Uint64("Expect", o.Expect).Uint64("Fence", o.Fence).Stringer("Reply", reply).Msg("order")
+	return reply, errors.Trace(err)
+}
+
+func (a *Attendant) slotCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.table == nil {
+		return 0
+	}
+	return a.table.Slots()
+}
+
+// recentLimit is the number of adapters remembered that left their slots. The
+// engine keeps their weights in its own memory.
+const recentLimit = 40
+
+func (a *Attendant) noteEvicted(version string) {
+	model, adapter, _ := splitVersion(version)
+	name := adapterName(model, adapter)
+	kept := a.recent[:0]
+	for _, r := range a.recent {
+		if r != name {
+			kept = append(kept, r)
+		}
+	}
+	a.recent = append(kept, name)
+	if over := len(a.recent) - recentLimit; over > 0 {
+		a.recent = a.recent[over:]
+	}
+}
--- /dev/null
+++ b/internal/transport/controller/announcing.go
@@ -0,0 +1,88 @@
+package controller
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
+
+// ErrUncertain tells that this host can't be sure of what is in force: the
+// sender should ask another one.
+const ErrUncertain = errors.ConstError("this control host is not in touch with a leader")
+
+// certainLimit is the age of this host's knowledge up to which it takes
+// heartbeats: two of a leader's pulses, and time for one to be late. A heartbeat
+// taken by a host that is cut off reaches no leader, and the lease of a backend
+// server that is well would run out.
+const certainLimit = time.Second
+
+// Announce takes a backend server's word that it is there. A heartbeat that
+// brings nothing new only renews the lease; all else is accepted through the log
+// before Announce returns, and then reaches every entry.
+func (c *Control) Announce(ctx context.Context, m storer.MemberSpec) error {
+	name := MemberName(m.Address)
+	if r, ok := c.store.Get(storer.Key{Kind: storer.KindMember, Name: name}); ok {
+		held := r.Spec.(storer.MemberSpec)
+		m.Epoch = held.Epoch
+		if held == m {
+			return c.renewAnnounced(name, held.Epoch)
+		}
+		m.Epoch = 0
+	}
+	result, err := c.Propose(ctx, storer.Envelope{Command: storer.AnnounceMember{Name: name, Member: m}})
+	switch {
+	case err != nil:
+		return err
+	case result.Verdict == storer.VerdictStale:
+		// A late message of a life that has ended: its sender is gone.
+		c.settings.Log.Info().Str("Backend", name).Str("Incarnation", m.Incarnation).Msg("late announcement passed over")
+		return nil
+	case result.Verdict != storer.VerdictAccepted:
+		return errors.NotValidf("announcement: %s", result.Reason)
+	}
+	kind := recorder.KindMemberJoined
+	if m.State == storer.MemberStateLeaving {
+		kind = recorder.KindMemberLeaving
+	}
+	c.recordBackend(kind, name, "%s of %s", m.Incarnation, m.Service)
+	c.settings.Log.Info().Str("Backend", name).Str("Incarnation", m.Incarnation).Str("Service", m.Service).
+		Stringer("State", m.State).Uint64("Revision", result.Revision).Msg("backend server announced")
+	return nil
+}
+
+func (c *Control) renewAnnounced(name string, epoch uint64) error {
+	if age, ok := c.freshness(); !ok || age > certainLimit {
+		return ErrUncertain
+	}
+	c.relay.renew(nil, registrar.LeaseRenewal{Name: name, Epoch: epoch})
+	return nil
+}
+
+// Retire takes the word that an incarnation has ended, wherever it was.
+func (c *Control) Retire(ctx context.Context, incarnation string) error {
+	members, _ := c.store.List(storer.KindMember, "")
+	for _, m := range members {
+		if m.Spec.(storer.MemberSpec).Incarnation != incarnation {
+			continue
+		}
+		_, err := c.Propose(ctx, storer.Envelope{Command: storer.RetireMember{Name: m.Metadata.Name, Incarnation: incarnation}})
+		if err == nil {
+			c.recordBackend(recorder.KindMemberEnded, m.Metadata.Name, "%s", incarnation)
+			c.settings.Log.Info().Str("Backend", m.Metadata.Name).Str("Incarnation", incarnation).Msg("backend server retired")
+		}
+		return err
+	}
+	if age, ok := c.freshness(); !ok || age > certainLimit {
+		return ErrUncertain
+	}
+	return nil
+}
+
+// MemberName returns the name of the backend server at an address, IP:port.
+func MemberName(address string) string { return strings.ReplaceAll(address, ":", "-") }
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -10,6 +10,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/replicator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/transport/dialer"
@@ -101,6 +102,9 @@
 	go c.watchLeadership()
 }
 
+// SetHosts replaces the control hosts of the settings.
+func (c *Control) SetHosts(hosts []configurer.ControlHost) { c.links.set(hosts) }
+
 // Store returns the host's copy of the replicated state. It may be behind.
 func (c *Control) Store() *storer.Store { return c.store }
 
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -30,6 +30,9 @@
 	// leasesMu.
 	seen uint64
 
+	// changing is held during a change of the control group's membership.
+	changing sync.Mutex
+
 	permitsMu sync.Mutex
 	// permits is the list of permits; guarded by permitsMu.
 	permits *permitter.Table
@@ -136,6 +139,7 @@
 		}
 		d.follow()
 		d.expire()
+		d.review()
 		d.grant()
 	}
 }
--- a/internal/transport/controller/handler.go
+++ b/internal/transport/controller/handler.go
@@ -57,6 +57,8 @@
 		return answer(params, func(r distributor.TallyRequest) (distributor.TallyAnswer, error) { return c.tallyHere(r), nil })
 	case messenger.MethodGroup:
 		return answer(params, func(g distributor.GroupChange) (distributor.Group, error) { return c.group(ctx, g) })
+	case messenger.MethodEnlist:
+		return answer(params, func(e distributor.Enlistment) (distributor.Group, error) { return c.enlist(ctx, e) })
 	case messenger.MethodJoin:
 		return answer(params, func(j registrar.JoinRequest) (registrar.Lease, error) { return c.join(ctx, j) })
 	case messenger.MethodLeave:
--- a/internal/transport/controller/link.go
+++ b/internal/transport/controller/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/replicator"
@@ -65,6 +67,29 @@
 	return l.fixed[id]
 }
 
+// hosts returns the addresses of all control hosts that were ever told of.
+func (l *links) hosts() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	addresses := slices.Collect(maps.Values(l.fixed))
+	for _, a := range l.known {
+		if !slices.Contains(addresses, a) {
+			addresses = append(addresses, a)
+		}
+	}
+	return addresses
+}
+
+// set replaces the addresses of the settings.
+func (l *links) set(hosts []configurer.ControlHost) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.fixed)
+	for _, h := range hosts {
+		l.fixed[replicator.HostID(h.ID)] = h.Address
+	}
+}
+
 // Send queues messages for a host.
 func (l *links) Send(to replicator.HostID, ms []replicator.Message) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/transport/relayer/call.go
@@ -0,0 +1,80 @@
+package relayer
+
+import (
+	"net/http"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// Call is what the relayer needs to know of a caller's request.
+type Call struct {
+	// ID is the caller's name for this attempt of its own.
+	ID string
+	// Host and Path select the route.
+	Host string
+	Path string
+	// Deadline is how long the caller waits; 0 means not told.
+	Deadline time.Duration
+	// Model and Adapter are empty where the call needs none.
+	Model   string
+	Adapter string
+	// Parts are the shared parts of the prompt in order.
+	Parts []messenger.Part
+	// PromptTokens is the size of the prompt, AnswerTokens the most that the
+	// answer may have; 0 means not told.
+	PromptTokens int
+	AnswerTokens int
+}
+
+// Attempt is what a backend server is told beside the caller's own request.
+type Attempt struct {
+	// Left is the time that the backend server has.
+	Left time.Duration
+	// Incarnation is the life of the backend server that is meant.
+	Incarnation string
+	// Version is the adapter's; 0 means that none is meant.
+	Version uint64
+	// Urgency ranges from 0, first, to 9; negative means none.
+	Urgency int
+	// After is the last event that the caller has; empty means as the caller
+	// sent it.
+	After string
+}
+
+// Head is what an answer's head tells.
+type Head struct {
+	// Request is the id of the request that is answered; empty means not told.
+	Request string
+	// NotRun means that the backend server has not run the request.
+	NotRun bool
+	// Signed means that the backend server has run it and vouches for the answer.
+	Signed bool
+	// Calls is the number of calls at the backend server; negative means not
+	// told.
+	Calls int
+	// Keep is for how long the connection may stay idle; 0 means not told.
+	Keep time.Duration
+}
+
+// Translator knows the protocol of callers and backend servers.
+type Translator interface {
+	// Call reads a caller's request.
+	Call(r *http.Request) (Call, error)
+	// Header returns the head of the request to a backend server.
+	Header(received http.Header, a Attempt) http.Header
+	// Head reads the head of an answer.
+	Head(status int, h http.Header) Head
+	// AnswerHeader returns the head of the answer to the caller.
+	AnswerHeader(h http.Header) http.Header
+}
+
+// urgencyStep is the distance between the urgencies of two ranks, so that a few
+// ranks spread over the range.
+const urgencyStep = 3
+
+// maxUrgency is the last of all.
+const maxUrgency = 9
+
+func urgencyOf(r *tracker.Route) int { return min(r.Priority*urgencyStep, maxUrgency) }
--- /dev/null
+++ b/internal/transport/relayer/metrics.go
@@ -0,0 +1,48 @@
+package relayer
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the relayer's.
+type metrics struct {
+	calls      *prometheus.CounterVec
+	took       prometheus.Histogram
+	first      prometheus.Histogram
+	failures   *prometheus.CounterVec
+	unattended prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
+		}, []string{"outcome", "status"}),
+		took: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marigoldpoint_relayer_call_seconds", Help: "Time of calls.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
+		}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marigoldpoint_relayer_first_event_seconds", Help: "Time to a stream's first event.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldpoint_relayer_failed_sends_total", Help: "Sendings that did not answer their call, by service.",
+		}, []string{"service"}),
+		unattended: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marigoldpoint_relayer_unattended_total", Help: "Calls sent without their companion's admission.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.calls, m.took, m.first, m.failures, m.unattended)
+	}
+	return m
+}
+
+func (m *metrics) answered(outcome string, status int, took time.Duration) {
+	m.calls.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
+	m.took.Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/transport/relayer/relayer.go
@@ -0,0 +1,144 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// Relayer serves opaque calls. Several goroutines may use it.
+type Relayer struct {
+	settings Settings
+	metrics  *metrics
+	budget   *budget
+	root     context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	// inFlight counts the calls in progress.
+	inFlight atomic.Int64
+	// look wakes the watch over companions.
+	look chan struct{}
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	watchedMu sync.Mutex
+	// watched holds the connection on which each companion tells its state, by
+	// address; guarded by watchedMu.
+	watched map[string]*messenger.Conn
+}
+
+// NewRelayer returns a relayer that follows its view from now on. Calls reach it
+// by ServeHTTP.
+func NewRelayer(s Settings) *Relayer {
+	s = s.withDefaults()
+	r := &Relayer{
+		settings: s,
+		metrics:  newMetrics(s.Registerer),
+		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
+		look:     make(chan struct{}, 1),
+		random:   s.Random,
+		watched:  make(map[string]*messenger.Conn),
+	}
+	r.root, r.cancel = context.WithCancel(context.Background())
+	r.tasks.Go(r.watchCompanions)
+	return r
+}
+
+// InFlight returns the number of calls in progress.
+func (r *Relayer) InFlight() int { return int(r.inFlight.Load()) }
+
+// ViewChanged has the relayer follow a new view. It is quick.
+func (r *Relayer) ViewChanged(v *tracker.View) {
+	r.settings.Placer.SetView(v)
+	select {
+	case r.look <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the watch over companions and waits. Calls in progress are their
+// server's to end.
+func (r *Relayer) Close() error {
+	r.cancel()
+	r.tasks.Wait()
+	return nil
+}
+
+// Handle takes what companions send.
+func (r *Relayer) Handle(_ context.Context, _ *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
+	if method != messenger.MethodState {
+		return nil, messenger.NewRefusal(messenger.ReasonUnsupported, string(method))
+	}
+	var s messenger.BackendState
+	if err := messenger.Decode(params, &s); err != nil {
+		return nil, err
+	}
+	if m, ok := r.settings.View().Member(s.Name); ok {
+		r.settings.Placer.Report(r.settings.Now(), m.Spec.Service, s)
+	}
+	return nil, nil
+}
+
+// watchCompanions keeps each companion telling its state.
+func (r *Relayer) watchCompanions() {
+	ticker := time.NewTicker(r.settings.WatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.root.Done():
+			return
+		case <-ticker.C:
+		case <-r.look:
+		}
+		v := r.settings.View()
+		if v.Routing == nil {
+			continue
+		}
+		var wanted []string
+		v.Each(func(m tracker.Member) {
+			s := v.Routing.Service(m.Spec.Service)
+			if s != nil && s.Engine != nil && m.Spec.State == storer.MemberStateServing {
+				wanted = append(wanted, r.settings.CompanionAddress(m))
+			}
+		})
+		for _, address := range wanted {
+			r.tasks.Go(func() { r.watch(address) })
+		}
+	}
+}
+
+// watch asks one companion to tell its state, unless it does.
+func (r *Relayer) watch(address string) {
+	ctx, cancel := context.WithTimeout(r.root, r.settings.WatchInterval)
+	defer cancel()
+	conn, err := r.settings.Companions.Conn(ctx, address)
+	if err != nil {
+		return
+	}
+	r.watchedMu.Lock()
+	known := r.watched[address] == conn
+	r.watched[address] = conn
+	r.watchedMu.Unlock()
+	if known {
+		return
+	}
+	r.settings.Log.Info().Str("Companion", address).Msg("companion reached")
+	if err := conn.Notify(ctx, messenger.MethodWatch, messenger.Watch{Node: r.settings.Node}); err != nil {
+		r.settings.Log.Debug().Err(err).Str("Companion", address).Msg("companion not asked")
+	}
+}
+
+// draw returns an even draw from 0 to 1.
+func (r *Relayer) draw() float64 {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	return r.random.Float64()
+}
--- /dev/null
+++ b/internal/transport/relayer/run.go
@@ -0,0 +1,257 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// verdict tells what became of one sending.
+type verdict int
+
+const (
+	// verdictAnswered means that the caller has its answer, whole.
+	verdictAnswered verdict = iota
+	// verdictNotRun means that the backend server did not run the call.
+	verdictNotRun
+	// verdictUnknown means that it may have.
+	verdictUnknown
+	// verdictFailed means that it ran and failed; the answer is kept.
+	verdictFailed
+	// verdictEnded means that the caller or the time is gone.
+	verdictEnded
+)
+
+const (
+	// maxTries bounds the backend servers that are asked for one call, those
+	// included that refused it unread.
+	maxTries = 6
+	// noBackendPause is the wait for a backend server where there is none.
+	noBackendPause = 50 * time.Millisecond
+	// noBackendLimit bounds it.
+	noBackendLimit = 400 * time.Millisecond
+)
+
+// repeatable reports whether the call may run again.
+func (j *job) repeatable() bool { return j.route.Repeat == tracker.RepeatFreely || j.route.Resumable }
+
+// run tries backend servers until the call is answered.
+func (j *job) run() {
+	for try := 0; ; try++ {
+		if j.ctx.Err() != nil {
+			j.giveUp()
+			return
+		}
+		if try == maxTries {
+			j.exhausted("tried all that may take it")
+			return
+		}
+		if err := j.choose(); err != nil {
+			j.exhausted(err.Error())
+			return
+		}
+		if !j.mayGo() {
+			j.exhausted("no attempt or retry budget left")
+			return
+		}
+		switch v := j.attempt(); v {
+		case verdictAnswered:
+			return
+		case verdictEnded:
+			j.giveUp()
+			return
+		case verdictNotRun:
+		case verdictUnknown:
+			if j.mayHaveRun = true; !j.repeatable() {
+				j.exhausted("the backend server gave no answer")
+				return
+			}
+		case verdictFailed:
+			if j.mayHaveRun = true; !j.repeatable() {
+				j.exhausted("the backend server failed")
+				return
+			}
+		}
+		j.avoid = append(j.avoid, j.choice.Name)
+	}
+}
+
+// mayGo reports whether the call may be handed to one more backend server.
+func (j *job) mayGo() bool {
+	if j.sent == 0 {
+		return true
+	}
+	if j.sent >= max(1, j.route.MaxAttempts) || !j.relayer.budget.take(j.relayer.settings.Now(), j.service.Name) {
+		j.release(placer.EndingGivenUp)
+		return false
+	}
+	return true
+}
+
+// choose picks a backend server, and waits a little where there is none.
+func (j *job) choose() error {
+	r := j.relayer
+	c := j.wanted()
+	for waited := time.Duration(0); ; waited += noBackendPause {
+		err := r.settings.Placer.Choose(r.settings.Now(), c, &j.choice)
+		if err == nil || waited >= noBackendLimit || len(j.avoid) > 0 || !pauseIn(j.ctx, noBackendPause) {
+			return err
+		}
+	}
+}
+
+func pauseIn(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// wanted returns the call as the placer sees it.
+func (j *job) wanted() *placer.Call {
+	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid}
+	if j.service.Engine == nil {
+		return c
+	}
+	c.Model, c.Adapter, c.Tokens = j.call.Model, j.call.Adapter, j.call.PromptTokens
+	if c.Adapter != "" {
+		c.Version = j.relayer.settings.View().Newest(c.Model + "/" + c.Adapter)
+	}
+	before := uint32(0)
+	name := c.Model + "/" + c.Adapter
+	for _, p := range j.call.Parts {
+		before = placer.PartHash(name, before, p.ID)
+		c.Parts = append(c.Parts, before)
+		c.PartTokens = append(c.PartTokens, p.Tokens)
+	}
+	return c
+}
+
+// attempt has the call admitted, and hands it to the backend server chosen.
+func (j *job) attempt() verdict {
+	r := j.relayer
+	a := Attempt{Incarnation: j.choice.Incarnation, Urgency: -1, After: j.lastEvent}
+	if j.service.Engine != nil {
+		a.Urgency = urgencyOf(j.route)
+		admitted, release, err := j.admit()
+		if err != nil {
+			j.release(placer.EndingRefused)
+			return verdictNotRun
+		}
+		defer release()
+		if a.Version = admitted.Version; j.call.Adapter == "" {
+			a.Version = 0
+		}
+	}
+	a.Left = j.deadline.Sub(r.settings.Now())
+	return j.send(a)
+}
+
+// release ends the choice.
+func (j *job) release(e placer.Ending) {
+	j.relayer.settings.Placer.Finish(j.relayer.settings.Now(), &j.choice, e)
+}
+
+// admit asks the companion to have the adapter ready. Where the companion can't be
+// reached, the call goes to the engine all the same, which refuses what it does
+// not hold.
+func (j *job) admit() (messenger.Admitted, func(), error) {
+	r := j.relayer
+	began := r.settings.Now()
+	m, ok := r.settings.View().Member(j.choice.Name)
+	if !ok {
+		return messenger.Admitted{}, nil, errors.New("the backend server has left")
+	}
+	wait := min(r.settings.AdmitTimeout, j.deadline.Sub(began))
+	ask := messenger.Admit{
+		Request: j.call.ID, Incarnation: j.choice.Incarnation,
+		Model: j.call.Model, Adapter: j.call.Adapter,
+		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
+	}
+	if ask.Adapter != "" {
+		ask.Version = r.settings.View().Newest(ask.Model + "/" + ask.Adapter)
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, wait+admitMargin)
+	defer cancel()
+	var admitted messenger.Admitted
+	conn, err := r.settings.Companions.Conn(ctx, r.settings.CompanionAddress(m))
+	if err != nil {
+		r.metrics.unattended.Inc()
+		return messenger.Admitted{Version: ask.Version}, func() {}, nil
+	}
+	err = conn.Call(ctx, messenger.MethodAdmit, ask, &admitted)
+	j.waited += r.settings.Now().Sub(began)
+	release := func() {
+		// A companion that is gone has forgotten the admission by itself.
+		_ = conn.Notify(r.root, messenger.MethodRelease, messenger.Release{Request: ask.Request})
+	}
+	var refusal *messenger.Refusal
+	switch {
+	case err == nil:
+		return admitted, release, nil
+	case errors.As(err, &refusal):
+		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Reason", refusal.Detail).
+			Dur("Waited", r.settings.Now().Sub(began)).Msg("not admitted")
+		return messenger.Admitted{}, nil, err
+	case j.ctx.Err() != nil:
+		release()
+		return messenger.Admitted{}, nil, err
+	default:
+		release()
+		r.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).Msg("companion lost")
+		return messenger.Admitted{Version: ask.Version}, func() {}, nil
+	}
+}
+
+// admitMargin is the time that a companion's own refusal at the end of the wait
+// needs on its way.
+const admitMargin = 100 * time.Millisecond
+
+// giveUp answers a call whose time is over, or whose caller has left.
+func (j *job) giveUp() {
+	switch {
+	case j.request.Context().Err() != nil:
+		j.log("left", 0, "the caller has left")
+	case j.failed != nil:
+		j.giveKept()
+	case j.sent > 0:
+		_ = j.refuse(http.StatusGatewayTimeout, "no answer in time", 0)
+	default:
+		_ = j.refuse(http.StatusServiceUnavailable, "not run in time", j.relayer.settings.RetryAfter)
+	}
+}
+
+// exhausted answers a call that no backend server is left for.
+func (j *job) exhausted(reason string) {
+	switch {
+	case j.failed != nil && !j.began:
+		j.giveKept()
+	case j.mayHaveRun || j.began:
+		_ = j.refuse(http.StatusBadGateway, reason, 0)
+	default:
+		_ = j.refuse(http.StatusServiceUnavailable, reason, j.relayer.settings.RetryAfter)
+	}
+}
+
+// giveKept passes a backend server's own failure on.
+func (j *job) giveKept() {
+	j.began = true
+	h := j.writer.Header()
+	for k, v := range j.failed.header {
+		h[k] = v
+	}
+	j.writer.WriteHeader(j.failed.status)
+	// A caller that has gone needs no answer.
+	_, _ = j.writer.Write(j.failed.body)
+	j.log(outcomeAnswered, j.failed.status, "the backend server's failure")
+}
--- /dev/null
+++ b/internal/transport/relayer/serve.go
@@ -0,0 +1,152 @@
+package relayer
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// job is one call in progress.
+type job struct {
+	relayer *Relayer
+	writer  http.ResponseWriter
+	request *http.Request
+	call    Call
+	route   *tracker.Route
+	service *tracker.Service
+	body    []byte
+	arrived time.Time
+	// deadline ends the call, the caller's or the route's, whichever is first.
+	deadline time.Time
+	ctx      context.Context
+
+	// avoid names the backend servers that were tried.
+	avoid []string
+	// sent counts the backend servers that the call was handed to, and mayHaveRun
+	// tells that one of them may have run it.
+	sent       int
+	mayHaveRun bool
+	// failed is a backend server's own failure, the answer of last resort.
+	failed *kept
+	// began tells that the answer's head has gone to the caller.
+	began bool
+	// lastEvent is the id of the last whole event passed on.
+	lastEvent string
+	choice    placer.Choice
+	waited    time.Duration
+}
+
+// kept is an answer that was read whole.
+type kept struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ServeHTTP serves one call.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	j := &job{relayer: r, writer: w, request: request, arrived: r.settings.Now(), ctx: request.Context()}
+	if err := j.receive(); err != nil {
+		return
+	}
+	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
+	defer cancel()
+	j.ctx = ctx
+	j.run()
+}
+
+// errAnswered tells that the call has had its answer.
+const errAnswered = errors.ConstError("answered")
+
+// receive reads the request and finds its route. It answers what can't be served.
+func (j *job) receive() error {
+	r := j.relayer
+	call, err := r.settings.Translator.Call(j.request)
+	if err != nil {
+		return j.refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	j.call = call
+	routing := r.settings.View().Routing
+	if routing == nil {
+		return j.refuse(http.StatusServiceUnavailable, "no configuration is known yet", r.settings.RetryAfter)
+	}
+	if j.route = routing.Match(call.Host, call.Path); j.route == nil {
+		return j.refuse(http.StatusNotFound, "no route", 0)
+	}
+	j.service = routing.Service(j.route.Pick(r.draw()))
+	wait := j.route.Timeout
+	if call.Deadline > 0 {
+		wait = min(wait, call.Deadline)
+	}
+	j.deadline = j.arrived.Add(wait)
+	limit := cmp.Or(routing.Limits.BodyBytes, DefaultBodyBytes)
+	if j.request.ContentLength > limit {
+		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+	}
+	j.body, err = io.ReadAll(http.MaxBytesReader(j.writer, j.request.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+	case err != nil:
+		// The caller broke off, or sent what is no body.
+		return j.refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+	r.budget.call(j.arrived, j.service.Name)
+	return nil
+}
+
+// refuse answers the call itself. A status of 429 or 503 promises that the call has
+// not run and never will.
+func (j *job) refuse(status int, reason string, after time.Duration) error {
+	if j.began {
+		// Part of the answer has gone: only a broken connection tells that the
+		// rest won't come.
+		j.log("broken", status, reason)
+		panic(http.ErrAbortHandler)
+	}
+	j.began = true
+	h := j.writer.Header()
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain")
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	j.writer.WriteHeader(status)
+	// A caller that has gone needs no answer.
+	_, _ = io.WriteString(j.writer, reason+"\n")
+	j.log("refused", status, reason)
+	return errAnswered
+}
+
+// log writes the call's one line.
+func (j *job) log(outcome string, status int, reason string) {
+	r := j.relayer
+	took := r.settings.Now().Sub(j.arrived)
+	name, service := "", ""
+	if j.route != nil {
+		name, service = j.route.Name, j.service.Name
+	}
+	r.metrics.answered(outcome, status, took)
+	e := r.settings.Log.Info()
+	if outcome != outcomeAnswered {
+		e = r.settings.Log.Warn()
+	}
+	e.Str("Request", j.call.ID).Str("Outcome", outcome).Int("Status", status).Str("Reason", reason).
+		Str("Route", name).Str("Service", service).Str("Adapter", j.call.Adapter).
+		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).
+		Dur("Backlog", j.choice.Backlog).Dur("Read", j.choice.Read).Dur("Load", j.choice.Load).Int("Running", j.choice.Running).
+		Dur("ReportAge", j.choice.Age).Uint64("Revision", r.settings.View().Revision).Msg("call")
+}
+
+const outcomeAnswered = "answered"
--- /dev/null
+++ b/internal/transport/relayer/settings.go
@@ -0,0 +1,76 @@
+package relayer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+	"marigoldpoint.example/marigoldpoint/internal/transport/dialer"
+)
+
+// Defaults of Settings.
+const (
+	// DefaultAdmitTimeout is the longest wait for one companion's admission: a
+	// cold load, twice over.
+	DefaultAdmitTimeout = 1500 * time.Millisecond
+	// DefaultBodyBytes bounds a body before any configuration is known.
+	DefaultBodyBytes = 4 << 20
+	// DefaultRetryRatio and DefaultRetrySlack bound what is sent beyond the first
+	// sending of each call within DefaultRetryWindow, for this entry alone.
+	DefaultRetryRatio  = 0.15
+	DefaultRetrySlack  = 8.0
+	DefaultRetryWindow = 10 * time.Second
+	// DefaultRetryAfter is told with a refusal whose cause passes soon.
+	DefaultRetryAfter = 300 * time.Millisecond
+	// DefaultWatchInterval is the time between two looks whether each companion
+	// tells its state.
+	DefaultWatchInterval = 500 * time.Millisecond
+)
+
+// Settings are a Relayer's options. The zero value of a field means its documented
+// default.
+type Settings struct {
+	Node string
+	// Translator, View, Placer, Pool, Companions and Random are required.
+	Translator Translator
+	View       func() *tracker.View
+	Placer     *placer.Placer
+	// Pool holds the connections to backend servers.
+	Pool *exchanger.Pool
+	// Companions holds those to companions; its handler must be the relayer's.
+	Companions *dialer.Pool
+	// CompanionAddress returns where the companion of a backend server listens.
+	CompanionAddress func(tracker.Member) string
+
+	AdmitTimeout  time.Duration
+	RetryRatio    float64
+	RetrySlack    float64
+	RetryWindow   time.Duration
+	RetryAfter    time.Duration
+	WatchInterval time.Duration
+
+	Registerer prometheus.Registerer
+	Log        zerolog.Logger
+	// Now is a clock with monotonic readings; nil means time.Now.
+	Now    func() time.Time
+	Random *rand.Rand
+}
+
+func (s Settings) withDefaults() Settings {
+	s.AdmitTimeout = cmp.Or(s.AdmitTimeout, DefaultAdmitTimeout)
+	s.RetryRatio = cmp.Or(s.RetryRatio, DefaultRetryRatio)
+	s.RetrySlack = cmp.Or(s.RetrySlack, DefaultRetrySlack)
+	s.RetryWindow = cmp.Or(s.RetryWindow, DefaultRetryWindow)
+	s.RetryAfter = cmp.Or(s.RetryAfter, DefaultRetryAfter)
+	s.WatchInterval = cmp.Or(s.WatchInterval, DefaultWatchInterval)
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	return s
+}
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -38,6 +38,8 @@
 	mu sync.Mutex
 	// link is the connection in use, or nil; guarded by mu.
 	link *link
+	// hosts are the control hosts to choose from; guarded by mu.
+	hosts []configurer.ControlHost
 	// linked is closed and replaced when link changes; guarded by mu.
 	linked chan struct{}
 	// linkedAt is when link last changed; guarded by mu.
@@ -84,6 +86,7 @@
 		acks:     newAcknowledgements(),
 		leave:    make(chan string, 1),
 		linked:   make(chan struct{}),
+		hosts:    s.Hosts,
 		lease:    distributor.Lease{Duration: s.ConfigurationLease},
 		told:     make(map[string]registrar.ServerState),
 	}
@@ -140,6 +143,19 @@
 	return c.link.host.Address
 }
 
+// SetHosts replaces the control hosts to choose from. The connection in use stays.
+func (c *Client) SetHosts(hosts []configurer.ControlHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = hosts
+}
+
+func (c *Client) knownHosts() []configurer.ControlHost {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts
+}
+
 // Close says goodbye, ends the connection and waits.
 func (c *Client) Close() error {
 	c.mu.Lock()
--- a/internal/transport/subscriber/connection.go
+++ b/internal/transport/subscriber/connection.go
@@ -20,7 +20,7 @@
 	pause := c.settings.RetryInterval
 	for c.ctx.Err() == nil {
 		connected := false
-		for _, h := range preferred(c.settings.Hosts, c.settings.Region, c.settings.FailureDomain, avoid, c.settings.Random) {
+		for _, h := range preferred(c.knownHosts(), c.settings.Region, c.settings.FailureDomain, avoid, c.settings.Random) {
 			l, err := c.connect(h)
 			if err != nil {
 				c.settings.Log.Debug().Err(err).Str("Host", h.Address).Msg("no subscription")
@@ -151,7 +151,7 @@
 // bestTier returns the tier of the nearest control hosts.
 func (c *Client) bestTier() int {
 	best := tierOther
-	for _, h := range c.settings.Hosts {
+	for _, h := range c.knownHosts() {
 		best = min(best, tierOf(h, c.settings.Region, c.settings.FailureDomain))
 	}
 	return best
