placer: prompts and streams keep apart, and a second copy has its price

Streams held their slots for long, since engines read prompts between their tokens for over half of the time. Change: a choice counts how much the prompts read at an engine lengthen the call's stream, and how much its own prompt holds up the streams there; a further copy of an adapter counts 300 ms.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -147,6 +147,9 @@
 	emptyTime = 1500 * time.Millisecond
 	// failureTime is what a share of 1 of failures counts for.
 	failureTime = 2 * time.Second
+	// replicaTime is what a further copy of an adapter counts for, beside its load:
+	// it takes a slot that another adapter's requests then wait for.
+	replicaTime = 300 * time.Millisecond
 	// homeTime is what each place in the adapter's order of engines counts for,
 	// where it is loaded nowhere: entries that choose without each other then
 	// load it at the same engine, which keeps its weights in memory.
@@ -166,7 +169,11 @@
 	cost += b.backlog(now) + tokensTime(b.fresh(c), s) + time.Duration(b.running())*runTime
 	if wait := b.loading(c, s); wait > 0 {
 		cost += wait + time.Duration(o.place(c, b))*homeTime
+		if o.elsewhere(c, b) {
+			cost += replicaTime
+		}
 	}
+	cost += b.slowed(c) + time.Duration(float64(tokensTime(b.fresh(c), s))*float64(b.running())*disturbShare)
 	if b.running() >= o.engine.Slots {
 		cost += fullTime
 	}
@@ -196,6 +203,19 @@
 		time.Duration(o.random.Int64N(int64(time.Millisecond)))
 }
 
+// elsewhere reports whether another engine holds the call's adapter.
+func (o *pool) elsewhere(c *Call, b *backend) bool {
+	for _, other := range o.backends {
+		if other == b || other.member.Spec.State != storer.MemberStateServing {
+			continue
+		}
+		if a, held := other.adapters[c.Model+"/"+c.Adapter]; held && a.Version >= c.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // place returns the backend server's place in the adapter's order of engines, the
 // highest hash first.
 func (o *pool) place(c *Call, b *backend) int {
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
@@ -174,6 +175,7 @@
 	g.admitted = true
 	fresh := a.book.read(g.name, g.admit.Parts, g.admit.Tokens)
 	read := time.Duration(float64(fresh) / a.settings.PrefillRate * float64(time.Second))
+	a.noteRead(now, read)
 	if a.readUntil.Before(now) {
 		a.readUntil = now
 	}
@@ -220,6 +222,20 @@
 	}
 }
 
+// readMemory is the time over which the share of reading is averaged: that of a
+// long stream, which is what it is used to foresee.
+const readMemory = 2 * time.Second
+
+// noteRead counts the reading of a prompt. The caller holds mu.
+func (a *Attendant) noteRead(now time.Time, read time.Duration) {
+	a.reading = a.readShare(now) + read.Seconds()/readMemory.Seconds()
+	a.readingAt = now
+}
+
+func (a *Attendant) readShare(now time.Time) float64 {
+	return a.reading * math.Exp(-now.Sub(a.readingAt).Seconds()/readMemory.Seconds())
+}
+
 func (a *Attendant) backlog() int {
 	return int(max(0, a.readUntil.Sub(a.settings.Now())).Milliseconds())
 }
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -47,6 +47,10 @@
 	recent []string
 	// readUntil is when the prompts admitted so far are expected to be read.
 	readUntil time.Time
+	// reading is the mean share of the time in which prompts are read, as of
+	// readingAt.
+	reading   float64
+	readingAt time.Time
 	sequence  uint64
 	// changed tells that there is something to tell.
 	changed bool
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -123,7 +123,8 @@
 	if j.service.Engine == nil {
 		return c
 	}
-	c.Model, c.Adapter, c.Tokens = j.call.Model, j.call.Adapter, j.call.PromptTokens
+	c.Model, c.Adapter = j.call.Model, j.call.Adapter
+	c.Tokens, c.AnswerTokens = j.call.PromptTokens, j.call.AnswerTokens
 	if c.Adapter != "" {
 		c.Version = j.relayer.settings.View().Newest(c.Model + "/" + c.Adapter)
 	}
