placer: a load from the store counts what it costs all that wait there

Change: a load counts 700 ms more where another engine has the adapter, less where many share it; admissions wait 3.5 s; an engine without its model refuses at once.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
@@ -72,6 +73,14 @@
 
 func (b *backend) reported() bool { return !b.reportedAt.IsZero() }
 
+// holds reports whether the backend server is believed to hold a model.
+func (b *backend) holds(model string) bool {
+	if b.reported() {
+		return slices.Contains(b.state.Models, model)
+	}
+	return b.member.Spec.BaseModel == model
+}
+
 // running returns the number of calls believed to run there.
 func (b *backend) running() int {
 	if b.reported() {
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -147,9 +147,13 @@
 	emptyTime = 1500 * time.Millisecond
 	// failureTime is what a share of 1 of failures counts for.
 	failureTime = 2 * time.Second
-	// replicaTime is what a further copy of an adapter counts for, beside its load:
-	// it takes a slot that another adapter's requests then wait for.
-	replicaTime = 300 * time.Millisecond
+	// storeTime is what a load from the weight store counts for, beside the load
+	// itself, where another engine has the adapter: the store serves some thirty
+	// loads a second, and all that wait for theirs wait longer for one more.
+	storeTime = 700 * time.Millisecond
+	// storePins is the number of requests at each engine that holds the adapter
+	// at which the cost of one more copy is half: they will share it.
+	storePins = 3.0
 	// homeTime is what each place in the adapter's order of engines counts for,
 	// where it is loaded nowhere: entries that choose without each other then
 	// load it at the same engine, which keeps its weights in memory.
@@ -169,15 +173,13 @@
 	cost += b.backlog(now) + tokensTime(b.fresh(c), s) + time.Duration(b.running())*runTime
 	if wait := b.loading(c, s); wait > 0 {
 		cost += wait + time.Duration(o.place(c, b))*homeTime
-		if o.elsewhere(c, b) {
-			cost += replicaTime
-		}
+		cost += o.storeCost(c, b)
 	}
 	cost += b.slowed(c) + time.Duration(float64(tokensTime(b.fresh(c), s))*float64(b.running())*disturbShare)
 	if b.running() >= o.engine.Slots {
 		cost += fullTime
 	}
-	if b.reported() && c.Model != "" && !slices.Contains(b.state.Models, c.Model) {
+	if c.Model != "" && !b.holds(c.Model) {
 		cost += emptyTime
 	}
 	return cost
@@ -203,17 +205,29 @@
 		time.Duration(o.random.Int64N(int64(time.Millisecond)))
 }
 
-// elsewhere reports whether another engine holds the call's adapter.
-func (o *pool) elsewhere(c *Call, b *backend) bool {
+// storeCost is what a load at the backend server costs others where another engine
+// has the call's adapter in a slot or in its memory.
+func (o *pool) storeCost(c *Call, b *backend) time.Duration {
+	name := c.Model + "/" + c.Adapter
+	if _, warm := b.recent[name]; warm {
+		return 0
+	}
+	copies, pins := 0, 0
 	for _, other := range o.backends {
 		if other == b || other.member.Spec.State != storer.MemberStateServing {
 			continue
 		}
-		if a, held := other.adapters[c.Model+"/"+c.Adapter]; held && a.Version >= c.Version {
-			return true
+		a, held := other.adapters[name]
+		_, warm := other.recent[name]
+		if held && a.Version >= c.Version || warm {
+			copies++
+			pins += a.Pins
 		}
 	}
-	return false
+	if copies == 0 {
+		return 0
+	}
+	return time.Duration(float64(storeTime) / (1 + float64(pins)/float64(copies)/storePins))
 }
 
 // place returns the backend server's place in the adapter's order of engines, the
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -88,6 +88,8 @@
 		return nil, messenger.NewRefusal(messenger.ReasonUnavailable, "the engine was not seen lately")
 	case m.Incarnation != "" && a.incarnation != "" && m.Incarnation != a.incarnation:
 		return nil, messenger.NewRefusal(messenger.ReasonStaleEpoch, "another life of the engine")
+	case m.Model != "" && !a.report.holds(m.Model):
+		return nil, messenger.NewRefusal(messenger.ReasonUnavailable, "the engine does not hold the model yet")
 	case a.guests[m.Request] != nil:
 		return nil, messenger.NewRefusal(messenger.ReasonMalformed, "the request is admitted already")
 	}
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -16,9 +16,10 @@
 
 // Defaults of Settings.
 const (
-	// DefaultAdmitTimeout is the longest wait for one companion's admission: a
-	// cold load, twice over.
-	DefaultAdmitTimeout = 1500 * time.Millisecond
+	// DefaultAdmitTimeout is the longest wait for one companion's admission. It is
+	// long beside a load: a request that goes elsewhere has its adapter loaded a
+	// second time, and the store is what all wait for.
+	DefaultAdmitTimeout = 3500 * time.Millisecond
 	// DefaultBodyBytes bounds a body before any configuration is known.
 	DefaultBodyBytes = 4 << 20
 	// DefaultRetryRatio and DefaultRetrySlack bound what is sent beyond the first
