relayer, attendant: nothing new to a backend server that leaves; streams go on from a copy

Change: waits at an engine that leaves end, and an entry looks once more before it sends. Tests: TestLeavingEngineTurnsAway and the attendant's others.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -122,6 +122,37 @@
 	return nil
 }
 
+// Take counts a call at a backend server that the caller names. It fails with
+// ErrNoBackend where that one does not serve.
+func (p *Placer) Take(now time.Time, c *Call, name string, choice *Choice) error {
+	o := p.pool(c.Service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	best := o.best(now, c, &p.settings, func(b *backend) bool { return b.member.Name == name })
+	if best == nil {
+		return errors.Trace(ErrNoBackend)
+	}
+	o.take(now, c, best, choice, &p.settings)
+	return nil
+}
+
+// Second picks another backend server for a call that was placed, to take it over
+// if the first is lost, and reports whether there is one. Nothing is counted there.
+// One that has the call's adapter goes on soonest.
+func (p *Placer) Second(now time.Time, c *Call, first, second *Choice) bool {
+	o := first.pool
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	best := o.best(now, c, &p.settings, func(b *backend) bool {
+		return b != first.backend && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported()
+	})
+	if best == nil {
+		return false
+	}
+	*second = Choice{Name: best.member.Name, Address: best.member.Spec.Address, Incarnation: best.member.Spec.Incarnation}
+	return true
+}
+
 func (o *pool) best(now time.Time, c *Call, s *Settings, may func(*backend) bool) *backend {
 	var best *backend
 	var least time.Duration
--- a/internal/coordination/replicator/status.go
+++ b/internal/coordination/replicator/status.go
@@ -10,7 +10,7 @@
 	// Incarnation identifies this host's disk.
 	Incarnation uint64
 	Role        Role
-	Term      uint64
+	Term        uint64
 	// Leader is the known leader, 0 for none.
 	Leader HostID
 	// Commit, Applied, Last and Snapshot are indices: of the last entry known
--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -71,7 +71,7 @@
 	// ReadShare is the share of the time, in thousandths, in which it read prompts
 	// lately.
 	ReadShare int
-	Adapters      []AdapterState
+	Adapters  []AdapterState
 	// AdapterSlots is the number of adapters held at once.
 	AdapterSlots int
 	// Recent are adapters that were held lately, which load fast.
--- /dev/null
+++ b/internal/state/tracker/suite_test.go
@@ -0,0 +1,16 @@
+package tracker_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func TestTracker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "tracker")
+}
--- /dev/null
+++ b/internal/state/tracker/tracker_test.go
@@ -0,0 +1,188 @@
+package tracker_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+// decode makes a routing whose one route leads to the service that the document
+// names; an empty document can't be read.
+func decode(document []byte) (*tracker.Routing, error) {
+	name := string(document)
+	r := &tracker.Routing{
+		Number:   uint64(len(name)),
+		Services: []tracker.Service{{Name: name}},
+		Routes:   []tracker.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Shares: []tracker.Share{{Service: name, Weight: 1}}}},
+	}
+	return r, r.Compile()
+}
+
+func newTracker() *tracker.Tracker { return tracker.NewTracker(tracker.Settings{Decode: decode}) }
+
+func routing(revision, number uint64, document string) storer.Change {
+	return storer.Change{Revision: revision, Resource: storer.Resource{
+		Kind: storer.KindRouting, Metadata: storer.Metadata{Name: storer.RoutingName, Revision: revision},
+		Spec: storer.RoutingSpec{Number: number, Document: []byte(document)},
+	}}
+}
+
+func member(revision uint64, name, incarnation string, deleted bool) storer.Change {
+	return storer.Change{Revision: revision, Deleted: deleted, Resource: storer.Resource{
+		Kind: storer.KindMember, Metadata: storer.Metadata{Name: name, Revision: revision},
+		Spec: storer.MemberSpec{Service: "s", Incarnation: incarnation, Address: name},
+	}}
+}
+
+func resources(changes ...storer.Change) []storer.Resource {
+	var rs []storer.Resource
+	for _, c := range changes {
+		rs = append(rs, c.Resource)
+	}
+	return rs
+}
+
+var _ = Describe("A tracker", func() {
+	It("doesn't go back to an older configuration within one life", func() {
+		// Symptom: requests go by a route that was moved seconds ago.
+		// Events: a node moves to a control host formed anew, or given back an old
+		// state, and takes the whole from it.
+		// Cause: a whole state replaced all that was known, whatever its number.
+		t := newTracker()
+		Expect(t.Apply([]storer.Change{routing(5, 3, "new")}, 5)).To(Succeed())
+		Expect(t.Reset(resources(routing(6, 2, "ol")), 6)).To(Succeed())
+		Expect(t.View().Routing.Service("new")).NotTo(BeNil())
+	})
+
+	It("passes over what it holds already", func() {
+		t := newTracker()
+		Expect(t.Apply([]storer.Change{member(2, "a", "i-1", false), member(3, "a", "i-1", true)}, 3)).To(Succeed())
+		Expect(t.Apply([]storer.Change{member(2, "a", "i-1", false)}, 3)).To(Succeed())
+		Expect(t.View().Members("s")).To(BeEmpty())
+	})
+
+	It("leaves the views that were given out as they were", func() {
+		t := newTracker()
+		Expect(t.Apply([]storer.Change{member(2, "a", "i-1", false)}, 2)).To(Succeed())
+		before := t.View()
+		Expect(t.Apply([]storer.Change{member(3, "a", "i-2", false), member(4, "b", "i-3", false)}, 4)).To(Succeed())
+		Expect(before.Members("s")).To(HaveLen(1))
+		Expect(before.Members("s")[0].Spec.Incarnation).To(Equal("i-1"))
+		Expect(t.View().Members("s")).To(HaveLen(2))
+	})
+
+	It("moves a backend server whose service has changed", func() {
+		t := newTracker()
+		Expect(t.Apply([]storer.Change{member(2, "a", "i-1", false)}, 2)).To(Succeed())
+		other := member(3, "a", "i-2", false)
+		other.Resource.Spec = storer.MemberSpec{Service: "other", Incarnation: "i-2", Address: "a"}
+		Expect(t.Apply([]storer.Change{other}, 3)).To(Succeed())
+		Expect(t.View().Members("s")).To(BeEmpty())
+		Expect(t.View().Members("other")).To(HaveLen(1))
+	})
+
+	It("refuses a configuration that can't be read, and keeps the one in force", func() {
+		t := newTracker()
+		Expect(t.Apply([]storer.Change{routing(2, 1, "a")}, 2)).To(Succeed())
+		Expect(t.Apply([]storer.Change{routing(3, 2, "")}, 3)).NotTo(Succeed())
+		Expect(t.View().Routing.Service("a")).NotTo(BeNil())
+		Expect(t.Revision()).To(Equal(uint64(2)))
+	})
+
+	It("knows the newest version, and the first where none was named", func() {
+		t := newTracker()
+		Expect(t.View().Newest("m/a1")).To(Equal(uint64(tracker.FirstVersion)))
+		Expect(t.Apply([]storer.Change{{Revision: 2, Resource: storer.Resource{
+			Kind: storer.KindNewest, Metadata: storer.Metadata{Name: "m/a1", Revision: 2}, Spec: storer.NewestSpec{Version: 4},
+		}}}, 2)).To(Succeed())
+		Expect(t.View().Newest("m/a1")).To(Equal(uint64(4)))
+	})
+})
+
+var _ = Describe("A routing configuration", func() {
+	good := func() tracker.Routing {
+		return tracker.Routing{
+			Number:   1,
+			Services: []tracker.Service{{Name: "s"}},
+			Routes:   []tracker.Route{{Name: "r", Host: "h", Prefix: "/a/", Timeout: time.Second, Shares: []tracker.Share{{Service: "s", Weight: 1}}}},
+		}
+	}
+
+	DescribeTable("is refused",
+		func(spoil func(*tracker.Routing)) {
+			r := good()
+			Expect(r.Compile()).To(Succeed())
+			spoil(&r)
+			Expect(r.Compile()).NotTo(Succeed())
+		},
+		Entry("with an unknown service", func(r *tracker.Routing) { r.Routes[0].Shares[0].Service = "x" }),
+		Entry("with two routes of one place", func(r *tracker.Routing) { r.Routes = append(r.Routes, r.Routes[0]) }),
+		Entry("with weights that add up to nothing", func(r *tracker.Routing) { r.Routes[0].Shares[0].Weight = 0 }),
+		Entry("with a negative weight", func(r *tracker.Routing) {
+			r.Routes[0].Shares = append(r.Routes[0].Shares, tracker.Share{Service: "s", Weight: -1})
+		}),
+		Entry("without a timeout", func(r *tracker.Routing) { r.Routes[0].Timeout = 0 }),
+		Entry("with a prefix that is no folder", func(r *tracker.Routing) { r.Routes[0].Prefix = "/a" }),
+		Entry("without a host", func(r *tracker.Routing) { r.Routes[0].Host = "" }),
+		Entry("with two services of one name", func(r *tracker.Routing) { r.Services = append(r.Services, r.Services[0]) }),
+	)
+
+	It("gives each service its share", func() {
+		r := tracker.Route{Shares: []tracker.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+		routing := tracker.Routing{Services: []tracker.Service{{Name: "a"}, {Name: "b"}}, Routes: []tracker.Route{r}}
+		routing.Routes[0].Host, routing.Routes[0].Prefix, routing.Routes[0].Timeout = "h", "/", time.Second
+		Expect(routing.Compile()).To(Succeed())
+		count := map[string]int{}
+		for i := range 1000 {
+			count[routing.Routes[0].Pick(float64(i)/1000)]++
+		}
+		Expect(count).To(Equal(map[string]int{"a": 900, "b": 100}))
+	})
+})
+
+// TestPropertyMatch compares Match with a look at all routes.
+func TestPropertyMatch(t *testing.T) {
+	segment := rapid.SampledFrom([]string{"a", "b", "ab"})
+	path := rapid.Custom(func(t *rapid.T) string {
+		return "/" + strings.Join(rapid.SliceOfN(segment, 0, 3).Draw(t, "segments"), "/")
+	})
+	host := rapid.SampledFrom([]string{"h", "i"})
+	rapid.Check(t, func(t *rapid.T) {
+		r := tracker.Routing{Services: []tracker.Service{{Name: "s"}}}
+		taken := map[string]bool{}
+		for _, p := range rapid.SliceOfN(path, 0, 8).Draw(t, "prefixes") {
+			route := tracker.Route{
+				Name: p, Host: host.Draw(t, "host"), Prefix: strings.TrimSuffix(p, "/") + "/", Timeout: 1,
+				Shares: []tracker.Share{{Service: "s", Weight: 1}},
+			}
+			if place := route.Host + route.Prefix; !taken[place] {
+				taken[place] = true
+				r.Routes = append(r.Routes, route)
+			}
+		}
+		if err := r.Compile(); err != nil {
+			t.Fatal(err)
+		}
+		h, asked := host.Draw(t, "asked host"), path.Draw(t, "asked path")
+		want := ""
+		for _, route := range r.Routes {
+			if route.Host == h && strings.HasPrefix(asked, route.Prefix) && len(route.Prefix) > len(want) {
+				want = route.Prefix
+			}
+		}
+		got := ""
+		if route := r.Match(h, asked); route != nil {
+			got = route.Prefix
+		}
+		if got != want {
+			t.Fatalf("%s%s: got %q, want %q", h, asked, got, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/attendant/attendant_test.go
@@ -0,0 +1,233 @@
+package attendant_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/transport/attendant"
+)
+
+// with runs a test beside an engine, in its own time.
+func with(t *testing.T, test func(f *fixture, e *engine)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine()
+		f := newFixture(t, e)
+		defer f.close()
+		after(time.Second)
+		test(f, e)
+	})
+}
+
+// after lets time pass.
+func after(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+func (a *admission) mustBe(t *testing.T, version uint64) {
+	t.Helper()
+	if !a.over() || a.err != nil || a.admitted.Version != version {
+		t.Fatalf("over %t, version %d, error %v; want version %d", a.over(), a.admitted.Version, a.err, version)
+	}
+}
+
+func TestLoadsOnceForAll(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		a, b := f.admit("1", "a1", 1), f.admit("2", "a1", 1)
+		after(loadTime + 100*time.Millisecond)
+		a.mustBe(t, 1)
+		b.mustBe(t, 1)
+		if n := e.ordered(attendant.OrderLoad, "a1"); n != 1 {
+			t.Errorf("%d loads ordered, want 1", n)
+		}
+	})
+}
+
+// TestKeepsWhatIsInUse: symptom: an engine unloads an adapter under a request.
+// Sequence: both slots are in use; a third adapter is asked for. Cause: the adapter
+// used longest ago made way, whoever used it.
+func TestKeepsWhatIsInUse(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		f.admit("1", "a1", 1)
+		f.admit("2", "a2", 1)
+		after(time.Second)
+		third := f.admit("3", "a3", 1)
+		after(time.Second)
+		if third.over() {
+			t.Fatalf("admitted beside two adapters in use: %v", third.err)
+		}
+		f.release("1")
+		after(time.Second)
+		third.mustBe(t, 1)
+		if n := e.ordered(attendant.OrderUnload, "a2"); n != 0 {
+			t.Error("the adapter in use was unloaded")
+		}
+	})
+}
+
+// TestLateOrders: symptom: an adapter is gone though it was loaded a moment ago.
+// Sequence: an order's answer is lost, and it is given again; seconds later, after
+// newer orders, the first one is carried out. Cause: orders did not say what they
+// were based on.
+func TestLateOrders(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		f.admit("1", "a1", 1)
+		after(time.Second)
+		f.release("1")
+		f.admit("2", "a2", 1)
+		after(time.Second)
+		e.lose, e.late = 1, 3*time.Second
+		// a1 must make way: the order to unload it is the one that is lost.
+		third := f.admit("3", "a3", 1)
+		after(2 * time.Second)
+		third.mustBe(t, 1)
+		f.release("2")
+		f.release("3")
+		again := f.admit("4", "a1", 1)
+		after(500 * time.Millisecond)
+		again.mustBe(t, 1)
+		after(5 * time.Second)
+		r, _ := e.Report(t.Context())
+		for _, a := range r.Models[0].Adapters {
+			if a.Name == "a1" {
+				return
+			}
+		}
+		t.Error("a late order has unloaded an adapter in use")
+	})
+}
+
+// TestNewVersionReplaces: symptom: a request begins on a version that was replaced
+// seconds ago, or an engine is ordered to hold two versions of one adapter.
+// Sequence: a request runs on version 1 when version 2 is named and asked for.
+// Cause: versions were looked at as if they were different adapters.
+func TestNewVersionReplaces(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		old := f.admit("1", "a1", 1)
+		after(time.Second)
+		old.mustBe(t, 1)
+		f.apply(storer.KindNewest, model+"/a1", storer.NewestSpec{Version: 2})
+		waiting := f.admit("2", "a1", 1)
+		newer := f.admit("3", "a1", 2)
+		after(time.Second)
+		if waiting.over() || newer.over() {
+			t.Fatal("admitted while the earlier version was in use")
+		}
+		f.release("1")
+		after(time.Second)
+		waiting.mustBe(t, 2)
+		newer.mustBe(t, 2)
+	})
+}
+
+// TestRestart: symptom: an engine that restarted serves nothing for the rest of the
+// day. Sequence: it crashes and comes back empty; nobody orders its model. Cause:
+// what it held was believed to last.
+func TestRestart(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		f.admit("1", "a1", 1)
+		after(time.Second)
+		e.restart("i-2")
+		f.announce("i-2", storer.MemberStateServing)
+		after(time.Second)
+		f.release("1")
+		again := f.admit("2", "a1", 1)
+		after(time.Second)
+		again.mustBe(t, 1)
+	})
+}
+
+// TestEmptyEngineRefusesAtOnce: symptom: requests wait for seconds at an engine that
+// has just started, while others are free. Cause: they were admitted to wait for an
+// adapter of a model that was not there.
+func TestEmptyEngineRefusesAtOnce(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		e.restart("i-2")
+		f.announce("i-2", storer.MemberStateServing)
+		after(attendant.DefaultObserveInterval + 10*time.Millisecond)
+		a := f.admit("1", "a1", 1)
+		after(time.Millisecond)
+		if !a.over() || a.err == nil {
+			t.Errorf("over %t, error %v: want a refusal at once", a.over(), a.err)
+		}
+	})
+}
+
+// TestLeavingEngineTurnsAway: symptom: a request reaches a backend server two
+// seconds after it has said that it leaves. Sequence: the request waits there for a
+// slot; the backend server announces that it leaves; the wait ends well. Cause: only
+// new requests were kept away.
+func TestLeavingEngineTurnsAway(t *testing.T) {
+	with(t, func(f *fixture, _ *engine) {
+		f.admit("1", "a1", 1)
+		f.admit("2", "a2", 1)
+		after(time.Second)
+		waits := f.admit("3", "a3", 1)
+		after(time.Second)
+		f.announce("i-1", storer.MemberStateLeaving)
+		after(2 * attendant.DefaultObserveInterval)
+		if !waits.over() || waits.err == nil {
+			t.Errorf("over %t, error %v: want a refusal", waits.over(), waits.err)
+		}
+	})
+}
+
+// TestLostEntryFreesItsSlots: symptom: an engine's slots stay taken for good.
+// Sequence: an entry is killed; its requests end with it, but nobody says so. Cause:
+// admissions outlived the connection that they came by.
+func TestLostEntryFreesItsSlots(t *testing.T) {
+	with(t, func(f *fixture, _ *engine) {
+		f.admit("1", "a1", 1)
+		after(time.Second)
+		if err := f.network.Close(); err != nil {
+			t.Fatal(err)
+		}
+		after(time.Second)
+		if !f.attendant.Idle() {
+			t.Error("the lost entry's request is still admitted")
+		}
+	})
+}
+
+// TestReleaseBeforeAdmission: a release is a notification and may overtake the call
+// that it ends.
+func TestReleaseBeforeAdmission(t *testing.T) {
+	with(t, func(f *fixture, _ *engine) {
+		f.release("1")
+		a := f.admit("1", "a1", 1)
+		after(time.Millisecond)
+		if !a.over() || a.err == nil {
+			t.Errorf("over %t, error %v: want a refusal", a.over(), a.err)
+		}
+	})
+}
+
+// TestRush asks for many adapters at once, again and again. The engine breaks when
+// it is ordered to hold too much, and each request must be admitted in its turn.
+func TestRush(t *testing.T) {
+	with(t, func(f *fixture, _ *engine) {
+		var all []*admission
+		for i := range 24 {
+			request := fmt.Sprint("r", i)
+			a := f.admit(request, fmt.Sprint("a", i%6), 1)
+			all = append(all, a)
+			go func() {
+				<-a.done
+				if a.err == nil {
+					<-time.After(50 * time.Millisecond)
+					f.release(request)
+				}
+			}()
+			after(30 * time.Millisecond)
+		}
+		after(15 * time.Second)
+		for i, a := range all {
+			if !a.over() || a.err != nil {
+				t.Errorf("request %d: over %t, error %v", i, a.over(), a.err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/attendant/fixture_test.go
@@ -0,0 +1,256 @@
+package attendant_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+	"marigoldpoint.example/marigoldpoint/internal/transport/attendant"
+)
+
+const (
+	model    = "m"
+	slots    = 2
+	loadTime = 250 * time.Millisecond
+)
+
+// engine is a model engine as its protocol describes it: it refuses orders by
+// sequence, fence and incarnation, takes time to load, and breaks where it is
+// ordered to hold more than it can.
+type engine struct {
+	mu       sync.Mutex
+	life     string
+	sequence uint64
+	fence    uint64
+	empty    bool
+	busy     bool
+	held     map[string]uint64
+	pending  map[string]uint64
+	// lose is the number of orders whose answer is lost, and late the time after
+	// which they are carried out.
+	lose    int
+	late    time.Duration
+	orders  []attendant.Order
+	crashed string
+}
+
+func newEngine() *engine {
+	return &engine{life: "i-1", held: map[string]uint64{}, pending: map[string]uint64{}}
+}
+
+func (e *engine) Report(context.Context) (attendant.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := attendant.Report{Sequence: e.sequence, Busy: e.busy}
+	if !e.empty {
+		m := attendant.HeldModel{Name: model, Version: 1}
+		for name, version := range e.held {
+			m.Adapters = append(m.Adapters, attendant.HeldAdapter{Name: name, Version: version})
+		}
+		r.Models = []attendant.HeldModel{m}
+	}
+	for name, version := range e.pending {
+		r.Pending = append(r.Pending, attendant.PendingAdapter{Model: model, HeldAdapter: attendant.HeldAdapter{Name: name, Version: version}})
+	}
+	return r, nil
+}
+
+func (e *engine) Order(ctx context.Context, o attendant.Order) (attendant.Reply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lose > 0 {
+		e.lose--
+		time.AfterFunc(e.late, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.carryOut(o)
+		})
+		e.mu.Unlock()
+		<-ctx.Done()
+		e.mu.Lock()
+		return 0, errors.New("no answer")
+	}
+	return e.carryOut(o), nil
+}
+
+// carryOut judges an order as it arrives. The caller holds mu.
+func (e *engine) carryOut(o attendant.Order) attendant.Reply {
+	switch {
+	case o.Incarnation != "" && o.Incarnation != e.life:
+		return attendant.ReplyElsewhere
+	case o.Fence < e.fence:
+		return attendant.ReplyFenced
+	case e.busy || o.Expect != e.sequence:
+		return attendant.ReplyOvertaken
+	}
+	e.fence = o.Fence
+	e.sequence++
+	e.orders = append(e.orders, o)
+	life := e.life
+	after := func(f func()) {
+		time.AfterFunc(loadTime, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.life == life {
+				f()
+			}
+		})
+	}
+	switch {
+	case o.Adapter == "":
+		e.busy = true
+		after(func() { e.busy, e.empty = false, false })
+	case o.Kind == attendant.OrderUnload:
+		delete(e.held, o.Adapter)
+		return attendant.ReplyHolds
+	default:
+		if e.pending[o.Adapter] = o.Version; e.empty || len(e.held)+len(e.pending) > slots {
+			e.crashed = fmt.Sprintf("ordered to hold %v and %v", e.held, e.pending)
+		}
+		after(func() {
+			delete(e.pending, o.Adapter)
+			e.held[o.Adapter] = o.Version
+		})
+	}
+	return attendant.ReplyAccepted
+}
+
+// restart begins another life, empty.
+func (e *engine) restart(life string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life, e.sequence, e.fence, e.empty, e.busy = life, 0, 0, true, false
+	clear(e.held)
+	clear(e.pending)
+}
+
+func (e *engine) ordered(kind attendant.OrderKind, adapter string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, o := range e.orders {
+		if o.Kind == kind && o.Adapter == adapter {
+			n++
+		}
+	}
+	return n
+}
+
+// fixture is an attendant beside an engine, and an entry that asks it.
+type fixture struct {
+	t         *testing.T
+	engine    *engine
+	attendant *attendant.Attendant
+	tracker   *tracker.Tracker
+	revision  uint64
+	conn      *messenger.Conn
+	network   net.Conn
+}
+
+const place = "10.0.0.1-80"
+
+func newFixture(t *testing.T, e *engine) *fixture {
+	f := &fixture{t: t, engine: e}
+	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
+		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
+			Slots: 64, MemoryTokens: 1000, AdapterSlots: slots, Models: []tracker.Model{{Name: model}},
+		}}}}
+		return r, r.Compile()
+	}})
+	f.apply(storer.KindRouting, storer.RoutingName, storer.RoutingSpec{Number: 1})
+	f.announce("i-1", storer.MemberStateServing)
+	f.attendant = attendant.NewAttendant(attendant.Settings{
+		Name: place, Address: "10.0.0.1:80", Engine: e, View: f.tracker.View, Random: rand.New(rand.NewPCG(1, 2)),
+	})
+	network, other := net.Pipe()
+	f.network = other
+	go func() {
+		// The entry reads and forgets what it is told.
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := other.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	f.conn = messenger.NewConn(network, messenger.Settings{HeartbeatInterval: time.Hour, SilenceLimit: 24 * time.Hour})
+	return f
+}
+
+func (f *fixture) apply(kind storer.Kind, name string, spec storer.Spec) {
+	f.revision++
+	r := storer.Resource{Kind: kind, Metadata: storer.Metadata{Name: name, Revision: f.revision}, Spec: spec}
+	if err := f.tracker.Apply([]storer.Change{{Revision: f.revision, Resource: r}}, f.revision); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fixture) announce(incarnation string, state storer.MemberState) {
+	f.apply(storer.KindMember, place, storer.MemberSpec{
+		Service: "s", Address: "10.0.0.1:80", Incarnation: incarnation, State: state, Epoch: f.revision + 1,
+	})
+}
+
+func (f *fixture) close() {
+	if err := f.attendant.Close(); err != nil {
+		f.t.Error(err)
+	}
+	_ = f.network.Close()
+	_ = f.conn.Close()
+	if f.engine.crashed != "" {
+		f.t.Error("the engine broke: " + f.engine.crashed)
+	}
+}
+
+// admission is a request for admission under way.
+type admission struct {
+	admitted messenger.Admitted
+	err      error
+	done     chan struct{}
+}
+
+func (f *fixture) admit(request, adapter string, version uint64) *admission {
+	a := &admission{done: make(chan struct{})}
+	params, err := json.Marshal(messenger.Admit{
+		Request: request, Model: model, Adapter: adapter, Version: version, WaitMillis: 10_000, Tokens: 100,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go func() {
+		defer close(a.done)
+		answer, err := f.attendant.Handle(context.Background(), f.conn, messenger.MethodAdmit, params)
+		if a.err = err; err == nil {
+			a.admitted = answer.(messenger.Admitted)
+		}
+	}()
+	return a
+}
+
+func (a *admission) over() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *fixture) release(request string) {
+	params, err := json.Marshal(messenger.Release{Request: request})
+	if err == nil {
+		_, err = f.attendant.Handle(context.Background(), f.conn, messenger.MethodRelease, params)
+	}
+	if err != nil {
+		f.t.Error(err)
+	}
+}
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -7,6 +7,8 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -57,6 +59,9 @@
 		a.settings.Log.Info().Uint64("Sequence", r.Sequence).Int("Models", len(r.Models)).Msg("engine seen")
 	}
 	now := a.settings.Now()
+	if known && member.Spec.State != storer.MemberStateServing {
+		a.turnAway()
+	}
 	a.take(now, r, member, known, sequence)
 	a.settle(now)
 	for request, at := range a.early {
@@ -66,6 +71,21 @@
 	}
 }
 
+// turnAway ends the waits at an engine that leaves: they would end when it may get
+// nothing new any more. The caller holds mu.
+func (a *Attendant) turnAway() {
+	for _, g := range a.guests {
+		if g.admitted {
+			continue
+		}
+		if g.wanted {
+			g.wanted = false
+			a.apply(a.table.Drop(a.settings.Now(), g.admit.Request))
+		}
+		a.refuse(g, messenger.NewRefusal(messenger.ReasonStopping, "the engine leaves"))
+	}
+}
+
 // take takes a report in. The caller holds mu.
 func (a *Attendant) take(now time.Time, r Report, member tracker.Member, known bool, sequence uint64) {
 	engine := a.engineOf(member, known)
@@ -148,4 +168,3 @@
 	}
 	a.settings.Log.Info().Str("Model", model).Msg("model ordered")
 }
-
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -38,6 +38,12 @@
 	Version uint64
 	// Urgency ranges from 0, first, to 9; negative means none.
 	Urgency int
+	// Backup is where the backend server keeps a copy of the request's memory;
+	// empty means nowhere.
+	Backup string
+	// From is where the request's memory was kept, for a request that goes on
+	// from it; empty means that it begins anew.
+	From string
 	// After is the last event that the caller has; empty means as the caller
 	// sent it.
 	After string
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -9,6 +9,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -67,8 +68,16 @@
 			j.giveUp()
 			return
 		case verdictNotRun:
+			if j.from != "" && !j.repeatable() {
+				j.exhausted("no copy of the request's memory was left")
+				return
+			}
+			j.from = ""
 		case verdictUnknown:
-			if j.mayHaveRun = true; !j.repeatable() {
+			if j.mayHaveRun = true; j.goOn() {
+				continue
+			}
+			if !j.repeatable() {
 				j.exhausted("the backend server gave no answer")
 				return
 			}
@@ -87,7 +96,7 @@
 	if j.sent == 0 {
 		return true
 	}
-	if j.sent >= max(1, j.route.MaxAttempts) || !j.relayer.budget.take(j.relayer.settings.Now(), j.service.Name) {
+	if j.from == "" && j.sent >= max(1, j.route.MaxAttempts) || !j.relayer.budget.take(j.relayer.settings.Now(), j.service.Name) {
 		j.release(placer.EndingGivenUp)
 		return false
 	}
@@ -98,6 +107,9 @@
 func (j *job) choose() error {
 	r := j.relayer
 	c := j.wanted()
+	if j.from != "" {
+		return r.settings.Placer.Take(r.settings.Now(), c, j.backup.Name, &j.choice)
+	}
 	for waited := time.Duration(0); ; waited += noBackendPause {
 		err := r.settings.Placer.Choose(r.settings.Now(), c, &j.choice)
 		if err == nil || waited >= noBackendLimit || len(j.avoid) > 0 || !pauseIn(j.ctx, noBackendPause) {
@@ -141,7 +153,7 @@
 // attempt has the call admitted, and hands it to the backend server chosen.
 func (j *job) attempt() verdict {
 	r := j.relayer
-	a := Attempt{Incarnation: j.choice.Incarnation, Urgency: -1, After: j.lastEvent}
+	a := Attempt{Incarnation: j.choice.Incarnation, Urgency: -1, After: j.lastEvent, From: j.from}
 	if j.service.Engine != nil {
 		a.Urgency = urgencyOf(j.route)
 		admitted, release, err := j.admit()
@@ -150,14 +162,27 @@
 			return verdictNotRun
 		}
 		defer release()
+		if !j.stillServes() {
+			// The wait was long enough for the backend server to begin to leave: it
+			// must get nothing new, although it would still take it.
+			j.release(placer.EndingRefused)
+			return verdictNotRun
+		}
 		if a.Version = admitted.Version; j.call.Adapter == "" {
 			a.Version = 0
 		}
 	}
+	a.Backup = j.chooseBackup()
 	a.Left = j.deadline.Sub(r.settings.Now())
 	return j.send(a)
 }
 
+// stillServes reports whether the backend server chosen takes new calls.
+func (j *job) stillServes() bool {
+	m, ok := j.relayer.settings.View().Member(j.choice.Name)
+	return ok && m.Spec.Incarnation == j.choice.Incarnation && m.Spec.State == storer.MemberStateServing
+}
+
 // release ends the choice.
 func (j *job) release(e placer.Ending) {
 	j.relayer.settings.Placer.Finish(j.relayer.settings.Now(), &j.choice, e)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -38,6 +38,12 @@
 	failed *kept
 	// began tells that the answer's head has gone to the caller.
 	began bool
+	// firstAt is when a stream's first event went to the caller.
+	firstAt time.Time
+	// backup is where a copy of the request's memory is kept; its name is empty
+	// where there is none. From is set for the sending that goes on from it.
+	backup placer.Choice
+	from   string
 	// lastEvent is the id of the last whole event passed on.
 	lastEvent string
 	choice    placer.Choice
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -25,7 +25,7 @@
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			piece := buffer[:n]
-			if j.route.Resumable {
+			if j.route.Resumable || j.backup.Name != "" {
 				piece = events.take(piece)
 				j.lastEvent = events.last(j.lastEvent)
 			}
@@ -33,7 +33,8 @@
 				if !j.began {
 					j.begin(response)
 					j.writer.WriteHeader(response.StatusCode)
-					r.metrics.first.Observe(r.settings.Now().Sub(j.arrived).Seconds())
+					j.firstAt = r.settings.Now()
+					r.metrics.first.Observe(j.firstAt.Sub(j.arrived).Seconds())
 				}
 				r.settings.Placer.First(r.settings.Now(), &j.choice)
 				if _, werr := j.writer.Write(piece); werr != nil || flusher.Flush() != nil {
@@ -76,7 +77,7 @@
 // become another answer, unless it may be resumed.
 func (j *job) brokenOff(err error) verdict {
 	v := j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
-	if v == verdictUnknown && j.began && !j.route.Resumable {
+	if v == verdictUnknown && j.began && !j.route.Resumable && !j.goOn() {
 		j.log("broken", http.StatusOK, err.Error())
 		panic(http.ErrAbortHandler)
 	}
