--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -61,13 +61,28 @@
 	for _, a := range s.Adapters {
 		b.adapters[a.Name] = a
 	}
-	clear(b.recent)
-	for _, r := range s.Recent {
-		b.recent[r] = struct{}{}
+	if s.Whole {
+		clear(b.recent)
+		clear(b.cached)
 	}
-	clear(b.cached)
-	for _, c := range s.Cached {
-		b.cached[c] = struct{}{}
+	remember(b.recent, s.Recent)
+	remember(b.cached, s.Cached)
+}
+
+// rememberLimit bounds what is remembered of a backend server's memory. It is about
+// what such memory holds; beyond it anything may be gone.
+const rememberLimit = 256
+
+// remember adds to what a backend server is believed to hold.
+func remember[K comparable](held map[K]struct{}, more []K) {
+	for _, k := range more {
+		if len(held) >= rememberLimit {
+			for old := range held {
+				delete(held, old)
+				break
+			}
+		}
+		held[k] = struct{}{}
 	}
 }
 
--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -57,21 +57,24 @@
 	// Name and Incarnation identify the backend server.
 	Name        string
 	Incarnation string
-	// Sequence rises with each state of one companion's life, and Life between
-	// lives.
+	// Sequence rises by one with each state of one companion's life, and Life
+	// between lives.
 	Life     uint64
 	Sequence uint64
+	// Whole means that Recent and Cached are all that there is; else they add to
+	// what was told before.
+	Whole bool `json:",omitempty"`
 	// Models are those that the backend server holds.
-	Models []string
+	Models []string `json:",omitempty"`
 	// Running is the number of requests admitted and not released.
 	Running int
 	// BacklogMillis is the estimated time until the prompts admitted so far have
 	// been read.
 	BacklogMillis int
-	Adapters      []AdapterState
+	Adapters      []AdapterState `json:",omitempty"`
 	// AdapterSlots is the number of adapters held at once.
 	AdapterSlots int
-	// Recent are adapters that were held lately, which load fast.
+	// Recent are adapters that left their slots lately, which load fast.
 	Recent []string `json:",omitempty"`
 	// Cached are the hashes of prompt parts that were read lately, by PartHash.
 	Cached []uint32 `json:",omitempty"`
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -43,11 +43,14 @@
 	// of their adapter has left its slot.
 	blocked map[string]*guest
 	// early holds releases that came before their admission, with their time.
-	early    map[string]time.Time
-	watchers map[*messenger.Conn]struct{}
+	early map[string]time.Time
+	// watchers are the entries that are told, true once they were told the whole.
+	watchers map[*messenger.Conn]bool
 	book     *cachebook
-	// recent lists adapters that left their slots, the latest last.
+	// recent lists adapters that left their slots, the latest last, and left those
+	// among them that entries were not told of yet.
 	recent []string
+	left   []string
 	// readUntil is when the prompts admitted so far are expected to be read.
 	readUntil time.Time
 	sequence  uint64
@@ -68,12 +71,12 @@
 	s = s.withDefaults()
 	a := &Attendant{
 		settings: s,
-		life:     uint64(s.Now().UnixNano()),
+		life:     uint64(s.Now().UnixMilli()),
 		look:     make(chan struct{}, 1),
 		guests:   make(map[string]*guest),
 		blocked:  make(map[string]*guest),
 		early:    make(map[string]time.Time),
-		watchers: make(map[*messenger.Conn]struct{}),
+		watchers: make(map[*messenger.Conn]bool),
 		book:     newCachebook(0),
 	}
 	a.metrics = newMetrics(s.Registerer)
@@ -169,7 +172,7 @@
 	if _, ok := a.watchers[conn]; ok {
 		return
 	}
-	a.watchers[conn] = struct{}{}
+	a.watchers[conn] = false
 	a.changed = true
 	a.spawnLocked(func() {
 		select {
--- a/internal/transport/attendant/cachebook.go
+++ b/internal/transport/attendant/cachebook.go
@@ -10,6 +10,8 @@
 // cachebook remembers which prompt parts an engine has read lately, the least
 // recently used first to go, as the engine's own memory does.
 type cachebook struct {
+	// fresh lists the hashes that entries were not told of yet.
+	fresh []uint32
 	// limit is the number of tokens remembered.
 	limit  int
 	tokens int
@@ -39,6 +41,7 @@
 		if ok {
 			b.order.MoveToBack(e)
 		} else {
+			b.fresh = append(b.fresh, hash)
 			b.parts[hash] = b.order.PushBack(bookedPart{hash: hash, tokens: p.Tokens})
 			b.tokens += p.Tokens
 		}
@@ -64,4 +67,5 @@
 	b.order.Init()
 	clear(b.parts)
 	b.tokens = 0
+	b.fresh = nil
 }
--- a/internal/transport/attendant/ordering.go
+++ b/internal/transport/attendant/ordering.go
@@ -247,6 +247,7 @@
 		}
 	}
 	a.recent = append(kept, name)
+	a.left = append(a.left, name)
 	if over := len(a.recent) - recentLimit; over > 0 {
 		a.recent = a.recent[over:]
 	}
--- a/internal/transport/attendant/settings.go
+++ b/internal/transport/attendant/settings.go
@@ -18,8 +18,8 @@
 	// no order is under way. Only a restart is found by it.
 	DefaultObserveInterval = 250 * time.Millisecond
 	// DefaultTellInterval is the least time between two states told to entries: a
-	// quarter of a load, so that what an entry believes of a slot is seldom wrong.
-	DefaultTellInterval = 60 * time.Millisecond
+	// third of a load, so that what an entry believes of a slot is seldom wrong.
+	DefaultTellInterval = 80 * time.Millisecond
 	// DefaultPrefillRate is the number of prompt tokens that an engine reads in a
 	// second. It only ranks engines, and entries use the same.
 	DefaultPrefillRate = 38_000
--- a/internal/transport/attendant/telling.go
+++ b/internal/transport/attendant/telling.go
@@ -1,55 +1,69 @@
 package attendant
 
 import (
+	"maps"
+	"slices"
+
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
 
-// cachedTold is the number of prompt parts told of: those that are used again lie
-// among the last used.
+// cachedTold is the number of prompt parts that an entry is told of at first: those
+// that are used again lie among the last used.
 const cachedTold = 40
 
-// tell tells the entries of the engine's state when it has changed.
+// tell tells the entries of the engine's state when it has changed: the whole to
+// those that know nothing yet, and to the others what is new. The whole each time
+// was most of what went between failure domains on a calm day.
 func (a *Attendant) tell() {
 	for a.pause(a.settings.TellInterval) {
-		state, watchers := a.news()
-		for _, conn := range watchers {
-			// An entry that misses it is told of the next; one whose connection
-			// broke is forgotten.
+		whole, news, watchers := a.news()
+		for conn, told := range watchers {
+			state := news
+			if !told {
+				state = whole
+			}
+			// An entry whose connection broke is forgotten, and told the whole on its
+			// next one.
 			_ = conn.Notify(a.root, messenger.MethodState, state)
 		}
 	}
 }
 
-// news returns the state and whom to tell, or nobody.
-func (a *Attendant) news() (messenger.BackendState, []*messenger.Conn) {
+// news returns the whole state, what is new of it, and whom to tell.
+func (a *Attendant) news() (whole, news messenger.BackendState, watchers map[*messenger.Conn]bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.changed || a.table == nil || len(a.watchers) == 0 {
-		return messenger.BackendState{}, nil
+		return whole, news, nil
 	}
 	a.changed = false
 	a.sequence++
-	s := messenger.BackendState{
+	news = messenger.BackendState{
 		Name: a.settings.Name, Incarnation: a.incarnation, Life: a.life, Sequence: a.sequence,
 		Running: len(a.guests), BacklogMillis: a.backlog(),
 		AdapterSlots: a.table.Slots(),
-		Recent:       append([]string(nil), a.recent...),
-		Cached:       a.book.newest(nil, cachedTold),
+		Recent:       a.left,
+		Cached:       a.book.fresh,
 	}
+	a.left, a.book.fresh = nil, nil
 	for _, m := range a.report.Models {
-		s.Models = append(s.Models, m.Name)
+		news.Models = append(news.Models, m.Name)
 	}
 	for _, r := range a.table.Residencies(nil) {
 		model, adapter, version := splitVersion(r.Version)
-		s.Adapters = append(s.Adapters, messenger.AdapterState{
+		news.Adapters = append(news.Adapters, messenger.AdapterState{
 			Name: adapterName(model, adapter), Version: version,
 			Loading: r.Phase != loader.PhaseResident, Pins: r.Pins + r.Waiters,
 		})
 	}
-	watchers := make([]*messenger.Conn, 0, len(a.watchers))
+	whole = news
+	whole.Whole = true
+	whole.Recent = slices.Clone(a.recent)
+	whole.Cached = a.book.newest(nil, cachedTold)
+	watchers = maps.Clone(a.watchers)
 	for conn := range a.watchers {
-		watchers = append(watchers, conn)
+		a.watchers[conn] = true
 	}
-	return s, watchers
+	return whole, news, watchers
 }
--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -12,6 +12,18 @@
 // is cheaper to lose.
 const backupRatio = 4
 
+// lossMemory is for how long after the loss of a stream further losses are expected:
+// what breaks streams lasts for some seconds. On a day without losses copies would
+// cost a hundredth of what the streams are worth, for nothing.
+const lossMemory = 6 * time.Second
+
+// noteLoss remembers that a stream broke.
+func (r *Relayer) noteLoss() { r.lostAt.Store(r.settings.Now().UnixNano()) }
+
+func (r *Relayer) lossesExpected() bool {
+	return r.settings.Now().UnixNano()-r.lostAt.Load() < int64(lossMemory)
+}
+
 // chooseBackup picks the engine that is to keep a copy of the request's memory, and
 // returns its address; empty where none is to be kept.
 //
@@ -21,7 +33,7 @@
 func (j *job) chooseBackup() string {
 	j.backup = placer.Choice{}
 	c := j.call
-	if !j.route.Stream || c.AnswerTokens == 0 || c.PromptTokens > backupRatio*c.AnswerTokens || j.service.Engine == nil {
+	if !j.relayer.lossesExpected() || !j.route.Stream || c.AnswerTokens == 0 || c.PromptTokens > backupRatio*c.AnswerTokens || j.service.Engine == nil {
 		return ""
 	}
 	r := j.relayer
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -23,6 +23,8 @@
 	tasks    sync.WaitGroup
 	// inFlight counts the calls in progress.
 	inFlight atomic.Int64
+	// lostAt is when a stream broke last, in nanoseconds since 1970.
+	lostAt atomic.Int64
 	// look wakes the watch over companions.
 	look chan struct{}
 
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -99,6 +99,9 @@
 		j.release(placer.EndingUnreached)
 		return verdictNotRun
 	default:
+		if j.route.Stream {
+			j.relayer.noteLoss()
+		}
 		j.note(err, "no answer")
 		j.release(placer.EndingBroken)
 		return verdictUnknown
