relayer, placer: long streams go elsewhere at a planned stop; long prompts cost more

The reading of long prompts was taken for linear. Change: a stream that would outlast the stop is refused at once; the time to read a prompt counts its pairs of tokens.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -208,12 +208,13 @@
 	if o.engine == nil {
 		return cost + o.serviceCost(now, b, s)
 	}
-	cost += b.backlog(now) + tokensTime(b.fresh(c), s) + time.Duration(b.running())*runTime
+	read := b.readTime(c, s)
+	cost += b.backlog(now) + read + time.Duration(b.running())*runTime
 	if wait := b.loading(c, s); wait > 0 {
 		cost += wait + time.Duration(o.place(c, b))*homeTime
 		cost += o.storeCost(c, b)
 	}
-	cost += time.Duration(float64(tokensTime(b.fresh(c), s)) * float64(b.running()) * disturbShare)
+	cost += time.Duration(float64(read) * float64(b.running()) * disturbShare)
 	if b.running() >= o.engine.Slots {
 		cost += fullTime
 	}
@@ -223,8 +224,19 @@
 	return cost
 }
 
-func tokensTime(tokens int, s *Settings) time.Duration {
-	return time.Duration(float64(tokens) / s.PrefillRate * float64(time.Second))
+// pairTime is the time by which each token of a prompt makes the reading of each
+// token behind it longer. It doubles the time of prompts of some 50,000 tokens.
+const pairTime = 0.0007 * float64(time.Microsecond)
+
+// ReadTime returns the time to read the last fresh of a prompt's tokens, at rate
+// tokens a second.
+func ReadTime(fresh, tokens int, rate float64) time.Duration {
+	pairs := float64(fresh) * (float64(tokens) - float64(fresh)/2)
+	return time.Duration(float64(fresh)/rate*float64(time.Second) + pairs*pairTime)
+}
+
+func (b *backend) readTime(c *Call, s *Settings) time.Duration {
+	return ReadTime(b.fresh(c), c.Tokens, s.PrefillRate)
 }
 
 // loadAge is the age up to which a backend server's word on its load counts.
@@ -295,7 +307,7 @@
 	}
 	if o.engine != nil {
 		choice.Backlog, choice.Load = b.backlog(now), b.loading(c, s)
-		choice.Read = tokensTime(b.fresh(c), s)
+		choice.Read = b.readTime(c, s)
 		choice.fresh = choice.Read
 		b.placed += choice.Read
 		for _, hash := range c.Parts {
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
 
@@ -190,7 +191,7 @@
 func (a *Attendant) let(g *guest, now time.Time) {
 	g.admitted = true
 	fresh := a.book.read(g.name, g.admit.Parts, g.admit.Tokens)
-	read := time.Duration(float64(fresh) / a.settings.PrefillRate * float64(time.Second))
+	read := placer.ReadTime(fresh, g.admit.Tokens, a.settings.PrefillRate)
 	if a.readUntil.Before(now) {
 		a.readUntil = now
 	}
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -23,6 +23,9 @@
 	tasks    sync.WaitGroup
 	// inFlight counts the calls in progress.
 	inFlight atomic.Int64
+	// stopAt is when a planned stop cuts what is in progress, in nanoseconds since
+	// 1970; 0 while none is under way.
+	stopAt atomic.Int64
 	// lostAt is when a stream broke last, in nanoseconds since 1970.
 	lostAt atomic.Int64
 	// look wakes the watch over companions.
@@ -66,6 +69,9 @@
 	}
 }
 
+// Stopping tells the relayer that what is in progress at a time will be cut.
+func (r *Relayer) Stopping(at time.Time) { r.stopAt.Store(at.UnixNano()) }
+
 // Close ends the watch over companions and waits. Calls in progress are their
 // server's to end.
 func (r *Relayer) Close() error {
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -285,6 +285,27 @@
 	}
 }
 
+var _ = Describe("A planned stop", func() {
+	It("sends long streams elsewhere, and serves what ends in time", func() {
+		// Symptom: long answers are cut at the end of a planned stop.
+		// Events: an entry is told to stop; until the balancer notices, it is given
+		// new calls; a stream among them lasts longer than the time that is left.
+		// Cause: what was in progress when the stop began was looked at only.
+		b := newBackend(func(c net.Conn, r *http.Request) {
+			events(c, r, 1, 1)
+			endStream(c)
+		})
+		e := newEntry(streamed, nil, b)
+		e.relayer.Stopping(time.Now().Add(time.Second))
+		answer := e.ask(ctx, nil)
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+		e.relayer.Stopping(time.Now().Add(time.Minute))
+		Expect(read(e.ask(ctx, nil))).NotTo(BeEmpty())
+		Expect(runs(b)).To(Equal(1))
+	})
+})
+
 var _ = Describe("An admission", func() {
 	It("comes before the call and ends with it", func() {
 		b := newBackend(func(c net.Conn, r *http.Request) {
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -90,6 +90,9 @@
 		return j.refuse(http.StatusNotFound, "no route", 0)
 	}
 	j.service = routing.Service(j.route.Pick(r.draw()))
+	if j.outlasts() {
+		return j.refuse(http.StatusServiceUnavailable, "stopping", elsewhereAfter)
+	}
 	wait := j.route.Timeout
 	if call.Deadline > 0 {
 		wait = min(wait, call.Deadline)
@@ -124,6 +127,27 @@
 	}
 }
 
+const (
+	// elsewhereAfter has a caller come back at once, which leads to another entry.
+	elsewhereAfter = 10 * time.Millisecond
+	// streamToken is the time that a token of a stream takes at a busy engine, and
+	// streamStart the time before the first.
+	streamToken = 15 * time.Millisecond
+	streamStart = 500 * time.Millisecond
+)
+
+// outlasts reports whether the call would most likely be cut by the planned stop
+// under way. Until the platform's balancer has noticed the stop it sends new calls;
+// a long stream among them does better elsewhere.
+func (j *job) outlasts() bool {
+	stop := j.relayer.stopAt.Load()
+	if stop == 0 || !j.route.Stream {
+		return false
+	}
+	expected := streamStart + time.Duration(j.call.AnswerTokens)*streamToken
+	return j.arrived.Add(expected).UnixNano() > stop
+}
+
 // defaultDeadline is assumed of callers that told none, before their route is
 // known.
 const defaultDeadline = 2 * time.Second
