attendant, relayer: the order for a model isn't held up, another life is no attempt

Cause: an engine that restarted under load got its model late: orders for adapters, which wait for the model, held the lock under which the order for the model is given, 0.2 s each. Calls that reached another life at their backend server's address were refused, since the refusal counted as their one attempt. Change: what has to wait does so without the lock; a refusal by another life counts against the retry budget only. Tests: TestRestartInARush; "finds another life at its backend server's address". Also: linter's findings, the states of engines move to package placer.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -16,9 +15,9 @@
 	// own counts this entry's calls in progress.
 	own int
 	// state is the companion's last report, of reportedAt; zero where none came.
-	state      messenger.BackendState
+	state      EngineState
 	reportedAt time.Time
-	adapters   map[string]messenger.AdapterState
+	adapters   map[string]AdapterState
 	recent     map[string]struct{}
 	cached     map[uint32]struct{}
 	// placed is the reading time of prompts placed here since the report.
@@ -44,13 +43,13 @@
 
 func newBackend(m tracker.Member) *backend {
 	return &backend{
-		member: m, adapters: make(map[string]messenger.AdapterState),
+		member: m, adapters: make(map[string]AdapterState),
 		recent: make(map[string]struct{}), cached: make(map[uint32]struct{}),
 	}
 }
 
 // report takes a companion's state in.
-func (b *backend) report(now time.Time, s messenger.BackendState) {
+func (b *backend) report(now time.Time, s EngineState) {
 	if s.Life < b.state.Life || s.Life == b.state.Life && s.Sequence <= b.state.Sequence {
 		return
 	}
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -91,7 +90,7 @@
 }
 
 // Report takes a companion's report in.
-func (p *Placer) Report(now time.Time, service string, s messenger.BackendState) {
+func (p *Placer) Report(now time.Time, service string, s EngineState) {
 	o := p.pool(service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -314,7 +313,7 @@
 			b.cached[hash] = struct{}{}
 		}
 		if name := c.Model + "/" + c.Adapter; c.Adapter != "" && choice.Load > 0 {
-			b.adapters[name] = messenger.AdapterState{Name: name, Version: c.Version, Loading: true, Pins: 1}
+			b.adapters[name] = AdapterState{Name: name, Version: c.Version, Loading: true, Pins: 1}
 		}
 	}
 	choice.Expected = o.cost(now, c, b, s)
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -9,7 +9,6 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
-	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -50,7 +49,8 @@
 	GinkgoHelper()
 	t := tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{d.service}}
-		return r, r.Compile()
+		err := r.Compile()
+		return r, err
 	}})
 	resources := []storer.Resource{{Kind: storer.KindRouting, Spec: storer.RoutingSpec{Number: 1}}}
 	for _, m := range d.members {
@@ -62,17 +62,17 @@
 }
 
 // report has an engine report its state.
-func (d *deployment) report(now time.Time, i int, s messenger.BackendState) {
+func (d *deployment) report(now time.Time, i int, s placer.EngineState) {
 	d.sequence++
 	s.Name, s.Incarnation, s.Life, s.Sequence = d.members[i].Name, d.members[i].Spec.Incarnation, 1, d.sequence
 	s.Models, s.AdapterSlots, s.Whole = []string{model}, 8, true
 	d.placer.Report(now, engines, s)
 }
 
-func held(names ...string) []messenger.AdapterState {
-	var all []messenger.AdapterState
+func held(names ...string) []placer.AdapterState {
+	var all []placer.AdapterState
 	for _, n := range names {
-		all = append(all, messenger.AdapterState{Name: model + "/" + n, Version: 1, Pins: 1})
+		all = append(all, placer.AdapterState{Name: model + "/" + n, Version: 1, Pins: 1})
 	}
 	return all
 }
@@ -92,18 +92,18 @@
 	It("goes where the adapter is", func() {
 		d := newDeployment(6)
 		for i := range 6 {
-			d.report(start, i, messenger.BackendState{})
+			d.report(start, i, placer.EngineState{})
 		}
-		d.report(start, 4, messenger.BackendState{Adapters: held("a1")})
+		d.report(start, 4, placer.EngineState{Adapters: held("a1")})
 		Expect(d.choose(start, adapterCall("a1", 1000)).Name).To(Equal("e04"))
 	})
 
 	It("goes where the prompt was read, all else being equal", func() {
 		d := newDeployment(3)
 		hash := placer.PartHash(model+"/a1", 0, 7)
-		d.report(start, 0, messenger.BackendState{Adapters: held("a1")})
-		d.report(start, 1, messenger.BackendState{Adapters: held("a1"), Cached: []uint32{hash}})
-		d.report(start, 2, messenger.BackendState{Adapters: held("a1")})
+		d.report(start, 0, placer.EngineState{Adapters: held("a1")})
+		d.report(start, 1, placer.EngineState{Adapters: held("a1"), Cached: []uint32{hash}})
+		d.report(start, 2, placer.EngineState{Adapters: held("a1")})
 		c := adapterCall("a1", 9000)
 		c.Parts, c.PartTokens = []uint32{hash}, []int{6300}
 		Expect(d.choose(start, c).Name).To(Equal("e01"))
@@ -111,8 +111,8 @@
 
 	It("leaves an engine before which long prompts wait", func() {
 		d := newDeployment(2)
-		d.report(start, 0, messenger.BackendState{Adapters: held("a1"), BacklogMillis: 2500})
-		d.report(start, 1, messenger.BackendState{})
+		d.report(start, 0, placer.EngineState{Adapters: held("a1"), BacklogMillis: 2500})
+		d.report(start, 1, placer.EngineState{})
 		Expect(d.choose(start, adapterCall("a1", 1000)).Name).To(Equal("e01"))
 		later := start.Add(2 * time.Second)
 		Expect(d.choose(later, adapterCall("a1", 1000)).Name).To(Equal("e00"), "a backlog passes by itself")
@@ -121,23 +121,23 @@
 	It("prefers an engine that holds the adapter in its own memory to a load from the store", func() {
 		d := newDeployment(4)
 		for i := range 4 {
-			d.report(start, i, messenger.BackendState{})
+			d.report(start, i, placer.EngineState{})
 		}
-		d.report(start, 3, messenger.BackendState{Recent: []string{model + "/a1"}, BacklogMillis: 100})
+		d.report(start, 3, placer.EngineState{Recent: []string{model + "/a1"}, BacklogMillis: 100})
 		Expect(d.choose(start, adapterCall("a1", 100)).Name).To(Equal("e03"))
 	})
 
 	It("passes over an engine whose slots are all in use", func() {
 		d := newDeployment(2)
-		d.report(start, 0, messenger.BackendState{Adapters: held("b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8")})
-		d.report(start, 1, messenger.BackendState{Adapters: held("b1", "b2", "b3"), BacklogMillis: 300})
+		d.report(start, 0, placer.EngineState{Adapters: held("b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8")})
+		d.report(start, 1, placer.EngineState{Adapters: held("b1", "b2", "b3"), BacklogMillis: 300})
 		Expect(d.choose(start, adapterCall("a1", 100)).Name).To(Equal("e01"))
 	})
 
 	It("passes over an engine that still serves an earlier version", func() {
 		d := newDeployment(2)
-		d.report(start, 0, messenger.BackendState{Adapters: held("a1")})
-		d.report(start, 1, messenger.BackendState{})
+		d.report(start, 0, placer.EngineState{Adapters: held("a1")})
+		d.report(start, 1, placer.EngineState{})
 		c := adapterCall("a1", 100)
 		c.Version = 2
 		Expect(d.choose(start, c).Name).To(Equal("e01"))
@@ -163,9 +163,9 @@
 
 	It("believes no report of an earlier life, nor an older one", func() {
 		d := newDeployment(1)
-		d.report(start, 0, messenger.BackendState{BacklogMillis: 1000})
-		d.placer.Report(start, engines, messenger.BackendState{Name: "e00", Incarnation: "i-0", Life: 1, Sequence: 0, BacklogMillis: 9000})
-		d.placer.Report(start, engines, messenger.BackendState{Name: "e00", Incarnation: "i-former", Life: 2, Sequence: 1, BacklogMillis: 9000})
+		d.report(start, 0, placer.EngineState{BacklogMillis: 1000})
+		d.placer.Report(start, engines, placer.EngineState{Name: "e00", Incarnation: "i-0", Life: 1, Sequence: 0, BacklogMillis: 9000})
+		d.placer.Report(start, engines, placer.EngineState{Name: "e00", Incarnation: "i-former", Life: 2, Sequence: 1, BacklogMillis: 9000})
 		Expect(d.choose(start, adapterCall("a1", 0)).Backlog).To(Equal(time.Second))
 	})
 
@@ -188,7 +188,7 @@
 	It("finds a second engine for a copy, other than the first", func() {
 		d := newDeployment(3)
 		for i := range 3 {
-			d.report(start, i, messenger.BackendState{Adapters: held("a1")})
+			d.report(start, i, placer.EngineState{Adapters: held("a1")})
 		}
 		first := d.choose(start, adapterCall("a1", 100))
 		var second placer.Choice
@@ -249,7 +249,7 @@
 					for j := range state {
 						state[j].Pins = 0
 					}
-					d.report(now, i, messenger.BackendState{Adapters: state})
+					d.report(now, i, placer.EngineState{Adapters: state})
 				}
 			}
 		}
@@ -338,7 +338,7 @@
 			if i%2 == 0 {
 				running = 30
 			}
-			d.report(start, i, messenger.BackendState{Adapters: held("a1"), Running: running})
+			d.report(start, i, placer.EngineState{Adapters: held("a1"), Running: running})
 		}
 		quiet := 0
 		for range 10 {
--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -29,7 +29,7 @@
 	MethodRelease Method = "Companion.Release"
 	// MethodWatch asks for the backend server's state: Watch.
 	MethodWatch Method = "Companion.Watch"
-	// MethodState carries the backend server's state to an entry: BackendState.
+	// MethodState carries an engine's state to an entry (package placer).
 	MethodState Method = "Entry.State"
 
 	// MethodReplicate carries messages of the replicated log between control
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -148,7 +148,7 @@
 	if deleted {
 		return
 	}
-	list := append(d.view.members[m.Spec.Service], m)
+	list := append(slices.Clone(d.view.members[m.Spec.Service]), m)
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	d.view.members[m.Spec.Service] = list
 }
--- a/internal/state/tracker/tracker_test.go
+++ b/internal/state/tracker/tracker_test.go
@@ -22,7 +22,8 @@
 		Services: []tracker.Service{{Name: name}},
 		Routes:   []tracker.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Shares: []tracker.Share{{Service: name, Weight: 1}}}},
 	}
-	return r, r.Compile()
+	err := r.Compile()
+	return r, err
 }
 
 func newTracker() *tracker.Tracker { return tracker.NewTracker(tracker.Settings{Decode: decode}) }
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -33,7 +33,7 @@
 
 // admit waits until the request's adapter is ready.
 func (a *Attendant) admit(ctx context.Context, conn *messenger.Conn, m messenger.Admit) (any, error) {
-	a.watch(conn)
+	a.watch(conn) //nolint:contextcheck // Orders outlive the request that led to them.
 	g, refusal := a.receive(conn, m)
 	if refusal != nil {
 		return nil, refusal
@@ -46,7 +46,7 @@
 	case <-ctx.Done():
 	case <-a.root.Done():
 	}
-	return a.answer(g)
+	return a.answer(g) //nolint:contextcheck // Orders outlive the request that led to them.
 }
 
 // answer tells how the wait ended. A guest that still waits is dropped.
@@ -57,7 +57,7 @@
 	switch {
 	case g.admitted:
 		a.metrics.waited.Observe(waited.Seconds())
-		state := messenger.BackendState{
+		state := placer.EngineState{
 			Name: a.settings.Name, Incarnation: a.incarnation, Life: a.life,
 			Running: len(a.guests), BacklogMillis: a.backlog(),
 		}
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -150,14 +150,14 @@
 		if err := messenger.Decode(params, &m); err != nil {
 			return nil, err
 		}
-		a.release(m.Request)
+		a.release(m.Request) //nolint:contextcheck // Orders outlive the request that led to them.
 		return nil, nil
 	case messenger.MethodWatch:
 		var m messenger.Watch
 		if err := messenger.Decode(params, &m); err != nil {
 			return nil, err
 		}
-		a.watch(conn)
+		a.watch(conn) //nolint:contextcheck // Orders outlive the request that led to them.
 		return nil, nil
 	default:
 		return nil, messenger.NewRefusal(messenger.ReasonUnsupported, string(method))
--- a/internal/transport/attendant/attendant_test.go
+++ b/internal/transport/attendant/attendant_test.go
@@ -12,6 +12,7 @@
 
 // with runs a test beside an engine, in its own time.
 func with(t *testing.T, test func(f *fixture, e *engine)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngine()
 		f := newFixture(t, e)
@@ -161,6 +162,37 @@
 	})
 }
 
+// TestRestartInARush: symptom: an engine that restarted under load stays without its
+// model for seconds. Sequence: loads are under way when it restarts; each is ordered
+// again and again, in vain without the model. Cause: orders that had to wait for the
+// model held up the order to load it.
+func TestRestartInARush(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		var all []*admission
+		for i := range 6 {
+			all = append(all, f.admit(fmt.Sprint("r", i), fmt.Sprint("a", i), 1))
+		}
+		after(50 * time.Millisecond)
+		e.restart("i-2")
+		f.announce("i-2", storer.MemberStateServing)
+		after(attendant.DefaultObserveInterval + 2*loadTime + 200*time.Millisecond)
+		r, err := e.Report(t.Context())
+		if err != nil || len(r.Models) == 0 {
+			t.Fatalf("the model is not back: %v", err)
+		}
+		after(loadTime)
+		admitted := 0
+		for _, a := range all {
+			if a.over() && a.err == nil {
+				admitted++
+			}
+		}
+		if admitted < slots {
+			t.Errorf("%d requests admitted, want %d", admitted, slots)
+		}
+	})
+}
+
 // TestLeavingEngineTurnsAway: symptom: a request reaches a backend server two
 // seconds after it has said that it leaves. Sequence: the request waits there for a
 // slot; the backend server announces that it leaves; the wait ends well. Cause: only
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -159,12 +159,14 @@
 const place = "10.0.0.1-80"
 
 func newFixture(t *testing.T, e *engine) *fixture {
+	t.Helper()
 	f := &fixture{t: t, engine: e}
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
 			Slots: 64, MemoryTokens: 1000, AdapterSlots: slots, Models: []tracker.Model{{Name: model}},
 		}}}}
-		return r, r.Compile()
+		err := r.Compile()
+		return r, err
 	}})
 	f.apply(storer.KindRouting, storer.RoutingName, storer.RoutingSpec{Number: 1})
 	f.announce("i-1", storer.MemberStateServing)
--- a/internal/transport/attendant/ordering.go
+++ b/internal/transport/attendant/ordering.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -169,49 +170,58 @@
 const orderAttempts = 8
 
 // order gives an order, based on what the engine has accepted so far, until it is
-// accepted or what it asks for is so.
+// accepted or what it asks for is so. An adapter waits for its model and for a free
+// slot; meanwhile other orders go on, that for the model among them.
 //
 // An order without an answer may be carried out seconds later. Each names the
 // sequence that it is based on: whichever of two like orders comes first makes the
 // other one void, and one that comes after a later order is refused. Without it a
 // late unload would drop an adapter that was loaded anew.
 func (a *Attendant) order(o Order) error {
-	a.ordering.Lock()
-	defer a.ordering.Unlock()
 	var last error
-	for attempt := range orderAttempts {
-		if attempt > 0 && !a.pause(a.settings.LoadPoll) {
-			break
-		}
-		r, err := a.read()
-		if err != nil {
-			last = err
-			continue
-		}
-		if r.satisfied(o) {
-			return nil
+	began := a.settings.Now()
+	for sent := 0; sent < orderAttempts; {
+		done, tried, err := a.orderOnce(o)
+		if done {
+			return err
 		}
-		if o.Kind == OrderLoad && o.Adapter != "" && (!r.holds(o.Model) || len(r.slots()) >= a.slotCount()) {
-			// More than fit would crash the engine.
-			last = errors.New("no free slot, or no model")
-			continue
+		if tried {
+			sent++
 		}
-		reply, err := a.give(o, r)
-		switch {
-		case err != nil:
-			last = err
-		case reply == ReplyAccepted, reply == ReplyHolds:
-			return nil
-		default:
-			last = errors.Errorf("the engine answered %s", reply)
-			if reply == ReplyFenced || reply == ReplyRefused {
-				return last
-			}
+		last = err
+		if a.settings.Now().Sub(began) > a.settings.LoadLimit || !a.pause(a.settings.LoadPoll) {
+			break
 		}
 	}
 	return last
 }
 
+// orderOnce looks whether the order is needed and possible, and gives it. Done tells
+// that there is no more to do, and tried that it was sent.
+func (a *Attendant) orderOnce(o Order) (done, tried bool, err error) {
+	a.ordering.Lock()
+	defer a.ordering.Unlock()
+	r, err := a.read()
+	switch {
+	case err != nil:
+		return false, true, err
+	case r.satisfied(o):
+		return true, false, nil
+	case o.Kind == OrderLoad && o.Adapter != "" && (!r.holds(o.Model) || len(r.slots()) >= a.slotCount()):
+		// More than fit would crash the engine.
+		return false, false, errors.New("no free slot, or no model")
+	}
+	reply, err := a.give(o, r)
+	switch {
+	case err != nil:
+		return false, true, err
+	case reply == ReplyAccepted, reply == ReplyHolds:
+		return true, true, nil
+	default:
+		return reply == ReplyFenced || reply == ReplyRefused, true, errors.Errorf("the engine answered %s", reply)
+	}
+}
+
 func (a *Attendant) give(o Order, r Report) (Reply, error) {
 	a.mu.Lock()
 	o.Expect, o.Fence, o.Incarnation = r.Sequence, a.epoch, a.incarnation
@@ -240,13 +250,8 @@
 func (a *Attendant) noteEvicted(version string) {
 	model, adapter, _ := splitVersion(version)
 	name := adapterName(model, adapter)
-	kept := a.recent[:0]
-	for _, r := range a.recent {
-		if r != name {
-			kept = append(kept, r)
-		}
-	}
-	a.recent = append(kept, name)
+	a.recent = slices.DeleteFunc(a.recent, func(r string) bool { return r == name })
+	a.recent = append(a.recent, name)
 	a.left = append(a.left, name)
 	if over := len(a.recent) - recentLimit; over > 0 {
 		a.recent = a.recent[over:]
--- a/internal/transport/attendant/telling.go
+++ b/internal/transport/attendant/telling.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
 
@@ -31,7 +32,7 @@
 }
 
 // news returns the whole state, what is new of it, and whom to tell.
-func (a *Attendant) news() (whole, news messenger.BackendState, watchers map[*messenger.Conn]bool) {
+func (a *Attendant) news() (whole, news placer.EngineState, watchers map[*messenger.Conn]bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.changed || a.table == nil || len(a.watchers) == 0 {
@@ -39,7 +40,7 @@
 	}
 	a.changed = false
 	a.sequence++
-	news = messenger.BackendState{
+	news = placer.EngineState{
 		Name: a.settings.Name, Incarnation: a.incarnation, Life: a.life, Sequence: a.sequence,
 		Running: len(a.guests), BacklogMillis: a.backlog(),
 		AdapterSlots: a.table.Slots(),
@@ -52,7 +53,7 @@
 	}
 	for _, r := range a.table.Residencies(nil) {
 		model, adapter, version := splitVersion(r.Version)
-		news.Adapters = append(news.Adapters, messenger.AdapterState{
+		news.Adapters = append(news.Adapters, placer.AdapterState{
 			Name: adapterName(model, adapter), Version: version,
 			Loading: r.Phase != loader.PhaseResident, Pins: r.Pins + r.Waiters,
 		})
--- a/internal/transport/controller/enlisting.go
+++ b/internal/transport/controller/enlisting.go
@@ -41,11 +41,11 @@
 			continue
 		}
 		for _, address := range c.reachableHosts() {
-			if err := c.askToEnlist(address); err == nil {
+			err := c.askToEnlist(address)
+			if err == nil {
 				break
-			} else {
-				c.settings.Log.Debug().Err(err).Str("Host", address).Msg("not enlisted yet")
 			}
+			c.settings.Log.Debug().Err(err).Str("Host", address).Msg("not enlisted yet")
 		}
 	}
 }
@@ -111,7 +111,7 @@
 	defer cancel()
 	err = c.atLeader(ctx, e.Forwarded, func(context.Context) error {
 		if d := c.currentDuties(); d != nil {
-			d.takeIn(e)
+			d.takeIn(e) //nolint:contextcheck // The change outlives the call, which is repeated.
 		}
 		answer = c.describe()
 		return nil
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -55,6 +55,9 @@
 	Request string
 	// NotRun means that the backend server has not run the request.
 	NotRun bool
+	// Elsewhere means that another life of the backend server than the one meant
+	// has answered; it has not run the request.
+	Elsewhere bool
 	// Signed means that the backend server has run it and vouches for the answer.
 	Signed bool
 	// Calls is the number of calls at the backend server; negative means not
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -52,7 +52,7 @@
 }
 
 func (translator) Head(_ int, h http.Header) relayer.Head {
-	return relayer.Head{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Calls: -1}
+	return relayer.Head{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Elsewhere: h.Get("Not-Run") == "elsewhere", Signed: h.Get("Signed") != "", Calls: -1}
 }
 
 func (translator) AnswerHeader(h http.Header) http.Header {
@@ -159,7 +159,8 @@
 	e.tracker = tracker.NewTracker(tracker.Settings{
 		Decode: func([]byte) (*tracker.Routing, error) {
 			r := &tracker.Routing{Number: 1, Routes: []tracker.Route{route}, Services: []tracker.Service{{Name: "s", Engine: engine}}}
-			return r, r.Compile()
+			err := r.Compile()
+			return r, err
 		},
 		Changed: func(v *tracker.View) { e.relayer.ViewChanged(v) },
 	})
@@ -215,7 +216,7 @@
 		func(_ context.Context, _ *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			switch method {
+			switch method { //nolint:exhaustive // The others don't come here.
 			case messenger.MethodAdmit:
 				var m messenger.Admit
 				if err := messenger.Decode(params, &m); err != nil {
@@ -263,7 +264,7 @@
 
 // place has an engine's companion report.
 func (e *entry) place(m tracker.Member) {
-	e.placer.Report(time.Now(), "s", messenger.BackendState{
+	e.placer.Report(time.Now(), "s", placer.EngineState{
 		Name: m.Name, Incarnation: m.Spec.Incarnation, Life: 1, Sequence: 1, Models: []string{"m"}, AdapterSlots: 8,
 	})
 }
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -85,7 +86,7 @@
 	if method != messenger.MethodState {
 		return nil, messenger.NewRefusal(messenger.ReasonUnsupported, string(method))
 	}
-	var s messenger.BackendState
+	var s placer.EngineState
 	if err := messenger.Decode(params, &s); err != nil {
 		return nil, err
 	}
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -100,6 +100,22 @@
 		Expect(runs(a, b)).To(Equal(2))
 	})
 
+	It("that finds another life at its backend server's address goes to one that is there", func() {
+		// Symptom: calls are refused for a second after a backend server has
+		// restarted, though others are free.
+		// Events: the call is sent by what was known of the former life; the new
+		// one refuses it; the route allows one attempt.
+		// Cause: the refusal counted as an attempt at the backend server meant.
+		route := once
+		route.MaxAttempts = 1
+		elsewhere := text("421", "Not-Run: elsewhere\r\n", "")
+		a, b := newBackend(elsewhere), newBackend(elsewhere)
+		e := newEntry(route, nil, a, b)
+		Expect(e.ask(ctx, map[string]string{"Deadline": "200"}).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.runs.Load()).NotTo(BeZero())
+		Expect(b.runs.Load()).NotTo(BeZero())
+	})
+
 	It("that may run once is answered by the failure of who ran it", func() {
 		a, b := newBackend(text("500", signed, "mine")), newBackend(text("500", signed, "mine"))
 		answer := newEntry(once, nil, a, b).ask(ctx, nil)
@@ -170,7 +186,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		r.Host = "h"
 		r.Header.Set("Deadline", "20000")
-		_, err = e.server.Client().Do(r) //nolint:bodyclose // There is no answer.
+		_, err = e.server.Client().Do(r)
 		Expect(err).To(MatchError(context.Canceled))
 		Eventually(b.left).Should(Receive())
 		Eventually(e.relayer.InFlight).Should(BeZero())
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -69,39 +69,43 @@
 			j.exhausted("no attempt or retry budget left")
 			return
 		}
-		switch v := j.attempt(); v {
-		case verdictAnswered:
+		if !j.follow(j.attempt()) {
 			return
-		case verdictEnded:
-			j.giveUp()
-			return
-		case verdictNotRun:
-			if j.from != "" && !j.repeatable() {
-				j.exhausted("no copy of the request's memory was left")
-				return
-			}
-			j.from = ""
-		case verdictUnknown:
-			if j.mayHaveRun = true; j.goOn() {
-				continue
-			}
-			if !j.repeatable() {
-				j.exhausted("the backend server gave no answer")
-				return
-			}
-		case verdictFailed:
-			if j.mayHaveRun = true; !j.repeatable() {
-				j.exhausted("the backend server failed")
-				return
-			}
 		}
-		j.avoid = append(j.avoid, j.choice.Name)
 	}
 }
 
+// follow draws the conclusion from one sending, and reports whether there is to be
+// another. If not, the call is answered.
+func (j *job) follow(v verdict) bool {
+	switch v {
+	case verdictAnswered:
+		return false
+	case verdictEnded:
+		j.giveUp()
+		return false
+	case verdictNotRun:
+		if j.from != "" && !j.repeatable() {
+			j.exhausted("no copy of the request's memory was left")
+			return false
+		}
+		j.from = ""
+	case verdictUnknown, verdictFailed:
+		if j.mayHaveRun = true; v == verdictUnknown && j.goOn() {
+			return true
+		}
+		if !j.repeatable() {
+			j.exhausted("the backend server gave no answer, or failed")
+			return false
+		}
+	}
+	j.avoid = append(j.avoid, j.choice.Name)
+	return true
+}
+
 // mayGo reports whether the call may be handed to one more backend server.
 func (j *job) mayGo() bool {
-	if j.sent == 0 {
+	if j.arrivals == 0 {
 		return true
 	}
 	if j.from == "" && j.sent >= max(1, j.route.MaxAttempts) || !j.relayer.budget.take(j.relayer.settings.Now(), j.service.Name) {
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -31,7 +31,7 @@
 	// drop the request.
 	stop := context.AfterFunc(j.ctx, conn.Abort)
 	defer stop()
-	head, response, err := j.exchange(conn, a)
+	head, response, err := j.exchange(conn, a) //nolint:bodyclose // Each verdict reads the body to its end or aborts the connection.
 	if err != nil {
 		return j.unanswered(err)
 	}
@@ -39,6 +39,10 @@
 		r.settings.Placer.Loaded(r.settings.Now(), &j.choice, head.Calls)
 	}
 	if head.NotRun {
+		if head.Elsewhere {
+			// The backend server that was meant never got it.
+			j.sent--
+		}
 		j.discard(conn, response, head)
 		j.note(nil, "not run: "+strconv.Itoa(response.StatusCode))
 		j.release(placer.EndingRefused)
@@ -69,6 +73,7 @@
 		out.Body = io.NopCloser(bytes.NewReader(j.body))
 	}
 	j.sent++
+	j.arrivals++
 	response, err := conn.Exchange(out, func(h http.Header) bool {
 		id := t.Head(0, h).Request
 		return id == "" || id == j.call.ID
@@ -95,6 +100,7 @@
 		return verdictEnded
 	case errors.Is(err, exchanger.ErrNotSent):
 		j.sent--
+		j.arrivals--
 		j.note(err, "not sent")
 		j.release(placer.EndingUnreached)
 		return verdictNotRun
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -34,6 +34,9 @@
 	// tells that one of them may have run it.
 	sent       int
 	mayHaveRun bool
+	// arrivals counts the sendings that reached a backend server, those included
+	// that were meant for another life of it.
+	arrivals int
 	// failed is a backend server's own failure, the answer of last resort.
 	failed *kept
 	// began tells that the answer's head has gone to the caller.
@@ -68,7 +71,7 @@
 	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
 	defer cancel()
 	j.ctx = ctx
-	j.run()
+	j.run() //nolint:contextcheck // A release goes out though the caller has left.
 }
 
 // errAnswered tells that the call has had its answer.
