relayer: a started entry serves by what was lately all that was accepted

Change: an entry uses nothing, and is not ready, until its control host has known of all that was accepted; later it goes on without contact. Test: "is not served by what may be old, right after the start".

--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -135,6 +135,8 @@
 	server  *httptest.Server
 	tracker *tracker.Tracker
 	view    uint64
+	// untrusted means that what is known may be old.
+	untrusted atomic.Bool
 	// later is added to the relayer's clock, in nanoseconds.
 	later    atomic.Int64
 	mu       sync.Mutex
@@ -170,7 +172,7 @@
 	pool := exchanger.NewPool(exchanger.Settings{})
 	companions := dialer.NewPool(dialer.Settings{Random: rand.New(rand.NewPCG(3, 4))})
 	e.relayer = relayer.NewRelayer(relayer.Settings{
-		Translator: translator{}, View: func() *tracker.View { return e.tracker.View() }, Pool: pool, Companions: companions,
+		Translator: translator{}, View: func() *tracker.View { return e.tracker.View() }, Trusted: func() bool { return !e.untrusted.Load() }, Pool: pool, Companions: companions,
 		Placer:           e.placer,
 		CompanionAddress: func(tracker.Member) string { return companion }, Random: random,
 		Now: func() time.Time { return time.Now().Add(time.Duration(e.later.Load())) },
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -24,6 +24,8 @@
 	tasks    sync.WaitGroup
 	// inFlight counts the calls in progress.
 	inFlight atomic.Int64
+	// trusted is set once what is known was all that was accepted.
+	trusted atomic.Bool
 	// stopAt is when a planned stop cuts what is in progress, in nanoseconds since
 	// 1970; 0 while none is under way.
 	stopAt atomic.Int64
@@ -61,6 +63,22 @@
 // InFlight returns the number of calls in progress.
 func (r *Relayer) InFlight() int { return int(r.inFlight.Load()) }
 
+// Routing returns the configuration in force, or nil while none can be trusted.
+//
+// A process that has just started may be told an old state at first, by a control
+// host that has just started too: the configuration of before would be in force at
+// this entry for a moment, seconds after another was accepted. Later, what is known
+// stays in use, also without contact to control hosts.
+func (r *Relayer) Routing() *tracker.Routing {
+	if !r.trusted.Load() {
+		if r.settings.Trusted != nil && !r.settings.Trusted() {
+			return nil
+		}
+		r.trusted.Store(true)
+	}
+	return r.settings.View().Routing
+}
+
 // ViewChanged has the relayer follow a new view. It is quick.
 func (r *Relayer) ViewChanged(v *tracker.View) {
 	r.settings.Placer.SetView(v)
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -69,6 +69,20 @@
 		Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	It("is not served by what may be old, right after the start", func() {
+		// Symptom: a call goes by a route that was dropped seconds before.
+		// Events: all processes are killed; a control host is back first and tells
+		// an entry the state that it has read so far.
+		// Cause: the first state that came was taken for the one in force.
+		e := newEntry(once, nil, newBackend(well))
+		e.untrusted.Store(true)
+		Expect(e.ask(ctx, map[string]string{"Deadline": "200"}).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		e.untrusted.Store(false)
+		Expect(e.ask(ctx, nil).StatusCode).To(Equal(200))
+		e.untrusted.Store(true)
+		Expect(e.ask(ctx, nil).StatusCode).To(Equal(200), "what was known stays in use without contact")
+	})
+
 	It("without a route is told so", func() {
 		e := newEntry(once, nil, newBackend(well))
 		r, err := http.NewRequest(http.MethodGet, e.server.URL+"/other/", nil)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -123,7 +123,7 @@
 func (j *job) awaitRouting() *tracker.Routing {
 	j.deadline = j.arrived.Add(cmp.Or(j.call.Deadline, defaultDeadline))
 	for {
-		routing := j.relayer.settings.View().Routing
+		routing := j.relayer.Routing()
 		if routing != nil || !j.mayHold() || !pauseIn(j.ctx, holdPause) {
 			return routing
 		}
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -41,7 +41,10 @@
 	// Translator, View, Placer, Pool, Companions and Random are required.
 	Translator Translator
 	View       func() *tracker.View
-	Placer     *placer.Placer
+	// Trusted reports whether what is known was lately all that was accepted; nil
+	// means always.
+	Trusted func() bool
+	Placer  *placer.Placer
 	// Pool holds the connections to backend servers.
 	Pool *exchanger.Pool
 	// Companions holds those to companions; its handler must be the relayer's.
