--- a/internal/transport/attendant/attendant_test.go
+++ b/internal/transport/attendant/attendant_test.go
@@ -193,6 +193,26 @@
 	})
 }
 
+// TestModelBeforeAnnouncement: symptom: engines stand empty for a second after a loss
+// of power. Sequence: an engine restarts; control, which restarts too, has not taken
+// its announcement yet; the order for its model names the former life and is refused.
+// Cause: what every life needs was ordered from one of them.
+func TestModelBeforeAnnouncement(t *testing.T) {
+	with(t, func(f *fixture, e *engine) {
+		e.restart("i-2")
+		after(2*attendant.DefaultObserveInterval + loadTime)
+		r, err := e.Report(t.Context())
+		if err != nil || len(r.Models) == 0 {
+			t.Errorf("no model: %v", err)
+		}
+		f.announce("i-2", storer.MemberStateServing)
+		after(attendant.DefaultObserveInterval + 10*time.Millisecond)
+		a := f.admit("1", "a1", 1)
+		after(time.Second)
+		a.mustBe(t, 1)
+	})
+}
+
 // TestLeavingEngineTurnsAway: symptom: a request reaches a backend server two
 // seconds after it has said that it leaves. Sequence: the request waits there for a
 // slot; the backend server announces that it leaves; the wait ends well. Cause: only
--- a/internal/transport/attendant/ordering.go
+++ b/internal/transport/attendant/ordering.go
@@ -226,6 +226,11 @@
 	a.mu.Lock()
 	o.Expect, o.Fence, o.Incarnation = r.Sequence, a.epoch, a.incarnation
 	a.mu.Unlock()
+	if o.Adapter == "" {
+		// Whatever life the engine is in, it needs its model. The word of its new
+		// life comes a second or more after a loss of power, by way of control.
+		o.Incarnation = ""
+	}
 	ctx, cancel := context.WithTimeout(a.root, a.settings.OrderTimeout)
 	defer cancel()
 	reply, err := a.settings.Engine.Order(ctx, o)
