--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -155,7 +155,7 @@
 		}
 		return wait
 	}
-	idle, lanes := b.state.AdapterSlots-len(b.adapters), 0
+	idle, lanes := b.state.MaxAdapters-len(b.adapters), 0
 	for _, other := range b.adapters {
 		if other.Loading {
 			lanes++
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -32,7 +32,7 @@
 func newDeployment(count int) *deployment {
 	d := &deployment{
 		placer:  placer.NewPlacer(placer.Settings{FailureDomain: "a", Random: rand.New(rand.NewPCG(1, 2))}),
-		service: tracker.Service{Name: engines, Engine: &tracker.Engine{Slots: 64, AdapterSlots: 8, Models: []tracker.Model{{Name: model}}}},
+		service: tracker.Service{Name: engines, Engine: &tracker.Engine{Slots: 64, MaxAdapters: 8, Models: []tracker.Model{{Name: model}}}},
 	}
 	for i := range count {
 		d.members = append(d.members, tracker.Member{Name: fmt.Sprintf("e%02d", i), Spec: storer.MemberSpec{
@@ -65,7 +65,7 @@
 func (d *deployment) report(now time.Time, i int, s placer.EngineState) {
 	d.sequence++
 	s.Name, s.Incarnation, s.Life, s.Sequence = d.members[i].Name, d.members[i].Spec.Incarnation, 1, d.sequence
-	s.Models, s.AdapterSlots, s.Whole = []string{model}, 8, true
+	s.Models, s.MaxAdapters, s.Whole = []string{model}, 8, true
 	d.placer.Report(now, engines, s)
 }
 
--- a/internal/coordination/placer/state.go
+++ b/internal/coordination/placer/state.go
@@ -30,8 +30,8 @@
 	// been read.
 	BacklogMillis int
 	Adapters      []AdapterState `json:",omitempty"`
-	// AdapterSlots is the number of adapters held at once.
-	AdapterSlots int
+	// MaxAdapters is the number of adapters held at once.
+	MaxAdapters int
 	// Recent are adapters that left their slots lately, which load fast.
 	Recent []string `json:",omitempty"`
 	// Cached are the hashes of prompt parts that were read lately, by PartHash.
--- a/internal/state/tracker/routing.go
+++ b/internal/state/tracker/routing.go
@@ -83,10 +83,10 @@
 	// MemoryTokens is the size of the memory that running calls and cached
 	// prompt parts share.
 	MemoryTokens int
-	// AdapterSlots is the number of adapters held at once, those on their way
+	// MaxAdapters is the number of adapters held at once, those on their way
 	// included.
-	AdapterSlots int
-	Models       []Model
+	MaxAdapters int
+	Models      []Model
 }
 
 // Service is a set of like backend servers.
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -8,6 +8,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
 // Attendant stands beside one engine. It may be used by several goroutines.
@@ -125,16 +126,7 @@
 }
 
 // pause waits, and returns false when the attendant closes.
-func (a *Attendant) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-a.root.Done():
-		return false
-	}
-}
+func (a *Attendant) pause(d time.Duration) bool { return pauser.Pause(a.root, d) }
 
 // Handle serves the messages of entries.
 func (a *Attendant) Handle(ctx context.Context, conn *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -163,7 +163,7 @@
 	f := &fixture{t: t, engine: e}
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
-			Slots: 64, MemoryTokens: 1000, AdapterSlots: slots, Models: []tracker.Model{{Name: model}},
+			Slots: 64, MemoryTokens: 1000, MaxAdapters: slots, Models: []tracker.Model{{Name: model}},
 		}}}}
 		err := r.Compile()
 		return r, err
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -144,7 +144,7 @@
 
 func (a *Attendant) begin(now time.Time, r Report, engine *tracker.Engine) {
 	a.table = loader.NewTable(loader.Settings{
-		Slots:           max(1, engine.AdapterSlots),
+		Slots:           max(1, engine.MaxAdapters),
 		HalfLife:        a.settings.HalfLife,
 		Patience:        a.settings.Patience,
 		AssumedLoadTime: assumedLoadTime,
--- a/internal/transport/attendant/telling.go
+++ b/internal/transport/attendant/telling.go
@@ -43,9 +43,9 @@
 	news = placer.EngineState{
 		Name: a.settings.Name, Incarnation: a.incarnation, Life: a.life, Sequence: a.sequence,
 		Running: len(a.guests), BacklogMillis: a.backlog(),
-		AdapterSlots: a.table.Slots(),
-		Recent:       a.left,
-		Cached:       a.book.fresh,
+		MaxAdapters: a.table.Slots(),
+		Recent:      a.left,
+		Cached:      a.book.fresh,
 	}
 	a.left, a.book.fresh = nil, nil
 	for _, m := range a.report.Models {
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -20,7 +20,7 @@
 	repeatable = tracker.Route{Repeat: tracker.RepeatFreely, MaxAttempts: 3}
 	streamed   = tracker.Route{Stream: true, MaxAttempts: 1}
 	resumable  = tracker.Route{Stream: true, Resumable: true, MaxAttempts: 3}
-	engine     = &tracker.Engine{Slots: 8, AdapterSlots: 8, Models: []tracker.Model{{Name: "m"}}}
+	engine     = &tracker.Engine{Slots: 8, MaxAdapters: 8, Models: []tracker.Model{{Name: "m"}}}
 	ctx        = context.Background()
 )
 
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -9,6 +9,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -131,7 +132,7 @@
 // hold waits a moment and reports whether a call that nobody has taken is to be
 // offered once more, to all again.
 func (j *job) hold() bool {
-	if j.sent > 0 || j.mayHaveRun || j.began || !j.mayHold() || !pauseIn(j.ctx, holdPause) {
+	if j.sent > 0 || j.mayHaveRun || j.began || !j.mayHold() || !pauser.Pause(j.ctx, holdPause) {
 		return false
 	}
 	j.avoid = nil
@@ -144,17 +145,6 @@
 	return float64(j.relayer.settings.Now().Sub(j.arrived)) < holdShare*float64(j.deadline.Sub(j.arrived))
 }
 
-func pauseIn(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // wanted returns the call as the placer sees it.
 func (j *job) wanted() *placer.Call {
 	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid}
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -124,7 +125,7 @@
 	j.deadline = j.arrived.Add(cmp.Or(j.call.Deadline, defaultDeadline))
 	for {
 		routing := j.relayer.Routing()
-		if routing != nil || !j.mayHold() || !pauseIn(j.ctx, holdPause) {
+		if routing != nil || !j.mayHold() || !pauser.Pause(j.ctx, holdPause) {
 			return routing
 		}
 	}
