--- a/internal/transport/sealer/authorize.go
+++ b/internal/transport/sealer/authorize.go
@@ -47,15 +47,16 @@
 // senders returns the roles that may send a method; none for an unknown one.
 func senders(m messenger.Method) roleSet {
 	switch m {
-	case messenger.MethodDispatch, messenger.MethodResume, messenger.MethodAcknowledge, messenger.MethodCancel:
+	case messenger.MethodDispatch, messenger.MethodResume, messenger.MethodAcknowledge, messenger.MethodCancel,
+		messenger.MethodAdmit, messenger.MethodRelease, messenger.MethodWatch:
 		return entries
-	case messenger.MethodPiece, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
+	case messenger.MethodPiece, messenger.MethodState, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
 		return companions
 	case messenger.MethodRequestPermit, messenger.MethodFinishPermit:
 		// A control host hands them on to the leader.
 		return companions | controls
 	case messenger.MethodReplicate, messenger.MethodTally, messenger.MethodBarrier, messenger.MethodRenewBatch,
-		messenger.MethodShareDigest, messenger.MethodDelta, messenger.MethodPulse, messenger.MethodDigest, messenger.MethodVoid:
+		messenger.MethodEnlist, messenger.MethodShareDigest, messenger.MethodDelta, messenger.MethodPulse, messenger.MethodDigest, messenger.MethodVoid:
 		return controls
 	case messenger.MethodPropose, messenger.MethodRead, messenger.MethodInForce, messenger.MethodGroup:
 		// Operators and claims come through entries. What a companion could read
