placer: prompts and streams stay in their failure domain where that costs little

Change: for engines it counts 120 ms, half of a load from the store. The load test of placing had one entry in one domain, which now keeps to its own six engines; it has entries in three domains, as the users have, and the same bound.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -201,12 +201,16 @@
 // against the backend server, in time.
 func (o *pool) cost(now time.Time, c *Call, b *backend, s *Settings) time.Duration {
 	cost := time.Duration(b.failures * float64(failureTime))
-	if b.member.Spec.FailureDomain != s.FailureDomain {
-		cost += s.Distance
-	}
+	away := b.member.Spec.FailureDomain != s.FailureDomain
 	if o.engine == nil {
+		if away {
+			cost += s.Distance
+		}
 		return cost + o.serviceCost(now, b, s)
 	}
+	if away {
+		cost += s.PromptDistance
+	}
 	read := b.readTime(c, s)
 	cost += b.backlog(now) + read + time.Duration(b.running())*runTime
 	if wait := b.loading(c, s); wait > 0 {
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -29,9 +29,12 @@
 	revision uint64
 }
 
-func newDeployment(count int) *deployment {
+func newDeployment(count int) *deployment { return newDeploymentAt("a", count) }
+
+// newDeploymentAt returns one whose entry is in a failure domain.
+func newDeploymentAt(domain string, count int) *deployment {
 	d := &deployment{
-		placer:  placer.NewPlacer(placer.Settings{FailureDomain: "a", Random: rand.New(rand.NewPCG(1, 2))}),
+		placer:  placer.NewPlacer(placer.Settings{FailureDomain: domain, Random: rand.New(rand.NewPCG(1, 2))}),
 		service: tracker.Service{Name: engines, Engine: &tracker.Engine{Slots: 64, MaxAdapters: 8, Models: []tracker.Model{{Name: model}}}},
 	}
 	for i := range count {
@@ -233,23 +236,29 @@
 	// to the power of 1.2, before 18 engines with 8 slots each, as the users have
 	// them. A store that brings some thirty a second is what all wait for, so that
 	// the number of loads decides who is late.
+	// Entries in three failure domains choose without each other.
 	run := func(choose func(d *deployment, now time.Time, adapter string) string) int {
-		d := newDeployment(18)
+		var entries []*deployment
+		for _, domain := range []string{"a", "b", "c"} {
+			entries = append(entries, newDeploymentAt(domain, 18))
+		}
 		s := &store{held: map[string][]string{}}
 		zipf := rand.NewZipf(rand.New(rand.NewPCG(3, 4)), 1.2, 1, 2999)
 		now := start
-		for range 3000 {
+		for call := range 3000 {
 			now = now.Add(15 * time.Millisecond)
 			adapter := fmt.Sprint("a", zipf.Uint64())
-			name := choose(d, now, adapter)
+			name := choose(entries[call%3], now, adapter)
 			s.use(name, adapter)
-			for i, m := range d.members {
-				if m.Name == name {
-					state := held(s.held[name]...)
-					for j := range state {
-						state[j].Pins = 0
+			state := held(s.held[name]...)
+			for j := range state {
+				state[j].Pins = 0
+			}
+			for _, d := range entries {
+				for i, m := range d.members {
+					if m.Name == name {
+						d.report(now, i, placer.EngineState{Adapters: state})
 					}
-					d.report(now, i, placer.EngineState{Adapters: state})
 				}
 			}
 		}
--- a/internal/coordination/placer/settings.go
+++ b/internal/coordination/placer/settings.go
@@ -18,6 +18,11 @@
 	// DefaultDistance is what the way to another failure domain counts for: the
 	// round trip, twice.
 	DefaultDistance = 4 * time.Millisecond
+	// DefaultPromptDistance is what it counts for with prompts and streams, whose
+	// bytes between failure domains the users pay for. It is half of a load from
+	// the store, so that an adapter that is asked for in a domain for a while is
+	// loaded there: a fifth of all bytes between domains.
+	DefaultPromptDistance = 120 * time.Millisecond
 	// DefaultCallTime is the assumed time of a plain service's call before one was
 	// measured.
 	DefaultCallTime = 60 * time.Millisecond
@@ -32,13 +37,15 @@
 type Settings struct {
 	FailureDomain string
 	// PrefillRate is in tokens a second.
-	PrefillRate  float64
-	ColdLoad     time.Duration
-	WarmLoad     time.Duration
-	Distance     time.Duration
-	CallTime     time.Duration
-	Suspicion    time.Duration
-	SuspicionMax time.Duration
+	PrefillRate float64
+	ColdLoad    time.Duration
+	WarmLoad    time.Duration
+	Distance    time.Duration
+	// PromptDistance takes the place of Distance for engines.
+	PromptDistance time.Duration
+	CallTime       time.Duration
+	Suspicion      time.Duration
+	SuspicionMax   time.Duration
 	// Random breaks ties. Required.
 	Random *rand.Rand
 }
@@ -48,6 +55,7 @@
 	s.ColdLoad = cmp.Or(s.ColdLoad, DefaultColdLoad)
 	s.WarmLoad = cmp.Or(s.WarmLoad, DefaultWarmLoad)
 	s.Distance = cmp.Or(s.Distance, DefaultDistance)
+	s.PromptDistance = cmp.Or(s.PromptDistance, DefaultPromptDistance)
 	s.CallTime = cmp.Or(s.CallTime, DefaultCallTime)
 	s.Suspicion = cmp.Or(s.Suspicion, DefaultSuspicion)
 	s.SuspicionMax = cmp.Or(s.SuspicionMax, DefaultSuspicionMax)
