relayer, attendant: entries share the retry budget; an empty engine gets a model

Change: companions tell entries how many they are, and each takes its share; an engine without a model gets the one that it held. Tests: TestBudgetIsShared, TestBudgetSlides.

--- a/internal/coordination/placer/state.go
+++ b/internal/coordination/placer/state.go
@@ -30,6 +30,8 @@
 	// been read.
 	BacklogMillis int
 	Adapters      []AdapterState `json:",omitempty"`
+	// Entries is the number of entries that the companion tells.
+	Entries int
 	// MaxAdapters is the number of adapters held at once.
 	MaxAdapters int
 	// Recent are adapters that left their slots lately, which load fast.
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -38,6 +38,8 @@
 	// reachable tells whether the last look at the engine succeeded.
 	reachable bool
 	guests    map[string]*guest
+	// former is the model that the engine held last.
+	former string
 	// ordered is the model that the engine is loading; empty means none.
 	ordered string
 	// blocked are guests that wait until their model is there, or an earlier version
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
@@ -123,7 +124,10 @@
 		a.apply(a.table.Observe(now, sequence, observed(r)))
 		a.apply(a.table.Tick(now))
 	}
-	if model := wantedModel(engine); model != "" && !r.holds(model) && !r.Busy {
+	if len(r.Models) > 0 {
+		a.former = r.Models[0].Name
+	}
+	if model := a.wantedModel(engine); model != "" && !r.holds(model) && !r.Busy {
 		a.ordered = model
 		a.spawnLocked(func() { a.loadModel(model) })
 	}
@@ -168,13 +172,20 @@
 	return out
 }
 
-// wantedModel returns the model that each engine of a service should hold: its
-// only one. Which of several models an engine holds is not decided here.
-func wantedModel(e *tracker.Engine) string {
-	if len(e.Models) != 1 {
+// wantedModel returns the model that the engine should hold: its service's only one,
+// and of several the one that it held before it became empty, or else one by its
+// name. Which of several models an engine holds while it works is not decided here.
+func (a *Attendant) wantedModel(e *tracker.Engine) string {
+	switch {
+	case len(e.Models) == 0 || len(e.Models) > 1 && len(a.report.Models) > 0:
 		return ""
+	case len(e.Models) == 1:
+		return e.Models[0].Name
+	case a.former != "":
+		return a.former
+	default:
+		return e.Models[xxhash.Sum64String(a.settings.Name)%uint64(len(e.Models))].Name
 	}
-	return e.Models[0].Name
 }
 
 // loadModel has an engine that restarted empty load its model.
--- a/internal/transport/attendant/telling.go
+++ b/internal/transport/attendant/telling.go
@@ -43,6 +43,7 @@
 	news = placer.EngineState{
 		Name: a.settings.Name, Incarnation: a.incarnation, Life: a.life, Sequence: a.sequence,
 		Running: len(a.guests), BacklogMillis: a.backlog(),
+		Entries:     len(a.watchers),
 		MaxAdapters: a.table.Slots(),
 		Recent:      a.left,
 		Cached:      a.book.fresh,
--- a/internal/transport/relayer/budget.go
+++ b/internal/transport/relayer/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -11,12 +12,25 @@
 type budget struct {
 	ratio, slack float64
 	window       time.Duration
+	// entries is the number of entries that share slack, as far as it is known.
+	entries atomic.Int64
 
 	mu sync.Mutex
 	// services holds the counts by service; guarded by mu.
 	services map[string]*spending
 }
 
+const (
+	// assumedEntries is the number of entries before it was told.
+	assumedEntries = 8
+	// leastEntries keeps the part of an entry small that some have just left: they
+	// may be back, with counts of their own.
+	leastEntries = 4
+)
+
+// share tells the budget how many entries draw on it.
+func (b *budget) share(entries int) { b.entries.Store(int64(max(entries, leastEntries))) }
+
 // spending is what one service got: counts of buckets, the newest first.
 type spending struct {
 	calls, again [budgetBuckets]float64
@@ -29,7 +43,9 @@
 const budgetBuckets = 10
 
 func newBudget(ratio, slack float64, window time.Duration) *budget {
-	return &budget{ratio: ratio, slack: slack, window: window, services: make(map[string]*spending)}
+	b := &budget{ratio: ratio, slack: slack, window: window, services: make(map[string]*spending)}
+	b.entries.Store(assumedEntries)
+	return b
 }
 
 func (b *budget) spending(now time.Time, service string) *spending {
@@ -69,7 +85,7 @@
 		calls += s.calls[i]
 		again += s.again[i]
 	}
-	if again+1 > b.ratio*calls+b.slack {
+	if again+1 > b.ratio*calls+b.slack/float64(b.entries.Load()) {
 		return false
 	}
 	s.again[0]++
--- /dev/null
+++ b/internal/transport/relayer/budget_test.go
@@ -0,0 +1,63 @@
+package relayer
+
+import (
+	"testing"
+	"time"
+)
+
+// TestBudgetIsShared: symptom: backend servers that fail are given more calls again
+// than the operators allow. Sequence: many entries retry at once, each as if the
+// whole budget were its own. Cause: an entry did not know how many others draw on it.
+func TestBudgetIsShared(t *testing.T) {
+	const slack, window = 56, 10 * time.Second
+	now := time.Unix(0, 0)
+	for _, entries := range []int{4, 7, 28} {
+		again := 0
+		for range entries {
+			b := newBudget(0, slack, window)
+			b.share(entries)
+			for b.take(now, "s") {
+				again++
+			}
+		}
+		if again > slack {
+			t.Errorf("%d entries sent %d again, more than %d", entries, again, slack)
+		}
+	}
+}
+
+// TestBudgetSlides compares the budget with a count of all sendings: in no window
+// are there more than allowed.
+func TestBudgetSlides(t *testing.T) {
+	const slack, window = 40, 10 * time.Second
+	b := newBudget(0.1, slack, window)
+	b.share(4)
+	var calls, again []time.Time
+	now := time.Unix(0, 0)
+	for range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		b.call(now, "s")
+		calls = append(calls, now)
+		if b.take(now, "s") {
+			again = append(again, now)
+		}
+	}
+	for _, end := range again {
+		if sent, allowed := within(again, end, window), 0.1*float64(within(calls, end, window))+slack/4; float64(sent) > allowed {
+			t.Fatalf("%d sent again in the window that ends at %v, more than %.1f", sent, end.Sub(time.Unix(0, 0)), allowed)
+		}
+	}
+	if len(again) == 0 {
+		t.Error("nothing was sent again")
+	}
+}
+
+func within(times []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, t := range times {
+		if !t.After(end) && end.Sub(t) < window {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -108,6 +108,9 @@
 	if err := messenger.Decode(params, &s); err != nil {
 		return nil, err
 	}
+	if s.Entries > 0 {
+		r.budget.share(s.Entries)
+	}
 	if m, ok := r.settings.View().Member(s.Name); ok {
 		r.settings.Placer.Report(r.settings.Now(), m.Spec.Service, s)
 	}
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -23,9 +23,10 @@
 	// DefaultBodyBytes bounds a body before any configuration is known.
 	DefaultBodyBytes = 4 << 20
 	// DefaultRetryRatio and DefaultRetrySlack bound what is sent beyond the first
-	// sending of each call within DefaultRetryWindow, for this entry alone.
+	// sending of each call within DefaultRetryWindow: a share of an entry's own
+	// calls, and a number that all entries share.
 	DefaultRetryRatio  = 0.15
-	DefaultRetrySlack  = 8.0
+	DefaultRetrySlack  = 40.0
 	DefaultRetryWindow = 10 * time.Second
 	// DefaultRetryAfter is told with a refusal whose cause passes soon.
 	DefaultRetryAfter = 300 * time.Millisecond
