controller: tests wait until the host itself holds what was announced

The announcement was accepted by the leader, and the host was cut off before it had applied it; it then took the next one for new, and answered that no leader is known. One line of another test had the same race. Change: both wait until the host's own store holds the member. What they assert is as it was.

--- a/internal/transport/controller/enlisting_test.go
+++ b/internal/transport/controller/enlisting_test.go
@@ -129,6 +129,8 @@
 
 var _ = Describe("Announcements to control hosts", func() {
 	ctx := context.Background()
+	// A host that took a change to the leader applies it a moment later itself.
+	announcedKey := storer.Key{Kind: storer.KindMember, Name: controller.MemberName("10.0.0.1:80")}
 	spec := func(state storer.MemberState) storer.MemberSpec {
 		return storer.MemberSpec{Kind: storer.MemberKindService, Service: "s", Address: "10.0.0.1:80", FailureDomain: "d", Incarnation: "i-1", State: state}
 	}
@@ -139,19 +141,19 @@
 		DeferCleanup(g.close)
 		Eventually(g.leader, 10*time.Second).Should(BeNumerically(">=", 0))
 		at := g.controls[(g.leader()+1)%3]
-		key := storer.Key{Kind: storer.KindMember, Name: controller.MemberName("10.0.0.1:80")}
 		Eventually(func() error { return at.Announce(ctx, spec(storer.MemberStateServing)) }, 10*time.Second).Should(Succeed())
+		Eventually(func() bool { _, ok := at.Store().Get(announcedKey); return ok }, 10*time.Second).Should(BeTrue())
 		first := at.Store().Revision()
 		// A heartbeat that brings nothing new is no change.
 		Eventually(func() error { return at.Announce(ctx, spec(storer.MemberStateServing)) }, 10*time.Second).Should(Succeed())
 		Expect(at.Store().Revision()).To(Equal(first))
 		Expect(at.Announce(ctx, spec(storer.MemberStateLeaving))).To(Succeed())
 		Expect(at.Announce(ctx, spec(storer.MemberStateServing))).To(Succeed(), "late messages are acknowledged")
-		r, ok := g.controls[g.leader()].Store().Get(key)
+		r, ok := g.controls[g.leader()].Store().Get(announcedKey)
 		Expect(ok).To(BeTrue())
 		Expect(r.Spec.(storer.MemberSpec).State).To(Equal(storer.MemberStateLeaving))
 		Expect(at.Retire(ctx, "i-1")).To(Succeed())
-		Eventually(func() bool { _, ok := at.Store().Get(key); return ok }, 10*time.Second).Should(BeFalse())
+		Eventually(func() bool { _, ok := at.Store().Get(announcedKey); return ok }, 10*time.Second).Should(BeFalse())
 	})
 
 	It("are not taken by a host that is cut off", func() {
@@ -165,6 +167,7 @@
 		Eventually(g.leader, 10*time.Second).Should(BeNumerically(">=", 0))
 		cut := (g.leader() + 1) % 3
 		Eventually(func() error { return g.controls[cut].Announce(ctx, spec(storer.MemberStateServing)) }, 10*time.Second).Should(Succeed())
+		Eventually(func() bool { _, ok := g.controls[cut].Store().Get(announcedKey); return ok }, 10*time.Second).Should(BeTrue())
 		for i := range g.hosts {
 			if i != cut {
 				g.network.set(nodeOf(g.hosts[i].ID), g.hosts[cut].Address, true)
