--- a/cmd/marigoldpoint/platform.go
+++ b/cmd/marigoldpoint/platform.go
@@ -10,8 +10,10 @@
 )
 
 // platformCommand runs the roles that the users' platform asks for.
-type platformCommand struct{}
+type platformCommand struct {
+	MetricsPort int `arg:"--metrics-port" help:"port of the metrics; 0 means the third of the project's range"`
+}
 
-func (platformCommand) run(ctx context.Context, out io.Writer) error {
-	return errors.Trace(platform.Run(ctx, out))
+func (p platformCommand) run(ctx context.Context, out io.Writer) error {
+	return errors.Trace(platform.Run(ctx, out, platform.Options{MetricsPort: p.MetricsPort}))
 }
