placer, attendant, platform: what nothing uses is gone

Placer.Suspect, the attendant's Address and controlRole's process were read by nobody; Finish with EndingUnreached does what Suspect did. Behaviour is as it was.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -355,10 +355,3 @@
 	defer choice.pool.mu.Unlock()
 	choice.backend.load, choice.backend.loadAt = calls, now
 }
-
-// Suspect passes a backend server over for a while, which could not be reached.
-func (p *Placer) Suspect(now time.Time, choice *Choice) {
-	choice.pool.mu.Lock()
-	defer choice.pool.mu.Unlock()
-	choice.backend.note(now, EndingUnreached, 0, &p.settings)
-}
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -171,7 +171,7 @@
 	f.apply(storer.KindRouting, storer.RoutingName, storer.RoutingSpec{Number: 1})
 	f.announce("i-1", storer.MemberStateServing)
 	f.attendant = attendant.NewAttendant(attendant.Settings{
-		Name: place, Address: "10.0.0.1:80", Engine: e, View: f.tracker.View, Random: rand.New(rand.NewPCG(1, 2)),
+		Name: place, Engine: e, View: f.tracker.View, Random: rand.New(rand.NewPCG(1, 2)),
 	})
 	network, other := net.Pipe()
 	f.network = other
