relayer, exchanger, watcher: calls leave hosts that have fallen silent

Symptom: companion hosts stand still for 3 s; callers leave after 2.4 s without an event; at the moment in which the hosts wake, requests of theirs reach engines.

Change: package coordination/watcher tells which hosts have fallen silent (500 ms, two and a half heartbeats; not after this process itself stood still). New calls pass those over; calls that wait for admission there, and repeatable ones that were handed over and have no answer yet, go to another engine, the latter within the retry budget. Given-up connections are reset. Where a companion's port refuses, calls still go to the engine unadmitted.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -100,6 +100,16 @@
 	return b.report(now, s)
 }
 
+// Suspect has a backend server passed over until a time, as long as there are others.
+func (p *Placer) Suspect(service, name string, until time.Time) {
+	o := p.pool(service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if b := o.named(name); b != nil && b.suspectUntil.Before(until) {
+		b.suspectUntil = until
+	}
+}
+
 // Known reports whether the state of an engine in its present life is known.
 func (p *Placer) Known(service, name string) bool {
 	o := p.pool(service)
--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -60,10 +60,18 @@
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.requests > 0 }
 
-// Abort closes the connection. It may be called at any time by any goroutine, and
+// Abort resets the connection. It may be called at any time by any goroutine, and
 // ends the exchange in progress.
+//
+// A close would leave what was written on its way: a host that stands still for some
+// seconds finds the request when it wakes, long after the caller has left, and begins
+// to work on it. After a reset it finds nothing.
 func (c *Conn) Abort() {
 	c.closed.Do(func() {
+		if tcp, ok := c.network.(*net.TCPConn); ok {
+			// It fails on a connection that the other end has reset already.
+			_ = tcp.SetLinger(0)
+		}
 		// A connection that is given up has nothing left to lose.
 		_ = c.network.Close()
 		c.pool.ended(c)
--- a/internal/protocol/exchanger/exchanger_test.go
+++ b/internal/protocol/exchanger/exchanger_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -238,6 +239,27 @@
 		Expect(p.Connections(s.address())).To(BeZero())
 	})
 
+	It("that is aborted leaves nothing on its way", func() {
+		// Symptom: a request reaches a backend server seconds after its caller left.
+		// Events: the backend server's host stands still before it has read the
+		// request; the caller leaves; the host wakes.
+		// Cause: the connection was closed, not reset, and what was written stayed.
+		ended := make(chan error, 1)
+		woken := make(chan struct{})
+		s := serve(func(conn net.Conn, _ *bufio.Reader) {
+			<-woken
+			_, err := io.Copy(io.Discard, conn)
+			ended <- err
+		})
+		conn, err := newPool().Get(context.Background(), s.address())
+		Expect(err).NotTo(HaveOccurred())
+		<-s.accepted
+		go func() { _, _ = conn.Exchange(request("1"), of("1")) }()
+		conn.Abort()
+		close(woken)
+		Eventually(ended).Should(Receive(MatchError(syscall.ECONNRESET)))
+	})
+
 	It("doesn't use a connection after the time that the other end keeps it", func() {
 		now := time.Unix(0, 0)
 		s := serve(well)
--- a/internal/protocol/messenger/conn.go
+++ b/internal/protocol/messenger/conn.go
@@ -126,6 +126,13 @@
 	return silence > 2*c.settings.HeartbeatInterval+c.settings.HeartbeatInterval/4
 }
 
+// Silence returns the time since the last message received; ok is false where none
+// has come yet.
+func (c *Conn) Silence() (silence time.Duration, ok bool) {
+	heard := time.Duration(c.heard.Load())
+	return time.Since(c.began) - heard, heard > 0
+}
+
 // Done is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -147,14 +148,20 @@
 	released []string
 	// admit is what companions do.
 	admit func(messenger.Admit) (messenger.Admitted, error)
+	// companions holds the addresses of companions that are not the common one, by the
+	// backend server's name; guarded by mu.
+	companions map[string]string
 }
 
 // newEntry returns an entry before the backends, of which the route tells more.
 func newEntry(route tracker.Route, engine *tracker.Engine, backends ...*backend) *entry {
 	GinkgoHelper()
-	e := &entry{admit: func(m messenger.Admit) (messenger.Admitted, error) {
-		return messenger.Admitted{Version: m.Version}, nil
-	}}
+	e := &entry{
+		admit: func(m messenger.Admit) (messenger.Admitted, error) {
+			return messenger.Admitted{Version: m.Version}, nil
+		},
+		companions: make(map[string]string),
+	}
 	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
 	route.Shares = []tracker.Share{{Service: "s", Weight: 1}}
 	if route.Timeout == 0 {
@@ -175,9 +182,14 @@
 	companions := dialer.NewPool(dialer.Settings{Random: rand.New(rand.NewPCG(3, 4))})
 	e.relayer = relayer.NewRelayer(relayer.Settings{
 		Translator: translator{}, View: func() *tracker.View { return e.tracker.View() }, Trusted: func() bool { return !e.untrusted.Load() }, Pool: pool, Companions: companions,
-		Placer:           e.placer,
-		CompanionAddress: func(tracker.Member) string { return companion }, Random: random,
-		Now: func() time.Time { return time.Now().Add(time.Duration(e.later.Load())) },
+		Placer: e.placer,
+		CompanionAddress: func(m tracker.Member) string {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return cmp.Or(e.companions[m.Name], companion)
+		},
+		Random: random,
+		Now:    func() time.Time { return time.Now().Add(time.Duration(e.later.Load())) },
 	})
 	e.server = httptest.NewServer(e.relayer)
 	DeferCleanup(func() {
@@ -241,6 +253,13 @@
 	return network.Addr().String()
 }
 
+// attend has the companion of a backend server listen elsewhere.
+func (e *entry) attend(name, address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.companions[name] = address
+}
+
 // ask sends a request and returns the answer's head; its body is the caller's to
 // read.
 func (e *entry) ask(ctx context.Context, header map[string]string) *http.Response {
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/watcher"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -38,12 +41,18 @@
 	random   *rand.Rand
 
 	watchedMu sync.Mutex
-	// watched holds the connection on which each companion tells its state, by
-	// address; guarded by watchedMu.
-	watched map[string]*messenger.Conn
+	// watched holds what is known of the companions, by the engine's name; guarded by
+	// watchedMu.
+	watched map[string]*companion
+	// watcher tells which of them are silent; guarded by watchedMu.
+	watcher *watcher.Watcher
 	// engines holds the names of the engines whose companions tell their state, by
 	// connection; guarded by watchedMu.
 	engines map[*messenger.Conn]string
+
+	attemptsMu sync.Mutex
+	// attempts holds those in progress, by the engine's name; guarded by attemptsMu.
+	attempts map[string]map[*attempt]struct{}
 }
 
 // NewRelayer returns a relayer that follows its view from now on. Calls reach it
@@ -56,11 +65,14 @@
 		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		look:     make(chan struct{}, 1),
 		random:   s.Random,
-		watched:  make(map[string]*messenger.Conn),
+		watched:  make(map[string]*companion),
+		watcher:  watcher.NewWatcher(s.Silence),
 		engines:  make(map[*messenger.Conn]string),
+		attempts: make(map[string]map[*attempt]struct{}),
 	}
 	r.root, r.cancel = context.WithCancel(context.Background())
 	r.tasks.Go(r.watchCompanions)
+	r.tasks.Go(r.watchSilence)
 	return r
 }
 
@@ -165,12 +177,23 @@
 				wanted = append(wanted, m)
 			}
 		})
+		r.unwatch(wanted)
 		for _, m := range wanted {
 			r.tasks.Go(func() { r.watch(m) })
 		}
 	}
 }
 
+// unwatch forgets the companions of engines that serve no more.
+func (r *Relayer) unwatch(wanted []tracker.Member) {
+	r.watchedMu.Lock()
+	defer r.watchedMu.Unlock()
+	maps.DeleteFunc(r.watched, func(name string, _ *companion) bool {
+		return !slices.ContainsFunc(wanted, func(m tracker.Member) bool { return m.Name == name })
+	})
+	r.watcher.Keep(func(name string) bool { return r.watched[name] != nil })
+}
+
 // watch asks one companion to tell its state, unless it does and the state is known.
 // It may not be: the companion's first word can come before the entry has heard of
 // its engine.
@@ -183,8 +206,13 @@
 		return
 	}
 	r.watchedMu.Lock()
-	known := r.watched[address] == conn
-	r.watched[address] = conn
+	c := r.watched[m.Name]
+	if c == nil {
+		c = &companion{service: m.Spec.Service}
+		r.watched[m.Name] = c
+	}
+	known := c.conn == conn
+	c.conn = conn
 	r.watchedMu.Unlock()
 	if known && r.settings.Placer.Known(m.Spec.Service, m.Name) {
 		return
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -109,7 +110,9 @@
 	if j.arrivals == 0 {
 		return true
 	}
-	if j.from == "" && j.sent >= max(1, j.route.MaxAttempts) || !j.relayer.budget.take(j.relayer.settings.Now(), j.service.Name) {
+	paid := j.paid
+	j.paid = false
+	if j.from == "" && j.sent >= max(1, j.route.MaxAttempts) || !paid && !j.relayer.budget.take(j.relayer.settings.Now(), j.service.Name) {
 		j.release(placer.EndingGivenUp)
 		return false
 	}
@@ -168,9 +171,14 @@
 func (j *job) attempt() verdict {
 	r := j.relayer
 	a := Attempt{Incarnation: j.choice.Incarnation, Urgency: -1, After: j.lastEvent, From: j.from}
+	followed, ctx, end := r.follows(j)
+	defer end()
 	if j.service.Engine != nil {
-		admitted, release, err := j.admit()
-		if err != nil {
+		admitted, release, err := j.admit(ctx)
+		switch {
+		case errors.Is(err, errSilent):
+			return j.unreached(err)
+		case err != nil:
 			j.release(placer.EndingRefused)
 			return verdictNotRun
 		}
@@ -188,7 +196,10 @@
 	}
 	a.Backup = j.chooseBackup()
 	a.Left = j.deadline.Sub(r.settings.Now())
-	return j.send(a)
+	followed.handOver()
+	v := j.send(ctx, a, followed)
+	j.paid = followed.paid.Load()
+	return v
 }
 
 // slack returns the time left of the call's target beyond the reading of its prompt.
@@ -207,10 +218,10 @@
 	j.relayer.settings.Placer.Finish(j.relayer.settings.Now(), &j.choice, e)
 }
 
-// admit asks the companion to have the adapter ready. Where the companion can't be
-// reached, the call goes to the engine all the same, which refuses what it does
-// not hold.
-func (j *job) admit() (messenger.Admitted, func(), error) {
+// admit asks the companion to have the adapter ready. Where there is no companion on
+// the engine's host, the call goes to the engine all the same, which refuses what it
+// does not hold; where the host does not answer, the error is errSilent.
+func (j *job) admit(attempt context.Context) (messenger.Admitted, func(), error) {
 	r := j.relayer
 	began := r.settings.Now()
 	m, ok := r.settings.View().Member(j.choice.Name)
@@ -218,23 +229,18 @@
 		return messenger.Admitted{}, nil, errors.New("the backend server has left")
 	}
 	wait := min(r.settings.AdmitTimeout, j.deadline.Sub(began))
-	ask := messenger.Admit{
-		Request: j.call.ID, Incarnation: j.choice.Incarnation,
-		Model: j.call.Model, Adapter: j.call.Adapter,
-		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
-		SlackMillis: max(0, j.slack().Milliseconds()),
-	}
-	if ask.Adapter != "" {
-		ask.Version = r.settings.View().Newest(ask.Model + "/" + ask.Adapter)
-	}
-	ctx, cancel := context.WithTimeout(j.ctx, wait+admitMargin)
+	ask := j.admission(wait)
+	ctx, cancel := context.WithTimeout(attempt, wait+admitMargin)
 	defer cancel()
-	var admitted messenger.Admitted
 	conn, err := r.settings.Companions.Conn(ctx, r.settings.CompanionAddress(m))
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		r.metrics.unattended.Inc()
 		return messenger.Admitted{Version: ask.Version}, func() {}, nil
+	case err != nil:
+		return messenger.Admitted{}, nil, errors.Wrap(err, errSilent)
 	}
+	var admitted messenger.Admitted
 	err = conn.Call(ctx, messenger.MethodAdmit, ask, &admitted)
 	j.waited += r.settings.Now().Sub(began)
 	release := func() {
@@ -249,14 +255,30 @@
 		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Reason", refusal.Detail).
 			Dur("Waited", r.settings.Now().Sub(began)).Msg("not admitted")
 		return messenger.Admitted{}, nil, err
+	}
+	release()
+	switch {
+	case errors.Is(context.Cause(attempt), errSilent), r.isSilent(m.Name):
+		return messenger.Admitted{}, nil, errSilent
 	case j.ctx.Err() != nil:
-		release()
 		return messenger.Admitted{}, nil, err
-	default:
-		release()
-		r.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).Msg("companion lost")
-		return messenger.Admitted{Version: ask.Version}, func() {}, nil
 	}
+	r.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).Msg("companion lost")
+	return messenger.Admitted{Version: ask.Version}, func() {}, nil
+}
+
+// admission returns what the companion is asked.
+func (j *job) admission(wait time.Duration) messenger.Admit {
+	ask := messenger.Admit{
+		Request: j.call.ID, Incarnation: j.choice.Incarnation,
+		Model: j.call.Model, Adapter: j.call.Adapter,
+		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
+		SlackMillis: max(0, j.slack().Milliseconds()),
+	}
+	if ask.Adapter != "" {
+		ask.Version = j.relayer.settings.View().Newest(ask.Model + "/" + ask.Adapter)
+	}
+	return ask
 }
 
 // admitMargin is the time that a companion's own refusal at the end of the wait
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -15,9 +15,13 @@
 )
 
 // send hands the call to the backend server chosen, and its answer to the caller.
-func (j *job) send(a Attempt) verdict {
+func (j *job) send(ctx context.Context, a Attempt, followed *attempt) verdict {
 	r := j.relayer
-	conn, err := r.settings.Pool.Get(j.ctx, j.choice.Address)
+	var conn *exchanger.Conn
+	err := j.ctx.Err()
+	if err == nil {
+		conn, err = r.settings.Pool.Get(ctx, j.choice.Address)
+	}
 	if err != nil {
 		if j.ctx.Err() != nil {
 			j.release(placer.EndingGivenUp)
@@ -27,9 +31,9 @@
 		j.release(placer.EndingUnreached)
 		return verdictNotRun
 	}
-	// The end of the call closes the connection, which has the backend server
+	// The end of the attempt resets the connection, which has the backend server
 	// drop the request.
-	stop := context.AfterFunc(j.ctx, conn.Abort)
+	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	head, response, err := j.exchange(conn, a) //nolint:bodyclose // Each verdict reads the body to its end or aborts the connection.
 	if err != nil {
@@ -52,7 +56,7 @@
 		return j.keep(conn, response, head)
 	}
 	if j.route.Stream {
-		return j.stream(conn, response, head)
+		return j.stream(conn, response, head, followed)
 	}
 	return j.whole(conn, response, head)
 }
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -51,7 +51,9 @@
 	// lastEvent is the id of the last whole event passed on.
 	lastEvent string
 	choice    placer.Choice
-	waited    time.Duration
+	// paid tells that the next sending is counted in the retry budget already.
+	paid   bool
+	waited time.Duration
 }
 
 // kept is an answer that was read whole.
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/watcher"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 	"marigoldpoint.example/marigoldpoint/internal/transport/dialer"
@@ -59,6 +60,9 @@
 	RetryWindow   time.Duration
 	RetryAfter    time.Duration
 	WatchInterval time.Duration
+	// Silence tells when a companion, and the host that it shares with its engine,
+	// counts as silent; its limit must exceed twice the interval of heartbeats.
+	Silence watcher.Settings
 
 	Registerer prometheus.Registerer
 	Log        zerolog.Logger
@@ -73,6 +77,7 @@
 	s.RetrySlack = cmp.Or(s.RetrySlack, DefaultRetrySlack)
 	s.RetryWindow = cmp.Or(s.RetryWindow, DefaultRetryWindow)
 	s.RetryAfter = cmp.Or(s.RetryAfter, DefaultRetryAfter)
+	s.Silence.SilentAfter = cmp.Or(s.Silence.SilentAfter, watcher.DefaultSilentAfter)
 	s.WatchInterval = cmp.Or(s.WatchInterval, DefaultWatchInterval)
 	if s.Now == nil {
 		s.Now = time.Now
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -16,8 +16,9 @@
 
 // stream passes a stream on as it comes. Of one that may be resumed only whole
 // events go on, so that another backend server can go on after the last one.
-func (j *job) stream(conn *exchanger.Conn, response *http.Response, head Head) verdict {
+func (j *job) stream(conn *exchanger.Conn, response *http.Response, head Head, followed *attempt) verdict {
 	r := j.relayer
+	followed.begins()
 	flusher := http.NewResponseController(j.writer)
 	var events eventSplitter
 	buffer := make([]byte, streamBuffer)
--- a/internal/transport/relayer/suite_test.go
+++ b/internal/transport/relayer/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,5 +10,7 @@
 
 func TestRelayer(t *testing.T) {
 	RegisterFailHandler(Fail)
+	// A spec waits for what must come, however busy the machine is.
+	SetDefaultEventuallyTimeout(20 * time.Second)
 	RunSpecs(t, "relayer")
 }
