throttler, placer, relayer: entries bound their calls at plain services together

Each entry bounds its calls at each server, below one if need be, by the server's own word on its load: wider while that is within one and a half times its places, narrower from twice on or when a call is turned away.

A first bound of the server's places keeps bursts of a few entries as they were.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -34,6 +35,8 @@
 	// and waiting calls.
 	load   int
 	loadAt time.Time
+	// throttle bounds this entry's calls at a backend server of a plain service.
+	throttle *throttler.Throttler
 
 	// suspectUntil is until when it is passed over, and suspicion for how long
 	// the next time.
@@ -49,9 +52,19 @@
 	return &backend{
 		member: m, adapters: make(map[string]AdapterState), hoped: make(map[string]AdapterState),
 		recent: make(map[string]struct{}), cached: make(map[uint32]struct{}),
+		throttle: throttler.NewThrottler(m.Spec.Slots),
 	}
 }
 
+// open reports whether a backend server of a plain service is to get the call now. One
+// that tells no places is not bound.
+func (b *backend) open(now time.Time, c *Call) bool {
+	if b.member.Spec.Slots <= 0 {
+		return true
+	}
+	return b.throttle.Open(now, b.own) && (!c.Late || b.throttle.Spare())
+}
+
 // report takes a companion's state in, and reports whether the whole is known now.
 func (b *backend) report(now time.Time, s EngineState) bool {
 	if !s.Whole && b.reported() {
--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -15,6 +15,8 @@
 	Parts      []uint32
 	PartTokens []int
 	Tokens     int
+	// Late tells that the call can't be in time any more unless it is served at once.
+	Late bool
 	// Avoid names backend servers that are passed over while there are others.
 	Avoid []string
 }
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -15,6 +16,10 @@
 // ErrNoBackend tells that no backend server of the service can take the call now.
 const ErrNoBackend = errors.ConstError("no backend server")
 
+// ErrBusy tells that the backend servers of the service have as many calls as they are to
+// have for now.
+const ErrBusy = errors.ConstError("all backend servers are busy")
+
 // Placer chooses backend servers. Several goroutines may use it.
 type Placer struct {
 	settings Settings
@@ -82,6 +87,9 @@
 		if b == nil || b.member.Spec.Incarnation != m.Spec.Incarnation {
 			b = newBackend(m)
 		}
+		if b.member.Spec.Slots != m.Spec.Slots {
+			b.throttle = throttler.NewThrottler(m.Spec.Slots)
+		}
 		b.member = m
 		o.backends = append(o.backends, b)
 	}
@@ -130,19 +138,30 @@
 }
 
 // Choose picks the backend server for a call and counts the call there until
-// Finish. It fails with ErrNoBackend where there is none to take it.
+// Finish. It fails with ErrNoBackend where there is none to take it, and with ErrBusy
+// where those of a plain service are to get no more for now.
 func (p *Placer) Choose(now time.Time, c *Call, choice *Choice) error {
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	best := o.best(now, c, &p.settings, func(b *backend) bool {
-		return !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil)
-	})
+	busy := false
+	may := func(b *backend) bool {
+		if slices.Contains(c.Avoid, b.member.Name) {
+			return false
+		}
+		open := o.engine != nil || b.open(now, c)
+		busy = busy || !open
+		return open
+	}
+	best := o.best(now, c, &p.settings, func(b *backend) bool { return !now.Before(b.suspectUntil) && may(b) })
 	if best == nil {
 		// All are suspect: one that may be well again is better than none.
-		best = o.best(now, c, &p.settings, func(b *backend) bool { return !slices.Contains(c.Avoid, b.member.Name) })
+		best = o.best(now, c, &p.settings, may)
 	}
-	if best == nil {
+	switch {
+	case best == nil && busy:
+		return errors.Trace(ErrBusy)
+	case best == nil:
 		return errors.Trace(ErrNoBackend)
 	}
 	o.take(now, c, best, choice, &p.settings)
@@ -234,6 +253,18 @@
 	b.own--
 	b.placedCalls = max(0, b.placedCalls-1)
 	b.note(now, e, now.Sub(choice.began), &p.settings)
+	if e == EndingWell && b.loadAt.IsZero() {
+		// One that tells nothing of its load has room until it turns calls away.
+		b.throttle.Answered(now, choice.began, 0, b.callTime, o.random)
+	}
+}
+
+// TurnedAway takes in that a backend server of a plain service was full.
+func (p *Placer) TurnedAway(now time.Time, choice *Choice) {
+	choice.pool.mu.Lock()
+	defer choice.pool.mu.Unlock()
+	b := choice.backend
+	b.throttle.TurnedAway(now, choice.began, min(b.callTime, p.settings.CallTime), choice.pool.random)
 }
 
 // First notes that the first byte of the answer came: the prompt has been read.
@@ -254,5 +285,7 @@
 func (p *Placer) Loaded(now time.Time, choice *Choice, calls int) {
 	choice.pool.mu.Lock()
 	defer choice.pool.mu.Unlock()
-	choice.backend.load, choice.backend.loadAt = calls, now
+	b := choice.backend
+	b.load, b.loadAt = calls, now
+	b.throttle.Answered(now, choice.began, calls, min(b.callTime, p.settings.CallTime), choice.pool.random)
 }
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -350,6 +350,35 @@
 		}
 	})
 
+	It("sends crowded backend servers less, and what is late none", func() {
+		d := newService()
+		now := start
+		crowd := func(calls int) {
+			for i := range d.members {
+				var choice placer.Choice
+				Expect(d.placer.Take(now, call, d.members[i].Name, &choice)).To(Succeed())
+				now = now.Add(30 * time.Millisecond)
+				d.placer.Loaded(now, &choice, calls)
+				d.placer.Finish(now, &choice, placer.EndingWell)
+			}
+		}
+		for range 10 {
+			crowd(20)
+		}
+		count := 0
+		var choice placer.Choice
+		for d.placer.Choose(now.Add(time.Second), call, &choice) == nil {
+			count++
+		}
+		Expect(count).To(Equal(len(d.members)), "one each")
+		late := &placer.Call{Service: engines, Late: true}
+		Expect(d.placer.Choose(now.Add(time.Second), late, &choice)).To(MatchError(placer.ErrBusy))
+		for range 40 {
+			crowd(2)
+		}
+		Expect(d.placer.Choose(now.Add(time.Second), late, &choice)).To(Succeed())
+	})
+
 	It("turns away from one that fails part of its calls", func() {
 		// The pattern: a backend server fails two calls of five at once, and so
 		// looks as if it were free.
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -38,6 +38,9 @@
 	// holdPause is the wait before a call that nobody could take is offered again,
 	// and before what a process that has just started knows is looked at again.
 	holdPause = 100 * time.Millisecond
+	// busyPause is the wait before a call is offered again to backend servers that have
+	// as many as they are to have: a third of a short call.
+	busyPause = 10 * time.Millisecond
 	// holdShare is the part of a call's time for which it is held so. A caller comes
 	// back once only: refused in the second in which engines or configuration
 	// return, it would be lost. The rest is for its run, or for its coming back.
@@ -60,7 +63,7 @@
 			err = errTriedAll
 		}
 		if err != nil {
-			if !j.hold() {
+			if !j.hold(err) {
 				j.exhausted(err.Error())
 				return
 			}
@@ -133,9 +136,15 @@
 }
 
 // hold waits a moment and reports whether a call that nobody has taken is to be
-// offered once more, to all again.
-func (j *job) hold() bool {
-	if j.sent > 0 || j.mayHaveRun || j.began || !j.mayHold() || !pauser.Pause(j.ctx, holdPause) {
+// offered once more: to all again, but for one that only waits its turn.
+func (j *job) hold(cause error) bool {
+	if j.began || !j.mayHold() {
+		return false
+	}
+	if errors.Is(cause, placer.ErrBusy) {
+		return pauser.Pause(j.ctx, busyPause)
+	}
+	if j.sent > 0 || j.mayHaveRun || !pauser.Pause(j.ctx, holdPause) {
 		return false
 	}
 	j.avoid = nil
@@ -152,6 +161,7 @@
 func (j *job) wanted() *placer.Call {
 	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid}
 	if j.service.Engine == nil {
+		c.Late = j.route.Target > 0 && j.relayer.settings.Now().Sub(j.arrived) > j.route.Target/2
 		return c
 	}
 	c.Model, c.Adapter, c.Tokens = j.call.Model, j.call.Adapter, j.call.PromptTokens
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -47,6 +47,9 @@
 			// The backend server that was meant never got it.
 			j.sent--
 		}
+		if j.service.Engine == nil && !head.Elsewhere {
+			r.settings.Placer.TurnedAway(r.settings.Now(), &j.choice)
+		}
 		j.discard(conn, response, head)
 		j.note(nil, "not run: "+strconv.Itoa(response.StatusCode))
 		j.release(placer.EndingRefused)
