--- a/internal/transport/listener/http_test.go
+++ b/internal/transport/listener/http_test.go
@@ -98,9 +98,13 @@
 	reader *bufio.Reader
 }
 
+func connect(address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+}
+
 func dial(address string) *client {
 	GinkgoHelper()
-	c, err := net.Dial("tcp", address)
+	c, err := connect(address)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = c.Close() })
 	// An answer that does not come fails the spec that waits for it.
@@ -163,7 +167,7 @@
 		stopped := make(chan error, 1)
 		go func() { stopped <- h.Shutdown(context.Background()) }()
 		Eventually(func() error {
-			refused, err := net.Dial("tcp", h.Address())
+			refused, err := connect(h.Address())
 			if err == nil {
 				_ = refused.Close()
 			}
