--- /dev/null
+++ b/internal/standin/modeler/modeler_test.go
@@ -0,0 +1,88 @@
+package modeler_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/standin/modeler"
+)
+
+func TestModeler(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Modeler")
+}
+
+func play(pattern string, without ...modeler.Mechanism) modeler.Row {
+	GinkgoHelper()
+	p, err := modeler.FindPattern(pattern)
+	Expect(err).NotTo(HaveOccurred())
+	const seeds, atOnce = 2, 2
+	row, err := modeler.PlaySeeds(p, without, seeds, atOnce)
+	Expect(err).NotTo(HaveOccurred())
+	GinkgoWriter.Printf("%+v\n", row)
+	return row
+}
+
+var _ = Describe("A play", func() {
+	It("is the same each time", func() {
+		p, err := modeler.FindPattern("FewServers")
+		Expect(err).NotTo(HaveOccurred())
+		first, err := modeler.Play(modeler.Settings{Pattern: p, Seed: 7})
+		Expect(err).NotTo(HaveOccurred())
+		second, err := modeler.Play(modeler.Settings{Pattern: p, Seed: 7})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).To(Equal(first))
+	})
+
+	It("accounts for every call", func() {
+		for _, p := range modeler.Patterns() {
+			p.Length = p.Warm + 4*time.Second
+			r, err := modeler.Play(modeler.Settings{Pattern: p, Seed: 3})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.Grounds).NotTo(BeEmpty())
+			Expect(r.InTime()+r.Late()+r.Lost()).To(BeNumerically("~", 1, 0.002), p.Name)
+		}
+	})
+
+	It("knows no other names", func() {
+		_, err := modeler.FindPattern("Bogus")
+		Expect(err).To(MatchError(ContainSubstring("PowerLoss")))
+		_, err = modeler.FindMechanism("Bogus")
+		Expect(err).To(MatchError(ContainSubstring("Pacing")))
+	})
+})
+
+// Each of these loads binds by one thing, which the mechanism is there for.
+var _ = Describe("A mechanism", func() {
+	It("that loads wider serves a burst that waits for loads", func() {
+		// Symptom: eight in ten late calls of a heavy day wait for loads, half a second in
+		// the middle, while the store serves half of what it can.
+		with, without := play("Burst"), play("Burst", modeler.MechanismWidth)
+		Expect(with.InTime).To(BeNumerically(">", without.InTime+0.04))
+		Expect(with.Worst).To(BeNumerically(">", without.Worst+0.05))
+	})
+
+	It("that begins with loads in time serves more after a loss of power", func() {
+		// Symptom: for seconds after a loss of power nearly all answers are late: each load
+		// serves calls that are late already, and makes the next ones late too.
+		with, without := play("PowerLoss"), play("PowerLoss", modeler.MechanismSlack)
+		Expect(with.InTime).To(BeNumerically(">", without.InTime+0.03))
+	})
+
+	It("that tells what engines hold spares half of the loads", func() {
+		with, without := play("PowerLoss"), play("PowerLoss", modeler.MechanismStates)
+		Expect(with.Copies).To(BeNumerically("<", without.Copies/2))
+		Expect(with.InTime).To(BeNumerically(">", without.InTime+0.1))
+	})
+
+	It("that bounds plain calls serves in time what one server of three can", func() {
+		// Symptom: two of three application servers have left; the one that is left turns
+		// away three sends of five, and serves the others late.
+		with, without := play("FewServers"), play("FewServers", modeler.MechanismThrottling)
+		Expect(with.InTime).To(BeNumerically(">", without.InTime+0.08))
+		Expect(with.TurnedAway).To(BeNumerically("<", without.TurnedAway/20))
+	})
+})
