relayer: a companion that can't be dialled counts as silent, and nothing is sent late

Seen when the change was read once more: the error of a dial that is not answered was wrapped so that it did not match errSilent, and the engine was not passed over by the next calls until the watcher found it half a second later; and a call whose attempt had just been ended could still be written on a connection kept idle. A spec for the first fails on the code before.

--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -151,6 +152,8 @@
 	// companions holds the addresses of companions that are not the common one, by the
 	// backend server's name; guarded by mu.
 	companions map[string]string
+	// unansweredDials counts the dials to unanswered.
+	unansweredDials atomic.Int64
 }
 
 // newEntry returns an entry before the backends, of which the route tells more.
@@ -179,7 +182,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	e.placer = placer.NewPlacer(placer.Settings{Random: rand.New(rand.NewPCG(5, 6))})
 	pool := exchanger.NewPool(exchanger.Settings{})
-	companions := dialer.NewPool(dialer.Settings{Random: rand.New(rand.NewPCG(3, 4))})
+	companions := dialer.NewPool(dialer.Settings{Random: rand.New(rand.NewPCG(3, 4)), Dial: e.dial})
 	e.relayer = relayer.NewRelayer(relayer.Settings{
 		Translator: translator{}, View: func() *tracker.View { return e.tracker.View() }, Trusted: func() bool { return !e.untrusted.Load() }, Pool: pool, Companions: companions,
 		Placer: e.placer,
@@ -253,6 +256,18 @@
 	return network.Addr().String()
 }
 
+// unanswered is an address at which nobody answers a dial.
+const unanswered = "unanswered:1"
+
+// dial opens a connection to a companion.
+func (e *entry) dial(ctx context.Context, address string) (net.Conn, error) {
+	if address == unanswered {
+		e.unansweredDials.Add(1)
+		return nil, os.ErrDeadlineExceeded
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // attend has the companion of a backend server listen elsewhere.
 func (e *entry) attend(name, address string) {
 	e.mu.Lock()
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -248,7 +248,7 @@
 		r.metrics.unattended.Inc()
 		return messenger.Admitted{Version: ask.Version}, func() {}, nil
 	case err != nil:
-		return messenger.Admitted{}, nil, errors.Wrap(err, errSilent)
+		return messenger.Admitted{}, nil, errors.WithType(err, errSilent)
 	}
 	var admitted messenger.Admitted
 	err = conn.Call(ctx, messenger.MethodAdmit, ask, &admitted)
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -18,7 +18,8 @@
 func (j *job) send(ctx context.Context, a Attempt, followed *attempt) verdict {
 	r := j.relayer
 	var conn *exchanger.Conn
-	err := j.ctx.Err()
+	// A connection kept idle would be handed out whatever became of the call.
+	err := ctx.Err()
 	if err == nil {
 		conn, err = r.settings.Pool.Get(ctx, j.choice.Address)
 	}
--- a/internal/transport/relayer/silence_test.go
+++ b/internal/transport/relayer/silence_test.go
@@ -88,6 +88,23 @@
 		Expect(b0.runs.Load()).To(BeZero())
 	})
 
+	It("that can't be reached for its admission a call goes elsewhere, and the next pass it over", func() {
+		// Symptom: after a host has been cut off, each call waits there for a dial.
+		// Events: the companion's address does not answer a dial, nor refuse it.
+		// Cause: it was taken for a refusal by the engine, which casts no doubt on it.
+		b0, b1 := newBackend(stream), newBackend(stream)
+		e := newPair(streamed, b0, b1)
+		e.attend("b0", unanswered)
+		Expect(read(e.ask(ctx, map[string]string{"Model": "m/a1"}))).NotTo(BeEmpty())
+		dials := e.unansweredDials.Load()
+		Expect(dials).To(BeNumerically(">", 0))
+		var choice placer.Choice
+		c := &placer.Call{Service: "s", Model: "m", Adapter: "a2"}
+		Expect(e.placer.Choose(time.Now(), c, &choice)).To(Succeed())
+		Expect(choice.Name).To(Equal("b1"))
+		Expect(b0.runs.Load()).To(BeZero())
+	})
+
 	It("a call that was handed over and has no answer yet goes elsewhere", func() {
 		// Symptom: of the calls that an engine has just been given, all wait until
 		// their callers leave, though other engines are free.
