--- a/internal/standin/modeler/result.go
+++ b/internal/standin/modeler/result.go
@@ -13,8 +13,8 @@
 // Result is what came of one play.
 type Result struct {
 	Kinds map[string]*KindResult
-	// First, Copies and Again count loads from the store: the first of an adapter since
-	// all hosts started, one more beside others, and Warm those from memory.
+	// First and Copies count loads from the store, the first of an adapter since all hosts
+	// started and all further ones; Warm counts those from engines' own memory.
 	First, Copies, Warm int
 	// TurnedAway counts sends that a plain service refused.
 	TurnedAway int
