--- a/internal/protocol/messenger/conn.go
+++ b/internal/protocol/messenger/conn.go
@@ -122,12 +122,12 @@
 // with the shorter interval takes every connection for suspect. The connection may
 // yet recover; a new one is the better choice for what is new.
 func (c *Conn) Suspect() bool {
-	silence := time.Since(c.began) - time.Duration(c.heard.Load())
+	silence, _ := c.Silence()
 	return silence > 2*c.settings.HeartbeatInterval+c.settings.HeartbeatInterval/4
 }
 
-// Silence returns the time since the last message received; ok is false where none
-// has come yet.
+// Silence returns the time since the last message received, and where none has come
+// yet since the connection began; ok is false then.
 func (c *Conn) Silence() (silence time.Duration, ok bool) {
 	heard := time.Duration(c.heard.Load())
 	return time.Since(c.began) - heard, heard > 0
@@ -263,7 +263,7 @@
 			c.cancel()
 			return
 		case <-ticker.C:
-			if time.Since(c.began)-time.Duration(c.heard.Load()) > c.settings.SilenceLimit {
+			if silence, _ := c.Silence(); silence > c.settings.SilenceLimit {
 				c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindConnectionSilent, Detail: c.Peer()})
 				if err := c.abort(); err != nil {
 					c.settings.Log.Debug().Err(err).Str("Peer", c.Peer()).Msg("closing a silent connection")
--- a/internal/standin/modeler/model.go
+++ b/internal/standin/modeler/model.go
@@ -168,7 +168,7 @@
 	m.store.clear()
 	clear(m.loaded)
 	for _, id := range sortedKeys(m.open) {
-		m.end(m.open[id], func(r *KindResult) { r.Left++ }, 0)
+		m.end(m.open[id], func(r *KindResult) { r.Left++ })
 	}
 	for _, name := range sortedKeys(m.engines) {
 		m.engines[name].life++
@@ -238,7 +238,7 @@
 		id := c.id
 		m.clock.after(patience, func() {
 			if m.open[id] == c {
-				m.end(c, func(r *KindResult) { r.Left++ }, 0)
+				m.end(c, func(r *KindResult) { r.Left++ })
 			}
 		})
 	}
@@ -251,7 +251,7 @@
 		return
 	}
 	if c.back {
-		m.end(c, func(r *KindResult) { r.Refused++ }, 0)
+		m.end(c, func(r *KindResult) { r.Refused++ })
 		return
 	}
 	c.over, c.back = true, true
@@ -275,10 +275,10 @@
 }
 
 // end ends a call that has no answer.
-func (m *model) end(c *call, note func(*KindResult), earned float64) {
+func (m *model) end(c *call, note func(*KindResult)) {
 	c.over = true
 	delete(m.open, c.id)
-	m.credit(c, note, earned)
+	m.count(c, note)
 	if c.kind.Prompt == 0 || !c.placed {
 		return
 	}
--- a/internal/transport/relayer/silence_test.go
+++ b/internal/transport/relayer/silence_test.go
@@ -29,6 +29,16 @@
 	return e
 }
 
+// askMeanwhile sends a request, and gives its answer's body when it comes.
+func (e *entry) askMeanwhile() <-chan string {
+	answered := make(chan string, 1)
+	go func() {
+		defer GinkgoRecover()
+		answered <- read(e.ask(ctx, map[string]string{"Model": "m/a1"}))
+	}()
+	return answered
+}
+
 // never is a backend server that answers nothing until its caller has left.
 func never(net.Conn, *http.Request) {}
 
@@ -69,11 +79,7 @@
 		b0, b1 := newBackend(stream), newBackend(stream)
 		e := newPair(streamed, b0, b1)
 		e.attend("b0", mute())
-		answered := make(chan string, 1)
-		go func() {
-			defer GinkgoRecover()
-			answered <- read(e.ask(ctx, map[string]string{"Model": "m/a1"}))
-		}()
+		answered := e.askMeanwhile()
 		var got string
 		Eventually(func() bool {
 			e.relayer.FallSilent("s", "b0")
@@ -112,11 +118,7 @@
 		// Cause: a call that was handed over waited for as long as its caller did.
 		b0, b1 := newBackend(never), newBackend(stream)
 		e := newPair(resumable, b0, b1)
-		answered := make(chan string, 1)
-		go func() {
-			defer GinkgoRecover()
-			answered <- read(e.ask(ctx, map[string]string{"Model": "m/a1"}))
-		}()
+		answered := e.askMeanwhile()
 		Eventually(b0.runs.Load).Should(BeEquivalentTo(1))
 		e.relayer.FallSilent("s", "b0")
 		Eventually(answered).Should(Receive(HaveSuffix("id: 2\ndata: x\n\n")))
@@ -130,11 +132,7 @@
 			stream(c, r)
 		}), newBackend(stream)
 		e := newPair(streamed, b0, b1)
-		answered := make(chan string, 1)
-		go func() {
-			defer GinkgoRecover()
-			answered <- read(e.ask(ctx, map[string]string{"Model": "m/a1"}))
-		}()
+		answered := e.askMeanwhile()
 		Eventually(b0.runs.Load).Should(BeEquivalentTo(1))
 		e.relayer.FallSilent("s", "b0")
 		close(answer)
