placer: what a choice needs of all engines is found once for it

Cause: the place of an engine in an adapter's order and the price of a load from the store were found anew for each engine of each choice, by hashing a text for each other engine: the time of a choice grew with the square of the engines.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -14,6 +16,10 @@
 // by its pool's lock.
 type backend struct {
 	member tracker.Member
+	// hash is that of the name, and index the place among the pool's backends at the
+	// last survey.
+	hash  uint64
+	index int
 	// own counts this entry's calls in progress.
 	own int
 	// state is the companion's last report, of reportedAt; zero where none came.
@@ -50,7 +56,7 @@
 
 func newBackend(m tracker.Member) *backend {
 	return &backend{
-		member: m, adapters: make(map[string]AdapterState), hoped: make(map[string]AdapterState),
+		member: m, hash: xxhash.Sum64String(m.Name), adapters: make(map[string]AdapterState), hoped: make(map[string]AdapterState),
 		recent: make(map[string]struct{}), cached: make(map[uint32]struct{}),
 		throttle: throttler.NewThrottler(m.Spec.Slots),
 	}
@@ -185,17 +191,16 @@
 	laneTime = 200 * time.Millisecond
 )
 
-// loading returns the expected wait for the call's adapter.
-func (b *backend) loading(c *Call, s *Settings) time.Duration {
-	if c.Adapter == "" || !b.reported() {
+// loading returns the expected wait for a version of an adapter; an empty name is none.
+func (b *backend) loading(name string, version uint64, s *Settings) time.Duration {
+	if name == "" || !b.reported() {
 		return 0
 	}
-	name := c.Model + "/" + c.Adapter
 	a, held := b.slot(name)
 	switch {
-	case held && a.Version >= c.Version && !a.Loading:
+	case held && a.Version >= version && !a.Loading:
 		return 0
-	case held && a.Version >= c.Version:
+	case held && a.Version >= version:
 		return s.ColdLoad / 2
 	}
 	wait := s.ColdLoad
--- a/internal/coordination/placer/cost.go
+++ b/internal/coordination/placer/cost.go
@@ -3,10 +3,6 @@
 import (
 	"cmp"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
 const (
@@ -41,7 +37,7 @@
 
 // cost is the expected time until the call's first byte, and what else speaks
 // against the backend server, in time.
-func (o *pool) cost(now time.Time, c *Call, b *backend, s *Settings) time.Duration {
+func (o *pool) cost(now time.Time, c *Call, b *backend, seen *survey, s *Settings) time.Duration {
 	cost := time.Duration(b.failures * float64(failureTime))
 	away := b.member.Spec.FailureDomain != s.FailureDomain
 	if o.engine == nil {
@@ -54,9 +50,9 @@
 		cost += s.PromptDistance
 	}
 	read := b.readTime(c, s)
-	load := b.loading(c, s)
+	load := b.loading(seen.adapter, c.Version, s)
 	if load > 0 {
-		cost += time.Duration(o.place(c, b))*homeTime + o.storeCost(c, b)
+		cost += time.Duration(seen.places[b.index])*homeTime + seen.storeCost(c, b)
 	}
 	if c.Model != "" && !b.holds(c.Model) {
 		load += emptyTime
@@ -123,41 +119,17 @@
 
 // storeCost is what a load at the backend server costs others where another engine
 // has the call's adapter in a slot or in its memory.
-func (o *pool) storeCost(c *Call, b *backend) time.Duration {
-	name := c.Model + "/" + c.Adapter
-	if _, warm := b.recent[name]; warm {
+func (s *survey) storeCost(c *Call, b *backend) time.Duration {
+	if _, warm := b.recent[s.adapter]; warm {
 		return 0
 	}
-	copies, pins := 0, 0
-	for _, other := range o.backends {
-		if other == b || other.member.Spec.State != storer.MemberStateServing {
-			continue
-		}
-		a, held := other.slot(name)
-		_, warm := other.recent[name]
-		if held && a.Version >= c.Version || warm {
-			copies++
-			pins += a.Pins
-		}
+	copies, pins := s.copies, s.pins
+	if own, has := b.copyOf(s.adapter, c.Version); has {
+		copies--
+		pins -= own
 	}
 	if copies == 0 {
 		return 0
 	}
 	return time.Duration(float64(storeTime) / (1 + float64(pins)/float64(copies)/storePins))
 }
-
-// place returns the backend server's place in the adapter's order of engines, the
-// highest hash first.
-func (o *pool) place(c *Call, b *backend) int {
-	own, place := affinity(c, b), 0
-	for _, other := range o.backends {
-		if other != b && other.member.Spec.State == storer.MemberStateServing && affinity(c, other) > own {
-			place++
-		}
-	}
-	return place
-}
-
-func affinity(c *Call, b *backend) uint64 {
-	return xxhash.Sum64String(c.Model + "/" + c.Adapter + " " + b.member.Name)
-}
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -36,6 +36,7 @@
 	backends []*backend
 	engine   *tracker.Engine
 	random   *rand.Rand
+	surveyed survey
 }
 
 // NewPlacer returns a placer without services.
@@ -202,11 +203,12 @@
 func (o *pool) best(now time.Time, c *Call, s *Settings, may func(*backend) bool) *backend {
 	var best *backend
 	var least time.Duration
+	seen := o.survey(c)
 	for _, b := range o.backends {
 		if b.member.Spec.State != storer.MemberStateServing || !may(b) {
 			continue
 		}
-		cost := o.cost(now, c, b, s)
+		cost := o.cost(now, c, b, seen, s)
 		if best == nil || cost < least {
 			best, least = b, cost
 		}
@@ -214,7 +216,7 @@
 	return best
 }
 
-// take counts the call at the backend server, and fills in the choice.
+// take counts the call at the backend server that best chose, and fills in the choice.
 func (o *pool) take(now time.Time, c *Call, b *backend, choice *Choice, s *Settings) {
 	*choice = Choice{
 		Name: b.member.Name, Address: b.member.Spec.Address, Incarnation: b.member.Spec.Incarnation,
@@ -224,7 +226,7 @@
 		choice.Age = now.Sub(b.reportedAt)
 	}
 	if o.engine != nil {
-		choice.Backlog, choice.Load = b.backlog(now), b.loading(c, s)
+		choice.Backlog, choice.Load = b.backlog(now), b.loading(o.surveyed.adapter, c.Version, s)
 		choice.Read = b.readTime(c, s)
 		choice.fresh = choice.Read
 		if choice.Load > 0 || c.Model != "" && !b.holds(c.Model) {
@@ -235,11 +237,11 @@
 		for _, hash := range c.Parts {
 			b.cached[hash] = struct{}{}
 		}
-		if name := c.Model + "/" + c.Adapter; c.Adapter != "" && choice.Load > 0 {
+		if name := o.surveyed.adapter; name != "" && choice.Load > 0 {
 			b.hoped[name] = AdapterState{Name: name, Version: c.Version, Loading: true, Pins: 1}
 		}
 	}
-	choice.Expected = o.cost(now, c, b, s)
+	choice.Expected = o.cost(now, c, b, &o.surveyed, s)
 	b.own++
 	b.placedCalls++
 }
