--- a/internal/state/storer/announcements.go
+++ b/internal/state/storer/announcements.go
@@ -1,6 +1,10 @@
 package storer
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // announceMember begins a membership, or brings it up to date. A message of an
 // incarnation that was replaced or has ended is stale, and one of an incarnation
@@ -15,10 +19,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.space("")
-	old, exists := p.get(KindMember, c.Name)
-	if slices.Contains(p.superseded[c.Name], c.Member.Incarnation) {
-		return Result{Verdict: VerdictStale, Reason: "the incarnation has ended"}
+	if reason := p.overtaken(c); reason != "" {
+		return Result{Verdict: VerdictStale, Reason: reason}
 	}
+	old, exists := p.get(KindMember, c.Name)
 	c.Member.Epoch = index
 	if exists {
 		was := old.Spec.(MemberSpec)
@@ -28,16 +32,72 @@
 		} else {
 			p.supersede(c.Name, was.Incarnation)
 		}
-		if equalSpecs(was, c.Member) {
+		if was.SameBut(c.Member) {
 			return accepted(old)
 		}
 	}
+	changes := p.endFormer(index, c)
 	r.Spec = c.Member
 	p.put(r)
-	s.publish(index, Change{Revision: index, Resource: r})
+	s.publish(index, append(changes, Change{Revision: index, Resource: r})...)
 	return accepted(r)
 }
 
+// Of returns what the backend server keeps over its lives.
+func (s MemberSpec) Of() string { return cmp.Or(s.Instance, s.Incarnation) }
+
+// SameBut reports whether two memberships differ in nothing but the messages that they
+// come from.
+func (s MemberSpec) SameBut(other MemberSpec) bool {
+	s.Sequence, other.Sequence = 0, 0
+	return s == other
+}
+
+// overtaken tells why an announcement is a late one, or nothing.
+func (p *space) overtaken(c AnnounceMember) string {
+	if slices.Contains(p.superseded[c.Name], c.Member.Incarnation) {
+		return "the incarnation has ended"
+	}
+	for _, r := range p.resources[KindMember] {
+		m := r.Spec.(MemberSpec)
+		switch {
+		case c.Member.Instance == "" || m.Instance != c.Member.Instance:
+		case m.Born > c.Member.Born:
+			return "a later life has begun"
+		case m.Incarnation == c.Member.Incarnation && c.Member.Sequence > 0 && c.Member.Sequence < m.Sequence:
+			return "a later message has come"
+		}
+	}
+	return ""
+}
+
+// endFormer ends the earlier lives of a backend server at other addresses.
+//
+// A backend server that starts again under its name at another address leaves a
+// membership behind which nothing ends until its lease runs out: calls would be sent
+// there meanwhile, or to whoever has the address next.
+func (p *space) endFormer(index uint64, c AnnounceMember) []Change {
+	if c.Member.Instance == "" {
+		return nil
+	}
+	var changes []Change
+	for _, r := range p.resources[KindMember] {
+		m := r.Spec.(MemberSpec)
+		if r.Metadata.Name == c.Name || m.Instance != c.Member.Instance || m.Born >= c.Member.Born {
+			continue
+		}
+		p.supersede(r.Metadata.Name, m.Incarnation)
+		remembered := p.superseded[r.Metadata.Name]
+		changes = append(changes, p.endMember(index, r))
+		p.superseded[r.Metadata.Name] = remembered
+	}
+	// All copies of the state must publish in one order.
+	slices.SortFunc(changes, func(x, y Change) int {
+		return strings.Compare(x.Resource.Metadata.Name, y.Resource.Metadata.Name)
+	})
+	return changes
+}
+
 // retireMember ends an incarnation and remembers it, so that none of its late
 // announcements begins a membership again.
 func (s *Store) retireMember(index uint64, c RetireMember) Result {
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -140,6 +140,14 @@
 	// Epoch is the log index of the command which began this membership. It
 	// fences orders: a later membership has a higher epoch.
 	Epoch uint64 `cbor:"12,keyasint,omitempty"`
+	// Instance is what a backend server keeps over its lives, and Born when this one
+	// began, in milliseconds since 1970; both are empty where a life is known by its
+	// Incarnation alone.
+	Instance string `cbor:"13,keyasint,omitempty"`
+	Born     uint64 `cbor:"14,keyasint,omitempty"`
+	// Sequence is that of the message which the rest comes from; it rises within a
+	// life. 0 means not told.
+	Sequence uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // RoutingName is the name of the one routing configuration.
--- a/internal/transport/attendant/engine.go
+++ b/internal/transport/attendant/engine.go
@@ -28,6 +28,8 @@
 type Report struct {
 	// Sequence is the number of orders that the engine has accepted in this life.
 	Sequence uint64
+	// Born is when this life began, in milliseconds since 1970; 0 where it isn't told.
+	Born uint64
 	// Busy means that an order on a whole model is in progress.
 	Busy    bool
 	Models  []HeldModel
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -108,7 +108,7 @@
 		a.loadEarly(r)
 		return
 	}
-	restarted := a.incarnation != "" && member.Spec.Incarnation != a.incarnation || r.Sequence < a.report.Sequence
+	restarted := a.restarted(r, member)
 	a.incarnation, a.epoch = member.Spec.Incarnation, max(a.epoch, member.Spec.Epoch)
 	if len(r.Models) != len(a.report.Models) {
 		a.change()
@@ -140,6 +140,16 @@
 	}
 }
 
+// restarted reports whether the engine is in another life than at the last look. Its
+// own word on when it began tells best: the membership follows later, and the count of
+// orders may have grown past the former one's. The caller holds mu.
+func (a *Attendant) restarted(r Report, member tracker.Member) bool {
+	if r.Born > 0 && a.report.Born > 0 {
+		return r.Born != a.report.Born
+	}
+	return a.incarnation != "" && member.Spec.Incarnation != a.incarnation || r.Sequence < a.report.Sequence
+}
+
 // loadEarly has an empty engine load the one model on its host's disk, before anything
 // is known of the deployment. The caller holds mu.
 //
--- a/internal/transport/controller/announcing.go
+++ b/internal/transport/controller/announcing.go
@@ -30,7 +30,11 @@
 	if r, ok := c.store.Get(storer.Key{Kind: storer.KindMember, Name: name}); ok {
 		held := r.Spec.(storer.MemberSpec)
 		m.Epoch = held.Epoch
-		if held == m {
+		if !c.heard.note(name, m.Incarnation, m.Sequence) {
+			c.settings.Log.Info().Str("Backend", name).Uint64("Sequence", m.Sequence).Msg("late heartbeat passed over")
+			return nil
+		}
+		if held.SameBut(m) {
 			return c.renewAnnounced(name, held.Epoch)
 		}
 		m.Epoch = 0
@@ -64,13 +68,16 @@
 	return nil
 }
 
-// Retire takes the word that an incarnation has ended, wherever it was.
-func (c *Control) Retire(ctx context.Context, incarnation string) error {
+// Retire takes the word that a backend server has ended, wherever it was: the life that
+// began at a time, or the present one where that is 0.
+func (c *Control) Retire(ctx context.Context, instance string, born uint64) error {
 	members, _ := c.store.List(storer.KindMember, "")
 	for _, m := range members {
-		if m.Spec.(storer.MemberSpec).Incarnation != incarnation {
+		spec := m.Spec.(storer.MemberSpec)
+		if spec.Of() != instance || born > 0 && spec.Born != born {
 			continue
 		}
+		incarnation := spec.Incarnation
 		_, err := c.Propose(ctx, storer.Envelope{Command: storer.RetireMember{Name: m.Metadata.Name, Incarnation: incarnation}})
 		if err == nil {
 			c.recordBackend(recorder.KindMemberEnded, m.Metadata.Name, "%s", incarnation)
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -51,6 +51,8 @@
 	// term is the newest leader's term heard of; guarded by freshMu.
 	term uint64
 
+	heard heard
+
 	dutiesMu sync.Mutex
 	// duties are those of a leader; nil while this host does not lead. Guarded
 	// by dutiesMu.
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -102,6 +102,7 @@
 // ViewChanged has the relayer follow a new view. It is quick.
 func (r *Relayer) ViewChanged(v *tracker.View) {
 	r.settings.Placer.SetView(v)
+	r.endFormer(v)
 	select {
 	case r.look <- struct{}{}:
 	default:
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -9,6 +9,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
 // errSilent ends an attempt at an engine whose host has fallen silent.
@@ -24,6 +25,8 @@
 type attempt struct {
 	job    *job
 	cancel context.CancelCauseFunc
+	// incarnation is the life of the backend server that the call is for.
+	incarnation string
 	// movable tells that the call may go to another engine after it was handed to this
 	// one; it is set before sent.
 	movable bool
@@ -46,7 +49,7 @@
 // engines could have taken it at once.
 func (r *Relayer) follows(j *job) (a *attempt, ctx context.Context, end func()) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
-	a = &attempt{job: j, cancel: cancel}
+	a = &attempt{job: j, cancel: cancel, incarnation: j.choice.Incarnation}
 	a.handed.Store(j.relayer.settings.Now().UnixNano())
 	name := j.choice.Name
 	if j.service.Engine != nil {
@@ -139,6 +142,31 @@
 	}
 }
 
+// errEnded ends an attempt at a backend server that has begun another life.
+const errEnded = errors.ConstError("the backend server has begun another life")
+
+// endFormer ends the attempts at former lives of backend servers.
+//
+// One that crashes behind a cut and starts again resets nothing until the cut heals:
+// calls of its former life would wait until their callers leave, though it is known to
+// have ended. Those that may be repeated go on elsewhere, as after a broken connection.
+func (r *Relayer) endFormer(v *tracker.View) {
+	r.attemptsMu.Lock()
+	defer r.attemptsMu.Unlock()
+	for name, attempts := range r.attempts {
+		m, ok := v.Member(name)
+		if !ok {
+			// One that has left goes on with what it runs.
+			continue
+		}
+		for a := range attempts {
+			if a.incarnation != m.Spec.Incarnation {
+				a.cancel(errEnded)
+			}
+		}
+	}
+}
+
 // mayMove reports whether a call that was handed over may go to another engine, and
 // draws on the retry budget for it. One that may not is better left where it is, since
 // the host may wake.
--- a/internal/transport/relayer/silence_test.go
+++ b/internal/transport/relayer/silence_test.go
@@ -12,6 +12,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -163,6 +164,22 @@
 		Expect(b1.runs.Load()).To(BeZero())
 	})
 
+	It("a call of a life that has ended since goes elsewhere at once", func() {
+		// Symptom: callers wait until their deadline for an engine that is known to have
+		// started again.
+		// Events: an engine crashes behind a cut and starts again, under the same id.
+		// Cause: calls of its former life waited for the cut to heal.
+		b0, b1 := newBackend(never), newBackend(stream)
+		e := newPair(resumable, b0, b1)
+		answered := e.askMeanwhile()
+		Eventually(b0.runs.Load).Should(BeEquivalentTo(1))
+		e.put(storer.KindMember, "b0", storer.MemberSpec{
+			Service: "s", Address: b0.network.Addr().String(), Instance: "i-0", Incarnation: "i-0 2", Born: 2, Slots: 8, BaseModel: "m",
+		})
+		Eventually(answered).Should(Receive(HaveSuffix("id: 2\ndata: x\n\n")))
+		Expect(b1.runs.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("calls go past it from then on", func() {
 		b0, b1 := newBackend(stream), newBackend(stream)
 		e := newPair(streamed, b0, b1)
