placer, attendant, relayer: a companion sends calls elsewhere whose entry was misled; modeler: 117 engines

Hypothesis: with states told seldomer to other failure domains, calls wait at engines whose slots or reading queue have filled since. Loads on real engines: to be measured.

--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -28,6 +28,10 @@
 	SlackMillis int64
 	// WaitMillis is how long the entry waits for the answer.
 	WaitMillis int64
+	// Movable tells that the request may go elsewhere where it would wait much longer
+	// than ExpectedMillis, until its prompt is read.
+	Movable        bool
+	ExpectedMillis int64
 }
 
 // Admitted answers Admit once the adapter is ready.
--- a/internal/protocol/messenger/refusal.go
+++ b/internal/protocol/messenger/refusal.go
@@ -50,6 +50,9 @@
 	ReasonInternal
 	// ReasonForbidden means that the sender may not make the call.
 	ReasonForbidden
+	// ReasonMisled means that the request would wait much longer than the sender
+	// expected; RetryAfterMillis is that wait.
+	ReasonMisled
 )
 
 // Refusal is the typed error of a call that the other end answered.
--- a/internal/standin/modeler/call.go
+++ b/internal/standin/modeler/call.go
@@ -20,6 +20,8 @@
 	choice        placer.Choice
 	placed        bool
 	urgency       int
+	// sentBack tells that an engine had the call go elsewhere.
+	sentBack bool
 	// over tells that the call has ended, one way or another.
 	over bool
 }
--- a/internal/standin/modeler/engine.go
+++ b/internal/standin/modeler/engine.go
@@ -77,7 +77,9 @@
 		}
 		e.blocked = nil
 	})
-	e.later(tellInterval, e.tell)
+	near, far := e.audiences()
+	e.tell(near, true)
+	e.tell(far, false)
 	e.later(tickInterval, e.tick)
 }
 
@@ -102,6 +104,9 @@
 	if c.over {
 		return
 	}
+	if e.sendBack(c) {
+		return
+	}
 	e.guests[c.id] = c
 	if !e.ready {
 		e.blocked = append(e.blocked, c)
@@ -110,6 +115,27 @@
 	e.want(c)
 }
 
+// sendBack has a call go elsewhere whose entry was misled by what it knew, once.
+func (e *engine) sendBack(c *call) bool {
+	m := e.model
+	if c.sentBack || !e.ready || m.without(MechanismSendingBack) {
+		return false
+	}
+	s := e.state()
+	wait, misled := placer.Misled(&s, modelName+"/"+c.adapter, 1, c.choice.Load+c.choice.Backlog)
+	if !misled {
+		return false
+	}
+	c.sentBack = true
+	m.result.SentBack++
+	m.clock.after(faraway, func() {
+		c.entry.placer.Corrected(m.clock.now, &c.choice, wait)
+		c.entry.finish(c, placer.EndingRefused)
+		c.entry.offer(c)
+	})
+	return true
+}
+
 func (e *engine) want(c *call) {
 	if c.over {
 		return
@@ -250,12 +276,44 @@
 	e.later(tickInterval, e.tick)
 }
 
-// tell tells all entries of the engine's state.
-func (e *engine) tell() {
-	e.later(tellInterval, e.tell)
+// audiences returns the entries of the engine's failure domain, and the others.
+func (e *engine) audiences() (near, far []*entry) {
+	for _, entry := range e.model.entries {
+		if entry.domain == e.member.Spec.FailureDomain {
+			near = append(near, entry)
+			continue
+		}
+		far = append(far, entry)
+	}
+	return near, far
+}
+
+// tell tells some entries of the engine's state, again and again.
+func (e *engine) tell(entries []*entry, near bool) {
+	interval := tellInterval
+	if !e.model.without(MechanismSparing) {
+		interval = placer.TellingInterval(tellInterval, len(entries), near)
+	}
+	e.later(interval, func() {
+		e.tellOnce(entries)
+		e.tell(entries, near)
+	})
+}
+
+func (e *engine) tellOnce(entries []*entry) {
 	if e.model.without(MechanismStates) {
 		return
 	}
+	s := e.state()
+	e.later(nearby, func() {
+		for _, entry := range entries {
+			entry.placer.Report(e.model.clock.now, engineService, s)
+		}
+	})
+}
+
+// state returns the engine's state as it is told.
+func (e *engine) state() placer.EngineState {
 	e.sequence++
 	s := placer.EngineState{
 		Name: e.member.Name, Incarnation: e.member.Spec.Incarnation, Life: e.life, Sequence: e.sequence, Whole: true,
@@ -270,11 +328,7 @@
 			Name: modelName + "/" + r.Version, Version: 1, Loading: r.Phase != loader.PhaseResident, Pins: r.Pins + r.Waiters,
 		})
 	}
-	e.later(nearby, func() {
-		for _, entry := range e.model.entries {
-			entry.placer.Report(e.model.clock.now, engineService, s)
-		}
-	})
+	return s
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/standin/modeler/pattern.go
+++ b/internal/standin/modeler/pattern.go
@@ -86,7 +86,17 @@
 		Grounds: "two of three application servers of a heavy day leave: 300 calls a second on places for 200",
 		Warm:    2 * time.Second, Length: 12 * time.Second,
 	}
-	return []Pattern{burst, loss, grown, scarce, services}
+	large := Pattern{
+		Name: "Large", Domains: 5, Entries: 68, Engines: 117, Slots: 8, Adapters: 24_000, AtOnce: 40, Load: 250 * time.Millisecond,
+		Kinds: []Kind{
+			{Name: "check", PerSecond: 213, Target: 800 * time.Millisecond, Prompt: 826, Answer: 290},
+			{Name: "review", PerSecond: 183, Target: time.Second, Rank: 1, Prompt: 9190, Answer: 52},
+			{Name: "premium", PerSecond: 25, Target: time.Second, Rank: 2, Prompt: 9190, Answer: 52},
+		},
+		Grounds: "a clearance desk in five failure domains: 68 entries before 117 engines of 8 slots, a standard day",
+		Warm:    6 * time.Second, Length: 16 * time.Second,
+	}
+	return []Pattern{burst, loss, grown, scarce, services, large}
 }
 
 // FindPattern returns the pattern of a name.
@@ -122,6 +132,10 @@
 	MechanismDistance
 	// MechanismStates tells entries what engines hold.
 	MechanismStates
+	// MechanismSparing tells many entries seldomer; without it all within 80 ms.
+	MechanismSparing
+	// MechanismSendingBack has calls go elsewhere whose entry was misled by an old state.
+	MechanismSendingBack
 	// MechanismThrottling bounds the calls at plain services.
 	MechanismThrottling
 	mechanisms
--- a/internal/standin/modeler/result.go
+++ b/internal/standin/modeler/result.go
@@ -18,6 +18,8 @@
 	First, Copies, Warm int
 	// TurnedAway counts sends that a plain service refused.
 	TurnedAway int
+	// SentBack counts the calls that an engine had go elsewhere.
+	SentBack int
 	// windows are what was owed and earned by the time of the callers' first asking.
 	windows map[int]*window
 }
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -91,6 +91,9 @@
 	case a.guests[m.Request] != nil:
 		return nil, messenger.NewRefusal(messenger.ReasonMalformed, "the request is admitted already")
 	}
+	if refusal := a.sendBack(m); refusal != nil {
+		return nil, refusal
+	}
 	g := &guest{admit: m, conn: conn, done: make(chan struct{}), began: now}
 	a.guests[m.Request] = g
 	a.change()
@@ -108,6 +111,24 @@
 	return g, nil
 }
 
+// sendBack refuses a request whose entry was misled by an old state, so that it goes
+// elsewhere. The caller holds mu.
+func (a *Attendant) sendBack(m messenger.Admit) *messenger.Refusal {
+	if !m.Movable || m.Adapter == "" {
+		return nil
+	}
+	version := max(m.Version, a.settings.View().Newest(adapterName(m.Model, m.Adapter)))
+	state := a.wholeState()
+	wait, misled := placer.Misled(&state, adapterName(m.Model, m.Adapter), version, time.Duration(m.ExpectedMillis)*time.Millisecond)
+	if !misled {
+		return nil
+	}
+	a.metrics.sentBack.Inc()
+	r := messenger.NewRefusal(messenger.ReasonMisled, "the request would wait much longer than expected")
+	r.RetryAfterMillis = wait.Milliseconds()
+	return r
+}
+
 // want has the table wait for the guest's version, once the model is there and no
 // other version of the adapter is in the way. The caller holds mu.
 func (a *Attendant) want(g *guest, now time.Time) {
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -82,8 +82,8 @@
 		blocked:  make(map[string]*guest),
 		early:    make(map[string]time.Time),
 		entries:  make(map[*messenger.Conn]struct{}),
-		near:     newAudience(nearPerEntry),
-		far:      newAudience(farPerEntry),
+		near:     newAudience(),
+		far:      newAudience(),
 		book:     newCachebook(0),
 	}
 	a.metrics = newMetrics(s.Registerer)
--- a/internal/transport/attendant/audience.go
+++ b/internal/transport/attendant/audience.go
@@ -11,8 +11,6 @@
 // audience are entries that are told of the engine at the same moments. It is guarded
 // by the attendant's lock.
 type audience struct {
-	// perEntry is the time between two states for each entry of the audience.
-	perEntry time.Duration
 	// conns are the entries' connections, true once they know what was told last.
 	conns map[*messenger.Conn]bool
 	// changed tells that there is something to tell, and whole that it does not build on
@@ -30,11 +28,8 @@
 	read []uint32
 }
 
-func newAudience(perEntry time.Duration) *audience {
-	return &audience{
-		perEntry: perEntry, whole: true,
-		conns: make(map[*messenger.Conn]bool), slots: make(map[string]placer.AdapterState),
-	}
+func newAudience() *audience {
+	return &audience{whole: true, conns: make(map[*messenger.Conn]bool), slots: make(map[string]placer.AdapterState)}
 }
 
 // add has an entry told the whole next.
@@ -46,12 +41,6 @@
 // renew has all told the whole anew.
 func (u *audience) renew() { u.changed, u.whole = true, true }
 
-// interval returns the time between two states: the more entries, the longer, so that a
-// companion sends no more of them in a second before many entries than before few.
-func (u *audience) interval(least time.Duration) time.Duration {
-	return max(least, time.Duration(len(u.conns))*u.perEntry)
-}
-
 // ignorant returns the entries that do not know what was told last, and counts them as
 // told.
 func (u *audience) ignorant() []*messenger.Conn {
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -4,9 +4,10 @@
 
 // metrics are the attendant's.
 type metrics struct {
-	waited  prometheus.Histogram
-	loads   prometheus.Histogram
-	refused prometheus.Counter
+	waited   prometheus.Histogram
+	loads    prometheus.Histogram
+	refused  prometheus.Counter
+	sentBack prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -22,9 +23,12 @@
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "marigoldpoint_attendant_refused_total", Help: "Requests that were not admitted.",
 		}),
+		sentBack: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marigoldpoint_attendant_sent_back_total", Help: "Requests that were sent elsewhere since they would wait much longer than their entry expected.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.waited, m.loads, m.refused)
+		r.MustRegister(m.waited, m.loads, m.refused, m.sentBack)
 	}
 	return m
 }
--- a/internal/transport/attendant/telling.go
+++ b/internal/transport/attendant/telling.go
@@ -3,7 +3,6 @@
 import (
 	"math/bits"
 	"slices"
-	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
@@ -14,16 +13,6 @@
 // that are used again lie among the last used.
 const cachedTold = 40
 
-// The times between two states for each entry that is told. Each entry of the engine's
-// own failure domain sends it most of its calls; what the others believe may be older.
-// Beside the least interval they bind where many entries are told: 68 of them, told all
-// at the least interval, cost each companion 800 messages a second, and all entries as
-// many from 117 companions.
-const (
-	nearPerEntry = 10 * time.Millisecond
-	farPerEntry  = 20 * time.Millisecond
-)
-
 // tell tells the entries of an audience of the engine's state when it has changed: the
 // whole to those that know nothing yet, and to the others what has changed since the
 // last word. The whole each time, as a JSON object, was half of what went between
@@ -83,7 +72,7 @@
 		return nil
 	}
 	now := a.settings.Now()
-	if !u.whole && now.Sub(u.toldAt) < u.interval(a.settings.TellInterval) {
+	if !u.whole && now.Sub(u.toldAt) < placer.TellingInterval(a.settings.TellInterval, len(u.conns), u == a.near) {
 		// One that comes in between is told at once what the others know: what they are
 		// told next builds on that.
 		return []telling{{state: u.told, entries: u.ignorant()}}
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -386,6 +386,30 @@
 		Expect(runs(b)).To(BeZero())
 	})
 
+	It("that would wait much longer than expected goes elsewhere, once", func() {
+		// Symptom: callers leave while their call waits at a crowded engine.
+		// Events: an entry chooses by what it heard most of a second ago.
+		// Cause: what an engine knew better was told with the next state only.
+		b0, b1 := newBackend(stream), newBackend(stream)
+		e := newPair(streamed, b0, b1)
+		var movable []bool
+		e.admit = func(m messenger.Admit) (messenger.Admitted, error) {
+			if movable = append(movable, m.Movable); m.Movable {
+				refusal := messenger.NewRefusal(messenger.ReasonMisled, "crowded")
+				refusal.RetryAfterMillis = 900
+				return messenger.Admitted{}, refusal
+			}
+			return messenger.Admitted{Version: m.Version}, nil
+		}
+		Expect(read(e.ask(ctx, map[string]string{"Model": "m/a1"}))).To(HaveSuffix("id: 2\ndata: x\n\n"))
+		Expect(b0.runs.Load()).To(BeZero())
+		Expect(b1.runs.Load()).To(BeEquivalentTo(1))
+		Expect(movable).To(Equal([]bool{true, false}))
+		var choice placer.Choice
+		Expect(e.placer.Choose(time.Now(), &placer.Call{Service: "s", Model: "m", Adapter: "a2"}, &choice)).To(Succeed())
+		Expect(choice.Name).To(Equal("b1"), "the next one is told of the wait")
+	})
+
 	It("that is refused sends the call elsewhere, and in the end back", func() {
 		b := newBackend(well)
 		e := newEntry(streamed, engine, b)
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -261,6 +261,10 @@
 	switch {
 	case err == nil:
 		return admitted, release, nil
+	case errors.As(err, &refusal) && refusal.Reason == messenger.ReasonMisled:
+		j.sentBack = true
+		r.settings.Placer.Corrected(r.settings.Now(), &j.choice, refusal.RetryAfter())
+		return messenger.Admitted{}, nil, err
 	case errors.As(err, &refusal):
 		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Reason", refusal.Detail).
 			Dur("Waited", r.settings.Now().Sub(began)).Msg("not admitted")
@@ -284,6 +288,7 @@
 		Model: j.call.Model, Adapter: j.call.Adapter,
 		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
 		SlackMillis: max(0, j.slack().Milliseconds()),
+		Movable:     !j.sentBack && j.from == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog).Milliseconds(),
 	}
 	if ask.Adapter != "" {
 		ask.Version = j.relayer.settings.View().Newest(ask.Model + "/" + ask.Adapter)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -51,6 +51,8 @@
 	// lastEvent is the id of the last whole event passed on.
 	lastEvent string
 	choice    placer.Choice
+	// sentBack tells that a companion had the call go elsewhere; none does so twice.
+	sentBack bool
 	// paid tells that the next sending is counted in the retry budget already.
 	paid   bool
 	waited time.Duration
