--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -396,7 +397,7 @@
 		e.admit = func(m messenger.Admit) (messenger.Admitted, error) {
 			if movable = append(movable, m.Movable); m.Movable {
 				refusal := messenger.NewRefusal(messenger.ReasonMisled, "crowded")
-				refusal.RetryAfterMillis = 900
+				refusal.RetryAfterMillis = 5000
 				return messenger.Admitted{}, refusal
 			}
 			return messenger.Admitted{Version: m.Version}, nil
