--- a/internal/standin/modeler/modeler_test.go
+++ b/internal/standin/modeler/modeler_test.go
@@ -57,6 +57,17 @@
 
 // Each of these loads binds by one thing, which the mechanism is there for.
 var _ = Describe("A mechanism", func() {
+	It("that sends misled calls back serves many entries, which know other domains late", func() {
+		with, without := play("Large"), play("Large", modeler.MechanismSendingBack)
+		Expect(with.InTime).To(BeNumerically(">", without.InTime+0.015))
+		Expect(with.Lost).To(BeNumerically("<", without.Lost))
+	})
+
+	It("that tells many entries seldomer costs them little", func() {
+		sparing, all := play("Large"), play("Large", modeler.MechanismSparing)
+		Expect(sparing.InTime).To(BeNumerically(">", all.InTime-0.03))
+	})
+
 	It("that loads wider serves a burst that waits for loads", func() {
 		// Symptom: eight in ten late calls of a heavy day wait for loads, half a second in
 		// the middle, while the store serves half of what it can.
--- a/internal/standin/modeler/pattern.go
+++ b/internal/standin/modeler/pattern.go
@@ -96,7 +96,10 @@
 		Grounds: "a clearance desk in five failure domains: 68 entries before 117 engines of 8 slots, a standard day",
 		Warm:    6 * time.Second, Length: 16 * time.Second,
 	}
-	return []Pattern{burst, loss, grown, scarce, services, large}
+	largeLoss := large
+	largeLoss.Name, largeLoss.LossAt, largeLoss.Dark = "LargePowerLoss", 8*time.Second, 1500*time.Millisecond
+	largeLoss.Grounds = "the same desk when all hosts lose power: 117 engines begin to load before a store that serves 40 at once"
+	return []Pattern{burst, loss, grown, scarce, services, large, largeLoss}
 }
 
 // FindPattern returns the pattern of a name.
