--- a/internal/coordination/placer/survey.go
+++ b/internal/coordination/placer/survey.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/hasher"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -47,7 +48,7 @@
 		if b.member.Spec.State != storer.MemberStateServing {
 			continue
 		}
-		s.ranks = append(s.ranks, rank{affinity: mixed(hash ^ b.hash), index: i})
+		s.ranks = append(s.ranks, rank{affinity: hasher.Mix(hash ^ b.hash), index: i})
 		if pins, has := b.copyOf(s.adapter, c.Version); has {
 			s.copies++
 			s.pins += pins
@@ -70,13 +71,3 @@
 	_, warm := b.recent[adapter]
 	return a.Pins, warm
 }
-
-// mixed spreads a hash over all bits: the exclusive or of two hashes keeps their
-// difference, and an order by it would be nearly the same for like names.
-func mixed(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/coordination/router/prefix.go
+++ b/internal/coordination/router/prefix.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/hasher"
 )
 
 // prefixCount is the number of prefixes that a shard remembers.
@@ -30,7 +32,7 @@
 		return
 	}
 	hash := xxhash.Sum64String(version)
-	prefix = prefixOf(prefix, mix(hash))
+	prefix = prefixOf(prefix, hasher.Mix(hash))
 	s := r.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,7 +50,7 @@
 	if prefix == 0 {
 		return 0
 	}
-	return mix(prefix ^ version)
+	return hasher.Mix(prefix ^ version)
 }
 
 // remember notes that the backend server has the prefix. The caller holds the
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/hasher"
 	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 )
 
@@ -90,7 +91,7 @@
 		if len(s.versions) >= limit {
 			s.evict(w, now)
 		}
-		v = &version{hash: mix(hash), ratedAt: now.UnixNano()}
+		v = &version{hash: hasher.Mix(hash), ratedAt: now.UnixNano()}
 		s.versions[name] = v
 	}
 	return v
--- a/internal/coordination/router/version.go
+++ b/internal/coordination/router/version.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/hasher"
 )
 
 // maxHomes bounds the homes of one version.
@@ -163,7 +165,7 @@
 	var weights [maxHomes]uint64
 	n := 0
 	for _, b := range p.members {
-		w := mix(v.hash ^ b.hash)
+		w := hasher.Mix(v.hash ^ b.hash)
 		if w <= weights[maxHomes-1] {
 			continue
 		}
@@ -177,13 +179,3 @@
 	v.homeCount = uint8(n)
 	v.homesOf = p.number
 }
-
-// mix scrambles x (the finaliser of SplitMix64: Steele, Lea and Flood, "Fast
-// splittable pseudorandom number generators", 2014).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/protocol/messenger/conn.go
+++ b/internal/protocol/messenger/conn.go
@@ -163,6 +163,16 @@
 // Done is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
+// Ended reports whether the connection has ended.
+func (c *Conn) Ended() bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // Close ends the connection and waits for its handlers. A handler must not call
 // it.
 func (c *Conn) Close() error {
--- a/internal/protocol/messenger/pace_test.go
+++ b/internal/protocol/messenger/pace_test.go
@@ -61,7 +61,7 @@
 		if n := l.writes.Load() - before; n < 9 || n > 11 {
 			t.Errorf("%d heartbeats in 20 s at rest, want 10", n)
 		}
-		if near.Suspect() || ended(near) {
+		if near.Suspect() || near.Ended() {
 			t.Error("a quiet connection counts as silent")
 		}
 		near.Attend()
@@ -96,7 +96,7 @@
 			t.Errorf("silent for %v, 500 ms after it was attended", silence)
 		}
 		pass(time.Second)
-		if !ended(near) {
+		if !near.Ended() {
 			t.Error("a silent connection goes on")
 		}
 	})
@@ -108,7 +108,7 @@
 	paired(t, func(near, _ *messenger.Conn, l line) {
 		l.mute.Store(true)
 		pass(quietPace + limit + 2*quietPace)
-		if !ended(near) {
+		if !near.Ended() {
 			t.Error("a silent connection goes on")
 		}
 	})
@@ -122,19 +122,10 @@
 		near := messenger.NewConn(x, messenger.Settings{HeartbeatInterval: fullPace, QuietInterval: quietPace, SilenceLimit: limit})
 		far := messenger.NewConn(y, messenger.Settings{HeartbeatInterval: fullPace, SilenceLimit: limit})
 		pass(10 * time.Second)
-		if ended(near) || ended(far) {
+		if near.Ended() || far.Ended() {
 			t.Error("given up")
 		}
 		_ = near.Close()
 		_ = far.Close()
 	})
 }
-
-func ended(c *messenger.Conn) bool {
-	select {
-	case <-c.Done():
-		return true
-	default:
-		return false
-	}
-}
--- /dev/null
+++ b/internal/state/hasher/doc.go
@@ -0,0 +1,2 @@
+// Package hasher orders things by hashes that all processes agree on.
+package hasher
--- a/internal/transport/dialer/pool.go
+++ b/internal/transport/dialer/pool.go
@@ -213,7 +213,7 @@
 		return nil
 	}
 	switch {
-	case ended(e.conn):
+	case e.conn.Ended():
 		e.conn = nil
 		return nil
 	case e.conn.Suspect():
@@ -226,15 +226,6 @@
 	}
 }
 
-func ended(c *messenger.Conn) bool {
-	select {
-	case <-c.Done():
-		return true
-	default:
-		return false
-	}
-}
-
 // unused removes and returns the connections that nobody needs any more, or all
 // of them.
 func (e *peer) unused(idle time.Duration, all bool) []*messenger.Conn {
@@ -242,7 +233,7 @@
 	defer e.mu.Unlock()
 	var unused, kept []*messenger.Conn
 	for _, c := range e.former {
-		if all || ended(c) || c.Idle() > idle {
+		if all || c.Ended() || c.Idle() > idle {
 			unused = append(unused, c)
 			continue
 		}
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -189,7 +189,7 @@
 	for {
 		c.mu.Lock()
 		l, changed := c.link, c.linked
-		if l != nil && !ended(l.conn) {
+		if l != nil && !l.conn.Ended() {
 			l.calls.Add(1)
 			c.mu.Unlock()
 			return l.conn, l.calls.Done, nil
@@ -205,15 +205,6 @@
 	}
 }
 
-func ended(conn *messenger.Conn) bool {
-	select {
-	case <-conn.Done():
-		return true
-	default:
-		return false
-	}
-}
-
 // watch records when the configuration lease is lost or regained, and leaves a
 // control host whose own knowledge has grown old while the lease runs out:
 // another host may still be in contact with a leader. It stays for half a lease
