relayer, exchanger, explainer, identifier: how each sending ended, and which requests were there when a backend server did

No line told which sendings are the same request, what became of the server with which they broke, or how the others ended.

Each sending is counted by its end; a line for each life with which sendings broke in one moment tells its fate (ended, lives, left, unknown) and the identities of the requests. The fate comes from a dial, which an idle connection spares, and from the next announcement. At most 256 lives are looked into at a time, and 256 sendings listed of each; what goes beyond is counted. No decision changes.

--- a/internal/protocol/exchanger/exchanger_test.go
+++ b/internal/protocol/exchanger/exchanger_test.go
@@ -77,6 +77,40 @@
 	}
 }
 
+var _ = Describe("An address", func() {
+	It("is listened at, or is not, or nobody knows", func() {
+		p := exchanger.NewPool(exchanger.Settings{})
+		DeferCleanup(p.Close)
+		s := serve(well)
+		Expect(p.Listens(context.Background(), s.address())).To(BeTrue())
+		Expect(s.network.Close()).To(Succeed())
+		Expect(p.Listens(context.Background(), s.address())).To(BeFalse())
+		unanswered := exchanger.NewPool(exchanger.Settings{Dial: func(context.Context, string) (net.Conn, error) { return nil, syscall.ETIMEDOUT }})
+		DeferCleanup(unanswered.Close)
+		_, err := unanswered.Listens(context.Background(), s.address())
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("is asked by an idle connection where there is one", func() {
+		p := exchanger.NewPool(exchanger.Settings{})
+		DeferCleanup(p.Close)
+		s := serve(well)
+		conn, err := p.Get(context.Background(), s.address())
+		Expect(err).NotTo(HaveOccurred())
+		response, err := conn.Exchange(request("1"), of("1"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		conn.Finish(response, 0)
+		Expect(p.Listens(context.Background(), s.address())).To(BeTrue())
+		Expect(s.accepted).To(HaveLen(1), "no second connection")
+		again, err := p.Get(context.Background(), s.address())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(BeIdenticalTo(conn))
+		again.Abort()
+	})
+})
+
 func of(id string) func(http.Header) bool {
 	return func(h http.Header) bool { return h.Get("Id") == id }
 }
--- a/internal/protocol/exchanger/pool.go
+++ b/internal/protocol/exchanger/pool.go
@@ -117,6 +117,57 @@
 	return c, nil
 }
 
+// Listens reports whether anybody takes connections at an address. An address that refuses
+// them has no process any more, though its host is there. The error tells that neither is
+// known, as where nobody answers.
+//
+// An idle connection that is still sound spares the new one: the end of its process would
+// have ended it.
+func (p *Pool) Listens(ctx context.Context, address string) (bool, error) {
+	if p.soundIdle(address) {
+		return true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	defer cancel()
+	network, err := p.settings.Dial(ctx, address)
+	switch {
+	case err == nil:
+		return true, network.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return false, nil
+	default:
+		return false, errors.Trace(err)
+	}
+}
+
+// soundIdle reports whether there is an idle connection that is still sound.
+func (p *Pool) soundIdle(address string) bool {
+	c := p.take(address)
+	if c == nil {
+		return false
+	}
+	if c.stale() {
+		c.Abort()
+		return false
+	}
+	p.keep(c)
+	return true
+}
+
+// keep puts a connection among the idle ones, unless the pool is closed.
+func (p *Pool) keep(c *Conn) {
+	address := c.network.RemoteAddr().String()
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		p.idle[address] = append(p.idle[address], c)
+	}
+	p.mu.Unlock()
+	if closed {
+		c.Abort()
+	}
+}
+
 // take takes the idle connection that was used last, and closes those whose time
 // is over.
 func (p *Pool) take(address string) *Conn {
@@ -146,16 +197,11 @@
 	if limit > 0 {
 		c.idleLimit = limit - p.settings.IdleMargin
 	}
-	address := c.network.RemoteAddr().String()
-	p.mu.Lock()
-	closed := p.closed
-	if !closed && c.idleLimit > 0 {
-		p.idle[address] = append(p.idle[address], c)
-	}
-	p.mu.Unlock()
-	if closed || c.idleLimit <= 0 {
+	if c.idleLimit <= 0 {
 		c.Abort()
+		return
 	}
+	p.keep(c)
 }
 
 func (p *Pool) ended(c *Conn) {
--- a/internal/state/explainer/call.go
+++ b/internal/state/explainer/call.go
@@ -34,6 +34,7 @@
 const (
 	messageCall   = "call"
 	messageLoaded = "adapter loaded"
+	messageBroke  = "sendings broke"
 )
 
 // Outcomes in lines of calls.
--- a/internal/state/explainer/explainer_test.go
+++ b/internal/state/explainer/explainer_test.go
@@ -59,6 +59,24 @@
 		Expect(long.Lines).To(HaveLen(1))
 	})
 
+	It("tells the requests under which more than one life of backend servers ended", func() {
+		// A connection that ended beside a backend server that lives counts for nothing, and
+		// two entries that tell of one life count it once.
+		broke := `{"Node":"n","Backend":"e","Incarnation":"%","Fate":"$","Same":[#],"message":"sendings broke"}` + "\n"
+		tell := func(life, fate, same string) string {
+			return strings.NewReplacer("%", life, "$", fate, "#", same).Replace(broke)
+		}
+		var log explainer.Log
+		Expect(log.Read("x", strings.NewReader(
+			tell("i1", "Ended", `"a","b"`)+tell("i1", "Ended", `"a","b"`)+tell("i2", "Ended", `"a"`)+tell("i3", "Lives", `"b"`),
+		))).To(Succeed())
+		report := log.Report()
+		Expect(report.Ends).To(Equal([]explainer.EndRow{{Same: "a", Lives: 2, Sendings: 3}}))
+		var out bytes.Buffer
+		Expect(report.WriteText(&out)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("backend servers ended under  lives  sendings"))
+	})
+
 	It("tells of one request in the order of time, over all files", func() {
 		log := readAll("calls.log")
 		lines := log.Request("r5")
--- a/internal/state/explainer/line.go
+++ b/internal/state/explainer/line.go
@@ -22,24 +22,29 @@
 	Message string    `json:"message"`
 	Error   string    `json:"error"`
 
-	Request  string
-	Outcome  string
-	Status   int
-	Reason   string
-	Route    string
-	Service  string
-	Adapter  string
-	Backend  string
-	Version  json.RawMessage
-	Sent     int
-	Tried    []string
-	Away     bool
-	Bytes    int64
-	Took     millis
-	Waited   millis
-	First    millis
-	Target   millis
-	Expected json.RawMessage
+	Request string
+	Outcome string
+	Status  int
+	Reason  string
+	Route   string
+	Service string
+	Adapter string
+	Backend string
+	Version json.RawMessage
+	Sent    int
+	// Incarnation, Fate and Same are those of a backend server with which sendings broke:
+	// its life, what became of it, and the identities of the requests.
+	Incarnation string
+	Fate        string
+	Same        json.RawMessage
+	Tried       []string
+	Away        bool
+	Bytes       int64
+	Took        millis
+	Waited      millis
+	First       millis
+	Target      millis
+	Expected    json.RawMessage
 }
 
 // errNoMessage tells that an object is no log line.
@@ -83,3 +88,16 @@
 	}
 	return name
 }
+
+// sames returns the identities that the line names: a list, or one.
+func (l *Line) sames() []string {
+	var list []string
+	if err := json.Unmarshal(l.Same, &list); err == nil {
+		return list
+	}
+	var one string
+	if err := json.Unmarshal(l.Same, &one); err != nil || one == "" {
+		return nil
+	}
+	return []string{one}
+}
--- a/internal/state/explainer/report.go
+++ b/internal/state/explainer/report.go
@@ -45,8 +45,18 @@
 	Bytes int64
 }
 
+// EndRow tells of a request under which more than one life of backend servers ended.
+type EndRow struct {
+	// Same is the request's identity.
+	Same string
+	// Lives counts the lives, and Sendings those that broke with them.
+	Lives    int
+	Sendings int
+}
+
 // Report is what a log says.
 type Report struct {
+	Ends    []EndRow
 	Calls   []CallRow
 	Reasons []ReasonRow
 	Loads   []LoadRow
@@ -73,9 +83,42 @@
 		r.Loads = append(r.Loads, LoadRow{Cause: cause.String(), Count: count(byCause[cause])})
 	}
 	l.reportCalls(&r, byAdapter)
+	r.Ends = l.ends()
 	return r
 }
 
+// fateEnded is the Fate of a backend server whose life has ended.
+const fateEnded = "Ended"
+
+// ends returns the requests under which lives ended, those with most lives first. One with
+// a single life is left out: whatever a backend server ran when it ended has one.
+func (l *Log) ends() []EndRow {
+	lives, sendings := make(map[string]map[string]struct{}), make(map[string]int)
+	for i := range l.Lines {
+		line := &l.Lines[i]
+		if line.Message != messageBroke || line.Fate != fateEnded {
+			continue
+		}
+		for _, same := range line.sames() {
+			if lives[same] == nil {
+				lives[same] = make(map[string]struct{})
+			}
+			lives[same][line.Backend+"/"+line.Incarnation] = struct{}{}
+			sendings[same]++
+		}
+	}
+	var rows []EndRow
+	for same, of := range lives {
+		if len(of) > 1 {
+			rows = append(rows, EndRow{Same: same, Lives: len(of), Sendings: sendings[same]})
+		}
+	}
+	slices.SortFunc(rows, func(a, b EndRow) int {
+		return cmp.Or(cmp.Compare(b.Lives, a.Lives), cmp.Compare(a.Same, b.Same))
+	})
+	return rows
+}
+
 func (l *Log) reportCalls(r *Report, loads map[string][]load) {
 	calls, reasons, domains := make(map[CallRow][]float64), make(map[ReasonRow]int), make(map[bool]DomainRow)
 	for i := range l.Lines {
@@ -136,6 +179,12 @@
 	for _, c := range r.Reasons {
 		fmt.Fprintf(w, "%s\t%s\t%d\n", c.Node, c.Reason, c.Calls)
 	}
+	if len(r.Ends) > 0 {
+		fmt.Fprintln(w, "\nbackend servers ended under\tlives\tsendings")
+	}
+	for _, e := range r.Ends {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", e.Same, e.Lives, e.Sendings)
+	}
 	fmt.Fprintln(w, "\nload\tloads\tmiddle ms\t9 in 10 ms")
 	for _, c := range r.Loads {
 		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\n", c.Cause, c.Calls, c.Middle, c.Longest)
--- /dev/null
+++ b/internal/state/identifier/identity.go
@@ -0,0 +1,69 @@
+package identifier
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// identityBytes is the size of an Identity: two different requests have the same with a
+// probability of 2^-64 among four thousand million.
+const identityBytes = 16
+
+// Identity names a request by its content.
+//
+// It is cut from a cryptographic hash which the caller goes into: what becomes of one
+// caller's request must not depend on another's, and a short hash would let a caller make
+// requests that pass for somebody else's.
+type Identity [identityBytes]byte
+
+// Request is what makes two requests the same.
+type Request struct {
+	// Caller is who sends it, by its address or its key.
+	Caller string
+	Method string
+	Host   string
+	// Target is the path with its query, as the caller sent it.
+	Target string
+	Body   []byte
+}
+
+// Identify returns the identity of a request.
+func Identify(r Request) Identity {
+	h := sha256.New()
+	for _, text := range []string{r.Caller, r.Method, r.Host, r.Target} {
+		writeText(h, text)
+	}
+	// A hash never fails to be written to.
+	_, _ = h.Write(r.Body)
+	var id Identity
+	copy(id[:], h.Sum(nil))
+	return id
+}
+
+// writeText writes a text with its length before it, so that no part can pass for the end
+// of the one before.
+func writeText(h hash.Hash, text string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(text)))
+	_, _ = h.Write(length[:])
+	_, _ = io.WriteString(h, text)
+}
+
+// String returns the identity in hexadecimal.
+func (i Identity) String() string { return hex.EncodeToString(i[:]) }
+
+// ParseIdentity is the inverse of String.
+func ParseIdentity(text string) (Identity, error) {
+	var id Identity
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != identityBytes {
+		return id, errors.NotValidf("identity %.40q", text)
+	}
+	copy(id[:], data)
+	return id, nil
+}
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -14,6 +14,9 @@
 	// Host and Path select the route.
 	Host string
 	Path string
+	// Caller is who sends the request, as far as an entry can tell: its address, where
+	// it brings no key.
+	Caller string
 	// Deadline is how long the caller waits; 0 means not told.
 	Deadline time.Duration
 	// Model and Adapter are empty where the call needs none.
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gbytes"
+	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
@@ -113,6 +114,12 @@
 	}
 }
 
+// end ends the process: nobody takes connections any more.
+func (b *backend) end(c net.Conn) {
+	_ = b.network.Close()
+	_ = c.Close()
+}
+
 // text writes a whole answer.
 func text(status, header, body string) func(net.Conn, *http.Request) {
 	return func(c net.Conn, r *http.Request) {
@@ -157,6 +164,8 @@
 	unansweredDials atomic.Int64
 	// sent is what companions were sent.
 	sent *gbytes.Buffer
+	// log is what the relayer writes.
+	log *gbytes.Buffer
 }
 
 // newEntry returns an entry before the backends, of which the route tells more.
@@ -166,7 +175,7 @@
 		admit: func(m messenger.Admit) (messenger.Admitted, error) {
 			return messenger.Admitted{Version: m.Version}, nil
 		},
-		companions: make(map[string]string), sent: gbytes.NewBuffer(),
+		companions: make(map[string]string), sent: gbytes.NewBuffer(), log: gbytes.NewBuffer(),
 	}
 	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
 	route.Shares = []tracker.Share{{Service: "s", Weight: 1}}
@@ -196,8 +205,8 @@
 			defer e.mu.Unlock()
 			return cmp.Or(e.companions[m.Name], companion)
 		},
-		Random: random,
-		Now:    func() time.Time { return time.Now().Add(time.Duration(e.later.Load())) },
+		Random: random, Log: zerolog.New(e.log),
+		Now: func() time.Time { return time.Now().Add(time.Duration(e.later.Load())) },
 	})
 	e.server = httptest.NewServer(e.relayer)
 	DeferCleanup(func() {
--- /dev/null
+++ b/internal/transport/relayer/loss.go
@@ -0,0 +1,144 @@
+package relayer
+
+import (
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/identifier"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
+
+const (
+	// gatherTime is the wait from the first sending that broke with a backend server
+	// until it is asked for: the connections of a process end together, and an entry
+	// reads their ends within a few milliseconds.
+	gatherTime = 20 * time.Millisecond
+	// lifeTime is for how long a backend server that did not say that it is gone may
+	// turn out to have begun another life: its next announcement comes when it has
+	// started, a few seconds later.
+	lifeTime = 5 * time.Second
+	// lifePoll is the time between two looks at what is known of it.
+	lifePoll = 100 * time.Millisecond
+	// maxLosses bounds what is looked into at a time, and maxLost the sendings of each:
+	// more than an entry has in progress at one backend server.
+	maxLosses = 256
+	maxLost   = 256
+)
+
+//go:generate stringer -type=fate -trimprefix=fate
+
+// fate tells what became of a backend server with which sendings broke.
+type fate int
+
+const (
+	// fateUnknown means that nobody knows: it may be cut off.
+	fateUnknown fate = iota
+	// fateEnded means that its life has ended, without having said so before.
+	fateEnded
+	// fateLives means that it takes connections: only those of the sendings ended.
+	fateLives
+	// fateLeft means that it was leaving.
+	fateLeft
+)
+
+// life names one life of a backend server.
+type life struct{ name, incarnation string }
+
+// lost is one sending that broke with a backend server.
+type lost struct {
+	same identifier.Identity
+	// progressed tells that a part of its answer had been passed on.
+	progressed bool
+}
+
+// loss gathers the sendings that broke with one life of a backend server in one moment.
+type loss struct {
+	life             life
+	service, address string
+	sendings         []lost
+}
+
+// same returns the call's identity.
+func (j *job) same() identifier.Identity {
+	if j.identity == (identifier.Identity{}) {
+		j.identity = identifier.Identify(identifier.Request{
+			Caller: j.call.Caller, Method: j.request.Method, Host: j.request.Host, Target: target(j.request), Body: j.body,
+		})
+	}
+	return j.identity
+}
+
+// lose notes that the call's sending broke with its backend server, and has the backend
+// server looked into.
+func (r *Relayer) lose(j *job) {
+	broke := lost{same: j.same(), progressed: j.progressed()}
+	r.lossesMu.Lock()
+	defer r.lossesMu.Unlock()
+	of := life{name: j.choice.Name, incarnation: j.choice.Incarnation}
+	l := r.losses[of]
+	switch {
+	case l != nil && len(l.sendings) < maxLost:
+		l.sendings = append(l.sendings, broke)
+	case l != nil, r.looking >= maxLosses, r.root.Err() != nil:
+		r.metrics.losses.WithLabelValues(j.service.Name, "Overflow").Inc()
+	default:
+		r.losses[of] = &loss{life: of, service: j.service.Name, address: j.choice.Address, sendings: []lost{broke}}
+		r.looking++
+		r.tasks.Go(func() { r.lookInto(of) })
+	}
+}
+
+// gather waits for what breaks in the same moment, and returns all of it.
+func (r *Relayer) gather(of life) *loss {
+	pauser.Pause(r.root, gatherTime)
+	r.lossesMu.Lock()
+	defer r.lossesMu.Unlock()
+	l := r.losses[of]
+	delete(r.losses, of)
+	return l
+}
+
+// lookInto finds out whether a backend server has ended, and tells with which sendings.
+//
+// A connection that ends says nothing of the process at its other end: a cut, a middle box
+// or an answer that is reset on its way end it as a crash does.
+func (r *Relayer) lookInto(of life) {
+	l := r.gather(of)
+	f := r.fateOf(of, l.address)
+	r.lossesMu.Lock()
+	r.looking--
+	r.lossesMu.Unlock()
+	r.metrics.losses.WithLabelValues(l.service, f.String()).Inc()
+	same := make([]string, 0, len(l.sendings))
+	for _, s := range l.sendings {
+		same = append(same, s.same.String())
+	}
+	r.settings.Log.Info().Str("Backend", of.name).Str("Incarnation", of.incarnation).Stringer("Fate", f).
+		Int("Sendings", len(l.sendings)).Strs("Same", same).Msg("sendings broke")
+}
+
+// fateOf returns what became of a backend server.
+func (r *Relayer) fateOf(of life, address string) fate {
+	if m, ok := r.settings.View().Member(of.name); !ok || m.Spec.Incarnation == of.incarnation && m.Spec.State != storer.MemberStateServing {
+		return fateLeft
+	}
+	listens, err := r.settings.Pool.Listens(r.root, address)
+	if err == nil && !listens {
+		return fateEnded
+	}
+	until := r.settings.Now().Add(lifeTime)
+	for r.settings.Now().Before(until) && r.root.Err() == nil {
+		m, ok := r.settings.View().Member(of.name)
+		switch {
+		case !ok:
+			return fateLeft
+		case m.Spec.Incarnation != of.incarnation:
+			return fateEnded
+		}
+		pauser.Pause(r.root, lifePoll)
+	}
+	if err == nil {
+		return fateLives
+	}
+	return fateUnknown
+}
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -13,6 +13,8 @@
 	took       prometheus.Histogram
 	first      prometheus.Histogram
 	failures   *prometheus.CounterVec
+	sendings   *prometheus.CounterVec
+	losses     *prometheus.CounterVec
 	unattended prometheus.Counter
 }
 
@@ -32,12 +34,18 @@
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_failed_sends_total", Help: "Sendings that did not answer their call, by service.",
 		}, []string{"service"}),
+		sendings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldpoint_relayer_sendings_total", Help: "Sendings by service and how they ended.",
+		}, []string{"service", "end"}),
+		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldpoint_relayer_losses_total", Help: "Lives of backend servers with which sendings broke, by what became of them.",
+		}, []string{"service", "fate"}),
 		unattended: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_unattended_total", Help: "Calls sent without their companion's admission.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.calls, m.took, m.first, m.failures, m.unattended)
+		r.MustRegister(m.calls, m.took, m.first, m.failures, m.sendings, m.losses, m.unattended)
 	}
 	return m
 }
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -54,6 +54,12 @@
 	// connection; guarded by watchedMu.
 	engines map[*messenger.Conn]string
 
+	lossesMu sync.Mutex
+	// losses holds what breaks just now, and looking counts what is looked into; guarded
+	// by lossesMu.
+	losses  map[life]*loss
+	looking int
+
 	attemptsMu sync.Mutex
 	// attempts holds those in progress, by the engine's name; guarded by attemptsMu.
 	attempts map[string]map[*attempt]struct{}
@@ -72,6 +78,7 @@
 		watched:  make(map[string]*companion),
 		watcher:  watcher.NewWatcher(s.Silence),
 		engines:  make(map[*messenger.Conn]string),
+		losses:   make(map[life]*loss),
 		attempts: make(map[string]map[*attempt]struct{}),
 	}
 	r.root, r.cancel = context.WithCancel(context.Background())
@@ -115,7 +122,9 @@
 // Close ends the watch over companions and waits. Calls in progress are their
 // server's to end.
 func (r *Relayer) Close() error {
+	r.lossesMu.Lock()
 	r.cancel()
+	r.lossesMu.Unlock()
 	r.tasks.Wait()
 	return nil
 }
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -28,6 +28,7 @@
 			j.release(placer.EndingGivenUp)
 			return verdictEnded
 		}
+		j.count(sendingNotSent)
 		j.note(err, "not connected")
 		j.release(placer.EndingUnreached)
 		return verdictNotRun
@@ -47,6 +48,9 @@
 		if head.Elsewhere {
 			// The backend server that was meant never got it.
 			j.sent--
+			j.count(sendingElsewhere)
+		} else {
+			j.count(sendingUnread)
 		}
 		if j.service.Engine == nil && !head.Elsewhere {
 			r.settings.Placer.TurnedAway(r.settings.Now(), &j.choice)
@@ -82,6 +86,7 @@
 	}
 	j.sent++
 	j.arrivals++
+	j.bytesBefore = j.bytes
 	response, err := conn.Exchange(out, func(h http.Header) bool {
 		id := t.Head(0, h).Request
 		return id == "" || id == j.call.ID
@@ -104,11 +109,13 @@
 func (j *job) unanswered(err error) verdict {
 	switch {
 	case j.ctx.Err() != nil:
+		j.count(sendingGivenUp)
 		j.release(placer.EndingGivenUp)
 		return verdictEnded
 	case errors.Is(err, exchanger.ErrNotSent):
 		j.sent--
 		j.arrivals--
+		j.count(sendingNotSent)
 		j.note(err, "not sent")
 		j.release(placer.EndingUnreached)
 		return verdictNotRun
@@ -116,6 +123,8 @@
 		if j.route.Stream {
 			j.relayer.noteLoss()
 		}
+		j.count(j.broke())
+		j.relayer.lose(j)
 		j.note(err, "no answer")
 		j.release(placer.EndingBroken)
 		return verdictUnknown
@@ -151,6 +160,7 @@
 	header := j.relayer.settings.Translator.AnswerHeader(response.Header)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	j.failed = &kept{status: response.StatusCode, header: header, body: body}
+	j.count(sendingFailed)
 	j.note(nil, "failed: "+strconv.Itoa(response.StatusCode))
 	j.release(placer.EndingFailed)
 	return verdictFailed
@@ -165,6 +175,7 @@
 		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
 	}
 	conn.Finish(response, head.Keep)
+	j.count(sendingAnswered)
 	j.release(placer.EndingWell)
 	j.begin(response)
 	j.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/state/identifier"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -56,8 +57,11 @@
 	// paid tells that the next sending is counted in the retry budget already.
 	paid   bool
 	waited time.Duration
-	// bytes counts those of the answer that went to the caller.
-	bytes int64
+	// bytes counts those of the answer that went to the caller, and bytesBefore those
+	// of sendings before the present one.
+	bytes, bytesBefore int64
+	// identity is found once it is needed.
+	identity identifier.Identity
 }
 
 // kept is an answer that was read whole.
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -41,6 +41,7 @@
 				j.bytes += int64(len(piece))
 				if _, werr := j.writer.Write(piece); werr != nil || flusher.Flush() != nil {
 					conn.Abort()
+					j.count(sendingGivenUp)
 					j.release(placer.EndingGivenUp)
 					j.log("left", response.StatusCode, "the caller has left")
 					return verdictAnswered
@@ -66,6 +67,7 @@
 		return j.brokenOff(io.ErrUnexpectedEOF)
 	}
 	conn.Finish(response, head.Keep)
+	j.count(sendingAnswered)
 	j.release(placer.EndingWell)
 	if !j.began {
 		j.begin(response)
