platform, relayer, identifier: a caller is its key, not its address

Cause: the caller's address went into a request's identity. One caller comes by several addresses, one in each failure domain, and each counted as a caller with three lives of its own.

Change: the key that a caller brings goes in, and nothing where it brings none. Only the same method, host, path and body are then the same request, whoever sends it: it would end as much for anybody.

--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -14,8 +14,9 @@
 	// Host and Path select the route.
 	Host string
 	Path string
-	// Caller is who sends the request, as far as an entry can tell: its address, where
-	// it brings no key.
+	// Caller is the key by which a caller names itself; empty where callers bring none.
+	// An address is none: one caller comes by several, since it depends on the way to
+	// the entry, on proxies between and on the failure domain.
 	Caller string
 	// Deadline is how long the caller waits; 0 means not told.
 	Deadline time.Duration
