--- a/internal/transport/companion/suite_test.go
+++ b/internal/transport/companion/suite_test.go
@@ -218,6 +218,24 @@
 	return *l.end(request, 1)
 }
 
+// waitLeft waits for the ending of an attempt whose caller has left.
+//
+// Where the answer was complete when the caller left, and its bytes not sent yet, they are
+// dropped, and the ending does not reach the link: it says that all of them came. An entry
+// that still wanted them would ask for the rest and be told that it is gone. In all other
+// cases the link must get the ending.
+func (l *fakeLink) waitLeft(request string) {
+	GinkgoHelper()
+	id := streamer.ID{Request: request, Attempt: 1}
+	Eventually(func() bool {
+		if l.end(request, 1) != nil {
+			return true
+		}
+		a := l.companion.buffer.Lookup(id)
+		return a != nil && a.Ended() != nil && a.Ended().Outcome == messenger.OutcomeCompleted && a.Released() && a.Acknowledged() == a.Length()
+	}).WithTimeout(patience).Should(BeTrue(), request)
+}
+
 // bench is an engine with its companion.
 type bench struct {
 	engine    *generator.Engine
