--- a/internal/state/storer/fuzz_test.go
+++ b/internal/state/storer/fuzz_test.go
@@ -19,6 +19,9 @@
 		LeaveMember{Name: "engine-1", Epoch: 1},
 		ExpireMembers{Members: []MemberEpoch{{Name: "engine-1", Epoch: 1}}},
 		SetRetention{Retention: Retention{MaxRecords: 1}},
+		endUnder(1, false),
+		ClearSuspects{Names: []string{suspectName}},
+		ReviewSuspects{Suspects: []SuspectRevision{{Name: suspectName, Revision: 1}}},
 	} {
 		data, err := Encode(Envelope{Time: 1, IdempotencyKey: "k", Command: c})
 		if err != nil {
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -166,6 +166,10 @@
 	sent *gbytes.Buffer
 	// log is what the relayer writes.
 	log *gbytes.Buffer
+	// told are the changes that the replicated state was asked to take in, and tellErr is
+	// what it answers; guarded by mu.
+	told    []storer.Command
+	tellErr error
 }
 
 // newEntry returns an entry before the backends, of which the route tells more.
@@ -205,7 +209,7 @@
 			defer e.mu.Unlock()
 			return cmp.Or(e.companions[m.Name], companion)
 		},
-		Random: random, Log: zerolog.New(e.log),
+		Random: random, Log: zerolog.New(e.log), Tell: e.tell,
 		Now: func() time.Time { return time.Now().Add(time.Duration(e.later.Load())) },
 	})
 	e.server = httptest.NewServer(e.relayer)
@@ -226,6 +230,40 @@
 	return e
 }
 
+// tell keeps what the replicated state is told.
+func (e *entry) tell(_ context.Context, c storer.Command) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.told = append(e.told, c)
+	return e.tellErr
+}
+
+// ends returns the ends that were told.
+func (e *entry) ends() []storer.CountEnds {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var all []storer.CountEnds
+	for _, c := range e.told {
+		if end, ok := c.(storer.CountEnds); ok {
+			all = append(all, end)
+		}
+	}
+	return all
+}
+
+// cleared returns the requests that were told to be answered.
+func (e *entry) cleared() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var all []string
+	for _, c := range e.told {
+		if answered, ok := c.(storer.ClearSuspects); ok {
+			all = append(all, answered.Names...)
+		}
+	}
+	return all
+}
+
 func (e *entry) put(kind storer.Kind, name string, spec storer.Spec) {
 	GinkgoHelper()
 	e.view++
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -283,7 +283,7 @@
 	switch {
 	case errors.Is(context.Cause(attempt), errSilent), r.isSilent(m.Name):
 		return messenger.Admitted{}, nil, errSilent
-	case j.ctx.Err() != nil:
+	case j.ctx.Err() != nil, errors.Is(context.Cause(attempt), errQuarantined):
 		return messenger.Admitted{}, nil, err
 	}
 	r.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).Msg("companion lost")
