--- a/internal/protocol/messenger/dispatch.go
+++ b/internal/protocol/messenger/dispatch.go
@@ -134,6 +134,9 @@
 	// CachedTokens is the part of PromptTokens found in the prefix cache.
 	CachedTokens int64
 	Load         Load
+	// EndedLives names the lives of the backend server that ended while they ran the
+	// request.
+	EndedLives []string `json:",omitempty"`
 }
 
 // Load is a backend server's load at one moment, as its companion knows it.
--- a/internal/transport/companion/faults_test.go
+++ b/internal/transport/companion/faults_test.go
@@ -93,6 +93,24 @@
 		Expect(ran).To(Equal(1))
 	})
 
+	It("tells under which requests its engine ended", func() {
+		// Symptom: one caller's request ends engine after engine, and nobody knows which.
+		// Events: an engine ends under a request; its companion runs that again, or tells
+		// that it may have run.
+		// Cause: the ending told nothing of the engine's end.
+		b := newBench(slow)
+		l := newLink(b.companion)
+		life := b.companion.engine.Incarnation
+		l.send(b.call("long", "w/a@1", 5000))
+		l.streaming("long")
+		b.engine.Inject(generator.Faults{Restart: true})
+		end := l.wait("long")
+		Expect(end.Outcome).To(Equal(messenger.OutcomeUnknown))
+		Expect(end.EndedLives).To(Equal([]string{life}))
+		l.send(b.call("short", "w/a@1", 5))
+		Expect(l.wait("short").EndedLives).To(BeEmpty())
+	})
+
 	It("refuses early, as not run, while loads fail again and again", func() {
 		// Symptom: each request for a broken adapter waits for its own failing load.
 		// Events: the weights are broken; requests keep coming.
