blamer, gatekeeper, companion, indexer: the product's own API keeps such requests from engines too

Cause: as on the users' platform; an entry of the product's own API took a caller's request for a new one each time, and companions ran what had ended their engine again.

Change: a companion's ending tells which lives of its engine ended under the request; entries tell control of them, and refuse what has ended three lives (429 request_quarantined), by the same state and rules. What one process is told of such requests is now package blamer, for both kinds of entries. A life of a plain service is not told by its companion, which knows none.

--- a/internal/coordination/suspecter/table.go
+++ b/internal/coordination/suspecter/table.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/blamer"
 	"marigoldpoint.example/marigoldpoint/internal/state/identifier"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
-	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
 // maxOwn bounds what a table remembers by itself: twenty ends with all that an entry has in
@@ -21,6 +21,14 @@
 	return xxhash.Sum64String(name + "/" + incarnation)
 }
 
+// Known is what the replicated state knows, as far as this process has been told; a
+// *blamer.List.
+type Known interface {
+	Suspect(id identifier.Identity) (blamer.Suspect, bool)
+	SuspectAt(place uint64) bool
+	Suspects() int
+}
+
 // Table is what an entry knows of requests under which backend servers ended. Several
 // goroutines may use it.
 type Table struct {
@@ -90,13 +98,13 @@
 	}
 }
 
-// Follow takes a new view. What the replicated state has forgotten, cleared by an answer or
+// Follow takes what is known anew. What the replicated state has forgotten, cleared by an answer or
 // lifted by an operator, is forgotten here too.
-func (t *Table) Follow(v *tracker.View) {
+func (t *Table) Follow(k Known) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, o := range t.own {
-		_, known := v.Suspect(id)
+		_, known := k.Suspect(id)
 		switch {
 		case known:
 			o.told = true
@@ -108,12 +116,12 @@
 }
 
 // Any reports whether there are suspects at all.
-func (t *Table) Any(v *tracker.View) bool { return v.Suspects() > 0 || t.seen.Load() > 0 }
+func (t *Table) Any(k Known) bool { return k.Suspects() > 0 || t.seen.Load() > 0 }
 
 // SuspectAt reports whether a request with the place may be a suspect. It is quick, and the
 // identity need not be found where it is false.
-func (t *Table) SuspectAt(v *tracker.View, place uint64) bool {
-	if v.SuspectAt(place) {
+func (t *Table) SuspectAt(k Known, place uint64) bool {
+	if k.SuspectAt(place) {
 		return true
 	}
 	t.mu.Lock()
@@ -123,8 +131,8 @@
 
 // Quarantine reports whether no backend server is to get a request, and the time that the
 // quarantine takes.
-func (t *Table) Quarantine(v *tracker.View, now time.Time, id identifier.Identity) (time.Duration, bool) {
-	suspect, _ := v.Suspect(id)
+func (t *Table) Quarantine(k Known, now time.Time, id identifier.Identity) (time.Duration, bool) {
+	suspect, _ := k.Suspect(id)
 	spec := suspect.Spec
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,8 +146,8 @@
 
 // Answered notes that a run has answered a request, and reports whether that is news to the
 // replicated state.
-func (t *Table) Answered(v *tracker.View, id identifier.Identity) bool {
-	_, known := v.Suspect(id)
+func (t *Table) Answered(k Known, id identifier.Identity) bool {
+	_, known := k.Suspect(id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_, seen := t.own[id]
--- a/internal/state/indexer/index.go
+++ b/internal/state/indexer/index.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/zeebo/xxh3"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/blamer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -30,6 +31,7 @@
 	spaces   [shardCount]spaces
 	keys     keys
 	members  atomic.Pointer[MemberView]
+	suspects atomic.Pointer[blamer.List]
 	// revision is what the whole replica has reached; it only rises.
 	revision atomic.Uint64
 }
@@ -52,6 +54,10 @@
 // member changes.
 func (x *Index) Members() MemberView { return *x.members.Load() }
 
+// Suspects returns the requests under which backend servers ended. The list stays the same
+// one for as long as none changes.
+func (x *Index) Suspects() *blamer.List { return x.suspects.Load() }
+
 func (x *Index) adapterShard(hash uint64) *adapters { return &x.adapters[shardOf(hash)] }
 
 func shardOf(hash uint64) int { return int(hash >> (64 - shardBits)) }
@@ -146,7 +152,7 @@
 	if upTo <= reached {
 		return nil
 	}
-	var members []storer.Change
+	var members, suspects []storer.Change
 	for _, c := range changes {
 		if c.Revision <= reached {
 			continue
@@ -158,6 +164,10 @@
 			members = append(members, c)
 			continue
 		}
+		if c.Resource.Kind == storer.KindSuspect {
+			suspects = append(suspects, c)
+			continue
+		}
 		if err := x.apply(c); err != nil {
 			return errors.Annotatef(err, "apply revision %d", c.Revision)
 		}
@@ -165,6 +175,13 @@
 	if len(members) > 0 {
 		x.members.Store(x.members.Load().with(members[len(members)-1].Revision, members))
 	}
+	if len(suspects) > 0 {
+		list, err := x.Suspects().With(suspects...)
+		if err != nil {
+			return errors.Annotatef(err, "suspects up to revision %d", upTo)
+		}
+		x.suspects.Store(list)
+	}
 	x.revision.Store(upTo)
 	return nil
 }
--- a/internal/state/indexer/loading.go
+++ b/internal/state/indexer/loading.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/state/blamer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -23,6 +24,8 @@
 	members  []Member
 	// changed is the highest revision of a member.
 	changed uint64
+	// suspects are the requests under which backend servers ended.
+	suspects []storer.Change
 }
 
 // Begin begins to replace the replica by a whole state.
@@ -57,6 +60,8 @@
 	case storer.MemberSpec:
 		l.members = append(l.members, Member{Name: m.Name, Spec: spec})
 		l.changed = max(l.changed, m.Revision)
+	case storer.SuspectSpec:
+		l.suspects = append(l.suspects, storer.Change{Resource: r})
 	case storer.PriorityRuleSpec:
 		l.fresh.spaceShard(m.Workspace).space(m.Workspace).rules.add(m.Name, spec)
 	default:
@@ -102,6 +107,11 @@
 	if err := l.settle(); err != nil {
 		return errors.Annotatef(err, "load revision %d", revision)
 	}
+	var none *blamer.List
+	suspects, err := none.With(l.suspects...)
+	if err != nil {
+		return errors.Annotatef(err, "load revision %d", revision)
+	}
 	for i := range x.adapters {
 		x.adapters[i].replace(l.fresh.adapters[i].data)
 	}
@@ -112,6 +122,7 @@
 	if !slices.Equal(x.members.Load().Members, l.members) {
 		x.members.Store(&MemberView{Revision: l.changed, Members: l.members})
 	}
+	x.suspects.Store(suspects)
 	x.revision.Store(revision)
 	return nil
 }
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -57,7 +57,7 @@
 	if upTo <= old.Revision {
 		return nil
 	}
-	d := draft{settings: &t.settings, view: View{Revision: upTo, Routing: old.Routing, members: old.members, newest: old.newest, suspects: old.suspects, places: old.places}}
+	d := draft{settings: &t.settings, view: View{Revision: upTo, Routing: old.Routing, members: old.members, newest: old.newest, List: old.List}}
 	for _, c := range changes {
 		if c.Revision > old.Revision {
 			if err := d.take(c.Resource, c.Deleted); err != nil {
@@ -65,8 +65,7 @@
 			}
 		}
 	}
-	t.publish(&d)
-	return nil
+	return t.publish(&d)
 }
 
 // Reset replaces all that is known by a whole state of a later revision.
@@ -83,24 +82,32 @@
 			return errors.Annotatef(err, "state at revision %d", revision)
 		}
 	}
-	t.publish(&d)
-	return nil
+	return t.publish(&d)
 }
 
-func (t *Tracker) publish(d *draft) {
+func (t *Tracker) publish(d *draft) error {
+	if len(d.suspects) > 0 {
+		list, err := d.view.With(d.suspects...)
+		if err != nil {
+			return errors.Annotatef(err, "suspects up to revision %d", d.view.Revision)
+		}
+		d.view.List = list
+	}
 	t.view.Store(&d.view)
 	if t.settings.Changed != nil {
 		t.settings.Changed(&d.view)
 	}
+	return nil
 }
 
 // draft is a view in the making. Maps are copied before the first write.
 type draft struct {
-	settings      *Settings
-	view          View
-	ownedMembers  bool
-	ownedNewest   bool
-	ownedSuspects bool
+	settings     *Settings
+	view         View
+	ownedMembers bool
+	ownedNewest  bool
+	// suspects are the changes of suspects; they are taken in together.
+	suspects []storer.Change
 }
 
 func (d *draft) take(r storer.Resource, deleted bool) error {
@@ -115,7 +122,7 @@
 	case storer.MemberSpec:
 		d.member(Member{Name: r.Metadata.Name, Spec: spec}, deleted)
 	case storer.SuspectSpec:
-		return d.suspect(r, spec, deleted)
+		d.suspects = append(d.suspects, storer.Change{Resource: r, Deleted: deleted})
 	default:
 		// Other kinds concern other parts of the product.
 	}
--- a/internal/state/tracker/view.go
+++ b/internal/state/tracker/view.go
@@ -1,7 +1,7 @@
 package tracker
 
 import (
-	"marigoldpoint.example/marigoldpoint/internal/state/identifier"
+	"marigoldpoint.example/marigoldpoint/internal/state/blamer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -20,36 +20,8 @@
 	// members holds the backend servers by service, sorted by name.
 	members map[string][]Member
 	newest  map[string]uint64
-	// suspects holds the requests under which backend servers ended, and places counts
-	// them by their Place.
-	suspects map[identifier.Identity]Suspect
-	places   map[uint64]int
-}
-
-// Suspect is a request under which backend servers ended.
-type Suspect struct {
-	Spec storer.SuspectSpec
-	// Revision is that of the last change.
-	Revision uint64
-}
-
-// Suspect returns what is known of a request.
-func (v *View) Suspect(id identifier.Identity) (Suspect, bool) {
-	s, ok := v.suspects[id]
-	return s, ok
-}
-
-// Suspects returns the number of suspects.
-func (v *View) Suspects() int { return len(v.suspects) }
-
-// SuspectAt reports whether any suspect has the place. It is quick.
-func (v *View) SuspectAt(place uint64) bool { return v.places[place] > 0 }
-
-// EachSuspect calls f with every suspect.
-func (v *View) EachSuspect(f func(identifier.Identity, Suspect)) {
-	for id, s := range v.suspects {
-		f(id, s)
-	}
+	// List holds the requests under which backend servers ended.
+	*blamer.List
 }
 
 // Members returns the backend servers of a service, sorted by name. The slice
--- a/internal/transport/companion/run.go
+++ b/internal/transport/companion/run.go
@@ -210,6 +210,9 @@
 	now := c.settings.Now()
 	c.release(w, -1)
 	w.mayHaveRun = w.mayHaveRun || began
+	if began {
+		w.endedLives = append(w.endedLives, w.incarnation)
+	}
 	allowed = allowed && w.runs < maxRuns && !c.closed && !errors.Is(w.givenUp, errCancelled) &&
 		(w.deadline.IsZero() || now.Before(w.deadline))
 	if !allowed {
--- a/internal/transport/companion/work.go
+++ b/internal/transport/companion/work.go
@@ -39,6 +39,8 @@
 	cancel context.CancelCauseFunc
 	// mayHaveRun tells that an earlier run may have begun.
 	mayHaveRun bool
+	// endedLives are the lives of the engine that ended while they ran the work.
+	endedLives []string
 	// runs counts the times that the engine was asked to run the work.
 	runs int
 	// incarnation is that of the engine which was asked.
@@ -248,6 +250,7 @@
 	e.StallMillis = float64(w.stalled) / float64(time.Millisecond)
 	e.QueueMillis = float64(w.queued) / float64(time.Millisecond)
 	e.Load = c.loadLocked()
+	e.EndedLives = w.endedLives
 	c.metrics.ended(e.Outcome, e.Reason)
 	event := w.event(recorder.KindEngineFinished, c.settings.Node)
 	event.Detail = e.Outcome.String()
--- a/internal/transport/gatekeeper/attempt.go
+++ b/internal/transport/gatekeeper/attempt.go
@@ -72,7 +72,7 @@
 	if !ended {
 		res = a.follow(ctx)
 	}
-	a.learn(res)
+	a.learn(ctx, res)
 	return res
 }
 
@@ -85,7 +85,7 @@
 }
 
 // learn tells the router and the metrics what the attempt has shown.
-func (a *attempt) learn(res result) {
+func (a *attempt) learn(ctx context.Context, res result) {
 	q, e, now := a.request, a.request.entry, a.request.entry.settings.Now()
 	ending := router.Ending{
 		Served:     res.outcome == messenger.OutcomeCompleted,
@@ -93,6 +93,7 @@
 	}
 	if end := a.end; end != nil {
 		e.load(a.backend, end.Load)
+		q.blame(ctx, a.backend, end.EndedLives, a.assembler.Next() > 0)
 		ending.Stall, ending.CachedTokens = millis(end.StallMillis), end.CachedTokens
 		e.metrics.stalls.WithLabelValues(q.dispatch.Workspace).Observe(ending.Stall.Seconds())
 		e.metrics.queueWaits.WithLabelValues(q.dispatch.Workspace).Observe(millis(end.QueueMillis).Seconds())
--- a/internal/transport/gatekeeper/body.go
+++ b/internal/transport/gatekeeper/body.go
@@ -32,6 +32,7 @@
 			return nil, unreadable(err, limit)
 		}
 	}
+	x.content = data
 	return data, nil
 }
 
--- a/internal/transport/gatekeeper/entry.go
+++ b/internal/transport/gatekeeper/entry.go
@@ -14,6 +14,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/retrier"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/router"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/suspecter"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
@@ -28,6 +29,8 @@
 	limiter  *limiter.Limiter
 	retrier  *retrier.Retrier
 	metrics  *metrics
+	// suspects tells which requests are kept from backend servers.
+	suspects *suspecter.Table
 	mux      *http.ServeMux
 	// root ends with Close and ends what runs beside the requests.
 	root   context.Context
@@ -79,7 +82,7 @@
 // NewEntry returns an entry that serves at once.
 func NewEntry(s Settings) *Entry {
 	s.check()
-	e := &Entry{settings: s, drained: make(chan struct{}), metrics: newMetrics(s.Registerer)}
+	e := &Entry{settings: s, drained: make(chan struct{}), metrics: newMetrics(s.Registerer), suspects: suspecter.NewTable(suspecter.Settings{})}
 	e.random.source = s.Random
 	e.router = router.NewRouter(s.routerSettings())
 	e.limiter = limiter.NewLimiter(limiter.Settings{
--- a/internal/transport/gatekeeper/request.go
+++ b/internal/transport/gatekeeper/request.go
@@ -45,6 +45,9 @@
 func (q *request) serve() *translator.Fault {
 	e := q.entry
 	q.wait = -1
+	if fault := q.quarantined(); fault != nil {
+		return fault
+	}
 	workspace, _ := e.settings.Index.Workspace(q.dispatch.Workspace)
 	q.dispatch.Share = workspace.Share
 	admission := limiter.Call{
@@ -141,9 +144,13 @@
 		last = q.attempt(ctx)
 		if last.outcome == messenger.OutcomeCompleted {
 			q.entry.retrier.Succeeded(q.entry.settings.Now(), q.call.Pool.Name)
+			q.survived(ctx)
 			return nil
 		}
 		q.ran = q.ran || last.outcome == messenger.OutcomeUnknown
+		if q.quarantined() != nil {
+			return q.fault(last)
+		}
 		if last.final || !q.again(ctx, last) {
 			return q.fault(last)
 		}
--- a/internal/transport/gatekeeper/serve.go
+++ b/internal/transport/gatekeeper/serve.go
@@ -22,6 +22,8 @@
 	began time.Time
 	// holder is whom the bearer key belongs to.
 	holder indexer.KeyHolder
+	// content is the body as the caller sent it.
+	content []byte
 }
 
 func (e *Entry) routes() *http.ServeMux {
--- a/internal/transport/gatekeeper/settings.go
+++ b/internal/transport/gatekeeper/settings.go
@@ -12,6 +12,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/router"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/blamer"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
@@ -29,6 +30,7 @@
 	Workspace(name string) (storer.WorkspaceSpec, bool)
 	Members() indexer.MemberView
 	Models(workspace string) []indexer.Model
+	Suspects() *blamer.List
 }
 
 // Control is what an entry asks of the control hosts; a *subscriber.Client.
--- a/internal/transport/relayer/suspect.go
+++ b/internal/transport/relayer/suspect.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/suspecter"
+	"marigoldpoint.example/marigoldpoint/internal/state/blamer"
 	"marigoldpoint.example/marigoldpoint/internal/state/identifier"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -140,7 +141,7 @@
 func (r *Relayer) endQuarantined(v *tracker.View) {
 	fresh := make(map[identifier.Identity]struct{})
 	places := make(map[uint64]struct{})
-	v.EachSuspect(func(id identifier.Identity, s tracker.Suspect) {
+	v.EachSuspect(func(id identifier.Identity, s blamer.Suspect) {
 		if s.Spec.Quarantined && s.Revision > r.reviewed {
 			fresh[id], places[s.Spec.Place] = struct{}{}, struct{}{}
 		}
