suspecter, gatekeeper, explainer: a map is not rebuilt while it is read through, one identity for an ending, a branch that nothing reached

Follow took each entry out of its map and put it in again while it ranged over the map, so that it could meet it once more; it is changed in place. An ending of several lives hashed the request's body for each. explain read a single identity where lines on backend servers always hold a list.

--- a/internal/coordination/suspecter/table.go
+++ b/internal/coordination/suspecter/table.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// Follow takes what is known anew. What the replicated state has forgotten, cleared by an answer or
-// lifted by an operator, is forgotten here too.
+// Follow takes what is known anew. What the replicated state has forgotten, cleared by an
+// answer or lifted by an operator, is forgotten here too.
 func (t *Table) Follow(k Known) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -108,7 +108,7 @@
 		switch {
 		case known:
 			o.told = true
-			t.put(id, o)
+			t.own[id] = o
 		case o.told:
 			t.drop(id)
 		}
--- a/internal/state/explainer/line.go
+++ b/internal/state/explainer/line.go
@@ -89,15 +89,12 @@
 	return name
 }
 
-// sames returns the identities that the line names: a list, or one.
+// sames returns the identities that a line on a backend server names. In a call's line Same
+// is the one of its request.
 func (l *Line) sames() []string {
 	var list []string
-	if err := json.Unmarshal(l.Same, &list); err == nil {
-		return list
-	}
-	var one string
-	if err := json.Unmarshal(l.Same, &one); err != nil || one == "" {
+	if err := json.Unmarshal(l.Same, &list); err != nil {
 		return nil
 	}
-	return []string{one}
+	return list
 }
--- a/internal/transport/gatekeeper/suspect.go
+++ b/internal/transport/gatekeeper/suspect.go
@@ -56,11 +56,9 @@
 		return
 	}
 	of := q.identity()
+	requests := []storer.EndedRequest{{Name: identifier.Identify(of).String(), Place: of.Place(), Progressed: progressed}}
 	for _, life := range lives {
-		c := storer.CountEnds{
-			Service: q.call.Pool.Name, Life: suspecter.Life(backend, life),
-			Requests: []storer.EndedRequest{{Name: identifier.Identify(of).String(), Place: of.Place(), Progressed: progressed}},
-		}
+		c := storer.CountEnds{Service: q.call.Pool.Name, Life: suspecter.Life(backend, life), Requests: requests}
 		q.entry.suspects.Ended(q.entry.settings.Now(), c)
 		q.tell(ctx, c)
 	}
