replicator, controller: who asked, gave and refused each vote, and why; hosts that are held up; leases that run out

For five seconds without a leader nothing told why: no line of a vote, none of a host that was not run or waited for its disk. Each step of an election is a line now (term, both ends, last entries, refusal), a host that was held up for a third of the election timeout says so once a second at most, and so does a membership whose lease ran out. The tests' processes write their lines to the report of a spec that fails.

--- a/internal/coordination/replicator/core.go
+++ b/internal/coordination/replicator/core.go
@@ -78,8 +78,9 @@
 	// heardAt is when the leader was last heard, heardAge the age of its
 	// quorum as it said then.
 	heardAt, heardAge time.Duration
-	// votes are the answers to a campaign, by voter.
-	votes map[HostID]bool
+	// preVotes are the answers to the question whether votes would be given, and
+	// votes those of the term in which this host stands, by voter.
+	preVotes, votes map[HostID]bool
 	// forced is set in a campaign which the old leader asked for.
 	forced bool
 
@@ -109,6 +110,8 @@
 	// SnapshotGone.
 	SnapshotSends []Message
 	Committed     []Entry
+	// Ballots are the steps of elections, to be observed.
+	Ballots []Balloted
 	// Reads are reads whose state is that of the given commit index.
 	Reads []ReadState
 }
@@ -219,7 +222,7 @@
 	}
 	c.role = Follower
 	c.leader = leader
-	c.votes = nil
+	c.preVotes = nil
 	c.forced = false
 }
 
@@ -238,7 +241,7 @@
 	rd.Entries = c.log.between(c.log.persisted, c.log.last())
 	rd.Committed = c.log.between(c.handed, min(c.commit, c.log.persisted))
 	busy := rd.HardState != nil || rd.TruncateFrom != 0 || len(rd.Entries) > 0 || len(rd.Early) > 0 ||
-		len(rd.Messages) > 0 || len(rd.Pieces) > 0 || len(rd.SnapshotSends) > 0 || len(rd.Committed) > 0 || len(rd.Reads) > 0
+		len(rd.Messages) > 0 || len(rd.Pieces) > 0 || len(rd.SnapshotSends) > 0 || len(rd.Committed) > 0 || len(rd.Reads) > 0 || len(rd.Ballots) > 0
 	return rd, busy
 }
 
--- a/internal/coordination/replicator/election.go
+++ b/internal/coordination/replicator/election.go
@@ -13,7 +13,7 @@
 		return
 	}
 	c.role = PreCandidate
-	c.votes = make(map[HostID]bool)
+	c.preVotes = make(map[HostID]bool)
 	c.poll(PreVoteRequest, c.hard.Term+1)
 }
 
@@ -28,24 +28,67 @@
 
 // poll counts the host's own vote and asks the other voters.
 func (c *Core) poll(kind MessageKind, term uint64) {
+	step := BallotVoteAsked
+	if kind == PreVoteRequest {
+		step = BallotPreVoteAsked
+	}
 	for _, m := range c.Configuration().Members {
 		if m.Voter && m.ID != c.settings.Self {
+			c.balloted(step, term, m.ID, c.log.last(), c.log.lastTerm(), RefusalNone)
 			c.send(Message{
 				Kind: kind, To: m.ID, Term: term, Force: c.forced,
 				LogIndex: c.log.last(), LogTerm: c.log.lastTerm(),
 			})
 		}
 	}
-	c.countVote(c.settings.Self, true)
+	if kind == PreVoteRequest {
+		c.countPreVote(c.settings.Self, true)
+	} else {
+		c.countVote(c.settings.Self, true)
+	}
 }
 
-// countVote records an answer and acts on a majority of either kind.
+// countPreVote records an answer and asks for votes where a majority would give
+// them.
+func (c *Core) countPreVote(from HostID, granted bool) {
+	switch c.tally(c.preVotes, from, granted) {
+	case won:
+		c.askVotes()
+	case lost:
+		c.becomeFollower(c.hard.Term, 0)
+	case open:
+	}
+}
+
+// countVote records an answer and leads where a majority gave its vote.
 func (c *Core) countVote(from HostID, granted bool) {
-	if _, counted := c.votes[from]; !counted {
-		c.votes[from] = granted
+	switch c.tally(c.votes, from, granted) {
+	case won:
+		c.becomeLeader()
+	case lost:
+		if c.role == Candidate {
+			c.becomeFollower(c.hard.Term, 0)
+		}
+	case open:
+	}
+}
+
+// ballot is how far a poll has come.
+type ballot int
+
+const (
+	open ballot = iota
+	won
+	lost
+)
+
+// tally records an answer among others and counts them.
+func (c *Core) tally(votes map[HostID]bool, from HostID, granted bool) ballot {
+	if _, counted := votes[from]; !counted {
+		votes[from] = granted
 	}
 	given, refused := 0, 0
-	for _, g := range c.votes {
+	for _, g := range votes {
 		if g {
 			given++
 		} else {
@@ -54,12 +97,12 @@
 	}
 	configuration := c.Configuration()
 	switch {
-	case given >= configuration.Quorum() && c.role == PreCandidate:
-		c.askVotes()
 	case given >= configuration.Quorum():
-		c.becomeLeader()
+		return won
 	case refused > configuration.Voters()-configuration.Quorum():
-		c.becomeFollower(c.hard.Term, 0)
+		return lost
+	default:
+		return open
 	}
 }
 
@@ -76,49 +119,89 @@
 	return m.LogTerm > own || (m.LogTerm == own && m.LogIndex >= c.log.last())
 }
 
+// balloted notes a step of an election.
+func (c *Core) balloted(step BallotStep, term uint64, other HostID, index, logTerm uint64, refusal Refusal) {
+	c.out.Ballots = append(c.out.Ballots, Balloted{
+		Step: step, Term: term, Other: other, LogIndex: index, LogTerm: logTerm,
+		OwnIndex: c.log.last(), OwnTerm: c.log.lastTerm(), Refusal: refusal,
+	})
+}
+
 // stepPreVote answers without changing anything.
 func (c *Core) stepPreVote(m Message) {
-	if m.Term > c.hard.Term && !c.promised() && c.upToDate(m) {
+	refusal := c.refusal(m, m.Term > c.hard.Term)
+	if refusal == RefusalNone {
+		c.balloted(BallotPreVoteGiven, m.Term, m.From, m.LogIndex, m.LogTerm, refusal)
 		c.send(Message{Kind: PreVoteReply, To: m.From, ToIncarnation: m.FromIncarnation, Term: m.Term})
 		return
 	}
+	c.balloted(BallotPreVoteRefused, m.Term, m.From, m.LogIndex, m.LogTerm, refusal)
 	c.send(Message{Kind: PreVoteReply, To: m.From, ToIncarnation: m.FromIncarnation, Rejected: true})
 }
 
+// refusal returns why a candidate gets no vote, given whether the term allows one.
+func (c *Core) refusal(m Message, term bool) Refusal {
+	switch {
+	case !m.Force && c.promised():
+		return RefusalPromised
+	case !term:
+		return RefusalTerm
+	case !c.upToDate(m):
+		return RefusalLog
+	default:
+		return RefusalNone
+	}
+}
+
 // stepVote gives at most one vote in a term. The reply leaves after the vote is
 // on the disk: a host that forgot its vote in a crash could give a second one,
 // and two leaders of one term would overwrite each other's entries.
 func (c *Core) stepVote(m Message) {
 	if !m.Force && c.promised() {
+		c.balloted(BallotVoteRefused, m.Term, m.From, m.LogIndex, m.LogTerm, RefusalPromised)
 		return
 	}
 	if m.Term > c.hard.Term {
 		c.becomeFollower(m.Term, 0)
 	}
 	free := c.hard.Vote == 0 || c.hard.Vote == uint64(m.From)
-	granted := m.Term == c.hard.Term && free && c.role == Follower && c.leader == 0 && c.upToDate(m)
+	refusal := c.refusal(m, m.Term == c.hard.Term)
+	if refusal == RefusalNone && !(free && c.role == Follower && c.leader == 0) {
+		refusal = RefusalVoted
+	}
+	granted, step := refusal == RefusalNone, BallotVoteRefused
 	if granted {
+		step = BallotVoteGiven
 		c.hard.Vote = uint64(m.From)
 		c.resetCampaign()
 	}
+	c.balloted(step, m.Term, m.From, m.LogIndex, m.LogTerm, refusal)
 	c.send(Message{Kind: VoteReply, To: m.From, ToIncarnation: m.FromIncarnation, Rejected: !granted})
 }
 
 // stepVoteReply counts an answer of a voter whose disk the group knows.
 func (c *Core) stepVoteReply(m Message) {
-	wanted := Candidate
-	term := c.hard.Term
-	if m.Kind == PreVoteReply {
-		wanted = PreCandidate
-		if !m.Rejected {
-			term++
-		}
-	}
 	from, ok := c.Configuration().Find(m.From)
-	if c.role != wanted || m.Term != term || !ok || !from.Voter || from.Incarnation != m.FromIncarnation {
+	if !ok || !from.Voter || from.Incarnation != m.FromIncarnation {
 		return
 	}
-	c.countVote(m.From, !m.Rejected)
+	term, step, refusal := c.hard.Term, BallotVoteReceived, RefusalNone
+	if m.Rejected {
+		refusal = RefusalOther
+	}
+	if m.Kind == PreVoteReply {
+		step = BallotPreVoteReceived
+	}
+	switch {
+	case m.Kind == VoteReply && m.Term == term && c.role == Candidate:
+		c.balloted(step, m.Term, m.From, 0, 0, refusal)
+		c.countVote(m.From, !m.Rejected)
+	case m.Kind == PreVoteReply && c.role == PreCandidate && (m.Rejected && m.Term == term || !m.Rejected && m.Term == term+1):
+		c.balloted(step, m.Term, m.From, 0, 0, refusal)
+		c.countPreVote(m.From, !m.Rejected)
+	default:
+		c.balloted(step, m.Term, m.From, 0, 0, RefusalLate)
+	}
 }
 
 // stepTimeoutNow campaigns at the leader's wish.
--- a/internal/coordination/replicator/loop.go
+++ b/internal/coordination/replicator/loop.go
@@ -29,6 +29,7 @@
 func (r *Replicator) turns() error {
 	ticker := time.NewTicker(r.settings.TickInterval)
 	defer ticker.Stop()
+	last := r.clock.read()
 	events := make([]event, 0, maximumTurn)
 	for {
 		events = events[:0]
@@ -42,12 +43,29 @@
 		case <-r.queue.failed:
 			return r.queue.cause
 		}
+		began := r.clock.read()
 		if err := r.turn(events); err != nil {
 			return err
 		}
+		ended := r.clock.read()
+		r.noteHeldUp(HeldUp{Late: max(0, began-last-r.settings.TickInterval), Disk: ended - began}, ended)
+		last = ended
 	}
 }
 
+// heldUpPause is the least time between two observations of a host that is held up.
+const heldUpPause = time.Second
+
+// noteHeldUp has a host tell that it was held up for a third of the election timeout or
+// more: three such waits in a row cost an election.
+func (r *Replicator) noteHeldUp(h HeldUp, now time.Duration) {
+	if h.Late+h.Disk <= r.settings.ElectionTimeout/3 || r.heldUpAt > 0 && now-r.heldUpAt < heldUpPause {
+		return
+	}
+	r.heldUpAt = now
+	r.settings.Observe(h)
+}
+
 // drain takes the events that wait already. The clock is read after it, so
 // that no message is taken for older than it is: a leader's lease rests on
 // what its followers believe they heard when.
--- a/internal/coordination/replicator/replica.go
+++ b/internal/coordination/replicator/replica.go
@@ -186,6 +186,9 @@
 		if !busy {
 			return nil
 		}
+		for _, b := range rd.Ballots {
+			r.settings.Observe(b)
+		}
 		if rd.HardState == nil {
 			r.emit(rd.Early)
 			rd.Early = nil
--- a/internal/coordination/replicator/replicator.go
+++ b/internal/coordination/replicator/replicator.go
@@ -46,6 +46,9 @@
 	// followed is the leader after it. Only the loop uses them.
 	led      uint64
 	followed HostID
+	// heldUpAt is when this host last told that it was held up, 0 for never. Only the
+	// loop uses it.
+	heldUpAt time.Duration
 
 	lock sync.Mutex
 	// published is what callers see. Guarded by lock.
@@ -84,10 +87,25 @@
 	return func(o Observation) {
 		r.observing.Lock()
 		defer r.observing.Unlock()
+		r.logElection(o)
 		to(o)
 	}
 }
 
+// logElection logs what decides whether and when there is a leader. A group without one
+// for seconds is explained by these lines alone: who asked whom, what was refused and
+// why, and which host was held up by its disk or not run at all.
+func (r *Replicator) logElection(o Observation) {
+	switch t := o.(type) {
+	case Balloted:
+		r.settings.Log.Info().Stringer("Step", t.Step).Uint64("Term", t.Term).Uint64("Other", uint64(t.Other)).
+			Uint64("LogIndex", t.LogIndex).Uint64("LogTerm", t.LogTerm).Uint64("OwnIndex", t.OwnIndex).Uint64("OwnTerm", t.OwnTerm).
+			Stringer("Refusal", t.Refusal).Msg("election")
+	case HeldUp:
+		r.settings.Log.Info().Dur("Late", t.Late).Dur("Disk", t.Disk).Msg("held up")
+	}
+}
+
 // open opens the files and connects the parts.
 func (r *Replicator) open(sm StateMachine) error {
 	files := r.settings.FileSystem
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -199,6 +199,8 @@
 	for _, m := range expired {
 		d.control.metrics.expired.Inc()
 		d.control.recordBackend(recorder.KindMemberExpired, m.Name, "epoch %d", m.Epoch)
+		d.control.settings.Log.Info().Str("Backend", m.Name).Uint64("Epoch", m.Epoch).
+			Dur("Lease", time.Duration(d.control.settings.Control.MemberLease)).Msg("backend server's lease ran out")
 	}
 }
 
--- a/internal/transport/controller/group_test.go
+++ b/internal/transport/controller/group_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -170,7 +171,7 @@
 		Dial:       g.network.dialFrom(nodeOf(h.ID)),
 		Recorder:   recorder.NewRecorder(recorder.Settings{Node: nodeOf(h.ID)}),
 		Registerer: g.metrics[i],
-		Log:        zerolog.Nop(),
+		Log:        zerolog.New(ginkgo.GinkgoWriter).With().Timestamp().Str("Node", nodeOf(h.ID)).Logger(),
 		Random:     rand.New(rand.NewPCG(h.ID, 1)),
 	}
 	if g.adjust != nil {
