replicator: tests that slow rounds leave a group without a leader, failing

Symptom: no change is accepted for 5 s and more after the loss of a leader (16 s in these tests, with syncs of 150 to 300 ms); and one leader after the other, each for half a second, where answers come 400 ms late.

--- a/internal/coordination/replicator/replicator_test.go
+++ b/internal/coordination/replicator/replicator_test.go
@@ -62,6 +62,8 @@
 	cut   map[[2]HostID]bool
 	// delay is the one-way delay of all links.
 	delay time.Duration
+	// slow tells what a message takes more; nil means nothing.
+	slow *slowness
 }
 
 type wireEnd struct {
@@ -72,6 +74,11 @@
 func (e wireEnd) Send(to HostID, ms []Message) {
 	e.wire.lock.Lock()
 	host, cut := e.wire.hosts[to], e.wire.cut[[2]HostID{e.self, to}]
+	delay := e.wire.delay
+	if e.wire.slow != nil {
+		_, hop := e.wire.slow.draw()
+		delay += hop
+	}
 	e.wire.lock.Unlock()
 	if host == nil || cut {
 		return
@@ -81,8 +88,8 @@
 			host.Deliver(m)
 		}
 	}
-	if e.wire.delay > 0 {
-		time.AfterFunc(e.wire.delay, deliver)
+	if delay > 0 {
+		time.AfterFunc(delay, deliver)
 		return
 	}
 	deliver()
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -107,6 +107,8 @@
 		Group: "simulated", Self: Member{ID: h.id, Address: fmt.Sprint(h.id)}, DataFolder: "/data",
 		ElectionTimeout: simulatedTimeout, HeartbeatInterval: simulatedStep, LeaseDrift: simulatedTick, PieceBytes: 64,
 		SnapshotEvery: 8, CatchUpEntries: 4, MessageBytes: s.messageBytes, Random: s.random, FileSystem: h.disk,
+		// The disks take no time.
+		Now: func() time.Time { return time.Time{} },
 	}.withDefaults()
 	if int(h.id) <= len(s.voters) {
 		settings.Bootstrap = s.voters
