--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -46,6 +47,9 @@
 	// sent counts the bytes handed to the network.
 	sent   atomic.Int64
 	closed sync.Once
+	// unbind ends the hold of the present exchange's context; nil between exchanges. It
+	// is used by the goroutine that has the connection alone.
+	unbind func() bool
 }
 
 // Write counts what is handed to the network.
@@ -78,6 +82,21 @@
 	})
 }
 
+// bind has the end of a context end the exchange in progress, until Finish.
+func (c *Conn) bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.Abort) }
+
+// release reports whether the exchange was over before its context: the connection
+// belongs to nobody now, and may carry another request.
+//
+// Without this the context of a call whose caller still reads its answer would reset the
+// connection when it ends, under the call that has it by then: somebody else's, whose
+// outcome would be unknown, though its backend server is well.
+func (c *Conn) release() bool {
+	unbind := c.unbind
+	c.unbind = nil
+	return unbind == nil || unbind()
+}
+
 // stale reports whether the other end has closed the connection, or sent
 // something while no request was waiting.
 func (c *Conn) stale() bool {
@@ -145,7 +164,7 @@
 // Finish gives the connection back after an answer that was read to its end. The
 // head tells for how long the other end keeps it.
 func (c *Conn) Finish(response *http.Response, limit time.Duration) {
-	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 || c.reader.Buffered() > 0 {
+	if !c.release() || response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 || c.reader.Buffered() > 0 {
 		c.Abort()
 		return
 	}
--- a/internal/protocol/exchanger/pool.go
+++ b/internal/protocol/exchanger/pool.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -102,6 +103,27 @@
 	return p.Open(ctx, address)
 }
 
+// Exchange sends a request to an address and reads the head of its answer, as
+// Conn.Exchange. The end of the context ends the exchange until Finish.
+func (p *Pool) Exchange(
+	ctx context.Context, address string, request func() *http.Request, accept func(http.Header) bool,
+) (*Conn, *http.Response, error) {
+	// A connection kept idle would be handed out whatever became of the context.
+	if err := ctx.Err(); err != nil {
+		return nil, nil, errors.Annotatef(ErrNotSent, "%v", err)
+	}
+	c, err := p.Get(ctx, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	c.bind(ctx)
+	response, err := c.Exchange(request(), accept)
+	if err != nil {
+		return nil, nil, err
+	}
+	return c, response, nil
+}
+
 // Open returns a new connection.
 func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -17,30 +17,11 @@
 // send hands the call to the backend server chosen, and its answer to the caller.
 func (j *job) send(ctx context.Context, a Attempt, followed *attempt) verdict {
 	r := j.relayer
-	var conn *exchanger.Conn
-	// A connection kept idle would be handed out whatever became of the call.
-	err := ctx.Err()
-	if err == nil {
-		conn, err = r.settings.Pool.Get(ctx, j.choice.Address)
-	}
-	if err != nil {
-		if j.ctx.Err() != nil {
-			j.release(placer.EndingGivenUp)
-			return verdictEnded
-		}
-		j.count(sendingNotSent)
-		j.note(err, "not connected")
-		j.release(placer.EndingUnreached)
-		return verdictNotRun
-	}
-	// The end of the attempt resets the connection, which has the backend server
-	// drop the request.
-	stop := context.AfterFunc(ctx, conn.Abort)
-	defer stop()
-	head, response, err := j.exchange(conn, a) //nolint:bodyclose // Each verdict reads the body to its end or aborts the connection.
+	conn, response, err := j.exchange(ctx, a) //nolint:bodyclose // Each verdict reads the body to its end or aborts the connection.
 	if err != nil {
 		return j.unanswered(err) //nolint:contextcheck // What a loss tells outlives the call.
 	}
+	head := r.settings.Translator.Head(response.StatusCode, response.Header)
 	if head.Calls >= 0 {
 		r.settings.Placer.Loaded(r.settings.Now(), &j.choice, head.Calls)
 	}
@@ -69,13 +50,32 @@
 	return j.whole(conn, response, head) //nolint:contextcheck // The same.
 }
 
-func (j *job) exchange(conn *exchanger.Conn, a Attempt) (Head, *http.Response, error) {
-	r := j.relayer
-	t := r.settings.Translator
+// exchange sends the call to the backend server chosen. The end of the context resets the
+// connection, which has the backend server drop the request.
+func (j *job) exchange(ctx context.Context, a Attempt) (*exchanger.Conn, *http.Response, error) {
+	t := j.relayer.settings.Translator
+	j.sent++
+	j.arrivals++
+	j.bytesBefore = j.bytes
+	conn, response, err := j.relayer.settings.Pool.Exchange(ctx, j.choice.Address,
+		func() *http.Request { return j.outgoing(a) },
+		func(h http.Header) bool {
+			id := t.Head(0, h).Request
+			return id == "" || id == j.call.ID
+		})
+	if errors.Is(err, exchanger.ErrNotSent) {
+		j.sent--
+		j.arrivals--
+	}
+	return conn, response, err
+}
+
+// outgoing returns the request as the backend server is to get it.
+func (j *job) outgoing(a Attempt) *http.Request {
 	out := &http.Request{
 		Method: j.request.Method, Host: j.request.Host, URL: &url.URL{Opaque: target(j.request)},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: t.Header(j.request.Header, a), ContentLength: int64(len(j.body)),
+		Header: j.relayer.settings.Translator.Header(j.request.Header, a), ContentLength: int64(len(j.body)),
 	}
 	if _, ok := out.Header["User-Agent"]; !ok {
 		// An empty one keeps net/http from adding its own.
@@ -84,17 +84,7 @@
 	if len(j.body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(j.body))
 	}
-	j.sent++
-	j.arrivals++
-	j.bytesBefore = j.bytes
-	response, err := conn.Exchange(out, func(h http.Header) bool {
-		id := t.Head(0, h).Request
-		return id == "" || id == j.call.ID
-	})
-	if err != nil {
-		return Head{}, nil, err
-	}
-	return t.Head(response.StatusCode, response.Header), response, nil
+	return out
 }
 
 // target returns the path and query as the caller sent them.
@@ -107,18 +97,22 @@
 
 // unanswered judges a sending that got no answer.
 func (j *job) unanswered(err error) verdict {
+	notSent := errors.Is(err, exchanger.ErrNotSent)
 	switch {
 	case j.ctx.Err() != nil:
-		j.count(sendingGivenUp)
+		if !notSent {
+			j.count(sendingGivenUp)
+		}
 		j.release(placer.EndingGivenUp)
 		return verdictEnded
 	case j.followed != nil && errors.Is(context.Cause(j.followed.ctx), errQuarantined):
-		j.count(sendingGivenUp)
 		j.release(placer.EndingGivenUp)
+		if notSent {
+			return verdictNotRun
+		}
+		j.count(sendingGivenUp)
 		return verdictUnknown
-	case errors.Is(err, exchanger.ErrNotSent):
-		j.sent--
-		j.arrivals--
+	case notSent:
 		j.count(sendingNotSent)
 		j.note(err, "not sent")
 		j.release(placer.EndingUnreached)
