exchanger: a kept connection that ended is no word from its server

Callers saw 503 ("no backend server", not run) though a server was free and never got the call; calls after it passed that server over for 0.3 s, doubling.

Cause: a connection kept idle may end between the look at it and the writing. No byte was taken then, and the call went on to another server, with this one avoided and under suspicion, as if it could not be reached.

Pool.Exchange tries the next kept connection and in the end a new one, to the same server, as long as nothing was sent; only what a new one tells is the server's word. It holds since nothing that was written is written again. The calls of companions to their engines go the same way: there it was "engine lost", and all calls that waited for an admission were turned away until the next report.

--- a/internal/protocol/exchanger/pool.go
+++ b/internal/protocol/exchanger/pool.go
@@ -104,24 +104,36 @@
 }
 
 // Exchange sends a request to an address and reads the head of its answer, as
-// Conn.Exchange. The end of the context ends the exchange until Finish.
+// Conn.Exchange. The end of the context ends the exchange until Finish. An error that
+// matches ErrNotSent tells that the address could not be reached by a new connection, or
+// that the context ended.
+//
+// A kept connection may end between the look at it and the writing: a server closes idle
+// ones, a middle box forgets them. Nothing was sent then, and it is no word from the
+// server: the next one is tried at once. Taken for that, it would have a server passed
+// over that is well, and the last call for which there is no other refused.
 func (p *Pool) Exchange(
 	ctx context.Context, address string, request func() *http.Request, accept func(http.Header) bool,
 ) (*Conn, *http.Response, error) {
-	// A connection kept idle would be handed out whatever became of the context.
-	if err := ctx.Err(); err != nil {
-		return nil, nil, errors.Annotatef(ErrNotSent, "%v", err)
-	}
-	c, err := p.Get(ctx, address)
-	if err != nil {
-		return nil, nil, err
-	}
-	c.bind(ctx)
-	response, err := c.Exchange(request(), accept)
-	if err != nil {
-		return nil, nil, err
+	for {
+		// A connection kept idle would be handed out whatever became of the context.
+		if err := ctx.Err(); err != nil {
+			return nil, nil, errors.Annotatef(ErrNotSent, "%v", err)
+		}
+		c, err := p.Get(ctx, address)
+		if err != nil {
+			return nil, nil, err
+		}
+		kept := c.Reused()
+		c.bind(ctx)
+		response, err := c.Exchange(request(), accept)
+		if err == nil {
+			return c, response, nil
+		}
+		if !kept || !errors.Is(err, ErrNotSent) {
+			return nil, nil, err
+		}
 	}
-	return c, response, nil
 }
 
 // Open returns a new connection.
