relayer: a companion's connection is read and replaced under one lock

The race detector stopped one run in a hundred of platform's tests under load. What a caller could see: an engine's companion taken for one that tells its state on the connection in use, when it does not, so that the engine is chosen by an old state.

Cause: told gave the lock back with a pointer in its hand and read the connection through it, while watch put another one in its place. What is known of a companion is a value now, read and replaced whole under the lock: there is no pointer left to read through.

--- a/internal/transport/relayer/attending.go
+++ b/internal/transport/relayer/attending.go
@@ -11,7 +11,7 @@
 func (r *Relayer) attend(name string) {
 	r.watchedMu.Lock()
 	defer r.watchedMu.Unlock()
-	if c := r.watched[name]; c != nil {
+	if c, is := r.watched[name]; is {
 		c.conn.Attend()
 	}
 }
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -44,7 +44,7 @@
 	watchedMu sync.Mutex
 	// watched holds what is known of the companions, by the engine's name; guarded by
 	// watchedMu.
-	watched map[string]*companion
+	watched map[string]companion
 	// watcher tells which of them are silent; guarded by watchedMu.
 	watcher *watcher.Watcher
 	// silentLast are those that were silent at the last look, with their services, and
@@ -82,7 +82,7 @@
 		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		look:     make(chan struct{}, 1),
 		random:   s.Random,
-		watched:  make(map[string]*companion),
+		watched:  make(map[string]companion),
 		watcher:  watcher.NewWatcher(s.Silence),
 		engines:  make(map[*messenger.Conn]string),
 		suspects: suspecter.NewTable(suspecter.Settings{}),
@@ -212,10 +212,13 @@
 func (r *Relayer) unwatch(wanted []tracker.Member) {
 	r.watchedMu.Lock()
 	defer r.watchedMu.Unlock()
-	maps.DeleteFunc(r.watched, func(name string, _ *companion) bool {
+	maps.DeleteFunc(r.watched, func(name string, _ companion) bool {
 		return !slices.ContainsFunc(wanted, func(m tracker.Member) bool { return m.Name == name })
 	})
-	r.watcher.Keep(func(name string) bool { return r.watched[name] != nil })
+	r.watcher.Keep(func(name string) bool {
+		_, is := r.watched[name]
+		return is
+	})
 }
 
 // told reports whether a companion tells its state on the connection in use, and the
@@ -225,7 +228,7 @@
 	r.watchedMu.Lock()
 	c := r.watched[m.Name]
 	r.watchedMu.Unlock()
-	return conn != nil && c != nil && c.conn == conn && r.settings.Placer.Known(m.Spec.Service, m.Name)
+	return conn != nil && c.conn == conn && r.settings.Placer.Known(m.Spec.Service, m.Name)
 }
 
 // watch asks one companion to tell its state, unless it does and the state is known.
@@ -240,13 +243,8 @@
 		return
 	}
 	r.watchedMu.Lock()
-	c := r.watched[m.Name]
-	if c == nil {
-		c = &companion{service: m.Spec.Service}
-		r.watched[m.Name] = c
-	}
-	known := c.conn == conn
-	c.conn = conn
+	known := r.watched[m.Name].conn == conn
+	r.watched[m.Name] = companion{service: m.Spec.Service, conn: conn}
 	r.watchedMu.Unlock()
 	if known && r.settings.Placer.Known(m.Spec.Service, m.Name) {
 		return
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -15,7 +15,9 @@
 // errSilent ends an attempt at an engine whose host has fallen silent.
 const errSilent = errors.ConstError("the companion has fallen silent")
 
-// companion is the companion beside one engine.
+// companion is the companion beside one engine, as it was at one moment. It is kept and
+// handed out by value: a pointer would let its connection be read after the lock is given
+// back, while another is put in its place.
 type companion struct {
 	service string
 	conn    *messenger.Conn
