gatekeeper, translator: a key that may have run is never told as not run

Callers saw 503 with the outcome NotRun for a booking that had run: its connection broke, they sent it again with its key, and the entry had lost the control hosts (configuration_lease_lost), got no claim, was full or stopped. Who believes it books under another key, and has two bookings.

Cause: NotRun was said of this sending, which is true of it, where the caller asks after its key, which an earlier sending through another entry may have run. The entry that refuses before the claim is answered can't know.

Such a refusal says Unknown now, with X-Should-Retry true, since under its key the request runs at most once: the caller comes back and gets the kept answer, or the truth. What any entry would refuse at any time stays NotRun, and so does what comes without a key.

--- a/internal/protocol/translator/fault.go
+++ b/internal/protocol/translator/fault.go
@@ -69,6 +69,9 @@
 	// Param names the field of the request at fault; it may be empty.
 	Param   string
 	Outcome messenger.Outcome
+	// Undecided tells that the outcome is unknown only since nobody could be asked whether
+	// the request's idempotency key has run before: this sending has not.
+	Undecided bool
 	// RetryAfter tells when to come back; 0 means that it is not told.
 	RetryAfter time.Duration
 }
@@ -81,6 +84,18 @@
 // Error returns the code and message.
 func (f *Fault) Error() string { return string(f.Code) + ": " + f.Message }
 
+// Inherent reports whether the request itself is at fault: it would be refused by any
+// entry at any time, and so has never run.
+func (f *Fault) Inherent() bool {
+	switch f.Status {
+	case http.StatusBadRequest, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity,
+		http.StatusRequestHeaderFieldsTooLarge:
+		return true
+	default:
+		return f.Code == CodeNotFound
+	}
+}
+
 // Type returns the class that belongs to the status.
 func (f *Fault) Type() Type {
 	switch {
@@ -151,7 +166,7 @@
 func (f *Fault) repeatable() bool {
 	switch f.Status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return f.Outcome == messenger.OutcomeNotRun
+		return f.Outcome == messenger.OutcomeNotRun || f.Undecided
 	default:
 		return f.Code == CodeKeyInProgress
 	}
--- a/internal/transport/gatekeeper/claim.go
+++ b/internal/transport/gatekeeper/claim.go
@@ -55,6 +55,7 @@
 		step := c.propose(ctx, q)
 		switch s := step.(type) {
 		case claimer.Dispatch:
+			q.decided = true
 			e.metrics.claims.WithLabelValues("Held").Inc()
 			e.settings.Recorder.Record(q.event(recorder.KindClaimed, c.machine.Identity().Key))
 			return nil, false
@@ -99,6 +100,7 @@
 		f = translator.NewFault(http.StatusConflict, translator.CodeKeyUnknown, "a request with this idempotency key may have run; its outcome is not known")
 		f.Outcome = messenger.OutcomeUnknown
 	case claimer.ReasonKeyReused:
+		q.decided = true
 		f = translator.NewFault(http.StatusUnprocessableEntity, translator.CodeKeyReused, "the idempotency key belongs to another request")
 		f.Param = translator.HeaderIdempotencyKey
 	case claimer.ReasonInvalid:
--- a/internal/transport/gatekeeper/request.go
+++ b/internal/transport/gatekeeper/request.go
@@ -107,6 +107,7 @@
 	e := q.entry
 	outcome := messenger.OutcomeCompleted
 	if fault != nil {
+		q.undecide(fault)
 		outcome = fault.Outcome
 	}
 	e.metrics.requests.WithLabelValues(q.dispatch.Workspace, outcome.String()).Inc()
--- a/internal/transport/gatekeeper/serve.go
+++ b/internal/transport/gatekeeper/serve.go
@@ -24,6 +24,9 @@
 	holder indexer.KeyHolder
 	// content is the body as the caller sent it.
 	content []byte
+	// decided tells that the control group has said whether the request's idempotency
+	// key may run: until then it may have, through another entry.
+	decided bool
 }
 
 func (e *Entry) routes() *http.ServeMux {
@@ -93,6 +96,7 @@
 
 // refuse answers a request of which nothing has been answered.
 func (e *Entry) refuse(x *exchange, f *translator.Fault) {
+	x.undecide(f)
 	e.metrics.refusals.WithLabelValues(string(f.Code)).Inc()
 	e.settings.Recorder.Record(recorder.Event{
 		Kind: recorder.KindRequestRefused, Request: x.id, Workspace: x.holder.Workspace,
@@ -103,6 +107,22 @@
 	f.Write(x.w, x.id)
 }
 
+// undecide takes "not run" back from a refusal that was given before anybody was asked
+// whether the request's key has run.
+//
+// A caller sends a booking again, with its key, when its connection broke; it comes to an
+// entry that has lost the control hosts, or is full, or stops. Nothing runs by this
+// sending. But the booking may have run by the first one: a caller who is told that
+// nothing did books under another key, and has two. What the same request would meet at
+// any time, as a body that can't be read, stays not run.
+func (x *exchange) undecide(f *translator.Fault) {
+	if x.decided || f.Outcome != messenger.OutcomeNotRun || x.r.Header.Get(translator.HeaderIdempotencyKey) == "" || f.Inherent() {
+		return
+	}
+	f.Outcome, f.Undecided = messenger.OutcomeUnknown, true
+	f.Message += "; whether a request with this idempotency key has run before is not known"
+}
+
 // authenticate finds whom the bearer key belongs to. A disabled key and an
 // unknown one get the same answer.
 func (x *exchange) authenticate() *translator.Fault {
--- a/internal/transport/gatekeeper/service.go
+++ b/internal/transport/gatekeeper/service.go
@@ -55,6 +55,8 @@
 			Method: x.r.Method, Path: target, Header: translator.Forwarded(x.r.Header), Body: body,
 		},
 	}
+	// A key binds no call that may run again.
+	x.decided = idempotent
 	if !idempotent {
 		if key == "" {
 			// No one else can have the key; the claim still has the entry's own
