replicator: hosts whose rounds take long elect a leader all the same

Symptom: no change accepted for 5 s and more after the loss of a leader. Backend servers' joins are refused ("no leader is known", outcome unknown), and entries lose the lease on their configuration.

Mend: votes count whenever they come in their term; the time for answers begins when the question has left the own disk; who would give its vote puts its own campaign off for that, and of two that ask each other at once the one with the lower number goes on. It holds since no vote is given that was not given before: votes are counted later, campaigns begin later, and pre-votes are refused more often.

Tried and not kept: waiting longer after each term without a leader (no difference).

--- a/internal/coordination/replicator/core.go
+++ b/internal/coordination/replicator/core.go
@@ -79,8 +79,9 @@
 	// quorum as it said then.
 	heardAt, heardAge time.Duration
 	// preVotes are the answers to the question whether votes would be given, and
-	// votes those of the term in which this host stands, by voter.
+	// votes those of term votesOf in which this host stands, by voter.
 	preVotes, votes map[HostID]bool
+	votesOf         uint64
 	// forced is set in a campaign which the old leader asked for.
 	forced bool
 
@@ -196,6 +197,16 @@
 // and a leader step down, for want of messages that have arrived.
 func (c *Core) SetClock(now time.Duration) { c.clock = max(c.clock, now) }
 
+// Waited tells that a vote or a request for votes, which is sent only now, has waited
+// for the disk. The time for the answers begins with the sending.
+//
+// Without this a host whose disk is slow takes its own wait for the others' silence: it
+// campaigns anew before its request could be answered, and the term of the new campaign
+// makes the answer void.
+func (c *Core) Waited(d time.Duration) {
+	c.campaignAt += min(max(d, 0), 2*c.settings.ElectionTimeout)
+}
+
 // Tick tells the time and acts on the timeouts that have passed.
 func (c *Core) Tick(now time.Duration) {
 	c.SetClock(now)
--- a/internal/coordination/replicator/election.go
+++ b/internal/coordination/replicator/election.go
@@ -21,7 +21,7 @@
 func (c *Core) askVotes() {
 	c.role = Candidate
 	c.hard = snapshotter.HardState{Term: c.hard.Term + 1, Vote: uint64(c.settings.Self)}
-	c.votes = make(map[HostID]bool)
+	c.votes, c.votesOf = make(map[HostID]bool), c.hard.Term
 	c.resetCampaign()
 	c.poll(VoteRequest, c.hard.Term)
 }
@@ -127,10 +127,19 @@
 	})
 }
 
-// stepPreVote answers without changing anything.
+// stepPreVote answers without changing any term.
+//
+// Who would give its vote lets the other one go first. Hosts that ask each other in the
+// same moment, as all do after a leader that they lost together, would else all stand
+// in the same term, each with its own vote alone, and again a timeout later: where
+// rounds take as long as the timeouts lie apart, for as long as that lasts.
 func (c *Core) stepPreVote(m Message) {
 	refusal := c.refusal(m, m.Term > c.hard.Term)
+	if refusal == RefusalNone && c.role == PreCandidate && c.goesBefore(m) {
+		refusal = RefusalVoted
+	}
 	if refusal == RefusalNone {
+		c.yield(m.From)
 		c.balloted(BallotPreVoteGiven, m.Term, m.From, m.LogIndex, m.LogTerm, refusal)
 		c.send(Message{Kind: PreVoteReply, To: m.From, ToIncarnation: m.FromIncarnation, Term: m.Term})
 		return
@@ -139,6 +148,26 @@
 	c.send(Message{Kind: PreVoteReply, To: m.From, ToIncarnation: m.FromIncarnation, Rejected: true})
 }
 
+// yield puts this host's own campaign off for another voter's. One that the group has
+// removed can't win, and must not keep the others from it.
+func (c *Core) yield(to HostID) {
+	other, ok := c.Configuration().Find(to)
+	if !ok || !other.Voter {
+		return
+	}
+	if c.role == PreCandidate {
+		c.becomeFollower(c.hard.Term, 0)
+	}
+	c.resetCampaign()
+}
+
+// goesBefore reports whether this host, which asks for pre-votes itself, goes on with it
+// before another one that does, whose log is no worse: of two with logs alike it is the
+// one with the lower number.
+func (c *Core) goesBefore(m Message) bool {
+	return m.LogTerm == c.log.lastTerm() && m.LogIndex == c.log.last() && c.settings.Self < m.From
+}
+
 // refusal returns why a candidate gets no vote, given whether the term allows one.
 func (c *Core) refusal(m Message, term bool) Refusal {
 	switch {
@@ -193,7 +222,7 @@
 		step = BallotPreVoteReceived
 	}
 	switch {
-	case m.Kind == VoteReply && m.Term == term && c.role == Candidate:
+	case m.Kind == VoteReply && m.Term == term && c.stands():
 		c.balloted(step, m.Term, m.From, 0, 0, refusal)
 		c.countVote(m.From, !m.Rejected)
 	case m.Kind == PreVoteReply && c.role == PreCandidate && (m.Rejected && m.Term == term || !m.Rejected && m.Term == term+1):
@@ -204,6 +233,18 @@
 	}
 }
 
+// stands reports whether votes of the present term make this host its leader: it has
+// asked for them, and nobody leads.
+//
+// Where syncs take a good part of the election timeout, a vote arrives when the
+// candidate has begun to ask anew whether it would get one. Thrown away then, it is
+// the only one that its voter may give in the term, and no term has a leader: the group
+// accepts nothing for as long as its disks are slow. A vote is as good late as early,
+// since neither the term nor the candidate's log can have changed.
+func (c *Core) stands() bool {
+	return c.role != Leader && c.leader == 0 && c.votesOf == c.hard.Term
+}
+
 // stepTimeoutNow campaigns at the leader's wish.
 func (c *Core) stepTimeoutNow(m Message) {
 	if m.Term == c.hard.Term && c.role == Follower && m.From == c.leader && c.isVoter() {
--- a/internal/coordination/replicator/leader.go
+++ b/internal/coordination/replicator/leader.go
@@ -33,6 +33,9 @@
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.settings.Self
+	// A vote that arrives after it has stepped down again must not bring it back: its
+	// lease is void, and others may have been told so.
+	c.votes, c.votesOf = nil, 0
 	c.leadership = leadership{peers: make(map[HostID]*progress), electedAt: c.clock, firstRound: 1}
 	for _, e := range c.log.between(c.commit, c.log.last()) {
 		c.pendingBytes += entrySize(e)
--- a/internal/coordination/replicator/replica.go
+++ b/internal/coordination/replicator/replica.go
@@ -193,9 +193,13 @@
 			r.emit(rd.Early)
 			rd.Early = nil
 		}
+		began := r.settings.Now()
 		if err := r.persist(rd); err != nil {
 			return err
 		}
+		if rd.HardState != nil {
+			r.core.Waited(r.settings.Now().Sub(began))
+		}
 		r.emit(rd.Early)
 		r.emit(rd.Messages)
 		if err := r.sendPieces(rd.SnapshotSends); err != nil {
