replicator: a leader whose followers answer late goes on

Symptom: one leader after the other, each for half a second, while no host and no message is lost; hardly anything is accepted meanwhile.

Cause: a leader stepped down when its lease ended, which is counted from the heartbeats that were answered, not from the answers. With round trips near the election timeout, as where processes are not run for 150 ms at each hop (lines: elected, leading, stepped down within a second, 4 terms in 10 s), each leader was given up although its followers answered all the time.

Mend: it steps down when no majority has answered anything for that long, and goes on without a lease until then: reads take a round, writes go on. It holds since its lease, which reads rest on, ends as before, and no write ever rested on it. A leader that is cut off steps down as soon as before: the last answer is the end of the last round.

--- a/internal/coordination/replicator/leader.go
+++ b/internal/coordination/replicator/leader.go
@@ -192,7 +192,7 @@
 
 // tickLeader keeps heartbeats going, and steps down without a quorum.
 func (c *Core) tickLeader() {
-	if !c.soleVoter() && c.clock-c.quorumAt() >= c.settings.ElectionTimeout-c.settings.LeaseDrift {
+	if !c.soleVoter() && c.clock-c.answeredAt() >= c.settings.ElectionTimeout-c.settings.LeaseDrift {
 		// Cut off, silently perhaps: another leader may exist from now on.
 		c.becomeFollower(c.hard.Term, 0)
 		return
@@ -217,6 +217,7 @@
 	if c.role != Leader || m.Term != c.hard.Term || p == nil || !c.knownDisk(p, m) {
 		return
 	}
+	p.answeredAt = c.clock
 	if m.Round > p.round && m.Round >= c.firstRound && m.Round <= c.round {
 		p.round, p.roundAt = m.Round, c.begun[m.Round-c.firstRound]
 	}
--- a/internal/coordination/replicator/lease.go
+++ b/internal/coordination/replicator/lease.go
@@ -30,6 +30,26 @@
 	return max(at, c.electedAt)
 }
 
+// answeredAt returns the latest time at which a majority had sent this leader an answer
+// in its term, to whichever round. Just after the election it is the election.
+//
+// A leader whose followers answer late, as where disks or processors are busy, still has
+// them: it goes on without a lease. Were it to step down as its lease ends, a group
+// whose round trips near the election timeout would have one election after the other,
+// and accept nothing for as long as that lasts.
+func (c *Core) answeredAt() time.Duration {
+	at := quorumValue(c.Configuration(), func(id HostID) time.Duration {
+		if id == c.settings.Self {
+			return c.clock
+		}
+		if p := c.peers[id]; p != nil {
+			return p.answeredAt
+		}
+		return 0
+	})
+	return max(at, c.electedAt)
+}
+
 // LeaseUntil returns the time until which no other host can be elected, 0 for
 // none. Each host of the confirming majority votes for nobody during one
 // ElectionTimeout after it received the round, which is later than the round's
--- a/internal/coordination/replicator/progress.go
+++ b/internal/coordination/replicator/progress.go
@@ -37,6 +37,8 @@
 	// roundAt when that round was begun.
 	round   uint64
 	roundAt time.Duration
+	// answeredAt is when the member last answered anything in the leader's term.
+	answeredAt time.Duration
 	// told is the commit index last sent to the member.
 	told uint64
 	// incarnation is the one that match belongs to; 0 until it has answered.
