--- a/internal/transport/gatekeeper/claim_test.go
+++ b/internal/transport/gatekeeper/claim_test.go
@@ -178,6 +178,26 @@
 		}),
 	)
 
+	// Symptom: callers with keys hear "unknown" in the seconds of each change of the
+	// control leader. Sequence: the entry's lease runs out while no leader is there; a
+	// call with a key comes. Cause: it was refused at once, with nobody to ask.
+	It("waits for the control hosts with a key, and refuses what has none at once", func() {
+		w.put(storer.KindPriorityRule, "town", "urgent", storer.PriorityRuleSpec{Key: "desk", Priority: 1})
+		w.control.lost.Store(true)
+		e := w.entry(nil)
+		unkeyed := e.ask(http.MethodPost, "/services/booking/presses/7", "{}")
+		Expect(unkeyed.body).To(ContainSubstring("configuration_lease_lost"))
+		Expect(unkeyed.outcome()).To(Equal("NotRun"))
+		answered := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			answered <- e.book("b-1", "{}")
+		}()
+		Consistently(answered).ShouldNot(Receive())
+		w.control.lost.Store(false)
+		Expect((<-answered).StatusCode).To(Equal(201))
+	})
+
 	// Symptom: a booking is made twice. Sequence: an entry has the claim committed,
 	// dispatches, and is lost before it can settle the claim; the caller comes
 	// back through another entry. Cause to prevent: taking an unsettled claim for
--- a/internal/transport/gatekeeper/resolve.go
+++ b/internal/transport/gatekeeper/resolve.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
 	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -25,7 +27,7 @@
 	if name.Workspace != x.holder.Workspace {
 		return indexer.Target{}, unknownModel(name.String())
 	}
-	if name.Version == "" && !x.entry.settings.Control.LeaseValid() {
+	if name.Version == "" && !x.leased() {
 		return indexer.Target{}, x.notReady("which version is current")
 	}
 	t, err := x.entry.settings.Index.Resolve(name.Workspace, name.Adapter, name.Version)
@@ -52,10 +54,38 @@
 	return f
 }
 
+// leased reports whether the entry may go by the rules that it knows. A request with an
+// idempotency key waits for that, as long as one waits for its claim.
+//
+// Control hosts that change their leader are back in a second or two. Refused meanwhile, a
+// caller with a key could only be told that the outcome is unknown, since nobody can be
+// asked whether the key has run.
+func (x *exchange) leased() bool {
+	e := x.entry
+	if e.settings.Control.LeaseValid() || x.r.Header.Get(translator.HeaderIdempotencyKey) == "" {
+		return e.settings.Control.LeaseValid()
+	}
+	patience := claimPatience
+	if given, err := translator.Deadline(x.r.Header); err == nil && given > 0 {
+		patience = min(patience, given)
+	}
+	ctx, cancel := context.WithTimeout(x.r.Context(), patience)
+	defer cancel()
+	for pauser.Pause(ctx, leasePoll) {
+		if e.settings.Control.LeaseValid() {
+			return true
+		}
+	}
+	return false
+}
+
+// leasePoll is the time between two looks whether the lease is back.
+const leasePoll = 20 * time.Millisecond
+
 // rule returns the priority rule of a call.
 func (x *exchange) rule(adapter string) (storer.PriorityRuleSpec, *translator.Fault) {
 	rule, found := x.entry.settings.Index.Rule(x.holder.Workspace, adapter, x.holder.Name)
-	if found && !x.entry.settings.Control.LeaseValid() {
+	if found && !x.leased() {
 		return rule, x.notReady("which priority rule holds")
 	}
 	return rule, nil
