driver: a key told as not run must not have run before

The false not run of keys that had run passed all fault runs: the check compared the sending that was refused with its own runs alone. It compares the key now: where any run of it began before the refused sending was sent, the refusal was untrue. A planted one is found, and breaks no other promise.

--- a/internal/standin/driver/answer.go
+++ b/internal/standin/driver/answer.go
@@ -56,7 +56,10 @@
 	// Service is the body of a plain service's answer.
 	Service responder.Answer
 
-	// Sent is when the call was sent, Ended when its answer ended.
+	// SentAt is when the call was sent, to be compared with the records of engines and
+	// services.
+	SentAt time.Time
+	// Sent is when the call was sent, Ended when its answer ended, since the run began.
 	Sent  time.Duration
 	Ended time.Duration
 	// FirstToken is when the first text came; 0 if none came.
--- a/internal/standin/driver/caller.go
+++ b/internal/standin/driver/caller.go
@@ -41,7 +41,7 @@
 
 // call sends the call to the entry and reads the answer.
 func (c *caller) call(ctx context.Context, entry string, q *Call) Answer {
-	a := Answer{Sent: c.now()}
+	a := Answer{Sent: c.now(), SentAt: time.Now()}
 	left := max(q.Intended+q.Deadline-a.Sent, time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, left+deadlineGrace)
 	defer cancel()
--- a/internal/standin/driver/checker.go
+++ b/internal/standin/driver/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/standin/generator"
 	"marigoldpoint.example/marigoldpoint/internal/standin/responder"
@@ -42,6 +43,9 @@
 type refusedCall struct {
 	request string
 	number  int
+	// key is the call's Idempotency-Key, or empty, and sentAt when it was sent.
+	key    string
+	sentAt time.Time
 }
 
 type keyedCall struct {
@@ -96,7 +100,7 @@
 		return
 	}
 	if a.Ending() == NotRun {
-		c.notRun = append(c.notRun, refusedCall{request: a.Request, number: call.Number})
+		c.notRun = append(c.notRun, refusedCall{request: a.Request, number: call.Number, key: call.Key, sentAt: a.SentAt})
 	}
 	if other, ok := c.requests[a.Request]; ok && other != call.Number {
 		c.add(Finding{Promise: OwnAnswer, Broken: true, Detail: fmt.Sprintf("calls %d and %d got one request id, %s", other, call.Number, a.Request)})
@@ -136,26 +140,26 @@
 	if engines == nil && services == nil {
 		return
 	}
-	runs := runCounts{keys: c.keys, byRequest: make(map[string]int), byKey: make(map[string]int)}
+	runs := runCounts{keys: c.keys, byRequest: make(map[string]int), byKey: make(map[string]int), begun: make(map[string]time.Time)}
 	for i := range engines {
 		for _, r := range engines[i].Runs {
 			// What never entered the batch did not run; what was imported is the
 			// other half of a run.
 			if !r.Started.IsZero() && !r.Imported {
-				runs.add(r.Request, "")
+				runs.add(r.Request, "", r.Started)
 			}
 		}
 	}
 	for i := range services {
 		for _, r := range services[i].Runs {
-			runs.add(r.Request, r.Key)
+			runs.add(r.Request, r.Key, r.Started)
 		}
 	}
 	if engines != nil {
 		c.checkInUse(engines)
 	}
 	if engines != nil && services != nil {
-		c.checkNotRun(runs.byRequest)
+		c.checkNotRun(&runs)
 	}
 	c.checkKeys(runs.byKey)
 }
@@ -166,15 +170,21 @@
 	keys      map[string]string
 	byRequest map[string]int
 	byKey     map[string]int
+	// begun is when the first run of each key began.
+	begun map[string]time.Time
 }
 
-func (r *runCounts) add(request, key string) {
+func (r *runCounts) add(request, key string, started time.Time) {
 	r.byRequest[request]++
 	if key == "" {
 		key = r.keys[request]
 	}
-	if key != "" {
-		r.byKey[key]++
+	if key == "" {
+		return
+	}
+	r.byKey[key]++
+	if first, ok := r.begun[key]; !ok || started.Before(first) {
+		r.begun[key] = started
 	}
 }
 
@@ -195,13 +205,19 @@
 	}
 }
 
-// checkNotRun: a caller who was told that a call did not run repeats it.
-func (c *Checker) checkNotRun(runs map[string]int) {
+// checkNotRun: a caller who was told that a call did not run repeats it, under another
+// key perhaps: so none of its key may have run when it was sent.
+func (c *Checker) checkNotRun(runs *runCounts) {
 	c.observe(NotRunDidNotRun)
 	for _, r := range c.notRun {
-		f := Finding{Promise: NotRunDidNotRun, Broken: runs[r.request] > 0}
-		if f.Broken {
-			f.Detail = fmt.Sprintf("call %d: request %s was refused as not run and ran", r.number, r.request)
+		f := Finding{Promise: NotRunDidNotRun}
+		begun, ran := runs.begun[r.key]
+		switch {
+		case runs.byRequest[r.request] > 0:
+			f.Broken, f.Detail = true, fmt.Sprintf("call %d: request %s was refused as not run and ran", r.number, r.request)
+		case r.key != "" && ran && begun.Before(r.sentAt):
+			f.Broken, f.Detail = true, fmt.Sprintf("call %d: request %s was refused as not run, and its key %s had run %s before it was sent",
+				r.number, r.request, r.key, r.sentAt.Sub(begun))
 		}
 		c.add(f)
 	}
--- a/internal/standin/driver/checker_test.go
+++ b/internal/standin/driver/checker_test.go
@@ -130,6 +130,14 @@
 	answerPlant("refused as not run, and ran", driver.NotRunDidNotRun, anyCall, func(a *driver.Answer) {
 		*a = driver.Answer{Status: 503, Request: a.Request, Outcome: "NotRun", Done: true, RetryAfter: true}
 	}),
+	{"refused as not run, after its key had run", driver.NotRunDidNotRun, kind(driver.ServiceWrite), func(x, _ *exchange, _ *generator.Record, s *responder.Record) {
+		for i := range s.Runs {
+			if s.Runs[i].Key == x.call.Key {
+				s.Runs[i].Started = time.Now().Add(-time.Second)
+			}
+		}
+		x.answer = driver.Answer{Status: 503, Request: x.answer.Request + "b", Outcome: "NotRun", Done: true, RetryAfter: true, SentAt: time.Now()}
+	}},
 	{"text by another version", driver.OwnAnswer, engineCall, func(x, _ *exchange, _ *generator.Record, _ *responder.Record) {
 		x.answer.Text = generator.Expected(x.call.Version+"x", driver.EnginePrompt(&x.call), x.call.MaxTokens)
 	}},
