--- a/internal/coordination/limiter/adapt.go
+++ b/internal/coordination/limiter/adapt.go
@@ -11,6 +11,7 @@
 // idle time doesn't open it. This is the gradient of Netflix's
 // concurrency-limits with the queue wait, which companions measure, in place of
 // the difference of round-trip times, which for generated text says little.
+// The caller holds mu.
 func (l *Limiter) adapt(now time.Time) {
 	const (
 		smoothing = 0.3
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -116,6 +116,7 @@
 	return Answer{}
 }
 
+// judge has no lock of its own. The caller holds mu.
 func (l *Limiter) judge(c Call, share int) Verdict {
 	s := &l.settings
 	w := l.active[c.Workspace]
@@ -177,6 +178,7 @@
 // retryAfter draws a time to come back: as many callers as were refused in the
 // last second need at least refusalRate/finishRate seconds to be served, so
 // they are spread over at least that.
+// The caller holds mu.
 func (l *Limiter) retryAfter() time.Duration {
 	const shortest = 0.5
 	spread := 1 + l.refusalRate/max(l.finishRate, 1)
--- a/internal/coordination/retrier/retrier.go
+++ b/internal/coordination/retrier/retrier.go
@@ -174,6 +174,7 @@
 
 // wait draws the wait evenly between none and a bound that doubles ("full
 // jitter"), so that calls that failed together don't come again together.
+// The caller holds mu.
 func (r *Retrier) wait(a Attempt) time.Duration {
 	bound := min(r.settings.InitialWait<<min(a.Number-1, 20), r.settings.MaxWait)
 	wait := time.Duration(r.random.Int64N(int64(bound) + 1))
@@ -212,6 +213,7 @@
 }
 
 // evict drops the group longest unused.
+// The caller holds mu.
 func (r *Retrier) evict() {
 	var oldest string
 	var at time.Time
--- a/internal/coordination/router/prefix.go
+++ b/internal/coordination/router/prefix.go
@@ -55,6 +55,7 @@
 
 // remember notes that the backend server has the prefix. The caller holds the
 // shard's lock.
+// The caller holds mu.
 func (s *shard) remember(b *backend, prefix uint64) {
 	s.prefixes[prefix%prefixCount] = prefixPlace{prefix: prefix, index: b.index, generation: b.generation, gaps: b.cache.gaps.Load()}
 }
@@ -69,6 +70,7 @@
 
 // holder returns the backend server that has the prefix, or nil. The caller
 // holds the shard's lock.
+// The caller holds mu.
 func (s *shard) holder(w *view, prefix uint64) *backend {
 	place := &s.prefixes[prefix%prefixCount]
 	if prefix == 0 || place.prefix != prefix {
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -85,6 +85,7 @@
 
 // version returns what is known of the version, made where nothing is. The
 // caller holds the shard's lock.
+// The caller holds mu.
 func (s *shard) version(w *view, name string, hash uint64, limit int, now time.Time) *version {
 	v := s.versions[name]
 	if v == nil {
@@ -99,6 +100,7 @@
 
 // evict drops the longest idle of a few versions, the map's order being
 // random. Without it a walk over very many names would fill the memory.
+// The caller holds mu.
 func (s *shard) evict(w *view, now time.Time) {
 	const drawn = 8
 	oldest, at, n := "", now.UnixNano()+1, 0
--- a/internal/coordination/suspecter/table.go
+++ b/internal/coordination/suspecter/table.go
@@ -65,6 +65,7 @@
 	t.seen.Store(int64(len(t.own)))
 }
 
+// drop has no lock of its own. The caller holds mu.
 func (t *Table) drop(id identifier.Identity) {
 	o, ok := t.own[id]
 	if !ok {
--- a/internal/standin/demonstrator/access.go
+++ b/internal/standin/demonstrator/access.go
@@ -21,6 +21,7 @@
 func (d *Deployment) Services() []*responder.Service { return d.services }
 
 // CallerAddresses returns the entries' listeners for callers.
+// The list of processes does not change once it is handed out, without mu therefore.
 func (d *Deployment) CallerAddresses() []string {
 	var addresses []string
 	for _, n := range d.nodes {
@@ -33,6 +34,7 @@
 
 // OperatorAddresses returns the operators' listeners of all processes, those of
 // the entries first.
+// The list of processes does not change once it is handed out, without mu therefore.
 func (d *Deployment) OperatorAddresses() []string {
 	addresses := make([]string, 0, len(d.nodes))
 	for _, n := range d.nodes {
@@ -42,6 +44,7 @@
 }
 
 // Names returns the names of all processes, the entries first.
+// The list of processes does not change once it is handed out, without mu therefore.
 func (d *Deployment) Names() []string {
 	names := make([]string, 0, len(d.nodes))
 	for _, n := range d.nodes {
@@ -73,6 +76,7 @@
 }
 
 // node returns a node by name; mu is held.
+// The caller holds mu.
 func (d *Deployment) node(name string) *node {
 	for _, n := range d.nodes {
 		if n.configuration.Node == name {
@@ -144,6 +148,7 @@
 }
 
 // EngineAddresses returns the model engines' own addresses.
+// The list of processes does not change once it is handed out, without mu therefore.
 func (d *Deployment) EngineAddresses() []string {
 	var addresses []string
 	for _, n := range d.nodes {
--- a/internal/standin/demonstrator/deployment.go
+++ b/internal/standin/demonstrator/deployment.go
@@ -75,6 +75,7 @@
 	return d, nil
 }
 
+// start has no lock of its own. Nobody else has it yet: it is not shared.
 func (d *Deployment) start() error {
 	if err := d.startStandins(); err != nil {
 		return errors.Annotate(err, "starting the stand-ins")
@@ -185,6 +186,7 @@
 }
 
 // add fills in the addresses of one process; listen points into c.
+// Nobody else has it yet: it is not shared.
 func (d *Deployment) add(c *configurer.Settings, listen *string) error {
 	var err error
 	if *listen, err = d.ports.reserve(); err != nil {
--- a/internal/standin/demonstrator/faultchanges.go
+++ b/internal/standin/demonstrator/faultchanges.go
@@ -50,6 +50,7 @@
 func (c *changes) resend()        { c.update(func() { c.figures.Resent++ }) }
 func (c *changes) unresolvedOne() { c.update(func() { c.figures.Unresolved++ }) }
 
+// accept has no lock of its own. What it changes runs under mu.
 func (c *changes) accept(a change, counts bool) {
 	c.update(func() {
 		c.accepted = append(c.accepted, a)
--- a/internal/standin/disker/disk.go
+++ b/internal/standin/disker/disk.go
@@ -126,6 +126,7 @@
 }
 
 // survivor returns what a crash leaves of a file.
+// The caller holds lock.
 func (d *Disk) survivor(n *node) []byte {
 	firm := min(n.kept, len(n.synced))
 	if firm < len(n.synced) && d.random.IntN(2) == 0 {
--- a/internal/state/indexer/builder.go
+++ b/internal/state/indexer/builder.go
@@ -88,6 +88,7 @@
 
 // rebuild drops the waste of a shard. The old content stays readable while the
 // new one is built.
+// Only its caller, the one writer, replaces data: it is read without mu.
 func (s *adapters) rebuild() error {
 	fresh, err := buildAdapters(s.data.declared())
 	if err != nil {
--- a/internal/state/indexer/spaces.go
+++ b/internal/state/indexer/spaces.go
@@ -38,6 +38,7 @@
 	}
 }
 
+// space has no lock of its own. The caller holds mu.
 func (s *spaces) space(workspace string) *space {
 	p, ok := s.data[workspace]
 	if !ok {
@@ -47,6 +48,7 @@
 	return p
 }
 
+// remove has no lock of its own. The caller holds mu.
 func (s *spaces) remove(r storer.Resource) {
 	p, ok := s.data[r.Metadata.Workspace]
 	if !ok {
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -48,6 +48,7 @@
 }
 
 // load reads one segment, and keeps it open where it is the last.
+// Nobody else has it yet: it is not shared.
 func (j *Journal) load(name string, last bool, replay func(uint64, []byte) error) error {
 	path := filepath.Join(j.settings.Folder, name)
 	file, err := j.settings.FileSystem.Open(path)
@@ -87,6 +88,7 @@
 
 // dropUnborn removes a last segment whose creation was cut off by a crash: it
 // never held a record. Any other segment without a header is damage.
+// Nobody else has it yet: it is not shared.
 func (j *Journal) dropUnborn(path string, file File, b []byte, last bool) error {
 	if err := file.Close(); err != nil {
 		return errors.Trace(err)
@@ -107,6 +109,7 @@
 }
 
 // reopen makes the last known segment the active one.
+// It needs lock, once the journal is shared.
 func (j *Journal) reopen() error {
 	file, err := j.settings.FileSystem.Open(filepath.Join(j.settings.Folder, j.last().name))
 	if err != nil {
--- a/internal/state/snapshotter/store.go
+++ b/internal/state/snapshotter/store.go
@@ -95,6 +95,7 @@
 const damagedSuffix = ".damaged"
 
 // adopt checks one snapshot file and takes it in or puts it aside.
+// Nobody else has it yet: it is not shared.
 func (s *Store) adopt(name string) (damaged, err error) {
 	m, bad := s.verify(s.path(name))
 	if bad == nil {
--- a/internal/state/storer/history.go
+++ b/internal/state/storer/history.go
@@ -21,6 +21,7 @@
 	woken chan struct{}
 }
 
+// init has no lock of its own. Nobody else has it yet: it is not shared.
 func (h *history) init() { h.woken = make(chan struct{}) }
 
 // append adds the changes of one revision and keeps at most limit changes.
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -192,6 +192,7 @@
 }
 
 // otherVersion reports whether another version of the guest's adapter has a slot.
+// The caller holds mu.
 func (a *Attendant) otherVersion(g *guest) bool {
 	if g.admit.Adapter == "" {
 		return false
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -182,6 +182,7 @@
 	return service.Engine
 }
 
+// begin has no lock of its own. The caller holds mu.
 func (a *Attendant) begin(now time.Time, r Report, engine *tracker.Engine) {
 	a.table = loader.NewTable(loader.Settings{
 		Slots:           max(1, engine.MaxAdapters),
--- a/internal/transport/attendant/ordering.go
+++ b/internal/transport/attendant/ordering.go
@@ -60,6 +60,7 @@
 }
 
 // load orders an adapter and waits until the engine holds it.
+// What it tells the table runs under mu.
 func (a *Attendant) load(l loader.LoadAction) {
 	began := a.settings.Now()
 	model, adapter, version := splitVersion(l.Version)
@@ -139,6 +140,7 @@
 const missingLimit = 6
 
 // unload orders an adapter out of its slot.
+// What it tells the table runs under mu.
 func (a *Attendant) unload(u loader.UnloadAction) {
 	model, adapter, _ := splitVersion(u.Version)
 	outcome := loader.OutcomeDone
--- a/internal/transport/companion/dispatch.go
+++ b/internal/transport/companion/dispatch.go
@@ -110,6 +110,7 @@
 }
 
 // refusal checks the dispatch against what this companion is.
+// The caller holds mu.
 func (c *Companion) refusal(now time.Time, d messenger.Dispatch) *messenger.Refusal {
 	service := c.settings.Service != nil
 	switch {
--- a/internal/transport/gatekeeper/entry.go
+++ b/internal/transport/gatekeeper/entry.go
@@ -111,6 +111,7 @@
 
 // Drain refuses new requests and waits for those in progress. Its error is
 // ErrNotDrained when ctx ends first.
+// The channel stays the same from the start, and is read without mu.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.mu.Lock()
 	if !e.draining {
--- a/internal/transport/relayer/budget.go
+++ b/internal/transport/relayer/budget.go
@@ -48,6 +48,7 @@
 	return b
 }
 
+// spending has no lock of its own. The caller holds mu.
 func (b *budget) spending(now time.Time, service string) *spending {
 	s := b.services[service]
 	if s == nil {
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -88,6 +88,7 @@
 
 // watchSilence looks for engines whose host has fallen silent: new calls pass them
 // over, and what waits there goes elsewhere.
+// The interval of the looks stays the same, and is read without watchedMu.
 func (r *Relayer) watchSilence() {
 	ticker := time.NewTicker(r.watcher.Interval())
 	defer ticker.Stop()
