--- a/internal/coordination/replicator/election.go
+++ b/internal/coordination/replicator/election.go
@@ -51,39 +51,27 @@
 // countPreVote records an answer and asks for votes where a majority would give
 // them.
 func (c *Core) countPreVote(from HostID, granted bool) {
-	switch c.tally(c.preVotes, from, granted) {
+	switch won, lost := c.tally(c.preVotes, from, granted); {
 	case won:
 		c.askVotes()
 	case lost:
 		c.becomeFollower(c.hard.Term, 0)
-	case open:
 	}
 }
 
 // countVote records an answer and leads where a majority gave its vote.
 func (c *Core) countVote(from HostID, granted bool) {
-	switch c.tally(c.votes, from, granted) {
+	switch won, lost := c.tally(c.votes, from, granted); {
 	case won:
 		c.becomeLeader()
-	case lost:
-		if c.role == Candidate {
-			c.becomeFollower(c.hard.Term, 0)
-		}
-	case open:
+	case lost && c.role == Candidate:
+		c.becomeFollower(c.hard.Term, 0)
 	}
 }
 
-// ballot is how far a poll has come.
-type ballot int
-
-const (
-	open ballot = iota
-	won
-	lost
-)
-
-// tally records an answer among others and counts them.
-func (c *Core) tally(votes map[HostID]bool, from HostID, granted bool) ballot {
+// tally records an answer among others, and reports whether a majority gave its vote,
+// or can't any more.
+func (c *Core) tally(votes map[HostID]bool, from HostID, granted bool) (won, lost bool) {
 	if _, counted := votes[from]; !counted {
 		votes[from] = granted
 	}
@@ -96,14 +84,7 @@
 		}
 	}
 	configuration := c.Configuration()
-	switch {
-	case given >= configuration.Quorum():
-		return won
-	case refused > configuration.Voters()-configuration.Quorum():
-		return lost
-	default:
-		return open
-	}
+	return given >= configuration.Quorum(), refused > configuration.Voters()-configuration.Quorum()
 }
 
 // promised reports whether a leader may rely on this host's silence. A leader
