--- a/internal/coordination/replicator/election.go
+++ b/internal/coordination/replicator/election.go
@@ -176,7 +176,7 @@
 	}
 	free := c.hard.Vote == 0 || c.hard.Vote == uint64(m.From)
 	refusal := c.refusal(m, m.Term == c.hard.Term)
-	if refusal == RefusalNone && !(free && c.role == Follower && c.leader == 0) {
+	if refusal == RefusalNone && (!free || c.role != Follower || c.leader != 0) {
 		refusal = RefusalVoted
 	}
 	granted, step := refusal == RefusalNone, BallotVoteRefused
