--- a/internal/transport/listener/http_test.go
+++ b/internal/transport/listener/http_test.go
@@ -196,6 +196,30 @@
 		Expect(h.Shutdown(context.Background())).To(Succeed())
 	})
 
+	It("that is announced in the middle of an answer ends its connection after it", func() {
+		// Symptom: a caller goes on sending to an entry that has announced its stop, over
+		// a connection that it kept; a spec that waits for the connection's end hangs.
+		// Sequence: an answer is written, whole, when the stop is announced; its handler
+		// returns a moment later, and the connection becomes idle.
+		// Cause: idle connections were ended at the announcement alone, and this one was
+		// still at work then; its answer had no "Connection: close". Seen in a whole
+		// .ci/run beside others: the caller had its answer, and waited 20 s for the end.
+		told := make(chan struct{})
+		h := newServer(listen(), func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "3")
+			_, _ = io.WriteString(w, "one")
+			_ = http.NewResponseController(w).Flush()
+			<-told
+		})
+		c := dial(h.Address())
+		c.send()
+		c.receive()
+		h.Retire()
+		close(told)
+		_, err := c.reader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	It("ends with its time, and what is left with Close", func() {
 		reached := make(chan struct{})
 		h := newServer(listen(), func(_ http.ResponseWriter, r *http.Request) {
