listener: a connection that becomes idle after a stop was announced is ended

Callers went on sending to an entry that had announced its stop, over a connection that it kept, or waited for its end.

Cause: idle connections were ended at the announcement alone. One whose answer was written, but whose handler had not returned, was at work then; its answer had no "Connection: close", and nobody looked again.

Mend: becoming idle is looked at too, while the server retires.

--- a/internal/transport/listener/http.go
+++ b/internal/transport/listener/http.go
@@ -74,6 +74,11 @@
 		return
 	}
 	c.work(state == http.StateActive)
+	if state == http.StateIdle && h.retiring.Load() {
+		// Its answer was under way when the stop was announced, and did not tell its
+		// caller to go elsewhere: left open, the caller would go on sending here.
+		c.end(time.Now())
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
