--- a/internal/coordination/replicator/lease.go
+++ b/internal/coordination/replicator/lease.go
@@ -18,16 +18,7 @@
 	if c.soleVoter() {
 		return c.clock
 	}
-	at := quorumValue(c.Configuration(), func(id HostID) time.Duration {
-		if id == c.settings.Self {
-			return c.clock
-		}
-		if p := c.peers[id]; p != nil {
-			return p.roundAt
-		}
-		return 0
-	})
-	return max(at, c.electedAt)
+	return c.majorityAt(func(p *progress) time.Duration { return p.roundAt })
 }
 
 // answeredAt returns the latest time at which a majority had sent this leader an answer
@@ -38,12 +29,18 @@
 // whose round trips near the election timeout would have one election after the other,
 // and accept nothing for as long as that lasts.
 func (c *Core) answeredAt() time.Duration {
+	return c.majorityAt(func(p *progress) time.Duration { return p.answeredAt })
+}
+
+// majorityAt returns the latest time that a majority has reached, this host's own being
+// now; the election at the earliest.
+func (c *Core) majorityAt(of func(*progress) time.Duration) time.Duration {
 	at := quorumValue(c.Configuration(), func(id HostID) time.Duration {
 		if id == c.settings.Self {
 			return c.clock
 		}
 		if p := c.peers[id]; p != nil {
-			return p.answeredAt
+			return of(p)
 		}
 		return 0
 	})
