relayer, bucketer, subscriber, controller, platform: callers' keys, their revocation on every host, quotas over all entries

Keys: the configuration's workspaces are part of the routing configuration, keys as digests only. The entry finds the workspace; the attempt carries its name, and the key goes no further on any path. A key that is not known is refused on knowledge younger than the call; without that, 503.

Revocation: what is known of keys has an age that rests on the entry's own questions to the leader (a report each 250 ms): the answer covers what was accepted before the question left. A control host's pulse does not do: one that lies in a socket while the entry stands still tells an age of seconds ago as if it were now. The age is checked as a call is taken and right before each hand-over; beyond nine tenths of the time that the platform allows, calls with a key are refused as not run and the entry is unready.

Quotas: one bucket a workspace at the leader, entries admit by an estimate of it and report.

--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -61,6 +61,12 @@
 	// MethodBarrier asks the leader for a revision that covers all that was
 	// accepted (package distributor).
 	MethodBarrier Method = "Control.Barrier"
+	// MethodReport tells a control host what an entry admitted of quotas, and asks for
+	// the revision that covers all that was accepted (package bucketer).
+	MethodReport Method = "Control.Report"
+	// MethodReportBatch carries the reports of one control host to the leader (package
+	// bucketer).
+	MethodReportBatch Method = "Control.ReportBatch"
 	// MethodGoodbye tells a control host that a node leaves for good (package
 	// distributor).
 	MethodGoodbye Method = "Control.Goodbye"
--- a/internal/state/identifier/identity.go
+++ b/internal/state/identifier/identity.go
@@ -18,7 +18,7 @@
 
 // Identity names a request by its content.
 //
-// It is cut from a cryptographic hash which the caller's key goes into: what becomes of one
+// It is cut from a cryptographic hash which the caller's workspace goes into: what becomes of one
 // caller's request must not depend on another's, and a short hash would let a caller make
 // requests that pass for somebody else's. Where callers bring no key, only the same content
 // is the same request: who sends it too is kept from what it would end as well.
@@ -26,7 +26,9 @@
 
 // Request is what makes two requests the same.
 type Request struct {
-	// Caller is who sends it, by its key; empty where callers bring none.
+	// Caller is who sends it, by its key or workspace; empty where callers bring none. An address
+	// is none: one caller comes by several, since it depends on the way to the entry, on
+	// proxies between and on the failure domain.
 	Caller string
 	Method string
 	Host   string
--- a/internal/state/tracker/routing.go
+++ b/internal/state/tracker/routing.go
@@ -51,6 +51,8 @@
 	Priority int
 	// MaxAttempts bounds the backend servers that one call is handed to.
 	MaxAttempts int
+	// Public means that callers need no key.
+	Public bool
 	// Shares are the services, with a sum of weights above 0.
 	Shares []Share
 	// total is the sum of weights.
@@ -116,10 +118,15 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Keyed means that callers name their workspace by a key, but for public routes.
+	Keyed      bool
+	Workspaces []Workspace
 
 	// hosts holds each host's routes, the longest prefix first.
 	hosts map[string][]*Route
 	named map[string]*Service
+	// keys holds the workspaces by their keys' digests.
+	keys map[KeyDigest]*Workspace
 }
 
 // Compile checks the routing and makes it ready for Match. It returns an error
@@ -147,6 +154,9 @@
 		places[place] = struct{}{}
 		r.hosts[route.Host] = append(r.hosts[route.Host], route)
 	}
+	if err := r.compileKeys(); err != nil {
+		return err
+	}
 	for _, routes := range r.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -29,6 +29,7 @@
 	metrics   *metrics
 	relay     *relay
 	board     *sharedBoard
+	reports   *reports
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -76,6 +77,7 @@
 	}
 	c.source = newSharedSource(c.store)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.reports = newReports(c)
 	calls := s.Messenger
 	calls.Handler = c
 	c.pool = newLinkPool(calls, s.Random, s.Dial)
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/suspecter"
@@ -48,6 +49,10 @@
 	// due fires when the next permit may be given. Without it the store would
 	// stand idle from then to the next tick.
 	due *time.Timer
+
+	ledgerMu sync.Mutex
+	// ledger holds the workspaces to their quotas; guarded by ledgerMu.
+	ledger *bucketer.Ledger
 }
 
 func newDuties(c *Control, term uint64) *duties {
@@ -69,6 +74,7 @@
 		}, term, now, c.permitHolders(now, members)),
 		waiters: make(map[permitKey]chan permitter.Grant),
 		due:     time.NewTimer(time.Hour),
+		ledger:  bucketer.NewLedger(now),
 	}
 	d.ctx, d.cancel = context.WithCancel(c.ctx)
 	return d
--- a/internal/transport/controller/handler.go
+++ b/internal/transport/controller/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
@@ -51,6 +52,10 @@
 		return answer(params, func(r distributor.Read) (distributor.ReadAnswer, error) { return c.read(ctx, r) })
 	case messenger.MethodBarrier:
 		return answer(params, func(b distributor.Barrier) (distributor.BarrierPassed, error) { return c.barrierHere(ctx, b) })
+	case messenger.MethodReport:
+		return answer(params, func(r bucketer.Report) (bucketer.Answer, error) { return c.reports.report(ctx, r) })
+	case messenger.MethodReportBatch:
+		return answer(params, func(r bucketer.Report) (bucketer.Answer, error) { return c.reportHere(ctx, r) })
 	case messenger.MethodInForce:
 		return answer(params, func(r distributor.TallyRequest) (distributor.InForce, error) { return c.inForce(ctx, r), nil })
 	case messenger.MethodTally:
--- a/internal/transport/controller/metrics.go
+++ b/internal/transport/controller/metrics.go
@@ -18,6 +18,7 @@
 	waiting   prometheus.Gauge
 	held      prometheus.Gauge
 	leading   prometheus.Gauge
+	buckets   prometheus.Gauge
 }
 
 const namespace = "marigoldpoint_control"
@@ -51,10 +52,11 @@
 		waiting:  gauge("permits_waiting", "Requests for a load permit that wait, at the leader."),
 		held:     gauge("permits_held", "Load permits in use, at the leader."),
 		leading:  gauge("leading", "1 while this host has a leader's duties."),
+		buckets:  gauge("quota_buckets", "Workspaces whose quota is in use, at the leader."),
 	}
 	if r != nil {
 		r.MustRegister(m.elections, m.refused, m.proposals, m.sync, m.sessions, m.revision, m.age, m.members,
-			m.expired, m.deltas, m.permits, m.waiting, m.held, m.leading)
+			m.expired, m.deltas, m.permits, m.waiting, m.held, m.leading, m.buckets)
 	}
 	return m
 }
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
 // Call is what the relayer needs to know of a caller's request.
@@ -14,10 +15,8 @@
 	// Host and Path select the route.
 	Host string
 	Path string
-	// Caller is the key by which a caller names itself; empty where callers bring none.
-	// An address is none: one caller comes by several, since it depends on the way to
-	// the entry, on proxies between and on the failure domain.
-	Caller string
+	// Key stands for the key that the caller brings; zero means none.
+	Key tracker.KeyDigest
 	// Deadline is how long the caller waits; 0 means not told.
 	Deadline time.Duration
 	// Model and Adapter are empty where the call needs none.
@@ -29,6 +28,8 @@
 	// answer may have; 0 means not told.
 	PromptTokens int
 	AnswerTokens int
+	// Counted tells that the caller told them.
+	Counted bool
 	// ExpectedTokens is the caller's own guess at the size of the answer; 0 means
 	// not told. It is right at the median, and often far off.
 	ExpectedTokens int
@@ -36,6 +37,8 @@
 
 // Attempt is what a backend server is told beside the caller's own request.
 type Attempt struct {
+	// Workspace is the one that the caller's key belongs to; empty where none is needed.
+	Workspace string
 	// Left is the time that the backend server has.
 	Left time.Duration
 	// Incarnation is the life of the backend server that is meant.
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,6 +21,8 @@
 	losses      *prometheus.CounterVec
 	quarantined *prometheus.CounterVec
 	unattended  prometheus.Counter
+	quotas      *prometheus.CounterVec
+	workspaces  workspaceLabels
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -51,7 +54,11 @@
 			Name: "marigoldpoint_relayer_unattended_total", Help: "Calls sent without their companion's admission.",
 		}),
 	}
+	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
+	}, []string{"workspace", "decision"})
 	if r != nil {
+		r.MustRegister(m.quotas)
 		r.MustRegister(m.calls, m.took, m.first, m.failures, m.sendings, m.losses, m.quarantined, m.unattended)
 	}
 	return m
@@ -61,3 +68,44 @@
 	m.calls.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
 	m.took.Observe(took.Seconds())
 }
+
+// What became of a call with a quota.
+const (
+	quotaAdmitted = "admitted"
+	quotaRefused  = "refused"
+	quotaReturned = "returned"
+)
+
+// quota counts a decision on a workspace's quota.
+func (m *metrics) quota(workspace, decision string, units float64) {
+	m.quotas.WithLabelValues(m.workspaces.label(workspace), decision).Add(units)
+}
+
+// labelledWorkspaces bounds the workspaces with figures of their own.
+const labelledWorkspaces = 64
+
+// otherWorkspaces labels all beyond.
+const otherWorkspaces = "(others)"
+
+// workspaceLabels gives the first workspaces seen a label of their own.
+type workspaceLabels struct {
+	mu sync.Mutex
+	// known holds them; guarded by mu.
+	known map[string]struct{}
+}
+
+func (w *workspaceLabels) label(workspace string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, is := w.known[workspace]; is {
+		return workspace
+	}
+	if len(w.known) >= labelledWorkspaces {
+		return otherWorkspaces
+	}
+	if w.known == nil {
+		w.known = make(map[string]struct{})
+	}
+	w.known[workspace] = struct{}{}
+	return workspace
+}
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -29,6 +29,8 @@
 	verdictFailed
 	// verdictEnded means that the caller or the time is gone.
 	verdictEnded
+	// verdictBarred means that the call may not be handed over any more.
+	verdictBarred
 )
 
 const (
@@ -87,7 +89,11 @@
 // follow draws the conclusion from one sending, and reports whether there is to be
 // another. If not, the call is answered.
 func (j *job) follow(v verdict) bool {
+	j.ran = j.ran || v != verdictNotRun && v != verdictBarred
 	switch v {
+	case verdictBarred:
+		j.refuseBarred(j.bar)
+		return false
 	case verdictAnswered:
 		return false
 	case verdictEnded:
@@ -184,7 +190,7 @@
 // attempt has the call admitted, and hands it to the backend server chosen.
 func (j *job) attempt() verdict {
 	r := j.relayer
-	a := Attempt{Incarnation: j.choice.Incarnation, Urgency: -1, After: j.lastEvent, From: j.from}
+	a := Attempt{Workspace: j.workspaceName(), Incarnation: j.choice.Incarnation, Urgency: -1, After: j.lastEvent, From: j.from}
 	followed, ctx, end := r.follows(j)
 	defer end()
 	if j.service.Engine != nil {
@@ -206,13 +212,17 @@
 		if a.Version = admitted.Version; j.call.Adapter == "" {
 			a.Version = 0
 		}
-		a.Urgency = placer.Urgency(j.route.Priority, j.slack())
+		a.Urgency = placer.Urgency(j.priority(), j.slack())
 	}
 	if _, is := j.quarantined(); is {
 		// It ended another backend server while it waited here.
 		j.release(placer.EndingGivenUp)
 		return verdictNotRun
 	}
+	if j.bar = j.barred(); j.bar != nil {
+		j.release(placer.EndingGivenUp)
+		return verdictBarred
+	}
 	a.Backup = j.chooseBackup()
 	a.Left = j.deadline.Sub(r.settings.Now())
 	followed.handOver()
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -22,6 +22,16 @@
 	request *http.Request
 	call    Call
 	route   *tracker.Route
+	// workspace is the caller's; nil where it needs none. It is from the configuration of
+	// a number.
+	workspace *tracker.Workspace
+	number    uint64
+	// paidFor is what the call was charged, in units of its workspace's quota, and ran tells
+	// that a backend server may have begun it.
+	paidFor float64
+	ran     bool
+	// bar is why the call may not be handed over any more; nil while it may.
+	bar     *bar
 	service *tracker.Service
 	body    []byte
 	arrived time.Time
@@ -79,7 +89,8 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	j := &job{relayer: r, writer: w, request: request, arrived: r.settings.Now(), ctx: request.Context()}
-	if err := j.receive(); err != nil {
+	defer j.giveBack()
+	if err := j.receive(); err != nil { //nolint:contextcheck // The job holds its context.
 		return
 	}
 	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
@@ -103,10 +114,9 @@
 	if routing == nil {
 		return j.refuse(http.StatusServiceUnavailable, "no configuration is known yet", r.settings.RetryAfter)
 	}
-	if j.route = routing.Match(call.Host, call.Path); j.route == nil {
-		return j.refuse(http.StatusNotFound, "no route", 0)
+	if err := j.identify(); err != nil {
+		return err
 	}
-	j.service = routing.Service(j.route.Pick(r.draw()))
 	if j.outlasts() {
 		return j.refuse(http.StatusServiceUnavailable, "stopping", elsewhereAfter)
 	}
@@ -115,6 +125,9 @@
 		wait = min(wait, call.Deadline)
 	}
 	j.deadline = j.arrived.Add(wait)
+	if err := j.charge(); err != nil {
+		return err
+	}
 	limit := cmp.Or(routing.Limits.BodyBytes, DefaultBodyBytes)
 	if j.request.ContentLength > limit {
 		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
@@ -218,7 +231,7 @@
 		e.Stringer("Same", j.same())
 	}
 	e.Str("Request", j.call.ID).Str("Outcome", outcome).Int("Status", status).Str("Reason", reason).
-		Str("Route", name).Str("Service", service).Str("Adapter", j.call.Adapter).
+		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
 		Int("Prompt", j.call.PromptTokens).Int("Answer", j.call.AnswerTokens).Int("Expected", j.call.ExpectedTokens).
 		Dur("Target", targetOf(j.route)).Bool("Away", j.choice.Away).Int64("Bytes", j.bytes).
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/watcher"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
@@ -38,6 +39,20 @@
 	DefaultWatchInterval = 500 * time.Millisecond
 )
 
+// Control is the entry's end towards the control hosts. *subscriber.Client is one.
+type Control interface {
+	// AskedAge returns how long ago the entry asked what was accepted and has held it
+	// since, and false where it never did.
+	AskedAge() (time.Duration, bool)
+	// AwaitReport has control asked at once, and waits for an answer; it reports whether
+	// one came.
+	AwaitReport(ctx context.Context) bool
+	// Spend admits a call of a workspace with a quota, or refuses it.
+	Spend(workspace string, limit bucketer.Limit, cost float64) bucketer.Decision
+	// Refund gives back what a call that has not run was admitted with.
+	Refund(workspace string, cost float64)
+}
+
 // Settings are a Relayer's options. The zero value of a field means its documented
 // default.
 type Settings struct {
@@ -50,7 +65,12 @@
 	// Trusted reports whether what is known was lately all that was accepted; nil
 	// means always.
 	Trusted func() bool
-	Placer  *placer.Placer
+	// Control tells what is known of keys and quotas; nil means that neither are in use.
+	Control Control
+	// KeyLease is the age of what is known up to which a caller's key opens what it
+	// opened; 0 means any.
+	KeyLease time.Duration
+	Placer   *placer.Placer
 	// Pool holds the connections to backend servers.
 	Pool *exchanger.Pool
 	// Companions holds those to companions; its handler must be the relayer's.
--- a/internal/transport/relayer/suspect.go
+++ b/internal/transport/relayer/suspect.go
@@ -45,7 +45,7 @@
 
 func (j *job) content() identifier.Request {
 	return identifier.Request{
-		Caller: j.call.Caller, Method: j.request.Method, Host: j.request.Host, Target: target(j.request), Body: j.body,
+		Caller: j.caller(), Method: j.request.Method, Host: j.request.Host, Target: target(j.request), Body: j.body,
 	}
 }
 
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
@@ -22,12 +24,15 @@
 	members  *memberships
 	metrics  *metrics
 	acks     *acknowledgements
+	accounts *bucketer.Accounts
 
 	ctx     context.Context
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
 	// leave ends the present connection's use; its value says why.
 	leave chan string
+	// ask has a report sent at once.
+	ask chan struct{}
 	// applying lets one delta at a time change the replica: for a moment two
 	// connections can each bring one.
 	applying sync.Mutex
@@ -46,6 +51,12 @@
 	linkedAt time.Time
 	// lease is the configuration lease; guarded by mu.
 	lease distributor.Lease
+	// knowledge is when the node is known by its own question to have held all that was
+	// accepted; guarded by mu.
+	knowledge distributor.Lease
+	// renewed is closed and replaced when knowledge is extended or a report answered;
+	// guarded by mu.
+	renewed chan struct{}
 	// trusted is what LeaseValid said last, to record changes; guarded by mu.
 	trusted bool
 	// term is the newest leader's term heard of; guarded by mu.
@@ -84,14 +95,18 @@
 		members:  newMemberships(s.Now),
 		metrics:  newMetrics(s.Registerer),
 		acks:     newAcknowledgements(),
+		accounts: bucketer.NewAccounts(rand.New(rand.NewPCG(s.Random.Uint64(), s.Random.Uint64()))),
 		leave:    make(chan string, 1),
+		ask:      make(chan struct{}, 1),
+		renewed:  make(chan struct{}),
 		linked:   make(chan struct{}),
 		hosts:    s.Hosts,
 		lease:    distributor.Lease{Duration: s.ConfigurationLease},
 		told:     make(map[string]registrar.ServerState),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.workers.Add(4)
+	c.workers.Add(5)
+	go c.reports()
 	go c.run()
 	go c.watch()
 	go c.renewals()
@@ -225,9 +240,14 @@
 		changed := valid != c.trusted
 		c.trusted = valid
 		age, known := c.lease.Age(now)
+		asked, ever := c.knowledge.Age(now)
 		tried := c.link != nil && now.Sub(c.linkedAt) > c.settings.ConfigurationLease/2
 		c.mu.Unlock()
 		c.measure(valid, age, known)
+		c.metrics.asked.Set(-1)
+		if ever {
+			c.metrics.asked.Set(asked.Seconds())
+		}
 		if changed {
 			kind := recorder.KindConfigurationLeaseLost
 			if valid {
--- a/internal/transport/subscriber/metrics.go
+++ b/internal/transport/subscriber/metrics.go
@@ -10,6 +10,10 @@
 	connections prometheus.Counter
 	left        prometheus.Counter
 	permitWait  prometheus.Histogram
+
+	reports       prometheus.Counter
+	reportsFailed prometheus.Counter
+	asked         prometheus.Gauge
 }
 
 const namespace = "marigoldpoint_node"
@@ -32,7 +36,11 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
 		}),
 	}
+	m.reports = counter("reports_total", "Reports of quotas and keys that control answered.")
+	m.reportsFailed = counter("reports_failed_total", "Reports of quotas and keys without an answer; they are told again.")
+	m.asked = gauge("asked_age_seconds", "Time since this node last asked what was accepted and held it; -1 for never. Keys are trusted by it.")
 	if r != nil {
+		r.MustRegister(m.reports, m.reportsFailed, m.asked)
 		r.MustRegister(m.revision, m.age, m.trusted, m.connections, m.left, m.permitWait)
 	}
 	return m
--- a/internal/transport/subscriber/receiver.go
+++ b/internal/transport/subscriber/receiver.go
@@ -76,6 +76,8 @@
 	}
 	c.mu.Lock()
 	c.lease.Applied(a.Revision)
+	c.knowledge.Applied(a.Revision)
+	c.renew()
 	c.mu.Unlock()
 	if a.Revision > before {
 		c.settings.Recorder.Record(recorder.Event{Kind: recorder.KindConfigurationApplied, Revision: a.Revision})
--- a/internal/transport/subscriber/settings.go
+++ b/internal/transport/subscriber/settings.go
@@ -25,6 +25,9 @@
 	DefaultReturnInterval = 30 * time.Second
 
 	DefaultAcknowledgeInterval = 200 * time.Millisecond
+
+	DefaultReportInterval = 250 * time.Millisecond
+	DefaultTightInterval  = 100 * time.Millisecond
 )
 
 // Settings are the options of a Client.
@@ -64,6 +67,14 @@
 	// deltas, unless many are under way; 0 means DefaultAcknowledgeInterval.
 	AcknowledgeInterval time.Duration
 
+	// Keyed reports whether callers need keys now, so that the node's knowledge of them
+	// is renewed and quotas are reported; nil means never.
+	Keyed func() bool
+	// ReportInterval is the time between two reports, and TightInterval that while a
+	// quota is nearly spent; 0 means the defaults.
+	ReportInterval time.Duration
+	TightInterval  time.Duration
+
 	// Messenger holds the intervals of connections; the rest is set here.
 	Messenger messenger.Settings
 	Recorder  *recorder.Recorder
@@ -87,6 +98,8 @@
 	s.RetryMax = cmp.Or(s.RetryMax, DefaultRetryMax)
 	s.ReturnInterval = cmp.Or(s.ReturnInterval, DefaultReturnInterval)
 	s.AcknowledgeInterval = cmp.Or(s.AcknowledgeInterval, DefaultAcknowledgeInterval)
+	s.ReportInterval = cmp.Or(s.ReportInterval, DefaultReportInterval)
+	s.TightInterval = cmp.Or(s.TightInterval, DefaultTightInterval)
 	if s.Now == nil {
 		s.Now = time.Now
 	}
