gatekeeper: a spec's gate opens once its other call is off the count

'Claims says of a key that has run ... by an entry that is full' failed with 2 where 1 was due, in 6 of 600 runs with -race on busy processors. The spec's gate opened before it took its other call off the count. The other specs' gates open after what they count, or count nothing.

--- a/internal/transport/gatekeeper/claim_test.go
+++ b/internal/transport/gatekeeper/claim_test.go
@@ -162,8 +162,8 @@
 			began, begin := gate()
 			dispatch := c.dispatch
 			c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
-				begin()
 				c.dispatched.Add(-1)
+				begin()
 				<-hold
 				return dispatch(conn, d)
 			}
