--- /dev/null
+++ b/internal/coordination/bucketer/property_test.go
@@ -0,0 +1,177 @@
+package bucketer_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
+)
+
+// TestPropertyOneEntryKeepsItsQuota guards against calls beyond the quota at an entry
+// whose reports are answered, fail, or stop.
+func TestPropertyOneEntryKeepsItsQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now := start
+		limit := bucketer.Limit{Rate: rapid.Float64Range(1, 1000).Draw(t, "rate"), Burst: rapid.Float64Range(1, 1000).Draw(t, "burst"), Number: 1}
+		ledger := bucketer.NewLedger(start.Add(-time.Hour))
+		a := bucketer.NewAccounts(rand.New(rand.NewPCG(1, 2)))
+		var total, largest float64
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				r := a.Collect(now)
+				r.Host, r.Entries = "h", 1
+				a.Answered(now, bucketer.Answer{Entries: 1, Levels: ledger.Report(now, r)})
+			case 1:
+				a.Collect(now)
+				a.Failed()
+			default:
+				cost := rapid.Float64Range(0, 50).Draw(t, "cost")
+				d := a.Spend(now, "w", limit, cost)
+				if !d.Admitted {
+					if !d.Unknown && d.RetryAfter <= 0 {
+						t.Fatalf("refused without a time to come back: %+v", d)
+					}
+					break
+				}
+				if rapid.Bool().Draw(t, "runs") {
+					total, largest = total+cost, math.Max(largest, cost)
+				} else {
+					a.Refund("w", cost)
+				}
+			}
+			if most := limit.Burst + limit.Rate*now.Sub(start).Seconds() + largest; total > most+1 {
+				t.Fatalf("%v admitted, %v allowed", total, most)
+			}
+		}
+	})
+}
+
+// TestPropertyANewLeaderGivesNoBurstTwice guards against a bucket that is full again with
+// each leader.
+func TestPropertyANewLeaderGivesNoBurstTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		now := start
+		limit := bucketer.Limit{Rate: 10, Burst: 1000, Number: 1}
+		ledger := bucketer.NewLedger(start.Add(-time.Hour))
+		entries := make([]*bucketer.Accounts, 3)
+		for i := range entries {
+			entries[i] = bucketer.NewAccounts(rand.New(rand.NewPCG(1, uint64(i))))
+		}
+		report := func() {
+			for _, a := range entries {
+				r := a.Collect(now)
+				r.Host, r.Entries = "h", len(entries)
+				a.Answered(now, bucketer.Answer{Entries: len(entries), Levels: ledger.Report(now, r)})
+			}
+		}
+		var total float64
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(50 * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "loss") == 0 {
+				ledger = bucketer.NewLedger(now)
+			}
+			report()
+			for range rapid.IntRange(0, 6).Draw(t, "calls") {
+				i := rapid.IntRange(0, 2).Draw(t, "entry")
+				if entries[i].Spend(now, "w", limit, 40).Admitted {
+					total += 40
+				}
+			}
+			// Between two reports each entry admits at most what all see.
+			if most := limit.Burst + limit.Rate*now.Sub(start).Seconds() + 6*40; total > most {
+				t.Fatalf("%v admitted, %v allowed", total, most)
+			}
+		}
+	})
+}
+
+// TestPropertyReportsAddUp guards against a batch that counts otherwise than its reports.
+func TestPropertyReportsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		one, all := bucketer.NewLedger(now.Add(-time.Hour)), bucketer.NewLedger(now.Add(-time.Hour))
+		var reports []bucketer.Report
+		for range rapid.IntRange(1, 5).Draw(t, "reports") {
+			var r bucketer.Report
+			for _, name := range []string{"a", "b", "c"} {
+				if rapid.Bool().Draw(t, "uses") {
+					number := uint64(rapid.IntRange(1, 1).Draw(t, "number"))
+					r.Uses = append(r.Uses, bucketer.Use{
+						Workspace: name, Spent: float64(rapid.IntRange(0, 100).Draw(t, "spent")),
+						Limit: bucketer.Limit{Rate: 10, Burst: 100, Number: number},
+					})
+				}
+			}
+			reports = append(reports, r)
+		}
+		levels := make(map[string]float64)
+		for _, r := range reports {
+			for _, l := range one.Report(now, r) {
+				levels[l.Workspace] = l.Tokens
+			}
+		}
+		for _, l := range all.Report(now, bucketer.Merge(reports)) {
+			if l.Tokens != levels[l.Workspace] {
+				t.Fatalf("%s: %v in one, %v one by one", l.Workspace, l.Tokens, levels[l.Workspace])
+			}
+		}
+	})
+}
+
+// TestALowerLimitCounts guards against a burst that outlasts its limit.
+func TestALowerLimitCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ledger := bucketer.NewLedger(now.Add(-time.Hour))
+	level := func(l bucketer.Limit) float64 {
+		return ledger.Report(now, bucketer.Report{Uses: []bucketer.Use{{Workspace: "w", Limit: l}}})[0].Tokens
+	}
+	for _, step := range []struct {
+		limit bucketer.Limit
+		want  float64
+	}{
+		{bucketer.Limit{Rate: 1, Burst: 100, Number: 1}, 100},
+		{bucketer.Limit{Rate: 1, Burst: 20, Number: 3}, 20},
+		{bucketer.Limit{Rate: 1, Burst: 100, Number: 2}, 20},
+		{bucketer.Limit{Rate: 1, Burst: 50, Number: 4}, 50},
+	} {
+		if got := level(step.limit); got != step.want {
+			t.Errorf("limit %+v: level %v, want %v", step.limit, got, step.want)
+		}
+	}
+}
+
+// BenchmarkSpend measures one call's decision beside other workspaces in use.
+func BenchmarkSpend(b *testing.B) {
+	now := time.Unix(1000, 0)
+	ledger := bucketer.NewLedger(now.Add(-time.Hour))
+	a := bucketer.NewAccounts(rand.New(rand.NewPCG(1, 2)))
+	limit := bucketer.Limit{Rate: 1e12, Burst: 1e12, Number: 1}
+	a.Spend(now, "w", limit, 1)
+	r := a.Collect(now)
+	a.Answered(now, bucketer.Answer{Entries: 1, Levels: ledger.Report(now, r)})
+	for b.Loop() {
+		a.Spend(now, "w", limit, 1)
+	}
+}
+
+// BenchmarkReport measures a batch of 1,000 workspaces at the leader.
+func BenchmarkReport(b *testing.B) {
+	now := time.Unix(1000, 0)
+	ledger := bucketer.NewLedger(now.Add(-time.Hour))
+	var r bucketer.Report
+	for i := range 1000 {
+		r.Uses = append(r.Uses, bucketer.Use{Workspace: string(rune('a'+i%26)) + string(rune('a'+i/26)), Limit: bucketer.Limit{Rate: 1, Burst: 1, Number: 1}})
+	}
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		ledger.Report(now, r)
+	}
+}
--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
@@ -130,6 +131,44 @@
 		}
 	})
 
+	// Guards against quotas that are given anew, and knowledge of keys that is not renewed,
+	// after the loss of the leader.
+	It("goes on answering reports over the loss of the leader", func() {
+		asking := func(s *subscriber.Settings) {
+			shortLease(s)
+			s.Keyed = func() bool { return true }
+		}
+		var entries []*node
+		for i := range 3 {
+			n := g.node(fmt.Sprint("entry-", i), fmt.Sprintf("d%d", i+1), distributor.ScopeEntry, asking)
+			DeferCleanup(n.Close)
+			entries = append(entries, n)
+		}
+		limit := bucketer.Limit{Rate: 30, Burst: 30, Number: 1}
+		spent, began := 0, time.Now()
+		drain := func() {
+			for _, e := range entries {
+				if e.Spend("w", limit, 1).Admitted {
+					spent++
+				}
+			}
+		}
+		Expect(entries[0].Spend("w", limit, 1).Unknown).To(BeTrue())
+		Eventually(func() int { drain(); return spent }, patience, "20ms").Should(BeNumerically(">=", 40))
+		Expect(g.kill(g.leader())).To(Succeed())
+		Eventually(g.leader, patience).ShouldNot(Equal(-1))
+		for _, e := range entries {
+			killed := time.Now()
+			Eventually(func() bool {
+				age, ok := e.AskedAge()
+				return ok && age < time.Since(killed)
+			}, patience).Should(BeTrue())
+		}
+		drain()
+		allowed := limit.Burst + limit.Rate*time.Since(began).Seconds() + float64(len(entries))
+		Expect(float64(spent)).To(BeNumerically("<=", allowed))
+	})
+
 	// Symptom: orders with an old fencing number go on being given by a
 	// companion that was replaced.
 	// Sequence: a companion is frozen; another incarnation joins under its name;
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -40,7 +40,8 @@
 	ms, err := strconv.Atoi(r.Header.Get("Deadline"))
 	c := relayer.Call{ID: r.Header.Get("Id"), Host: r.Host, Path: r.URL.Path, Deadline: time.Duration(ms) * time.Millisecond}
 	c.Model, c.Adapter, _ = strings.Cut(r.Header.Get("Model"), "/")
-	c.PromptTokens, c.AnswerTokens = 100, 100
+	c.PromptTokens, c.AnswerTokens, c.Counted = 100, 100, true
+	c.Key = tracker.DigestKey(r.Header.Get("Key"))
 	// A guess that isn't told is 0.
 	c.ExpectedTokens, _ = strconv.Atoi(r.Header.Get("Expected"))
 	return c, err
@@ -48,6 +49,7 @@
 
 func (translator) Header(received http.Header, a relayer.Attempt) http.Header {
 	h := received.Clone()
+	h.Set("Workspace", a.Workspace)
 	h.Set("Expect-Life", a.Incarnation)
 	h.Set("Backup", a.Backup)
 	h.Set("From", a.From)
@@ -174,6 +176,10 @@
 	// what it answers; guarded by mu.
 	told    []storer.Command
 	tellErr error
+	// keyed are the workspaces; nil means that callers need no key. Guarded by mu.
+	keyed []tracker.Workspace
+	// control stands in for the control hosts.
+	control control
 }
 
 // newEntry returns an entry before the backends, of which the route tells more.
@@ -192,7 +198,12 @@
 	}
 	e.tracker = tracker.NewTracker(tracker.Settings{
 		Decode: func([]byte) (*tracker.Routing, error) {
-			r := &tracker.Routing{Number: 1, Routes: []tracker.Route{route}, Services: []tracker.Service{{Name: "s", Engine: engine}}}
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			r := &tracker.Routing{
+				Number: e.view, Routes: []tracker.Route{route}, Services: []tracker.Service{{Name: "s", Engine: engine}},
+				Keyed: e.keyed != nil, Workspaces: e.keyed,
+			}
 			err := r.Compile()
 			return r, err
 		},
@@ -213,7 +224,7 @@
 			defer e.mu.Unlock()
 			return cmp.Or(e.companions[m.Name], companion)
 		},
-		Random: random, Log: zerolog.New(e.log), Tell: e.tell,
+		Random: random, Log: zerolog.New(e.log), Tell: e.tell, Control: &e.control, KeyLease: keyLease,
 		Now: func() time.Time { return time.Now().Add(time.Duration(e.later.Load())) },
 	})
 	e.server = httptest.NewServer(e.relayer)
@@ -227,13 +238,22 @@
 	if len(backends) == 0 {
 		return e
 	}
-	e.put(storer.KindRouting, storer.RoutingName, storer.RoutingSpec{Number: 1})
+	e.reconfigure(nil)
 	for i, b := range backends {
 		e.announce(i, b, storer.MemberStateServing)
 	}
 	return e
 }
 
+// reconfigure puts a configuration with some workspaces in force.
+func (e *entry) reconfigure(keyed []tracker.Workspace) {
+	GinkgoHelper()
+	e.mu.Lock()
+	e.keyed = keyed
+	e.mu.Unlock()
+	e.put(storer.KindRouting, storer.RoutingName, storer.RoutingSpec{Number: e.view + 1})
+}
+
 // tell keeps what the replicated state is told.
 func (e *entry) tell(_ context.Context, c storer.Command) error {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/transport/relayer/keys_test.go
@@ -0,0 +1,158 @@
+package relayer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+)
+
+const keyLease = 4 * time.Second
+
+// control stands in for the control hosts, as an entry's client shows them.
+type control struct {
+	mu sync.Mutex
+	// age is that of what is known, and answers has a report answered, after which the
+	// knowledge is young; both guarded by mu.
+	age     time.Duration
+	answers bool
+	// decision is what becomes of calls with a quota; guarded by mu.
+	decision bucketer.Decision
+	// balance is what was spent less what was given back; guarded by mu.
+	balance float64
+}
+
+func (c *control) set(age time.Duration, answers bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.age, c.answers = age, answers
+}
+
+func (c *control) AskedAge() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.age, c.age >= 0
+}
+
+func (c *control) AwaitReport(context.Context) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answers {
+		c.age = 0
+	}
+	return c.answers
+}
+
+func (c *control) Spend(_ string, _ bucketer.Limit, cost float64) bucketer.Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.decision.Admitted {
+		c.balance += cost
+	}
+	return c.decision
+}
+
+func (c *control) Refund(_ string, cost float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.balance -= cost
+}
+
+func (c *control) spent() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.balance
+}
+
+func keyed(key string) []tracker.Workspace {
+	return []tracker.Workspace{{
+		Name: "w", Keys: []tracker.KeyDigest{tracker.DigestKey(key)}, Priority: 7, Ranked: true,
+		Quota: tracker.Quota{Rate: 10, Burst: 10, Tokens: true},
+	}}
+}
+
+var _ = Describe("A caller's key", func() {
+	var b *backend
+	var e *entry
+	ctx := context.Background()
+	with := func(key string) map[string]string { return map[string]string{"Key": key, "Model": "m/a"} }
+
+	BeforeEach(func() {
+		b = newBackend(text("200", signed, "ok"))
+		e = newEntry(tracker.Route{}, &tracker.Engine{Models: []tracker.Model{{Name: "m"}}}, b)
+		e.control.decision = bucketer.Decision{Admitted: true}
+		e.reconfigure(keyed("k"))
+		e.place(e.tracker.View().Members("s")[0])
+	})
+
+	It("opens what its workspace may use", func() {
+		Expect(e.ask(ctx, with("k")).StatusCode).To(Equal(http.StatusOK))
+		Expect(e.control.spent()).To(BeEquivalentTo(200))
+	})
+
+	// Guards against 401 for a key that is in force elsewhere already.
+	It("is refused as unknown only on knowledge younger than the call", func() {
+		e.control.set(time.Second, false)
+		Expect(e.ask(ctx, with("other")).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		e.control.set(time.Second, true)
+		Expect(e.ask(ctx, with("other")).StatusCode).To(Equal(http.StatusUnauthorized))
+		Expect(b.runs.Load()).To(BeZero())
+	})
+
+	// Guards against runs of revoked keys at an entry that is cut off, or stood still.
+	It("opens nothing where what is known is too old", func() {
+		e.control.set(keyLease, false)
+		refused := e.ask(ctx, with("k"))
+		Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(e.relayer.KeysTrusted()).To(BeFalse())
+		e.control.set(keyLease-time.Millisecond, false)
+		Expect(e.ask(ctx, with("k")).StatusCode).To(Equal(http.StatusOK))
+		Expect(e.relayer.KeysTrusted()).To(BeTrue())
+	})
+
+	DescribeTable("is looked at again right before the call is handed over",
+		// Guards against runs of calls whose key was taken away, or whose entry lost contact,
+		// while they waited for their adapter.
+		func(meanwhile func(), status int) {
+			e.admit = func(m messenger.Admit) (messenger.Admitted, error) {
+				e.mu.Unlock()
+				defer e.mu.Lock()
+				meanwhile()
+				return messenger.Admitted{Version: m.Version}, nil
+			}
+			Expect(e.ask(ctx, with("k")).StatusCode).To(Equal(status))
+			Expect(b.runs.Load()).To(BeZero())
+			Eventually(e.control.spent).Should(BeZero(), "what has not run is given back")
+		},
+		Entry("where it was taken away", func() { e.reconfigure(keyed("new")) }, http.StatusUnauthorized),
+		Entry("where contact was lost", func() { e.control.set(time.Hour, false) }, http.StatusServiceUnavailable),
+	)
+
+	It("is refused over its workspace's quota, with the time to come back", func() {
+		e.control.mu.Lock()
+		e.control.decision = bucketer.Decision{RetryAfter: 700 * time.Millisecond}
+		e.control.mu.Unlock()
+		refused := e.ask(ctx, with("k"))
+		Expect(refused.StatusCode).To(Equal(http.StatusTooManyRequests))
+		Expect(refused.Header.Get("Retry-After")).To(Equal("0.700"))
+	})
+
+	// Guards against calls that are paid for twice, or that never ran and stay paid for.
+	It("pays once for a call with several attempts, and nothing for one that did not run", func() {
+		refuse := func(c net.Conn, r *http.Request) { text("503", "Not-Run: yes\r\n", "")(c, r) }
+		other := newBackend(refuse)
+		b.script = refuse
+		e.announce(1, other, 0)
+		Expect(e.ask(ctx, with("k")).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Eventually(e.control.spent).Should(BeZero())
+	})
+})
