gatekeeper, storer: quotas of tokens for the own API's workspaces, over all entries

A workspace's TokenRate and TokenBurst, checked as the others of its fields; the entry charges a call's estimated tokens from the same accounts as the relayer, refuses what is over (429, over_quota, with the time to come back) and gives back what has not run. Calls without a quota cost one comparison more. Keys of this API keep their present promise: what is known goes on to be served without contact.

--- a/internal/protocol/translator/fault.go
+++ b/internal/protocol/translator/fault.go
@@ -30,6 +30,7 @@
 	CodeServiceNotFound  Code = "service_not_found"
 	CodeWorkspaceLimit   Code = "workspace_limit"
 	CodeOverShare        Code = "over_share"
+	CodeOverQuota        Code = "over_quota"
 	CodeQuarantined      Code = "request_quarantined"
 	CodeEntryLimit       Code = "entry_limit"
 	CodeStopping         Code = "stopping"
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -47,6 +47,11 @@
 	// MaxInFlight bounds the workspace's requests in progress at one entry; 0
 	// means the entry's own limit.
 	MaxInFlight int `cbor:"2,keyasint,omitempty"`
+	// TokenRate is the workspace's quota over all entries together, in tokens of prompts and
+	// answers a second; 0 means no limit.
+	TokenRate int64 `cbor:"3,keyasint,omitempty"`
+	// TokenBurst is what of the quota may be saved up, in tokens; 0 means that of a second.
+	TokenBurst int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // AdapterSpec declares an adapter of a base model.
--- a/internal/state/storer/validator.go
+++ b/internal/state/storer/validator.go
@@ -163,6 +163,12 @@
 		return errors.Errorf("Spec.Share %d is not within 0 to %d", s.Share, MaxShare)
 	case s.MaxInFlight < 0:
 		return errors.Errorf("Spec.MaxInFlight %d is negative", s.MaxInFlight)
+	case s.TokenRate < 0:
+		return errors.Errorf("Spec.TokenRate %d is negative", s.TokenRate)
+	case s.TokenBurst < 0:
+		return errors.Errorf("Spec.TokenBurst %d is negative", s.TokenBurst)
+	case s.TokenBurst > 0 && s.TokenRate == 0:
+		return errors.Errorf("Spec.TokenBurst %d without a TokenRate", s.TokenBurst)
 	default:
 		return nil
 	}
--- a/internal/transport/gatekeeper/fixture_test.go
+++ b/internal/transport/gatekeeper/fixture_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
@@ -74,6 +75,10 @@
 	// before and after may fail a proposal before or after it took effect.
 	before, after func(storer.Command) error
 	lost          atomic.Bool
+	// quota is what becomes of calls with one, and balance what was spent less what was
+	// given back; guarded by mu.
+	quota   bucketer.Decision
+	balance float64
 }
 
 func (c *control) Propose(_ context.Context, e storer.Envelope) (storer.Result, error) {
@@ -98,6 +103,36 @@
 	return r, nil
 }
 
+// Spend admits calls while the decision that the test set says so.
+func (c *control) Spend(_ string, _ bucketer.Limit, cost float64) bucketer.Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.quota.Admitted {
+		c.balance += cost
+	}
+	return c.quota
+}
+
+func (c *control) Refund(_ string, cost float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.balance -= cost
+}
+
+func (c *control) AwaitReport(context.Context) bool { return false }
+
+func (c *control) spent() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.balance
+}
+
+func (c *control) decide(d bucketer.Decision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quota = d
+}
+
 func (c *control) LeaseValid() bool                { return !c.lost.Load() }
 func (c *control) OnDigest(func(registrar.Digest)) {}
 
--- a/internal/transport/gatekeeper/request.go
+++ b/internal/transport/gatekeeper/request.go
@@ -37,6 +37,8 @@
 	attempts int
 	// ran tells that an attempt may have run. It never goes back to false.
 	ran bool
+	// paidFor is what the call was charged, in tokens of its workspace's quota.
+	paidFor float64
 	// wait is the queue wait that the last answer told; negative for none.
 	wait time.Duration
 }
@@ -54,6 +56,10 @@
 		Workspace: q.dispatch.Workspace, Share: workspace.Share,
 		MaxInFlight: workspace.MaxInFlight, Tokens: q.dispatch.Tokens,
 	}
+	if fault := q.charge(workspace); fault != nil {
+		return fault
+	}
+	defer q.giveBack()
 	if a := e.limiter.Admit(e.settings.Now(), admission); a.Verdict != limiter.VerdictAdmitted {
 		return limited(a)
 	}
@@ -143,12 +149,12 @@
 			return fault
 		}
 		last = q.attempt(ctx)
+		q.ran = q.ran || last.outcome != messenger.OutcomeNotRun
 		if last.outcome == messenger.OutcomeCompleted {
 			q.entry.retrier.Succeeded(q.entry.settings.Now(), q.call.Pool.Name)
 			q.survived(ctx)
 			return nil
 		}
-		q.ran = q.ran || last.outcome == messenger.OutcomeUnknown
 		if q.quarantined() != nil {
 			return q.fault(last)
 		}
--- a/internal/transport/gatekeeper/settings.go
+++ b/internal/transport/gatekeeper/settings.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/router"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
@@ -41,6 +42,13 @@
 	Propose(ctx context.Context, e storer.Envelope) (storer.Result, error)
 	// LeaseValid reports whether the configuration is known to be in force.
 	LeaseValid() bool
+	// Spend admits a call of a workspace with a quota, or refuses it.
+	Spend(workspace string, limit bucketer.Limit, cost float64) bucketer.Decision
+	// Refund gives back what a call that has not run was admitted with.
+	Refund(workspace string, cost float64)
+	// AwaitReport has control asked at once for what is left of quotas, and reports whether
+	// an answer came.
+	AwaitReport(ctx context.Context) bool
 	// OnDigest registers what takes residency and load changes.
 	OnDigest(f func(registrar.Digest))
 }
--- a/internal/transport/subscriber/reports.go
+++ b/internal/transport/subscriber/reports.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -44,8 +45,10 @@
 	return false
 }
 
-// Spend admits a call of a workspace with a quota, or refuses it.
+// Spend admits a call of a workspace with a quota, or refuses it. A limit without a number
+// is that of the revision held.
 func (c *Client) Spend(workspace string, limit bucketer.Limit, cost float64) bucketer.Decision {
+	limit.Number = cmp.Or(limit.Number, c.settings.Index.Revision())
 	return c.accounts.Spend(c.settings.Now(), workspace, limit, cost)
 }
 
@@ -70,7 +73,7 @@
 		case <-timer.C:
 		case <-c.ask:
 		}
-		if c.settings.Keyed != nil && c.settings.Keyed() {
+		if c.accounts.Len() > 0 || c.settings.Keyed != nil && c.settings.Keyed() {
 			c.report()
 		}
 		timer.Reset(c.reportPause())
--- a/internal/transport/subscriber/settings.go
+++ b/internal/transport/subscriber/settings.go
@@ -68,7 +68,7 @@
 	AcknowledgeInterval time.Duration
 
 	// Keyed reports whether callers need keys now, so that the node's knowledge of them
-	// is renewed and quotas are reported; nil means never.
+	// is renewed; nil means never. Quotas in use are reported in any case.
 	Keyed func() bool
 	// ReportInterval is the time between two reports, and TightInterval that while a
 	// quota is nearly spent; 0 means the defaults.
