--- a/internal/coordination/bucketer/model_test.go
+++ b/internal/coordination/bucketer/model_test.go
@@ -338,7 +338,11 @@
 // together admit beyond its quota, and against refusals below it.
 func TestQuotasHoldOverAllEntries(t *testing.T) {
 	table := os.Getenv("MODEL_TABLE") != ""
-	for _, entries := range []int{28, 300} {
+	sizes := []int{28, 300}
+	if table {
+		sizes = append(sizes, 930)
+	}
+	for _, entries := range sizes {
 		for _, rate := range []float64{30_000, 270_000} {
 			for _, s := range scenes {
 				for name, way := range map[string]func(time.Time, int, bucketer.Limit) way{"reconciled": newReconciled, "leased": newLeased} {
