--- a/internal/coordination/bucketer/accounts.go
+++ b/internal/coordination/bucketer/accounts.go
@@ -37,19 +37,19 @@
 // account is one workspace's.
 type account struct {
 	limit Limit
-	// level is what the leader told of the bucket at the time told; zero while it has told
-	// nothing. It covers what was reported until then.
+	// level is what the leader reported of the bucket for the time at, which is zero while it
+	// has not. It covers what was reported until then.
 	level float64
-	told  time.Time
+	at    time.Time
 	// total is what all entries admitted then, in units a second.
 	total float64
-	// own is what this entry admits, and ownTold what it admitted when the level was told.
+	// own is what this entry admits, and ownThen what it admitted at the time at.
 	own     rate
-	ownTold float64
+	ownThen float64
 	// unreported is what was admitted and not reported, and underWay what the report under
 	// way tells.
 	unreported, underWay float64
-	// largest is the largest call since the level was told.
+	// largest is the largest call since the time at.
 	largest float64
 	used    time.Time
 	refused rate
@@ -63,7 +63,7 @@
 	// RetryAfter is the time in which the bucket will hold the call, counting those
 	// refused before it.
 	RetryAfter time.Duration
-	// Level is the estimate that decided, in units, and Age that of the level told.
+	// Level is the estimate that decided, in units, and Age that of the level reported.
 	Level float64
 	Age   time.Duration
 }
@@ -90,10 +90,10 @@
 	}
 	c.follow(limit)
 	c.used = now
-	if c.told.IsZero() || now.Sub(c.told) > forgetAfter {
+	if c.at.IsZero() || now.Sub(c.at) > forgetAfter {
 		return Decision{Unknown: true, RetryAfter: leastWait}
 	}
-	d := Decision{Level: c.estimate(now, a.entries), Age: now.Sub(c.told)}
+	d := Decision{Level: c.estimate(now, a.entries), Age: now.Sub(c.at)}
 	if d.Admitted = d.Level > 0; d.Admitted {
 		c.unreported += cost
 		c.own.add(now, cost)
@@ -130,7 +130,7 @@
 			continue
 		}
 		u := Use{Workspace: name, Limit: c.limit, Spent: c.unreported}
-		if !c.told.IsZero() && now.Sub(c.told) <= forgetAfter {
+		if !c.at.IsZero() && now.Sub(c.at) <= forgetAfter {
 			u.Level, u.Known = math.Round(c.estimate(now, a.entries)+c.unreported), true
 		}
 		c.underWay, c.unreported = c.unreported, 0
@@ -149,13 +149,13 @@
 		if c == nil {
 			continue
 		}
-		c.level, c.told, c.total = l.Tokens, at, l.Rate
-		c.ownTold, c.largest = c.own.at(at), 0
+		c.level, c.at, c.total = l.Tokens, at, l.Rate
+		c.ownThen, c.largest = c.own.at(at), 0
 		c.underWay = 0
 	}
 }
 
-// Failed takes back a report that may not have arrived: it is told again.
+// Failed takes back a report that may not have arrived: the next one repeats it.
 func (a *Accounts) Failed() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -170,7 +170,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, c := range a.accounts {
-		if now.Sub(c.used) < rateWindow && !c.told.IsZero() && c.estimate(now, a.entries) < c.limit.Burst/2 {
+		if now.Sub(c.used) < rateWindow && !c.at.IsZero() && c.estimate(now, a.entries) < c.limit.Burst/2 {
 			return true
 		}
 	}
@@ -193,17 +193,17 @@
 	if c.total <= 0 {
 		return even
 	}
-	return min(1, max(even, c.ownTold/c.total))
+	return min(1, max(even, c.ownThen/c.total))
 }
 
-// estimate returns the bucket's level at now. Since the level was told, the others are
+// estimate returns the bucket's level at now. Since the leader's report the others are
 // taken to go on at their rate; where that was long ago, to have grown as this entry's
 // own calls did, beyond one call, which says nothing.
 func (c *account) estimate(now time.Time, entries int) float64 {
-	passed := now.Sub(c.told).Seconds()
+	passed := now.Sub(c.at).Seconds()
 	spent := c.unreported + c.underWay
-	others := max(0, c.total-c.ownTold) * passed
-	if now.Sub(c.told) > staleAfter {
+	others := max(0, c.total-c.ownThen) * passed
+	if now.Sub(c.at) > staleAfter {
 		s := c.share(entries)
 		others = max(others, max(0, spent-c.largest)*(1-s)/s)
 	}
--- a/internal/coordination/bucketer/doc.go
+++ b/internal/coordination/bucketer/doc.go
@@ -2,7 +2,7 @@
 //
 // A quota is a token bucket. The leader's Ledger has one bucket for each workspace that
 // is in use. An entry's Accounts admit calls by an estimate of that bucket: its level as
-// the leader last told it, what has flowed in since, what the entry itself has admitted,
+// the leader last reported it, what has flowed in since, what the entry itself has admitted,
 // and what the other entries are likely to have. Entries report what they admitted a few
 // times a second. What all admit beyond the bucket meanwhile makes its level negative,
 // so that it is paid back before anything else is admitted.
--- a/internal/coordination/bucketer/ledger.go
+++ b/internal/coordination/bucketer/ledger.go
@@ -12,7 +12,7 @@
 	// idleAfter is the time without a report after which a full bucket is dropped, since
 	// one that is made anew is full too, and a control host counts no more.
 	idleAfter = 10 * time.Second
-	// sweepInterval is the time between two looks for idle buckets.
+	// sweepInterval is the time between two sweeps for idle buckets.
 	sweepInterval = time.Second
 	// youngFor is the time after a ledger's begin in which the lowest level that an entry
 	// knows counts.
@@ -29,7 +29,7 @@
 	swept time.Time
 }
 
-// hostEntries is what a control host told last of its entries.
+// hostEntries is what a control host reported last of its entries.
 type hostEntries struct {
 	entries int
 	at      time.Time
--- a/internal/coordination/bucketer/report.go
+++ b/internal/coordination/bucketer/report.go
@@ -1,6 +1,6 @@
 package bucketer
 
-// Use is what an entry tells of one workspace.
+// Use is what an entry reports of one workspace.
 type Use struct {
 	Workspace string `json:"W"`
 	Limit     `json:"Q"`
@@ -8,7 +8,7 @@
 	// back, in units.
 	Spent float64 `json:"S,omitempty"`
 	// Level is the entry's estimate of the bucket before Spent, in units, and Known tells
-	// that it rests on what a leader told lately.
+	// that it rests on a leader's recent answer.
 	Level float64 `json:"L,omitempty"`
 	Known bool    `json:"K,omitempty"`
 }
