relayer: attempts, incarnations, polls: the field's terms in place of the project's own

Names and comments only: sending is attempt, life incarnation, look poll or inspect; goOn, mayGo, follow, lose, leave and told are resume, allowAttempt, handleResult, recordLoss, abandon and subscribed. Log lines and metrics keep their names, by which operators' tools find them.

--- a/internal/transport/relayer/attending.go
+++ b/internal/transport/relayer/attending.go
@@ -36,7 +36,7 @@
 }
 
 // doubtAll has all companions attended where one is silent that was not at the last
-// look. The caller holds watchedMu.
+// poll. The caller holds watchedMu.
 func (r *Relayer) doubtAll(now time.Time, silent map[string]string) {
 	for name := range silent {
 		if _, known := r.silentLast[name]; !known {
--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -47,13 +47,13 @@
 // on: engines send what is new several times a second.
 const backupDelay = 400 * time.Millisecond
 
-// goOn reports whether the request can go on from the copy of its memory, and makes
-// the next sending do so.
+// resume reports whether the request can go on from the copy of its memory, and makes
+// the next attempt do so.
 //
 // Without a copy the second engine refuses the request, unless it is lost in that
 // moment: nobody could then tell whether it had begun anew. So a request goes on
 // only where its copy must have come.
-func (j *job) goOn() bool {
+func (j *job) resume() bool {
 	if j.backup.Name == "" || !j.began || j.relayer.settings.Now().Sub(j.firstAt) < backupDelay {
 		return false
 	}
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -41,7 +41,7 @@
 	Workspace string
 	// Left is the time that the backend server has.
 	Left time.Duration
-	// Incarnation is the life of the backend server that is meant.
+	// Incarnation is the incarnation of the backend server that is meant.
 	Incarnation string
 	// Version is the adapter's; 0 means that none is meant.
 	Version uint64
@@ -64,7 +64,7 @@
 	Request string
 	// NotRun means that the backend server has not run the request.
 	NotRun bool
-	// Elsewhere means that another life of the backend server than the one meant
+	// Elsewhere means that another incarnation of the backend server than the one meant
 	// has answered; it has not run the request.
 	Elsewhere bool
 	// Signed means that the backend server has run it and vouches for the answer.
--- a/internal/transport/relayer/export_test.go
+++ b/internal/transport/relayer/export_test.go
@@ -10,7 +10,7 @@
 func (r *Relayer) FallSilent(service, name string) {
 	now := r.settings.Now().Add(time.Hour)
 	r.settings.Placer.Suspect(service, name, now)
-	r.leave(now, name)
+	r.abandon(now, name)
 }
 
 // WatchMeanwhile has the companion of the first member of a service watched again and
@@ -25,7 +25,7 @@
 	})
 	both.Go(func() {
 		for range times {
-			r.told(m)
+			r.subscribed(m)
 		}
 	})
 	both.Wait()
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -17,7 +17,7 @@
 	took        prometheus.Histogram
 	first       prometheus.Histogram
 	failures    *prometheus.CounterVec
-	sendings    *prometheus.CounterVec
+	attempts    *prometheus.CounterVec
 	losses      *prometheus.CounterVec
 	quarantined *prometheus.CounterVec
 	unattended  prometheus.Counter
@@ -41,7 +41,7 @@
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_failed_sends_total", Help: "Sendings that did not answer their call, by service.",
 		}, []string{labelService}),
-		sendings: prometheus.NewCounterVec(prometheus.CounterOpts{
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_sendings_total", Help: "Sendings by service and how they ended.",
 		}, []string{labelService, "end"}),
 		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -59,7 +59,7 @@
 	}, []string{"workspace", "decision"})
 	if r != nil {
 		r.MustRegister(m.quotas)
-		r.MustRegister(m.calls, m.took, m.first, m.failures, m.sendings, m.losses, m.quarantined, m.unattended)
+		r.MustRegister(m.calls, m.took, m.first, m.failures, m.attempts, m.losses, m.quarantined, m.unattended)
 	}
 	return m
 }
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -35,8 +35,8 @@
 	stopAt atomic.Int64
 	// lostAt is when a stream broke last, in nanoseconds since 1970.
 	lostAt atomic.Int64
-	// look wakes the watch over companions.
-	look chan struct{}
+	// poll wakes the watch over companions.
+	poll chan struct{}
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -47,7 +47,7 @@
 	watched map[string]companion
 	// watcher tells which of them are silent; guarded by watchedMu.
 	watcher *watcher.Watcher
-	// silentLast are those that were silent at the last look, with their services, and
+	// silentLast are those that were silent at the last check, with their services, and
 	// doubtUntil is until when all are attended; guarded by watchedMu.
 	silentLast map[string]string
 	doubtUntil time.Time
@@ -62,10 +62,10 @@
 	reviewed uint64
 
 	lossesMu sync.Mutex
-	// losses holds what breaks just now, and looking counts what is looked into; guarded
+	// losses holds what breaks just now, and inspecting counts what is inspected; guarded
 	// by lossesMu.
-	losses  map[life]*loss
-	looking int
+	losses     map[incarnation]*loss
+	inspecting int
 
 	attemptsMu sync.Mutex
 	// attempts holds those in progress, by the engine's name; guarded by attemptsMu.
@@ -80,13 +80,13 @@
 		settings: s,
 		metrics:  newMetrics(s.Registerer),
 		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
-		look:     make(chan struct{}, 1),
+		poll:     make(chan struct{}, 1),
 		random:   s.Random,
 		watched:  make(map[string]companion),
 		watcher:  watcher.NewWatcher(s.Silence),
 		engines:  make(map[*messenger.Conn]string),
 		suspects: suspecter.NewTable(suspecter.Settings{}),
-		losses:   make(map[life]*loss),
+		losses:   make(map[incarnation]*loss),
 		attempts: make(map[string]map[*attempt]struct{}),
 	}
 	r.root, r.cancel = context.WithCancel(context.Background())
@@ -121,7 +121,7 @@
 	r.endFormer(v)
 	r.endQuarantined(v)
 	select {
-	case r.look <- struct{}{}:
+	case r.poll <- struct{}{}:
 	default:
 	}
 }
@@ -186,7 +186,7 @@
 		case <-r.root.Done():
 			return
 		case <-ticker.C:
-		case <-r.look:
+		case <-r.poll:
 		}
 		v := r.settings.View()
 		if v.Routing == nil {
@@ -201,7 +201,7 @@
 		})
 		r.unwatch(wanted)
 		for _, m := range wanted {
-			if !r.told(m) {
+			if !r.subscribed(m) {
 				r.tasks.Go(func() { r.watch(m) })
 			}
 		}
@@ -221,9 +221,9 @@
 	})
 }
 
-// told reports whether a companion tells its state on the connection in use, and the
+// subscribed reports whether a companion tells its state on the connection in use, and the
 // state is known.
-func (r *Relayer) told(m tracker.Member) bool {
+func (r *Relayer) subscribed(m tracker.Member) bool {
 	conn := r.settings.Companions.Live(r.settings.CompanionAddress(m))
 	r.watchedMu.Lock()
 	c := r.watched[m.Name]
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -15,7 +15,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
-// verdict tells what became of one sending.
+// verdict tells what became of one attempt.
 type verdict int
 
 const (
@@ -38,7 +38,7 @@
 	// included that refused it unread.
 	maxTries = 6
 	// holdPause is the wait before a call that nobody could take is offered again,
-	// and before what a process that has just started knows is looked at again.
+	// and before what a process that has just started knows is read again.
 	holdPause = 100 * time.Millisecond
 	// busyPause is the wait before a call is offered again to backend servers that have
 	// as many as they are to have: a third of a short call.
@@ -76,19 +76,19 @@
 			try = 0
 			continue
 		}
-		if !j.mayGo() {
+		if !j.allowAttempt() {
 			j.exhausted("no attempt or retry budget left")
 			return
 		}
-		if !j.follow(j.attempt()) {
+		if !j.handleResult(j.attempt()) {
 			return
 		}
 	}
 }
 
-// follow draws the conclusion from one sending, and reports whether there is to be
+// handleResult draws the conclusion from one attempt, and reports whether there is to be
 // another. If not, the call is answered.
-func (j *job) follow(v verdict) bool {
+func (j *job) handleResult(v verdict) bool {
 	j.ran = j.ran || v != verdictNotRun && v != verdictBarred
 	switch v {
 	case verdictBarred:
@@ -106,7 +106,7 @@
 		}
 		j.from = ""
 	case verdictUnknown, verdictFailed:
-		if j.mayHaveRun = true; v == verdictUnknown && j.goOn() {
+		if j.mayHaveRun = true; v == verdictUnknown && j.resume() {
 			return true
 		}
 		if !j.repeatable() {
@@ -118,8 +118,8 @@
 	return true
 }
 
-// mayGo reports whether the call may be handed to one more backend server.
-func (j *job) mayGo() bool {
+// allowAttempt reports whether the call may be handed to one more backend server.
+func (j *job) allowAttempt() bool {
 	if j.arrivals == 0 {
 		return true
 	}
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -29,9 +29,9 @@
 		if head.Elsewhere {
 			// The backend server that was meant never got it.
 			j.sent--
-			j.count(sendingElsewhere)
+			j.count(endElsewhere)
 		} else {
-			j.count(sendingUnread)
+			j.count(endUnread)
 		}
 		if j.service.Engine == nil && !head.Elsewhere {
 			r.settings.Placer.TurnedAway(r.settings.Now(), &j.choice)
@@ -95,13 +95,13 @@
 	return r.URL.RequestURI()
 }
 
-// unanswered judges a sending that got no answer.
+// unanswered judges a attempt that got no answer.
 func (j *job) unanswered(err error) verdict {
 	notSent := errors.Is(err, exchanger.ErrNotSent)
 	switch {
 	case j.ctx.Err() != nil:
 		if !notSent {
-			j.count(sendingGivenUp)
+			j.count(endGivenUp)
 		}
 		j.release(placer.EndingGivenUp)
 		return verdictEnded
@@ -110,10 +110,10 @@
 		if notSent {
 			return verdictNotRun
 		}
-		j.count(sendingGivenUp)
+		j.count(endGivenUp)
 		return verdictUnknown
 	case notSent:
-		j.count(sendingNotSent)
+		j.count(endNotSent)
 		j.note(err, "not sent")
 		j.release(placer.EndingUnreached)
 		return verdictNotRun
@@ -122,14 +122,14 @@
 			j.relayer.noteLoss()
 		}
 		j.count(j.broke())
-		j.relayer.lose(j)
+		j.relayer.recordLoss(j)
 		j.note(err, "no answer")
 		j.release(placer.EndingBroken)
 		return verdictUnknown
 	}
 }
 
-// note logs what became of one sending that did not answer the call.
+// note logs what became of one attempt that did not answer the call.
 func (j *job) note(err error, what string) {
 	j.relayer.metrics.failures.WithLabelValues(j.service.Name).Inc()
 	j.relayer.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).
@@ -158,7 +158,7 @@
 	header := j.relayer.settings.Translator.AnswerHeader(response.Header)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	j.failed = &kept{status: response.StatusCode, header: header, body: body}
-	j.count(sendingFailed)
+	j.count(endFailed)
 	if head.Signed {
 		j.survived()
 	}
@@ -176,7 +176,7 @@
 		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
 	}
 	conn.Finish(response, head.Keep)
-	j.count(sendingAnswered)
+	j.count(endAnswered)
 	j.survived()
 	j.release(placer.EndingWell)
 	j.begin(response)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -45,8 +45,8 @@
 	// tells that one of them may have run it.
 	sent       int
 	mayHaveRun bool
-	// arrivals counts the sendings that reached a backend server, those included
-	// that were meant for another life of it.
+	// arrivals counts the attempts that reached a backend server, those included
+	// that were meant for another incarnation of it.
 	arrivals int
 	// failed is a backend server's own failure, the answer of last resort.
 	failed *kept
@@ -55,7 +55,7 @@
 	// firstAt is when a stream's first event went to the caller.
 	firstAt time.Time
 	// backup is where a copy of the request's memory is kept; its name is empty
-	// where there is none. From is set for the sending that goes on from it.
+	// where there is none. From is set for the attempt that goes on from it.
 	backup placer.Choice
 	from   string
 	// lastEvent is the id of the last whole event passed on.
@@ -63,7 +63,7 @@
 	choice    placer.Choice
 	// sentBack tells that a companion had the call go elsewhere; none does so twice.
 	sentBack bool
-	// paid tells that the next sending is counted in the retry budget already.
+	// paid tells that the next attempt is counted in the retry budget already.
 	paid   bool
 	waited time.Duration
 	// followed is the present attempt.
@@ -71,7 +71,7 @@
 	// suspect tells that backend servers ended under the request, now or before.
 	suspect bool
 	// bytes counts those of the answer that went to the caller, and bytesBefore those
-	// of sendings before the present one.
+	// of attempts before the present one.
 	bytes, bytesBefore int64
 	// sameness is the call's identity and place; each is found once it is needed.
 	sameness sameness
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -27,14 +27,14 @@
 	// DefaultBodyBytes bounds a body before any configuration is known.
 	DefaultBodyBytes = 4 << 20
 	// DefaultRetryRatio and DefaultRetrySlack bound what is sent beyond the first
-	// sending of each call within DefaultRetryWindow: a share of an entry's own
+	// attempt of each call within DefaultRetryWindow: a share of an entry's own
 	// calls, and a number that all entries share.
 	DefaultRetryRatio  = 0.15
 	DefaultRetrySlack  = 40.0
 	DefaultRetryWindow = 10 * time.Second
 	// DefaultRetryAfter is told with a refusal whose cause passes soon.
 	DefaultRetryAfter = 300 * time.Millisecond
-	// DefaultWatchInterval is the time between two looks whether each companion
+	// DefaultWatchInterval is the time between two checks whether each companion
 	// tells its state.
 	DefaultWatchInterval = 500 * time.Millisecond
 )
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -28,7 +28,7 @@
 	job    *job
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// incarnation is the life of the backend server that the call is for.
+	// incarnation is the incarnation of the backend server that the call is for.
 	incarnation string
 	// movable tells that the call may go to another engine after it was handed to this
 	// one; it is set before sent.
@@ -37,7 +37,7 @@
 	sent atomic.Bool
 	// began tells that part of the answer has come.
 	began atomic.Bool
-	// paid tells that another sending of the call was counted, before this one ended.
+	// paid tells that another attempt of the call was counted, before this one ended.
 	paid atomic.Bool
 	// handed is when the attempt began, or the call was handed over, in nanoseconds
 	// since 1970.
@@ -88,7 +88,7 @@
 
 // watchSilence looks for engines whose host has fallen silent: new calls pass them
 // over, and what waits there goes elsewhere.
-// The interval of the looks stays the same, and is read without watchedMu.
+// The interval of the polls stays the same, and is read without watchedMu.
 func (r *Relayer) watchSilence() {
 	ticker := time.NewTicker(r.watcher.Interval())
 	defer ticker.Stop()
@@ -100,15 +100,15 @@
 		}
 		now := r.settings.Now()
 		for name, service := range r.silent(now) {
-			r.settings.Placer.Suspect(service, name, now.Add(suspectLooks*r.watcher.Interval()))
-			r.leave(now, name)
+			r.settings.Placer.Suspect(service, name, now.Add(suspectPolls*r.watcher.Interval()))
+			r.abandon(now, name)
 		}
 	}
 }
 
-// suspectLooks is for how many looks a silent host is passed over: until the next one,
+// suspectPolls is for how many polls a silent host is passed over: until the next one,
 // and that may be late.
-const suspectLooks = 2
+const suspectPolls = 2
 
 // silent returns the engines whose companion has fallen silent, with their services.
 func (r *Relayer) silent(now time.Time) map[string]string {
@@ -129,11 +129,11 @@
 	return found
 }
 
-// leave ends the attempts at an engine that go on nowhere, so that their calls go to
+// abandon ends the attempts at an engine that go on nowhere, so that their calls go to
 // another: those not handed over yet, and of the others those that may be repeated and
 // have had no part of their answer. A stream that has begun stays: its engine would go
 // on with it when the host wakes, beside the one that has taken it over.
-func (r *Relayer) leave(now time.Time, name string) {
+func (r *Relayer) abandon(now time.Time, name string) {
 	r.attemptsMu.Lock()
 	defer r.attemptsMu.Unlock()
 	for a := range r.attempts[name] {
@@ -147,13 +147,13 @@
 	}
 }
 
-// errEnded ends an attempt at a backend server that has begun another life.
+// errEnded ends an attempt at a backend server that has begun another incarnation.
 const errEnded = errors.ConstError("the backend server has begun another life")
 
-// endFormer ends the attempts at former lives of backend servers.
+// endFormer ends the attempts at previous incarnations of backend servers.
 //
 // One that crashes behind a cut and starts again resets nothing until the cut heals:
-// calls of its former life would wait until their callers leave, though it is known to
+// calls of its previous incarnation would wait until their callers leave, though it is known to
 // have ended. Those that may be repeated go on elsewhere, as after a broken connection.
 func (r *Relayer) endFormer(v *tracker.View) {
 	r.attemptsMu.Lock()
--- a/internal/transport/relayer/silence_test.go
+++ b/internal/transport/relayer/silence_test.go
@@ -146,10 +146,10 @@
 		// Events: an engine's host stands still in the middle of a stream, which is
 		// resumed at another engine; the host wakes, and its engine goes on.
 		// Cause: the stream was moved though its engine could not be told.
-		goOn := make(chan struct{})
+		resume := make(chan struct{})
 		b0, b1 := newBackend(func(c net.Conn, r *http.Request) {
 			events(c, r, 1, 1)
-			<-goOn
+			<-resume
 			_, _ = io.WriteString(c, "f\r\nid: 2\ndata: x\n\n\r\n")
 			endStream(c)
 		}), newBackend(stream)
@@ -159,7 +159,7 @@
 		_, err := io.ReadFull(answer.Body, first)
 		Expect(err).NotTo(HaveOccurred())
 		e.relayer.FallSilent("s", "b0")
-		close(goOn)
+		close(resume)
 		Expect(read(answer)).To(HaveSuffix("id: 2\ndata: x\n\n"))
 		Expect(b1.runs.Load()).To(BeZero())
 	})
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -41,7 +41,7 @@
 				j.bytes += int64(len(piece))
 				if _, werr := j.writer.Write(piece); werr != nil || flusher.Flush() != nil {
 					conn.Abort()
-					j.count(sendingGivenUp)
+					j.count(endGivenUp)
 					j.release(placer.EndingGivenUp)
 					j.log("left", response.StatusCode, "the caller has left")
 					return verdictAnswered
@@ -67,7 +67,7 @@
 		return j.brokenOff(io.ErrUnexpectedEOF)
 	}
 	conn.Finish(response, head.Keep)
-	j.count(sendingAnswered)
+	j.count(endAnswered)
 	j.survived()
 	j.release(placer.EndingWell)
 	if !j.began {
@@ -82,7 +82,7 @@
 // become another answer, unless it may be resumed.
 func (j *job) brokenOff(err error) verdict {
 	v := j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
-	if v == verdictUnknown && j.began && !j.route.Resumable && !j.goOn() {
+	if v == verdictUnknown && j.began && !j.route.Resumable && !j.resume() {
 		j.log("broken", http.StatusOK, err.Error())
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/transport/relayer/suspect.go
+++ b/internal/transport/relayer/suspect.go
@@ -61,10 +61,10 @@
 //
 // A request that ends whatever runs it, and that its caller repeats, takes one backend
 // server after the other, each with all that is in progress there. An entry that knows its
-// own sendings only, and each only for one attempt of its caller, takes it for a new one
+// own attempts only, and each only for one attempt of its caller, takes it for a new one
 // each time.
 func (r *Relayer) blame(l *loss) {
-	c := storer.CountEnds{Service: l.service, Life: suspecter.Life(l.life.name, l.life.incarnation), Requests: l.sendings}
+	c := storer.CountEnds{Service: l.service, Life: suspecter.Life(l.incarnation.name, l.incarnation.incarnation), Requests: l.attempts}
 	r.suspects.Ended(r.settings.Now(), c)
 	r.tell(c)
 }
@@ -120,20 +120,20 @@
 	c := storer.ClearSuspects{Names: []string{j.same().String()}}
 	r.lossesMu.Lock()
 	defer r.lossesMu.Unlock()
-	if r.root.Err() == nil && r.looking < maxLosses {
-		r.looking++
+	if r.root.Err() == nil && r.inspecting < maxLosses {
+		r.inspecting++
 		r.tasks.Go(func() {
 			r.tell(c)
-			r.looked()
+			r.inspected()
 		})
 	}
 }
 
-// looked ends what lookInto or survived have begun.
-func (r *Relayer) looked() {
+// inspected ends what inspect or survived have begun.
+func (r *Relayer) inspected() {
 	r.lossesMu.Lock()
 	defer r.lossesMu.Unlock()
-	r.looking--
+	r.inspecting--
 }
 
 // endQuarantined ends the attempts of requests that have gone into quarantine and have not
