--- a/internal/state/storer/store_test.go
+++ b/internal/state/storer/store_test.go
@@ -47,6 +47,13 @@
 	return fresh
 }
 
+// putWorkspace changes the workspace that put's resources are in.
+func putWorkspace(spec WorkspaceSpec) PutResource {
+	c := put(KindWorkspace, "", spec)
+	c.Resource.Metadata.Name = c.Resource.Metadata.Workspace
+	return c
+}
+
 func put(kind Kind, name string, spec Spec) PutResource {
 	return PutResource{Resource: Resource{Kind: kind, Metadata: Metadata{Workspace: "savannah", Name: name}, Spec: spec}}
 }
@@ -160,6 +167,9 @@
 		Entry("version without @", put(KindVersion, "title", VersionSpec{Source: "title/1"})),
 		Entry("priority", put(KindPriorityRule, "a", PriorityRuleSpec{Priority: 10})),
 		Entry("hash", put(KindKey, "a", KeySpec{Hash: "0A"})),
+		Entry("negative token rate", putWorkspace(WorkspaceSpec{TokenRate: -1})),
+		Entry("negative token burst", putWorkspace(WorkspaceSpec{TokenRate: 1, TokenBurst: -1})),
+		Entry("token burst without a rate", putWorkspace(WorkspaceSpec{TokenBurst: 1})),
 		Entry("member", put(KindMember, "a", MemberSpec{Address: "127.0.0.1:1", Incarnation: "a"})),
 	)
 
--- a/internal/state/tracker/tracker_test.go
+++ b/internal/state/tracker/tracker_test.go
@@ -187,3 +187,43 @@
 		}
 	})
 }
+
+var _ = Describe("Workspaces", func() {
+	workspace := func(name string, keys ...string) tracker.Workspace {
+		w := tracker.Workspace{Name: name}
+		for _, k := range keys {
+			w.Keys = append(w.Keys, tracker.DigestKey(k))
+		}
+		return w
+	}
+
+	It("are found by their keys", func() {
+		r := tracker.Routing{Workspaces: []tracker.Workspace{workspace("a", "1", "2", "2"), workspace("b", "3")}}
+		Expect(r.Compile()).To(Succeed())
+		Expect(r.Workspace(tracker.DigestKey("2")).Name).To(Equal("a"))
+		Expect(r.Workspace(tracker.DigestKey("3")).Name).To(Equal("b"))
+		Expect(r.Workspace(tracker.DigestKey("4"))).To(BeNil())
+		Expect(r.Workspace(tracker.DigestKey(""))).To(BeNil())
+	})
+
+	DescribeTable("are refused",
+		func(ws ...tracker.Workspace) {
+			r := tracker.Routing{Workspaces: ws}
+			Expect(r.Compile()).NotTo(Succeed())
+		},
+		Entry("with one key", workspace("a", "1"), workspace("b", "2", "1")),
+		Entry("with an empty key", workspace("a", "")),
+		Entry("without a name", workspace("")),
+		Entry("with one name", workspace("a", "1"), workspace("a", "2")),
+		Entry("with a negative rate", tracker.Workspace{Name: "a", Quota: tracker.Quota{Rate: -1}}),
+		Entry("with a negative burst", tracker.Workspace{Name: "a", Quota: tracker.Quota{Burst: -1}}),
+	)
+
+	It("pay by the call's tokens, or by calls", func() {
+		tokens := tracker.Quota{Tokens: true, PlainCost: 200}
+		Expect(tokens.Cost(12)).To(BeEquivalentTo(12))
+		Expect(tokens.Cost(-1)).To(BeEquivalentTo(200))
+		calls := tracker.Quota{}
+		Expect(calls.Cost(12)).To(BeEquivalentTo(1))
+	})
+})
