--- a/internal/coordination/bucketer/accounts.go
+++ b/internal/coordination/bucketer/accounts.go
@@ -88,7 +88,7 @@
 		c = &account{limit: limit}
 		a.accounts[workspace] = c
 	}
-	c.follow(limit)
+	c.level = c.limit.replace(limit, c.level)
 	c.used = now
 	if c.at.IsZero() || now.Sub(c.at) > forgetAfter {
 		return Decision{Unknown: true, RetryAfter: leastWait}
@@ -217,12 +217,3 @@
 	wait := time.Duration((waiting - level) / c.limit.Rate * float64(time.Second))
 	return max(leastWait, wait)
 }
-
-// follow takes a newer limit.
-func (c *account) follow(n Limit) {
-	if n.Number <= c.limit.Number {
-		return
-	}
-	c.level = min(c.level+max(0, n.Burst-c.limit.Burst), n.Burst)
-	c.limit = n
-}
--- a/internal/coordination/bucketer/ledger.go
+++ b/internal/coordination/bucketer/ledger.go
@@ -83,7 +83,7 @@
 		b.level = min(b.level, u.Level)
 	}
 	b.fill(now)
-	b.follow(u.Limit)
+	b.level = b.limit.replace(u.Limit, b.level)
 	b.level -= u.Spent
 	b.rate.add(now, u.Spent)
 	return Level{Workspace: u.Workspace, Tokens: math.Round(b.level), Rate: math.Round(b.rate.at(now))}
@@ -108,15 +108,6 @@
 	}
 }
 
-// follow takes a newer limit. A larger burst is there at once.
-func (b *bucket) follow(n Limit) {
-	if n.Number <= b.limit.Number {
-		return
-	}
-	b.level = min(b.level+max(0, n.Burst-b.limit.Burst), n.Burst)
-	b.limit = n
-}
-
 // sweep drops the buckets that are idle and full.
 func (l *Ledger) sweep(now time.Time) {
 	if now.Sub(l.swept) < sweepInterval {
--- a/internal/coordination/bucketer/limit.go
+++ b/internal/coordination/bucketer/limit.go
@@ -10,3 +10,14 @@
 	// force.
 	Number uint64
 }
+
+// replace takes a newer limit, and returns what a bucket with a level holds under it. A
+// larger burst is there at once.
+func (l *Limit) replace(n Limit, level float64) float64 {
+	if n.Number <= l.Number {
+		return level
+	}
+	level = min(level+max(0, n.Burst-l.Burst), n.Burst)
+	*l = n
+	return level
+}
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -28,7 +28,7 @@
 	// answer may have; 0 means not told.
 	PromptTokens int
 	AnswerTokens int
-	// Counted tells that the caller told them.
+	// Counted tells that the caller gave these two.
 	Counted bool
 	// ExpectedTokens is the caller's own guess at the size of the answer; 0 means
 	// not told. It is right at the median, and often far off.
--- a/internal/transport/relayer/keys.go
+++ b/internal/transport/relayer/keys.go
@@ -118,7 +118,7 @@
 }
 
 // tokens returns the call's tokens, of prompt and answer together, and -1 where the caller
-// told none.
+// gave none.
 func (c *Call) tokens() int {
 	if !c.Counted {
 		return -1
