bucketer: a new leader counts what each entry has spent and not reported

Cause: the new ledger took the lowest level that any entry knew; an entry's level knows nothing of what the others have spent and not reported yet, so that the second entry's report threw away what the first had told. Ledgers have numbers now: the level of a former one counts less all that was reported since, and the level that entries learned from the ledger itself does not count again.

--- a/internal/coordination/bucketer/accounts.go
+++ b/internal/coordination/bucketer/accounts.go
@@ -41,6 +41,8 @@
 	// has not. It covers what was reported until then.
 	level float64
 	at    time.Time
+	// ledger is the number of the ledger that the level is from.
+	ledger uint64
 	// total is what all entries admitted then, in units a second.
 	total float64
 	// own is what this entry admits, and ownThen what it admitted at the time at.
@@ -131,6 +133,7 @@
 		}
 		u := Use{Workspace: name, Limit: c.limit, Spent: c.unreported}
 		if !c.at.IsZero() && now.Sub(c.at) <= forgetAfter {
+			u.Ledger = c.ledger
 			u.Level, u.Known = math.Round(c.estimate(now, a.entries)+c.unreported), true
 		}
 		c.underWay, c.unreported = c.unreported, 0
@@ -149,7 +152,7 @@
 		if c == nil {
 			continue
 		}
-		c.level, c.at, c.total = l.Tokens, at, l.Rate
+		c.level, c.at, c.total, c.ledger = l.Tokens, at, l.Rate, answer.Ledger
 		c.ownThen, c.largest = c.own.at(at), 0
 		c.underWay = 0
 	}
--- a/internal/coordination/bucketer/ledger.go
+++ b/internal/coordination/bucketer/ledger.go
@@ -15,13 +15,14 @@
 	// sweepInterval is the time between two sweeps for idle buckets.
 	sweepInterval = time.Second
 	// youngFor is the time after a ledger's begin in which the lowest level that an entry
-	// knows counts.
+	// knows of a former ledger counts.
 	youngFor = time.Second
 )
 
 // Ledger is the leader's list of buckets. Only the leader has one, and makes a new one
 // each time it is elected. It is not safe for use by several goroutines.
 type Ledger struct {
+	number  uint64
 	began   time.Time
 	buckets map[string]*bucket
 	// hosts holds the number of entries by control host.
@@ -41,17 +42,22 @@
 	// level is what the bucket holds at the time at, in units.
 	level float64
 	at    time.Time
+	// spent is what was reported since the ledger began, in units.
+	spent float64
 	rate  rate
 }
 
-// NewLedger returns the ledger of a leader elected at now.
-func NewLedger(now time.Time) *Ledger {
-	return &Ledger{began: now, buckets: make(map[string]*bucket), hosts: make(map[string]hostEntries), swept: now}
+// NewLedger returns the ledger of a leader elected at now. Numbers rise with each leader.
+func NewLedger(now time.Time, number uint64) *Ledger {
+	return &Ledger{number: number, began: now, buckets: make(map[string]*bucket), hosts: make(map[string]hostEntries), swept: now}
 }
 
 // Len returns the number of buckets.
 func (l *Ledger) Len() int { return len(l.buckets) }
 
+// Number returns the ledger's number.
+func (l *Ledger) Number() uint64 { return l.number }
+
 // Entries returns the number of entries that report.
 func (l *Ledger) Entries() int {
 	sum := 0
@@ -75,31 +81,30 @@
 
 func (l *Ledger) take(now time.Time, u *Use) Level {
 	b := l.buckets[u.Workspace]
-	if b == nil {
-		b = l.open(now, u)
+	former := u.Known && u.Ledger != l.number && now.Sub(l.began) < youngFor
+	switch {
+	case b == nil:
+		// The ledger has heard of all use since it began; before that the bucket may have
+		// been drained.
+		b = &bucket{limit: u.Limit, at: l.began}
 		l.buckets[u.Workspace] = b
-	} else if u.Known && now.Sub(l.began) < youngFor {
 		b.fill(now)
-		b.level = min(b.level, u.Level)
+		if former {
+			b.level = u.Level
+		}
+	case former:
+		// An entry's level knows nothing of what the others have reported since.
+		b.fill(now)
+		b.level = min(b.level, u.Level-b.spent)
 	}
 	b.fill(now)
 	b.level = b.limit.replace(u.Limit, b.level)
 	b.level -= u.Spent
+	b.spent += u.Spent
 	b.rate.add(now, u.Spent)
 	return Level{Workspace: u.Workspace, Tokens: math.Round(b.level), Rate: math.Round(b.rate.at(now))}
 }
 
-// open returns the bucket of a workspace that was not in use. The ledger has heard of
-// all use since it began; before that the bucket may have been drained.
-func (l *Ledger) open(now time.Time, u *Use) *bucket {
-	b := &bucket{limit: u.Limit, at: l.began}
-	b.fill(now)
-	if u.Known && now.Sub(l.began) < youngFor {
-		b.level = u.Level
-	}
-	return b
-}
-
 // fill brings the level to now.
 func (b *bucket) fill(now time.Time) {
 	if passed := now.Sub(b.at).Seconds(); passed > 0 {
--- a/internal/coordination/bucketer/report.go
+++ b/internal/coordination/bucketer/report.go
@@ -11,6 +11,8 @@
 	// that it rests on a leader's recent answer.
 	Level float64 `json:"L,omitempty"`
 	Known bool    `json:"K,omitempty"`
+	// Ledger is the number of the ledger that Level is from.
+	Ledger uint64 `json:"G,omitempty"`
 }
 
 // Report tells the leader what entries have admitted.
@@ -33,6 +35,8 @@
 
 // Answer answers a Report.
 type Answer struct {
+	// Ledger is the number of the leader's ledger.
+	Ledger uint64 `json:",omitempty"`
 	// Revision covers all changes that were accepted before the answer.
 	Revision uint64
 	// Entries is the number of entries of all control hosts.
@@ -58,13 +62,14 @@
 	return sum
 }
 
-// add takes another entry's use in: the newest limit and the lowest level count.
+// add takes another entry's use in: the newest limit counts, and the lowest level of the
+// oldest ledger, which is the one that a new leader lacks.
 func (u *Use) add(o Use) {
 	u.Spent += o.Spent
 	if o.Number > u.Number {
 		u.Limit = o.Limit
 	}
-	if o.Known && (!u.Known || o.Level < u.Level) {
-		u.Level, u.Known = o.Level, true
+	if o.Known && (!u.Known || o.Ledger < u.Ledger || o.Ledger == u.Ledger && o.Level < u.Level) {
+		u.Level, u.Known, u.Ledger = o.Level, true, o.Ledger
 	}
 }
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -74,7 +74,7 @@
 		}, term, now, c.permitHolders(now, members)),
 		waiters: make(map[permitKey]chan permitter.Grant),
 		due:     time.NewTimer(time.Hour),
-		ledger:  bucketer.NewLedger(now),
+		ledger:  bucketer.NewLedger(now, term),
 	}
 	d.ctx, d.cancel = context.WithCancel(c.ctx)
 	return d
--- a/internal/transport/controller/reports.go
+++ b/internal/transport/controller/reports.go
@@ -131,7 +131,7 @@
 	now := d.control.settings.Now()
 	d.ledgerMu.Lock()
 	defer d.ledgerMu.Unlock()
-	a := bucketer.Answer{Revision: revision, Levels: d.ledger.Report(now, r), Entries: d.ledger.Entries()}
+	a := bucketer.Answer{Ledger: d.ledger.Number(), Revision: revision, Levels: d.ledger.Report(now, r), Entries: d.ledger.Entries()}
 	d.control.metrics.buckets.Set(float64(d.ledger.Len()))
 	return a
 }
