--- a/internal/transport/sealer/authorize.go
+++ b/internal/transport/sealer/authorize.go
@@ -55,10 +55,10 @@
 	case messenger.MethodRequestPermit, messenger.MethodFinishPermit:
 		// A control host hands them on to the leader.
 		return companions | controls
-	case messenger.MethodReplicate, messenger.MethodTally, messenger.MethodBarrier, messenger.MethodRenewBatch,
+	case messenger.MethodReplicate, messenger.MethodTally, messenger.MethodBarrier, messenger.MethodRenewBatch, messenger.MethodReportBatch,
 		messenger.MethodEnlist, messenger.MethodShareDigest, messenger.MethodDelta, messenger.MethodPulse, messenger.MethodDigest, messenger.MethodVoid:
 		return controls
-	case messenger.MethodPropose, messenger.MethodRead, messenger.MethodInForce, messenger.MethodGroup:
+	case messenger.MethodReport, messenger.MethodPropose, messenger.MethodRead, messenger.MethodInForce, messenger.MethodGroup:
 		// Operators and claims come through entries. What a companion could read
 		// or change here is not its own.
 		return entries | controls
