bucketer, controller: a lost leader costs workspaces nothing of their quotas

Causes, by the levels in the refusals' lines and by each use as the new leader got it: 1. A report that arrived and whose answer was lost was told again, and counted again. Accounts have numbers and totals now; a report that arrives twice counts once. 2. An entry told a new leader the guess by which it admits calls without a leader (what it spent, times the number of entries) as the bucket's level. It reports the level that it was told with what has flowed in since, and guesses nothing; each entry reports what it spent itself. What flowed in is cut at the burst only once that is known. 3. The ledger's number did not reach the entries (lost in the host's part of the answer), so that each report in a new leader's first second was taken for one of the former leader. 4. Without a leader an entry took all beyond its largest call for a sign that all had grown; now all beyond what it admits as a rule and one call.

--- a/internal/coordination/bucketer/accounts.go
+++ b/internal/coordination/bucketer/accounts.go
@@ -17,6 +17,11 @@
 	staleAfter = 600 * time.Millisecond
 	// forgetAfter is the age of a level from which it says nothing any more.
 	forgetAfter = 2 * time.Second
+	// knownFor is the age of a level up to which it tells a new leader something. It may be
+	// old: what has been spent since is reported by those who spent it.
+	knownFor = 10 * time.Second
+	// chance is the number of calls beyond what an entry admits as a rule that say nothing.
+	chance = 1
 	// refusedWindow is the time in which refused calls are expected to come back.
 	refusedWindow = time.Second
 	// leastWait is the shortest time to come back, below which callers only press.
@@ -32,25 +37,29 @@
 	accounts map[string]*account
 	// entries is the number of entries that report; guarded by mu.
 	entries int
+	// last is the number of the account made last; guarded by mu.
+	last uint64
 }
 
 // account is one workspace's.
 type account struct {
-	limit Limit
+	// number differs between the accounts of all processes of the entry.
+	number uint64
+	limit  Limit
 	// level is what the leader reported of the bucket for the time at, which is zero while it
 	// has not. It covers what was reported until then.
 	level float64
 	at    time.Time
 	// ledger is the number of the ledger that the level is from.
 	ledger uint64
-	// total is what all entries admitted then, in units a second.
-	total float64
+	// all is what all entries admitted then, in units a second.
+	all float64
 	// own is what this entry admits, and ownThen what it admitted at the time at.
 	own     rate
 	ownThen float64
-	// unreported is what was admitted and not reported, and underWay what the report under
-	// way tells.
-	unreported, underWay float64
+	// total is what was admitted in all, unreported the part that was not reported, and
+	// underWay the part that the report under way has.
+	total, unreported, underWay float64
 	// largest is the largest call since the time at.
 	largest float64
 	used    time.Time
@@ -75,7 +84,7 @@
 	if random == nil {
 		panic("bucketer: NewAccounts needs a random source")
 	}
-	return &Accounts{random: random, accounts: make(map[string]*account), entries: 1}
+	return &Accounts{random: random, accounts: make(map[string]*account), entries: 1, last: random.Uint64() >> 1}
 }
 
 // Spend admits a call of a workspace, or refuses it. Only an admitted call is counted.
@@ -87,7 +96,8 @@
 	defer a.mu.Unlock()
 	c := a.accounts[workspace]
 	if c == nil {
-		c = &account{limit: limit}
+		a.last++
+		c = &account{limit: limit, number: a.last}
 		a.accounts[workspace] = c
 	}
 	c.level = c.limit.replace(limit, c.level)
@@ -98,6 +108,7 @@
 	d := Decision{Level: c.estimate(now, a.entries), Age: now.Sub(c.at)}
 	if d.Admitted = d.Level > 0; d.Admitted {
 		c.unreported += cost
+		c.total += cost
 		c.own.add(now, cost)
 		c.largest = max(c.largest, cost)
 		return d
@@ -114,6 +125,7 @@
 	defer a.mu.Unlock()
 	if c := a.accounts[workspace]; c != nil {
 		c.unreported -= cost
+		c.total -= cost
 	}
 }
 
@@ -131,10 +143,10 @@
 			}
 			continue
 		}
-		u := Use{Workspace: name, Limit: c.limit, Spent: c.unreported}
-		if !c.at.IsZero() && now.Sub(c.at) <= forgetAfter {
+		u := Use{Workspace: name, Limit: c.limit, Account: c.number, Total: math.Round(c.total), Spent: math.Round(c.unreported)}
+		if !c.at.IsZero() && now.Sub(c.at) <= knownFor {
 			u.Ledger = c.ledger
-			u.Level, u.Known = math.Round(c.estimate(now, a.entries)+c.unreported), true
+			u.Level, u.Known = math.Round(c.filled(now)), true
 		}
 		c.underWay, c.unreported = c.unreported, 0
 		r.Uses = append(r.Uses, u)
@@ -152,13 +164,14 @@
 		if c == nil {
 			continue
 		}
-		c.level, c.at, c.total, c.ledger = l.Tokens, at, l.Rate, answer.Ledger
+		c.level, c.at, c.all, c.ledger = l.Tokens, at, l.Rate, answer.Ledger
 		c.ownThen, c.largest = c.own.at(at), 0
 		c.underWay = 0
 	}
 }
 
-// Failed takes back a report that may not have arrived: the next one repeats it.
+// Failed takes back a report that may not have arrived: the next one repeats it, and counts
+// once.
 func (a *Accounts) Failed() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -193,22 +206,28 @@
 
 func (c *account) share(entries int) float64 {
 	even := 1 / float64(entries)
-	if c.total <= 0 {
+	if c.all <= 0 {
 		return even
 	}
-	return min(1, max(even, c.ownThen/c.total))
+	return min(1, max(even, c.ownThen/c.all))
 }
 
-// estimate returns the bucket's level at now. Since the leader's report the others are
-// taken to go on at their rate; where that was long ago, to have grown as this entry's
-// own calls did, beyond one call, which says nothing.
+// filled returns the level that was reported with what has flowed in since, also beyond the
+// burst: nothing of what was spent meanwhile is in it, and each entry reports its own part.
+func (c *account) filled(now time.Time) float64 {
+	return c.level + c.limit.Rate*now.Sub(c.at).Seconds()
+}
+
+// estimate returns the bucket's level at now, by which calls are admitted. Since the
+// leader's report the others are taken to go on at their rate; where that was long ago,
+// to have grown as this entry's own calls did, beyond what comes by chance.
 func (c *account) estimate(now time.Time, entries int) float64 {
 	passed := now.Sub(c.at).Seconds()
 	spent := c.unreported + c.underWay
-	others := max(0, c.total-c.ownThen) * passed
+	others := max(0, c.all-c.ownThen) * passed
 	if now.Sub(c.at) > staleAfter {
 		s := c.share(entries)
-		others = max(others, max(0, spent-c.largest)*(1-s)/s)
+		others += max(0, spent-c.ownThen*passed-chance*c.largest) * (1 - s) / s
 	}
 	return min(c.limit.Burst, c.level+c.limit.Rate*passed-others) - spent
 }
--- a/internal/coordination/bucketer/ledger.go
+++ b/internal/coordination/bucketer/ledger.go
@@ -27,7 +27,22 @@
 	buckets map[string]*bucket
 	// hosts holds the number of entries by control host.
 	hosts map[string]hostEntries
-	swept time.Time
+	// counted holds what was counted of each entry, by workspace.
+	counted map[string]*countedEntry
+	swept   time.Time
+}
+
+// countedEntry is what was counted of one entry.
+type countedEntry struct {
+	totals map[string]countedTotal
+	at     time.Time
+}
+
+// countedTotal is the total of an entry's account that was counted last.
+type countedTotal struct {
+	account uint64
+	total   float64
+	at      time.Time
 }
 
 // hostEntries is what a control host reported last of its entries.
@@ -49,7 +64,7 @@
 
 // NewLedger returns the ledger of a leader elected at now. Numbers rise with each leader.
 func NewLedger(now time.Time, number uint64) *Ledger {
-	return &Ledger{number: number, began: now, buckets: make(map[string]*bucket), hosts: make(map[string]hostEntries), swept: now}
+	return &Ledger{number: number, began: now, buckets: make(map[string]*bucket), hosts: make(map[string]hostEntries), counted: make(map[string]*countedEntry), swept: now}
 }
 
 // Len returns the number of buckets.
@@ -69,48 +84,81 @@
 
 // Report takes in what entries have admitted, and returns the levels of their
 // workspaces.
-func (l *Ledger) Report(now time.Time, r Report) []Level {
+func (l *Ledger) Report(now time.Time, b Batch) []Level {
 	l.sweep(now)
-	l.hosts[r.Host] = hostEntries{entries: r.Entries, at: now}
-	levels := make([]Level, 0, len(r.Uses))
-	for i := range r.Uses {
-		levels = append(levels, l.take(now, &r.Uses[i]))
+	l.hosts[b.Host] = hostEntries{entries: b.Entries, at: now}
+	at := make(map[string]int)
+	var levels []Level
+	for i := range b.Reports {
+		r := &b.Reports[i]
+		for j := range r.Uses {
+			level := l.take(now, r.Entry, &r.Uses[j])
+			if k, is := at[level.Workspace]; is {
+				levels[k] = level
+				continue
+			}
+			at[level.Workspace] = len(levels)
+			levels = append(levels, level)
+		}
 	}
 	return levels
 }
 
-func (l *Ledger) take(now time.Time, u *Use) Level {
+// count returns what a use adds to what was counted. A use that this ledger has not heard of
+// before adds what no leader has answered for.
+func (l *Ledger) count(now time.Time, entry string, u *Use) float64 {
+	e := l.counted[entry]
+	if e == nil {
+		e = &countedEntry{totals: make(map[string]countedTotal)}
+		l.counted[entry] = e
+	}
+	e.at = now
+	before, known := e.totals[u.Workspace]
+	e.totals[u.Workspace] = countedTotal{account: u.Account, total: u.Total, at: now}
+	if !known || before.account != u.Account {
+		return u.Spent
+	}
+	return u.Total - before.total
+}
+
+func (l *Ledger) take(now time.Time, entry string, u *Use) Level {
 	b := l.buckets[u.Workspace]
-	former := u.Known && u.Ledger != l.number && now.Sub(l.began) < youngFor
+	young := now.Sub(l.began) < youngFor
+	most := u.Burst
+	if young {
+		// Not all that was spent without a leader has been reported.
+		most += u.Rate * youngFor.Seconds()
+	}
+	former := u.Known && u.Ledger != l.number && young
 	switch {
 	case b == nil:
 		// The ledger has heard of all use since it began; before that the bucket may have
 		// been drained.
 		b = &bucket{limit: u.Limit, at: l.began}
 		l.buckets[u.Workspace] = b
-		b.fill(now)
+		b.fill(now, most)
 		if former {
-			b.level = u.Level
+			b.level = min(most, u.Level)
 		}
 	case former:
 		// An entry's level knows nothing of what the others have reported since.
-		b.fill(now)
+		b.fill(now, most)
 		b.level = min(b.level, u.Level-b.spent)
 	}
-	b.fill(now)
+	b.fill(now, most)
 	b.level = b.limit.replace(u.Limit, b.level)
-	b.level -= u.Spent
-	b.spent += u.Spent
-	b.rate.add(now, u.Spent)
-	return Level{Workspace: u.Workspace, Tokens: math.Round(b.level), Rate: math.Round(b.rate.at(now))}
+	spent := l.count(now, entry, u)
+	b.level -= spent
+	b.spent += spent
+	b.rate.add(now, spent)
+	return Level{Workspace: u.Workspace, Tokens: math.Round(min(b.level, b.limit.Burst)), Rate: math.Round(b.rate.at(now))}
 }
 
-// fill brings the level to now.
-func (b *bucket) fill(now time.Time) {
-	if passed := now.Sub(b.at).Seconds(); passed > 0 {
-		b.level = min(b.limit.Burst, b.level+b.limit.Rate*passed)
-		b.at = now
-	}
+// fill brings the level to now, up to the most that it may be.
+func (b *bucket) fill(now time.Time, most float64) {
+	passed := max(0, now.Sub(b.at).Seconds())
+	b.level = min(most, b.level+b.limit.Rate*passed)
+	b.at = now
 }
 
 // sweep drops the buckets that are idle and full.
@@ -119,6 +167,10 @@
 		return
 	}
 	l.swept = now
+	maps.DeleteFunc(l.counted, func(_ string, e *countedEntry) bool {
+		maps.DeleteFunc(e.totals, func(_ string, t countedTotal) bool { return now.Sub(t.at) > idleAfter })
+		return now.Sub(e.at) > idleAfter
+	})
 	maps.DeleteFunc(l.hosts, func(_ string, h hostEntries) bool { return now.Sub(h.at) > idleAfter })
 	maps.DeleteFunc(l.buckets, func(_ string, b *bucket) bool {
 		idle := now.Sub(b.at)
--- a/internal/transport/controller/handler.go
+++ b/internal/transport/controller/handler.go
@@ -55,7 +55,7 @@
 	case messenger.MethodReport:
 		return answer(params, func(r bucketer.Report) (bucketer.Answer, error) { return c.reports.report(ctx, r) })
 	case messenger.MethodReportBatch:
-		return answer(params, func(r bucketer.Report) (bucketer.Answer, error) { return c.reportHere(ctx, r) })
+		return answer(params, func(b bucketer.Batch) (bucketer.Answer, error) { return c.reportHere(ctx, b) })
 	case messenger.MethodInForce:
 		return answer(params, func(r distributor.TallyRequest) (distributor.InForce, error) { return c.inForce(ctx, r), nil })
 	case messenger.MethodTally:
--- a/internal/transport/controller/reports.go
+++ b/internal/transport/controller/reports.go
@@ -83,20 +83,20 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(r.control.ctx, reportTimeout)
 	defer cancel()
-	sum := bucketer.Merge(b.reports)
-	sum.Host, sum.Entries = r.control.settings.Node, r.control.entryCount()
+	batch := bucketer.Batch{Host: r.control.settings.Node, Entries: r.control.entryCount(), Reports: b.reports}
 	b.err = r.control.atLeader(ctx, false, func(ctx context.Context) error {
 		var err error
-		b.answer, err = r.control.reportHere(ctx, sum)
+		b.answer, err = r.control.reportHere(ctx, batch)
 		return err
 	}, func(ctx context.Context, conn *messenger.Conn) error {
-		return conn.Call(ctx, messenger.MethodReportBatch, sum, &b.answer)
+		return conn.Call(ctx, messenger.MethodReportBatch, batch, &b.answer)
 	})
 }
 
 // only returns the part of the batch's answer that an entry asked for.
 func (b *reportBatch) only(u bucketer.Report) bucketer.Answer {
-	a := bucketer.Answer{Revision: b.answer.Revision, Entries: b.answer.Entries}
+	a := b.answer
+	a.Levels = nil
 	wanted := make(map[string]struct{}, len(u.Uses))
 	for i := range u.Uses {
 		wanted[u.Uses[i].Workspace] = struct{}{}
@@ -111,7 +111,7 @@
 
 // reportHere serves MethodReportBatch, and the reports of this host's own entries where
 // it leads.
-func (c *Control) reportHere(ctx context.Context, r bucketer.Report) (bucketer.Answer, error) {
+func (c *Control) reportHere(ctx context.Context, b bucketer.Batch) (bucketer.Answer, error) {
 	d := c.currentDuties()
 	if d == nil {
 		return bucketer.Answer{}, c.notLeader()
@@ -123,15 +123,15 @@
 		}
 		return bucketer.Answer{}, messenger.NewRefusal(messenger.ReasonUnavailable, err.Error())
 	}
-	return d.report(r, c.store.Revision()), nil
+	return d.report(b, c.store.Revision()), nil
 }
 
 // report takes what entries admitted into the buckets.
-func (d *duties) report(r bucketer.Report, revision uint64) bucketer.Answer {
+func (d *duties) report(b bucketer.Batch, revision uint64) bucketer.Answer {
 	now := d.control.settings.Now()
 	d.ledgerMu.Lock()
 	defer d.ledgerMu.Unlock()
-	a := bucketer.Answer{Ledger: d.ledger.Number(), Revision: revision, Levels: d.ledger.Report(now, r), Entries: d.ledger.Entries()}
+	a := bucketer.Answer{Ledger: d.ledger.Number(), Revision: revision, Levels: d.ledger.Report(now, b), Entries: d.ledger.Entries()}
 	d.control.metrics.buckets.Set(float64(d.ledger.Len()))
 	return a
 }
--- a/internal/transport/subscriber/reports.go
+++ b/internal/transport/subscriber/reports.go
@@ -99,6 +99,7 @@
 	defer done()
 	at := c.settings.Now()
 	r := c.accounts.Collect(at)
+	r.Entry = c.settings.Node
 	var a bucketer.Answer
 	if err := conn.Call(ctx, messenger.MethodReport, r, &a); err != nil {
 		c.accounts.Failed()
