--- a/internal/coordination/bucketer/accounts.go
+++ b/internal/coordination/bucketer/accounts.go
@@ -113,7 +113,7 @@
 		c.largest = max(c.largest, cost)
 		return d
 	}
-	d.RetryAfter = c.retryAfter(now, d.Level, a.share(c))
+	d.RetryAfter = c.retryAfter(now, d.Level, c.share(a.entries))
 	c.refused.add(now, cost)
 	d.RetryAfter += time.Duration(a.random.Float64() * float64(leastWait))
 	return d
@@ -202,8 +202,6 @@
 
 // share is the part of a workspace's calls that comes to this entry; at least an even
 // part of the entries.
-func (a *Accounts) share(c *account) float64 { return c.share(a.entries) }
-
 func (c *account) share(entries int) float64 {
 	even := 1 / float64(entries)
 	if c.all <= 0 {
