listener: a spec's connection is held once the server waits for the second request

Traced by reading: the spec sends its second request as soon as it has the first answer. The server may still read single bytes beside the first handler then; that byte tells the connection that a request has come, so that the stop rightly leaves it alone, while the spec's connection hands the rest on only once the stop has disturbed it.

--- a/internal/transport/listener/http_test.go
+++ b/internal/transport/listener/http_test.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &heldConn{Conn: c, read: make(chan struct{}), disturbed: make(chan struct{})}
+	h := &heldConn{Conn: c, idle: make(chan struct{}), read: make(chan struct{}), disturbed: make(chan struct{})}
 	l.conns <- h
 	return h, nil
 }
@@ -44,6 +44,10 @@
 type heldConn struct {
 	net.Conn
 	requests int
+	// idle is closed when the server waits for the second request, and reads no single byte
+	// beside its handler any more.
+	idle    chan struct{}
+	waiting sync.Once
 	// read is closed when the bytes have been read.
 	read      chan struct{}
 	once      sync.Once
@@ -51,6 +55,9 @@
 }
 
 func (h *heldConn) Read(p []byte) (int, error) {
+	if len(p) > 1 && h.requests == 1 {
+		h.waiting.Do(func() { close(h.idle) })
+	}
 	n, err := h.Conn.Read(p)
 	if n > 1 {
 		if h.requests++; h.requests == 2 {
@@ -141,8 +148,10 @@
 		c := dial(h.Address())
 		c.send()
 		c.receive()
+		conn := <-held.conns
+		<-conn.idle
 		c.send()
-		<-(<-held.conns).read
+		<-conn.read
 		stopped := make(chan error, 1)
 		go func() { stopped <- h.Shutdown(context.Background()) }()
 		Expect(c.receive().Close).To(BeTrue())
