controller: log retirements without a membership, state of late messages

Retiring a backend server that has no membership was acknowledged without a log line, and the log lines for late messages did not show whether the sender was leaving. When a request reached a backend server after its end, the logs could not distinguish these two causes.

Log the first case, and add State to the log lines for late heartbeats and late announcements.

--- a/internal/transport/controller/announcing.go
+++ b/internal/transport/controller/announcing.go
@@ -31,7 +31,7 @@
 		held := r.Spec.(storer.MemberSpec)
 		m.Epoch = held.Epoch
 		if !c.heard.note(name, m.Incarnation, m.Sequence) {
-			c.settings.Log.Info().Str("Backend", name).Uint64("Sequence", m.Sequence).Msg("late heartbeat passed over")
+			c.settings.Log.Info().Str("Backend", name).Stringer("State", m.State).Uint64("Sequence", m.Sequence).Msg("late heartbeat passed over")
 			return nil
 		}
 		if held.SameBut(m) {
@@ -45,7 +45,7 @@
 		return err
 	case result.Verdict == storer.VerdictStale:
 		// A late message of a life that has ended: its sender is gone.
-		c.settings.Log.Info().Str("Backend", name).Str("Incarnation", m.Incarnation).Msg("late announcement passed over")
+		c.settings.Log.Info().Str("Backend", name).Str("Incarnation", m.Incarnation).Stringer("State", m.State).Msg("late announcement passed over")
 		return nil
 	case result.Verdict != storer.VerdictAccepted:
 		return errors.NotValidf("announcement: %s", result.Reason)
@@ -88,6 +88,7 @@
 	if age, ok := c.freshness(); !ok || age > certainLimit {
 		return ErrUncertain
 	}
+	c.settings.Log.Info().Str("Instance", instance).Uint64("Born", born).Msg("backend server retired without a membership")
 	return nil
 }
 
