storer, controller, platform: remember ended backend servers without a membership

Callers' requests reached a backend server more than 2 s after control had acknowledged that it had ended.

Cause: control ended the membership that it found. If it found none, because the lease had run out behind a cut or an announcement was still on its way through the log, it acknowledged the end and wrote nothing. An earlier heartbeat that arrived 2.1 s later then began a membership, and entries sent requests to it. The record of an end was also kept with the membership at the address, and was lost when the next membership there ended.

Each end is now accepted through the log.

An announcement of a recorded incarnation is stale whatever memberships exist, so the incarnation does not serve again in whichever order the end and the announcement are accepted.

--- a/internal/state/storer/aging.go
+++ b/internal/state/storer/aging.go
@@ -38,11 +38,26 @@
 	a.queue = a.queue[n:]
 }
 
+// dropOldest removes the oldest thing that exists. It pops entries and hands each to
+// remove until remove reports that it removed a thing.
+func (a *aging) dropOldest(remove func(aged) bool) {
+	for len(a.queue) > 0 {
+		e := a.queue[0]
+		a.queue[0] = aged{}
+		a.queue = a.queue[1:]
+		if remove(e) {
+			a.live--
+			return
+		}
+	}
+}
+
 // expire forgets what is old enough at the index being applied.
 func (s *Store) expire() {
 	s.records.expire(s.retention, s.retention.IdempotencyAge, s.applied, s.now, s.forgetRecord)
 	s.claims.expire(s.retention, s.retention.ClaimAge, s.applied, s.now, s.forgetClaim)
 	s.retired.expire(s.retention, s.retention.VersionNameAge, s.applied, s.now, s.forgetRetired)
+	s.departures.expire(s.retention, departureAge, s.applied, s.now, s.forgetDeparture)
 }
 
 func (s *Store) forgetRecord(e aged) bool {
--- a/internal/state/storer/announcements.go
+++ b/internal/state/storer/announcements.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 )
 
 // announceMember begins a membership, or brings it up to date. A message of an
@@ -55,7 +54,7 @@
 
 // overtaken tells why an announcement is a late one, or nothing.
 func (p *space) overtaken(c AnnounceMember) string {
-	if slices.Contains(p.superseded[c.Name], c.Member.Incarnation) {
+	if _, departed := p.departures[c.Member.Incarnation]; departed || slices.Contains(p.superseded[c.Name], c.Member.Incarnation) {
 		return "the incarnation has ended"
 	}
 	for _, r := range p.resources[KindMember] {
@@ -91,30 +90,6 @@
 		changes = append(changes, p.endMember(index, r))
 		p.superseded[r.Metadata.Name] = remembered
 	}
-	// All copies of the state must publish in one order.
-	slices.SortFunc(changes, func(x, y Change) int {
-		return strings.Compare(x.Resource.Metadata.Name, y.Resource.Metadata.Name)
-	})
+	sortChanges(changes)
 	return changes
 }
-
-// retireMember ends an incarnation and remembers it, so that none of its late
-// announcements begins a membership again.
-func (s *Store) retireMember(index uint64, c RetireMember) Result {
-	h := s.shard("")
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := h.space("")
-	if !slices.Contains(p.superseded[c.Name], c.Incarnation) {
-		p.supersede(c.Name, c.Incarnation)
-	}
-	old, ok := p.get(KindMember, c.Name)
-	if !ok || old.Spec.(MemberSpec).Incarnation != c.Incarnation {
-		return Result{Verdict: VerdictStale, Reason: "the membership has ended"}
-	}
-	remembered := p.superseded[c.Name]
-	change := p.endMember(index, old)
-	p.superseded[c.Name] = remembered
-	s.publish(index, change)
-	return Result{Revision: index, Resource: &old}
-}
--- a/internal/state/storer/command.go
+++ b/internal/state/storer/command.go
@@ -132,10 +132,16 @@
 	Member MemberSpec `cbor:"2,keyasint,omitempty"`
 }
 
-// RetireMember ends the membership of an incarnation for good.
+// RetireMember ends an incarnation of a backend server permanently, whether or not it has
+// a membership.
 type RetireMember struct {
+	// Name is the name of the membership, if the sender knows it. Hosts of an earlier
+	// version look the membership up by Name only.
 	Name        string `cbor:"1,keyasint,omitempty"`
 	Incarnation string `cbor:"2,keyasint,omitempty"`
+	// Instance, if set, also ends every incarnation of that backend server that has a
+	// membership. It is empty if Incarnation identifies the one that ended.
+	Instance string `cbor:"3,keyasint,omitempty"`
 }
 
 func (PutResource) command()    {}
--- /dev/null
+++ b/internal/state/storer/departures.go
@@ -0,0 +1,95 @@
+package storer
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// departureAge is the minimum time for which a departure is kept. Delayed messages
+	// arrive within seconds.
+	departureAge = 10 * time.Minute
+	// maxDepartures limits the departures that are kept: four for each backend server of
+	// the largest planned deployment. Beyond the limit, the oldest are dropped.
+	maxDepartures = 50_000
+)
+
+// departure records that an incarnation of a backend server has ended. It is independent
+// of memberships: an incarnation may end after its lease has expired, and the membership
+// at its address may belong to another incarnation.
+type departure struct {
+	Incarnation string  `cbor:"1,keyasint"`
+	Index       uint64  `cbor:"2,keyasint"`
+	Time        Instant `cbor:"3,keyasint"`
+}
+
+// recordDeparture records that an incarnation has ended. The caller holds the lock of p's
+// shard; p is the space of the empty workspace name.
+func (s *Store) recordDeparture(index uint64, p *space, incarnation string) {
+	if _, known := p.departures[incarnation]; known || incarnation == "" {
+		return
+	}
+	if s.departures.live >= maxDepartures {
+		s.departures.dropOldest(func(e aged) bool {
+			delete(p.departures, e.key)
+			return true
+		})
+	}
+	p.departures[incarnation] = departure{Incarnation: incarnation, Index: index, Time: s.now}
+	s.departures.restore(aged{key: incarnation, index: index, time: s.now})
+}
+
+func (s *Store) forgetDeparture(e aged) bool {
+	return forget(s.shard(e.workspace), e, func(p *space) (map[string]departure, uint64) {
+		return p.departures, p.departures[e.key].Index
+	})
+}
+
+// retireMember ends an incarnation and records its departure, whether or not it has a
+// membership, so that an announcement that arrives later does not begin one.
+func (s *Store) retireMember(index uint64, c RetireMember) Result {
+	h := s.shard("")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.space("")
+	_, known := p.departures[c.Incarnation]
+	incarnations := []string{c.Incarnation}
+	var changes []Change
+	for _, r := range p.resources[KindMember] {
+		m := r.Spec.(MemberSpec)
+		if m.Incarnation != c.Incarnation && (c.Instance == "" || m.Of() != c.Instance) {
+			continue
+		}
+		incarnations = append(incarnations, m.Incarnation)
+		remembered := p.superseded[r.Metadata.Name]
+		changes = append(changes, p.endMember(index, r))
+		if remembered != nil {
+			p.superseded[r.Metadata.Name] = remembered
+		}
+	}
+	// All copies of the state, and those restored from a snapshot, drop the oldest
+	// departures in the same order.
+	slices.Sort(incarnations)
+	for _, i := range incarnations {
+		s.recordDeparture(index, p, i)
+	}
+	switch {
+	case len(changes) > 0:
+	case known:
+		return Result{Verdict: VerdictStale, Reason: "the incarnation had ended before"}
+	default:
+		return Result{Verdict: VerdictStale, Reason: "the incarnation has no membership"}
+	}
+	sortChanges(changes)
+	s.publish(index, changes...)
+	return Result{Revision: index, Resource: &changes[0].Resource}
+}
+
+// sortChanges sorts changes by resource name, so that all copies of the state publish
+// them in the same order.
+func sortChanges(changes []Change) {
+	slices.SortFunc(changes, func(x, y Change) int {
+		return strings.Compare(x.Resource.Metadata.Name, y.Resource.Metadata.Name)
+	})
+}
--- /dev/null
+++ b/internal/state/storer/departures_test.go
@@ -0,0 +1,91 @@
+package storer
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("The end of a backend server", func() {
+	const name = "10.0.0.1-80"
+	serving := func(m *machine) bool {
+		r, ok := m.Get(Key{Kind: KindMember, Name: name})
+		return ok && r.Spec.(MemberSpec).State == MemberStateServing
+	}
+	expire := func(m *machine) {
+		r, ok := m.Get(Key{Kind: KindMember, Name: name})
+		Expect(ok).To(BeTrue())
+		m.do(ExpireMembers{Members: []MemberEpoch{{Name: name, Epoch: r.Spec.(MemberSpec).Epoch}}})
+	}
+
+	It("is remembered where its lease had run out", func() {
+		// Guards against requests to a backend server that ended while it had no membership.
+		m := newMachine(Retention{})
+		m.do(announced("i-1", MemberStateServing))
+		expire(m)
+		m.do(RetireMember{Incarnation: "i-1", Instance: "i-1"})
+		for _, state := range []MemberState{MemberStateServing, MemberStateLeaving} {
+			Expect(m.do(announced("i-1", state)).Verdict).To(Equal(VerdictStale))
+			Expect(m.restarted().do(announced("i-1", state)).Verdict).To(Equal(VerdictStale), "after a snapshot")
+		}
+		Expect(serving(m)).To(BeFalse())
+	})
+
+	It("is remembered where it was never announced", func() {
+		// Guards against requests to a backend server whose announcement arrives after its end.
+		m := newMachine(Retention{})
+		m.do(RetireMember{Incarnation: "i-1"})
+		Expect(m.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictStale))
+		Expect(m.do(announced("i-2", MemberStateServing)).Verdict).To(Equal(VerdictAccepted), "another incarnation at its address")
+	})
+
+	It("is remembered when the next one at its address has ended too", func() {
+		// Guards against a departure that is lost when the membership of another incarnation ends.
+		m := newMachine(Retention{})
+		m.do(announced("i-1", MemberStateServing))
+		m.do(RetireMember{Name: name, Incarnation: "i-1"})
+		m.do(announced("i-2", MemberStateServing))
+		expire(m)
+		Expect(m.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictStale))
+	})
+
+	It("ends the incarnation that is named, or all where only the backend server is named", func() {
+		// Guards against a delayed end of one incarnation that ends the membership of a later one.
+		m := newMachine(Retention{})
+		m.do(life("a", 2, 1))
+		m.do(RetireMember{Incarnation: "i 1"})
+		_, ok := m.Get(Key{Kind: KindMember, Name: "a"})
+		Expect(ok).To(BeTrue(), "a later incarnation")
+		Expect(m.do(RetireMember{Incarnation: "i", Instance: "i"}).Verdict).To(Equal(VerdictAccepted))
+		_, ok = m.Get(Key{Kind: KindMember, Name: "a"})
+		Expect(ok).To(BeFalse())
+		Expect(m.do(life("a", 2, 2)).Verdict).To(Equal(VerdictStale))
+		Expect(m.do(life("a", 3, 1)).Verdict).To(Equal(VerdictAccepted))
+	})
+
+	It("is forgotten after departureAge, and not sooner", func() {
+		// Guards against departures that are dropped early, and against ones that are never dropped.
+		m := newMachine(Retention{MinEntries: 1})
+		m.do(RetireMember{Incarnation: "i-1"})
+		for range int(Instant(departureAge) / maxTimeStep) {
+			m.now += maxTimeStep
+			Expect(m.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictStale))
+		}
+		m.now += maxTimeStep
+		Expect(m.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictAccepted))
+		Expect(m.departures.live).To(BeZero())
+		Expect(m.departures.queue).To(BeEmpty())
+	})
+
+	It("replaces the oldest one beyond maxDepartures", func() {
+		// Guards against unbounded growth of the replicated state.
+		m := newMachine(Retention{})
+		for i := range maxDepartures + 1 {
+			m.do(RetireMember{Incarnation: fmt.Sprint("i-", i)})
+		}
+		Expect(m.departures.live).To(Equal(maxDepartures))
+		Expect(m.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictStale))
+		Expect(m.do(announced("i-0", MemberStateServing)).Verdict).To(Equal(VerdictAccepted))
+	})
+})
--- a/internal/state/storer/shard.go
+++ b/internal/state/storer/shard.go
@@ -36,6 +36,9 @@
 	// replaced, oldest first. A message of one of them that arrives late must
 	// not take the membership back.
 	superseded map[string][]string
+	// departures holds the incarnations of backend servers that have ended, by
+	// incarnation.
+	departures map[string]departure
 }
 
 // record is the first answer to a change with an idempotency key.
@@ -66,6 +69,7 @@
 		records:    map[string]record{},
 		retired:    map[string]retiredVersion{},
 		superseded: map[string][]string{},
+		departures: map[string]departure{},
 	}
 }
 
@@ -121,7 +125,7 @@
 
 // empty reports whether nothing is left to keep the space for.
 func (p *space) empty() bool {
-	return !p.inUse() && len(p.resources[KindWorkspace])+len(p.claims)+len(p.records)+len(p.retired)+len(p.superseded) == 0
+	return !p.inUse() && len(p.resources[KindWorkspace])+len(p.claims)+len(p.records)+len(p.retired)+len(p.superseded)+len(p.departures) == 0
 }
 
 // appendResources appends the resources of a kind, sorted by name.
--- a/internal/state/storer/snapshot.go
+++ b/internal/state/storer/snapshot.go
@@ -32,6 +32,7 @@
 	Retired    int       `cbor:"11,keyasint"`
 	Superseded int       `cbor:"12,keyasint"`
 	Changes    int       `cbor:"13,keyasint"`
+	Departures int       `cbor:"14,keyasint,omitempty"`
 }
 
 // supersededMember is the memory of a member name's replaced incarnations.
@@ -50,6 +51,7 @@
 	retired    []retiredVersion
 	superseded []supersededMember
 	changes    []Change
+	departures []departure
 }
 
 // Snapshot writes the state. Stores which applied the same commands write the
@@ -80,6 +82,7 @@
 		encodeAll(e, c.retired),
 		encodeAll(e, c.superseded),
 		encodeAll(e, c.changes),
+		encodeAll(e, c.departures),
 	); err != nil {
 		return errors.Annotate(err, "write snapshot")
 	}
@@ -157,6 +160,9 @@
 		for name, incarnations := range p.superseded {
 			c.superseded = append(c.superseded, supersededMember{Name: name, Incarnations: incarnations})
 		}
+		for _, d := range p.departures {
+			c.departures = append(c.departures, d)
+		}
 	}
 }
 
@@ -168,6 +174,10 @@
 	slices.SortFunc(c.records, func(a, b record) int { return cmp.Compare(a.Index, b.Index) })
 	slices.SortFunc(c.retired, func(a, b retiredVersion) int { return cmp.Compare(a.Index, b.Index) })
 	slices.SortFunc(c.superseded, func(a, b supersededMember) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.departures, func(a, b departure) int {
+		return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	c.header.Departures = len(c.departures)
 	c.header.Resources, c.header.Claims, c.header.Records = len(c.resources), len(c.claims), len(c.records)
 	c.header.Retired, c.header.Superseded, c.header.Changes = len(c.retired), len(c.superseded), len(c.changes)
 }
@@ -205,6 +215,7 @@
 		decodeInto(d, c.header.Retired, &c.retired),
 		decodeInto(d, c.header.Superseded, &c.superseded),
 		decodeInto(d, c.header.Changes, &c.changes),
+		decodeInto(d, c.header.Departures, &c.departures),
 	)
 }
 
@@ -235,6 +246,10 @@
 	for _, m := range c.superseded {
 		s.shard("").space("").superseded[m.Name] = m.Incarnations
 	}
+	for _, d := range c.departures {
+		s.shard("").space("").departures[d.Incarnation] = d
+		s.departures.restore(aged{key: d.Incarnation, index: d.Index, time: d.Time})
+	}
 }
 
 func (a *aging) restore(e aged) {
@@ -254,7 +269,7 @@
 	}
 	s.applied, s.now = c.header.Applied, c.header.Now
 	s.retention, s.hashes = fresh.retention, fresh.hashes
-	s.claims, s.records, s.retired = fresh.claims, fresh.records, fresh.retired
+	s.claims, s.records, s.retired, s.departures = fresh.claims, fresh.records, fresh.retired, fresh.departures
 	s.history.replace(c.changes, c.header.Floor)
 	s.revision.Store(c.header.Revision)
 	for i := range s.shards {
--- a/internal/state/storer/store.go
+++ b/internal/state/storer/store.go
@@ -29,8 +29,8 @@
 	// hashes holds the hash of every caller's key, over all workspaces: a
 	// bearer key must lead to one workspace only.
 	hashes map[[hashLength]byte]Key
-	// claims, records and retired count and age what expires.
-	claims, records, retired aging
+	// claims, records, retired and departures count and age what expires.
+	claims, records, retired, departures aging
 
 	// shards hold the state; each has its own lock. A command writes to one
 	// shard, and publishes its revision while it holds that shard's lock: who
--- a/internal/transport/controller/announcing.go
+++ b/internal/transport/controller/announcing.go
@@ -68,27 +68,28 @@
 	return nil
 }
 
-// Retire takes the word that a backend server has ended, wherever it was: the life that
-// began at a time, or the present one where that is 0.
-func (c *Control) Retire(ctx context.Context, instance string, born uint64) error {
+// Retire ends an incarnation of a backend server or, if r has an instance, all incarnations
+// of it that have a membership. The command is accepted through the log before Retire
+// returns, even if this host finds no membership: its lease may have expired, or its
+// announcement may not have been applied here yet.
+func (c *Control) Retire(ctx context.Context, r storer.RetireMember) error {
 	members, _ := c.store.List(storer.KindMember, "")
 	for _, m := range members {
-		spec := m.Spec.(storer.MemberSpec)
-		if spec.Of() != instance || born > 0 && spec.Born != born {
-			continue
-		}
-		incarnation := spec.Incarnation
-		_, err := c.Propose(ctx, storer.Envelope{Command: storer.RetireMember{Name: m.Metadata.Name, Incarnation: incarnation}})
-		if err == nil {
-			c.recordBackend(recorder.KindMemberEnded, m.Metadata.Name, "%s", incarnation)
-			c.settings.Log.Info().Str("Backend", m.Metadata.Name).Str("Incarnation", incarnation).Msg("backend server retired")
+		if spec := m.Spec.(storer.MemberSpec); spec.Incarnation == r.Incarnation || r.Instance != "" && spec.Of() == r.Instance {
+			r.Name, r.Incarnation = m.Metadata.Name, spec.Incarnation
+			break
 		}
+	}
+	result, err := c.Propose(ctx, storer.Envelope{Command: r})
+	if err != nil {
 		return err
 	}
-	if age, ok := c.freshness(); !ok || age > certainLimit {
-		return ErrUncertain
+	if result.Verdict != storer.VerdictAccepted {
+		c.settings.Log.Info().Str("Incarnation", r.Incarnation).Str("Reason", result.Reason).Msg("backend server retired without a membership")
+		return nil
 	}
-	c.settings.Log.Info().Str("Instance", instance).Uint64("Born", born).Msg("backend server retired without a membership")
+	c.recordBackend(recorder.KindMemberEnded, r.Name, "%s", r.Incarnation)
+	c.settings.Log.Info().Str("Backend", r.Name).Str("Incarnation", r.Incarnation).Msg("backend server retired")
 	return nil
 }
 
--- a/internal/transport/controller/enlisting_test.go
+++ b/internal/transport/controller/enlisting_test.go
@@ -152,7 +152,7 @@
 		r, ok := g.controls[g.leader()].Store().Get(announcedKey)
 		Expect(ok).To(BeTrue())
 		Expect(r.Spec.(storer.MemberSpec).State).To(Equal(storer.MemberStateLeaving))
-		Expect(at.Retire(ctx, "i-1", 0)).To(Succeed())
+		Expect(at.Retire(ctx, storer.RetireMember{Incarnation: "i-1", Instance: "i-1"})).To(Succeed())
 		Eventually(func() bool { _, ok := at.Store().Get(announcedKey); return ok }, 10*time.Second).Should(BeFalse())
 	})
 
