storer: remember a leave after the lease expires

A backend server that had announced its leave, and whose lease expired before its end, served again once an earlier heartbeat arrived, because the leave was recorded only in its membership. Callers' requests would reach the server after its leave had been acknowledged.

The replicated state now records a leave by incarnation, as it does an end, and the end replaces the leave. A heartbeat that reports serving is stale for such an incarnation unless the incarnation has a membership, which stays leaving. A late leave does not take the address from another incarnation.

Two storer specs failed before this change ("is not undone by a late heartbeat when the lease expires after a leave", "does not replace another incarnation's membership when a leave arrives late").

--- a/internal/state/storer/announcements.go
+++ b/internal/state/storer/announcements.go
@@ -22,6 +22,9 @@
 		return Result{Verdict: VerdictStale, Reason: reason}
 	}
 	old, exists := p.get(KindMember, c.Name)
+	if c.Member.State == MemberStateLeaving {
+		s.recordDeparture(index, p, c.Member.Incarnation, true)
+	}
 	c.Member.Epoch = index
 	if exists {
 		was := old.Spec.(MemberSpec)
@@ -54,8 +57,14 @@
 
 // overtaken tells why an announcement is a late one, or nothing.
 func (p *space) overtaken(c AnnounceMember) string {
-	if _, departed := p.departures[c.Member.Incarnation]; departed || slices.Contains(p.superseded[c.Name], c.Member.Incarnation) {
+	d, departed := p.departures[c.Member.Incarnation]
+	held, exists := p.get(KindMember, c.Name)
+	current := exists && held.Spec.(MemberSpec).Incarnation == c.Member.Incarnation
+	switch {
+	case departed && !d.Leaving, slices.Contains(p.superseded[c.Name], c.Member.Incarnation):
 		return "the incarnation has ended"
+	case departed && !current && (exists || c.Member.State == MemberStateServing):
+		return "the incarnation leaves"
 	}
 	for _, r := range p.resources[KindMember] {
 		m := r.Spec.(MemberSpec)
--- a/internal/state/storer/departures.go
+++ b/internal/state/storer/departures.go
@@ -15,29 +15,42 @@
 	maxDepartures = 50_000
 )
 
-// departure records that an incarnation of a backend server has ended. It is independent
-// of memberships: an incarnation may end after its lease has expired, and the membership
-// at its address may belong to another incarnation.
+// departure records that an incarnation of a backend server is leaving or has ended. It is
+// independent of memberships: an incarnation may leave or end after its lease has expired,
+// and the membership at its address may belong to another incarnation.
 type departure struct {
 	Incarnation string  `cbor:"1,keyasint"`
 	Index       uint64  `cbor:"2,keyasint"`
 	Time        Instant `cbor:"3,keyasint"`
+	// Leaving reports that the incarnation is leaving and has not ended yet.
+	Leaving bool `cbor:"4,keyasint,omitempty"`
 }
 
-// recordDeparture records that an incarnation has ended. The caller holds the lock of p's
-// shard; p is the space of the empty workspace name.
-func (s *Store) recordDeparture(index uint64, p *space, incarnation string) {
-	if _, known := p.departures[incarnation]; known || incarnation == "" {
+// recordDeparture records that an incarnation is leaving or has ended. An end replaces a
+// recorded leave; any other departure that is already recorded stays as it is. The caller
+// holds the lock of p's shard; p is the space of the empty workspace name.
+func (s *Store) recordDeparture(index uint64, p *space, incarnation string, leaving bool) {
+	old, known := p.departures[incarnation]
+	if incarnation == "" || known && (leaving || !old.Leaving) {
+		return
+	}
+	e := aged{key: incarnation, index: index, time: s.now}
+	p.departures[incarnation] = departure{Incarnation: incarnation, Index: index, Time: s.now, Leaving: leaving}
+	if known {
+		s.departures.push(e)
 		return
 	}
 	if s.departures.live >= maxDepartures {
 		s.departures.dropOldest(func(e aged) bool {
+			// The departure was recorded again at a later index, or has been dropped.
+			if p.departures[e.key].Index != e.index {
+				return false
+			}
 			delete(p.departures, e.key)
 			return true
 		})
 	}
-	p.departures[incarnation] = departure{Incarnation: incarnation, Index: index, Time: s.now}
-	s.departures.restore(aged{key: incarnation, index: index, time: s.now})
+	s.departures.restore(e)
 }
 
 func (s *Store) forgetDeparture(e aged) bool {
@@ -53,7 +66,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.space("")
-	_, known := p.departures[c.Incarnation]
+	old, known := p.departures[c.Incarnation]
 	incarnations := []string{c.Incarnation}
 	var changes []Change
 	for _, r := range p.resources[KindMember] {
@@ -72,11 +85,11 @@
 	// departures in the same order.
 	slices.Sort(incarnations)
 	for _, i := range incarnations {
-		s.recordDeparture(index, p, i)
+		s.recordDeparture(index, p, i, false)
 	}
 	switch {
 	case len(changes) > 0:
-	case known:
+	case known && !old.Leaving:
 		return Result{Verdict: VerdictStale, Reason: "the incarnation had ended before"}
 	default:
 		return Result{Verdict: VerdictStale, Reason: "the incarnation has no membership"}
--- a/internal/state/storer/departures_test.go
+++ b/internal/state/storer/departures_test.go
@@ -50,6 +50,36 @@
 		Expect(m.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictStale))
 	})
 
+	It("is not undone by a late heartbeat when the lease expires after a leave", func() {
+		// Guards against requests to a backend server whose leave was acknowledged before its lease expired.
+		m := newMachine(Retention{})
+		m.do(announced("i-1", MemberStateServing))
+		m.do(announced("i-1", MemberStateLeaving))
+		expire(m)
+		for _, replica := range []*machine{m, m.restarted()} {
+			Expect(replica.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictStale))
+			Expect(serving(replica)).To(BeFalse())
+			Expect(replica.do(announced("i-1", MemberStateLeaving)).Verdict).To(Equal(VerdictAccepted))
+			Expect(replica.do(announced("i-1", MemberStateServing)).Verdict).To(Equal(VerdictAccepted))
+			Expect(serving(replica)).To(BeFalse())
+			replica.do(RetireMember{Incarnation: "i-1"})
+			Expect(replica.do(announced("i-1", MemberStateLeaving)).Verdict).To(Equal(VerdictStale))
+			Expect(replica.departures.live).To(Equal(1))
+		}
+	})
+
+	It("does not replace another incarnation's membership when a leave arrives late", func() {
+		// Guards against a late leave that ends the membership of another incarnation at the same address.
+		m := newMachine(Retention{})
+		m.do(announced("i-1", MemberStateServing))
+		m.do(announced("i-1", MemberStateLeaving))
+		expire(m)
+		m.do(announced("i-2", MemberStateServing))
+		Expect(m.do(announced("i-1", MemberStateLeaving)).Verdict).To(Equal(VerdictStale))
+		Expect(m.do(announced("i-2", MemberStateServing)).Verdict).To(Equal(VerdictAccepted))
+		Expect(serving(m)).To(BeTrue())
+	})
+
 	It("ends the incarnation that is named, or all where only the backend server is named", func() {
 		// Guards against a delayed end of one incarnation that ends the membership of a later one.
 		m := newMachine(Retention{})
