controller, storer: acknowledge a late leave only once it is in force

A control host skipped each heartbeat that a later one of the same incarnation had overtaken, and acknowledged it. If both announced that their sender leaves, and the later one was not accepted, as on a host that is cut off from the leader, the backend server was told that its leave was known although no host had recorded it.

A leave is irrevocable. A late one is therefore proposed like any other announcement, and the store accepts it even if it holds a later message, whose sequence number it keeps.

Two specs failed before this change: in the controller, "of a leave are acknowledged only once accepted, in whatever order they arrive"; in the storer, "is announced by a leave that arrives after a message with a higher sequence number".

--- a/internal/state/storer/announcements.go
+++ b/internal/state/storer/announcements.go
@@ -31,6 +31,7 @@
 		if was.Incarnation == c.Member.Incarnation {
 			c.Member.Epoch = was.Epoch
 			c.Member.State = max(c.Member.State, was.State)
+			c.Member.Sequence = max(c.Member.Sequence, was.Sequence)
 		} else {
 			p.supersede(c.Name, was.Incarnation)
 		}
@@ -72,6 +73,8 @@
 		case c.Member.Instance == "" || m.Instance != c.Member.Instance:
 		case m.Born > c.Member.Born:
 			return "a later life has begun"
+		case c.Member.State == MemberStateLeaving:
+			// A leave is irrevocable, so it takes effect even if a later message was accepted.
 		case m.Incarnation == c.Member.Incarnation && c.Member.Sequence > 0 && c.Member.Sequence < m.Sequence:
 			return "a later message has come"
 		}
--- a/internal/state/storer/departures_test.go
+++ b/internal/state/storer/departures_test.go
@@ -80,6 +80,19 @@
 		Expect(serving(m)).To(BeTrue())
 	})
 
+	It("is announced by a leave that arrives after a message with a higher sequence number", func() {
+		// Guards against a leave that is acknowledged but does not take effect.
+		m := newMachine(Retention{})
+		m.do(life("a", 1, 5))
+		leaving := life("a", 1, 3)
+		leaving.Member.State = MemberStateLeaving
+		for _, c := range []AnnounceMember{leaving, life("a", 1, 4), life("a", 1, 6)} {
+			m.do(c)
+			r, _ := m.Get(Key{Kind: KindMember, Name: "a"})
+			Expect(r.Spec.(MemberSpec).State).To(Equal(MemberStateLeaving))
+		}
+	})
+
 	It("ends the incarnation that is named, or all where only the backend server is named", func() {
 		// Guards against a delayed end of one incarnation that ends the membership of a later one.
 		m := newMachine(Retention{})
--- a/internal/transport/controller/announcing.go
+++ b/internal/transport/controller/announcing.go
@@ -30,7 +30,8 @@
 	if r, ok := c.store.Get(storer.Key{Kind: storer.KindMember, Name: name}); ok {
 		held := r.Spec.(storer.MemberSpec)
 		m.Epoch = held.Epoch
-		if !c.heard.note(name, m.Incarnation, m.Sequence) {
+		// A late leave is not skipped: it is acknowledged only once it is in force.
+		if !c.heard.note(name, m.Incarnation, m.Sequence) && m.State != storer.MemberStateLeaving {
 			c.settings.Log.Info().Str("Backend", name).Stringer("State", m.State).Uint64("Sequence", m.Sequence).Msg("late heartbeat passed over")
 			return nil
 		}
--- a/internal/transport/controller/enlisting_test.go
+++ b/internal/transport/controller/enlisting_test.go
@@ -178,6 +178,32 @@
 			Should(MatchError(controller.ErrUncertain))
 	})
 
+	It("of a leave are acknowledged only once accepted, in whatever order they arrive", func() {
+		// Guards against a leave that is acknowledged because a later message, itself not accepted, arrived first.
+		g, err := newGroup(3, shortLeases)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(g.close)
+		Eventually(g.leader, 10*time.Second).Should(BeNumerically(">=", 0))
+		cut := (g.leader() + 1) % 3
+		announce := func(state storer.MemberState, sequence uint64) error {
+			m := spec(state)
+			m.Sequence = sequence
+			ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+			defer cancel()
+			return g.controls[cut].Announce(ctx, m)
+		}
+		Eventually(func() error { return announce(storer.MemberStateServing, 1) }, 10*time.Second).Should(Succeed())
+		Eventually(func() bool { _, ok := g.controls[cut].Store().Get(announcedKey); return ok }, 10*time.Second).Should(BeTrue())
+		for i := range g.hosts {
+			if i != cut {
+				g.network.set(nodeOf(g.hosts[i].ID), g.hosts[cut].Address, true)
+				g.network.set(nodeOf(g.hosts[cut].ID), g.hosts[i].Address, true)
+			}
+		}
+		Eventually(func() error { return announce(storer.MemberStateLeaving, 3) }, 10*time.Second).ShouldNot(Succeed())
+		Expect(announce(storer.MemberStateLeaving, 2)).NotTo(Succeed())
+	})
+
 	It("and routing configurations are read after all that was accepted", func() {
 		g, err := newGroup(3, shortLeases)
 		Expect(err).NotTo(HaveOccurred())
