storer: record a leave even if its announcement is stale

A leave of an incarnation that another incarnation had superseded at its address was acknowledged as stale and not recorded. When the lease of the other incarnation expired, the record of the incarnations it had superseded was dropped with its membership, and a delayed heartbeat could make the first incarnation serve after its leave had been acknowledged.

--- a/internal/state/storer/announcements.go
+++ b/internal/state/storer/announcements.go
@@ -18,13 +18,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.space("")
-	if reason := p.overtaken(c); reason != "" {
-		return Result{Verdict: VerdictStale, Reason: reason}
-	}
-	old, exists := p.get(KindMember, c.Name)
+	reason := p.overtaken(c)
 	if c.Member.State == MemberStateLeaving {
+		// A stale leave is recorded too: the membership that superseded this incarnation may
+		// end before a delayed heartbeat of this incarnation arrives.
 		s.recordDeparture(index, p, c.Member.Incarnation, true)
 	}
+	if reason != "" {
+		return Result{Verdict: VerdictStale, Reason: reason}
+	}
+	old, exists := p.get(KindMember, c.Name)
 	c.Member.Epoch = index
 	if exists {
 		was := old.Spec.(MemberSpec)
