companion: leave a membership whose join completes during a planned stop

A companion whose lease has just expired joins again. If it was stopped in the meantime, its leave named the former membership and had no effect. The join then began another membership, which nothing ended until its lease expired, and entries kept choosing a companion that refused their requests as not run. Found by reading the code; not seen in a run.

A join that completes after the leave now announces the leave for the membership that it began, and no join begins once a stop has announced the leave. The spec "ends a membership whose join completes after the leave" failed before this change.

--- a/internal/transport/companion/companion.go
+++ b/internal/transport/companion/companion.go
@@ -41,6 +41,9 @@
 	mu sync.Mutex
 	// closed bars new tasks; guarded by mu, as all below.
 	closed bool
+	// leaving and ended record the latest leave announcement of a planned stop. A join
+	// that completes later repeats it for the new membership.
+	leaving, ended bool
 	// draining refuses new requests.
 	draining bool
 	// lease is the present membership; its Epoch is 0 before the first.
--- a/internal/transport/companion/drain.go
+++ b/internal/transport/companion/drain.go
@@ -74,8 +74,14 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
 	c.mu.Lock()
+	c.leaving, c.ended = true, ended
 	epoch := c.lease.Epoch
 	c.mu.Unlock()
+	c.sendLeave(ctx, epoch, ended)
+}
+
+// sendLeave announces that the membership with the given epoch is leaving or has ended.
+func (c *Companion) sendLeave(ctx context.Context, epoch uint64, ended bool) {
 	if err := c.settings.Control.Leave(ctx, c.settings.Node, epoch, ended); err != nil {
 		c.settings.Log.Warn().Err(err).Str("Backend", c.settings.Node).Msg("leaving not announced")
 	}
--- a/internal/transport/companion/drain_test.go
+++ b/internal/transport/companion/drain_test.go
@@ -27,6 +27,23 @@
 		defer cancel()
 		Expect(b.companion.Drain(ctx)).To(Succeed())
 	})
+
+	It("ends a membership whose join completes after the leave", func() {
+		// Guards against a membership that keeps serving because its join was in progress during the leave.
+		b := newBench(generator.Settings{})
+		joins := b.control.joins.Load()
+		b.control.joinGate = make(chan struct{})
+		b.control.void("atl-a-1", b.companion.epoch())
+		Eventually(b.control.joins.Load).WithTimeout(patience).Should(Equal(joins + 1))
+		Expect(b.companion.Drain(context.Background())).To(Succeed())
+		close(b.control.joinGate)
+		Eventually(b.companion.epoch).WithTimeout(patience).Should(BeEquivalentTo(2))
+		Eventually(func() []uint64 {
+			b.control.mu.Lock()
+			defer b.control.mu.Unlock()
+			return b.control.endedEpochs
+		}).WithTimeout(patience).Should(ContainElement(BeEquivalentTo(2)))
+	})
 })
 
 var _ = Describe("A companion whose callers leave", func() {
--- a/internal/transport/companion/member.go
+++ b/internal/transport/companion/member.go
@@ -71,10 +71,24 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	leaving, ended, err := c.applyLease(lease)
+	if err != nil {
+		return err
+	}
+	if leaving {
+		c.sendLeave(ctx, lease.Epoch, ended)
+	}
+	return nil
+}
+
+// applyLease makes lease the present membership unless its epoch is lower than the present
+// one. It returns whether a planned stop has begun, in which case the caller announces the
+// leave of this membership, and whether that leave announces the end.
+func (c *Companion) applyLease(lease registrar.Lease) (leaving, ended bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if lease.Epoch < c.lease.Epoch {
-		return errors.Errorf("membership went back from epoch %d to %d", c.lease.Epoch, lease.Epoch)
+		return false, false, errors.Errorf("membership went back from epoch %d to %d", c.lease.Epoch, lease.Epoch)
 	}
 	c.lease = lease
 	if c.table != nil {
@@ -83,7 +97,7 @@
 	c.settings.Recorder.Record(recorder.Event{
 		Kind: recorder.KindMemberJoined, Backend: c.settings.Node, Revision: lease.Epoch, Detail: c.incarnation,
 	})
-	return nil
+	return c.leaving, c.ended, nil
 }
 
 // voided hears that a membership has ended.
@@ -99,7 +113,7 @@
 
 // rejoin joins again unless that is under way. The caller holds mu.
 func (c *Companion) rejoin() {
-	if c.joining || c.draining || c.superseded {
+	if c.joining || c.leaving || c.superseded {
 		return
 	}
 	c.joining = true
--- a/internal/transport/companion/suite_test.go
+++ b/internal/transport/companion/suite_test.go
@@ -41,15 +41,27 @@
 	// asked and withdrawn count the requests for permits.
 	asked, withdrawn atomic.Int32
 
-	mu      sync.Mutex
-	epoch   uint64
-	lost    bool
+	// joins counts the calls of Join, including those in progress.
+	joins atomic.Int32
+	// joinGate, if not nil, blocks Join until it is closed.
+	joinGate chan struct{}
+
+	mu    sync.Mutex
+	epoch uint64
+	lost  bool
+	// leaving holds the ended argument of each call of Leave.
 	leaving []bool
-	void    func(string, uint64)
-	renewal registrar.Renewal
+	// endedEpochs holds the epochs of the memberships announced as ended.
+	endedEpochs []uint64
+	void        func(string, uint64)
+	renewal     registrar.Renewal
 }
 
 func (f *fakeControl) Join(_ context.Context, name string, _ storer.MemberSpec) (registrar.Lease, error) {
+	f.joins.Add(1)
+	if f.joinGate != nil {
+		<-f.joinGate
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.epoch++
@@ -68,10 +80,13 @@
 	return f.renewal.Resident
 }
 
-func (f *fakeControl) Leave(_ context.Context, _ string, _ uint64, ended bool) error {
+func (f *fakeControl) Leave(_ context.Context, _ string, epoch uint64, ended bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leaving = append(f.leaving, ended)
+	if ended {
+		f.endedEpochs = append(f.endedEpochs, epoch)
+	}
 	return nil
 }
 
