controller: renew no lease for a late leave in force; log the name of the ended membership

Since late leaves are proposed, one that a control host knew to be in force renewed the lease of its sender, which may have ended since. It is skipped again. An end whose membership this host had not applied yet was logged and recorded with an empty name; the name is now that of the membership that the store ended. Both were found by reading the code; no spec covers them.

Add a spec that an end sent through a host that may be behind takes effect at all hosts.

--- a/internal/state/storer/departures.go
+++ b/internal/state/storer/departures.go
@@ -87,12 +87,12 @@
 	for _, i := range incarnations {
 		s.recordDeparture(index, p, i, false)
 	}
-	switch {
-	case len(changes) > 0:
-	case known && !old.Leaving:
-		return Result{Verdict: VerdictStale, Reason: "the incarnation had ended before"}
-	default:
-		return Result{Verdict: VerdictStale, Reason: "the incarnation has no membership"}
+	if len(changes) == 0 {
+		reason := "the incarnation has no membership"
+		if known && !old.Leaving {
+			reason = "the incarnation had ended before"
+		}
+		return Result{Verdict: VerdictStale, Reason: reason}
 	}
 	sortChanges(changes)
 	s.publish(index, changes...)
--- a/internal/transport/controller/announcing.go
+++ b/internal/transport/controller/announcing.go
@@ -30,8 +30,11 @@
 	if r, ok := c.store.Get(storer.Key{Kind: storer.KindMember, Name: name}); ok {
 		held := r.Spec.(storer.MemberSpec)
 		m.Epoch = held.Epoch
-		// A late leave is not skipped: it is acknowledged only once it is in force.
-		if !c.heard.note(name, m.Incarnation, m.Sequence) && m.State != storer.MemberStateLeaving {
+		late := !c.heard.note(name, m.Incarnation, m.Sequence)
+		leaveInForce := held.Incarnation == m.Incarnation && held.State == storer.MemberStateLeaving
+		// A late message must not renew the lease, since its sender may have ended. A late leave
+		// that is not in force here is proposed, so that it is not acknowledged without effect.
+		if late && (m.State == storer.MemberStateServing || leaveInForce) {
 			c.settings.Log.Info().Str("Backend", name).Stringer("State", m.State).Uint64("Sequence", m.Sequence).Msg("late heartbeat passed over")
 			return nil
 		}
@@ -89,6 +92,10 @@
 		c.settings.Log.Info().Str("Incarnation", r.Incarnation).Str("Reason", result.Reason).Msg("backend server retired without a membership")
 		return nil
 	}
+	if result.Resource != nil {
+		// r.Name is empty if this host has not applied the announcement yet.
+		r.Name = result.Resource.Metadata.Name
+	}
 	c.recordBackend(recorder.KindMemberEnded, r.Name, "%s", r.Incarnation)
 	c.settings.Log.Info().Str("Backend", r.Name).Str("Incarnation", r.Incarnation).Msg("backend server retired")
 	return nil
--- a/internal/transport/controller/enlisting_test.go
+++ b/internal/transport/controller/enlisting_test.go
@@ -204,6 +204,25 @@
 		Expect(announce(storer.MemberStateLeaving, 2)).NotTo(Succeed())
 	})
 
+	It("of an end take effect at all hosts, even through a host that may be behind", func() {
+		// Guards against an end that a host acknowledges without effect because it has not applied the membership yet.
+		g, err := newGroup(3, shortLeases)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(g.close)
+		Eventually(g.leader, 10*time.Second).Should(BeNumerically(">=", 0))
+		leader, follower := g.controls[g.leader()], g.controls[(g.leader()+1)%3]
+		Eventually(func() error { return leader.Announce(ctx, spec(storer.MemberStateServing)) }, 10*time.Second).Should(Succeed())
+		Eventually(func() error {
+			return follower.Retire(ctx, storer.RetireMember{Incarnation: "i-1", Instance: "i-1"})
+		}, 10*time.Second).Should(Succeed())
+		for _, c := range g.controls {
+			Eventually(func() bool { _, ok := c.Store().Get(announcedKey); return ok }, 10*time.Second).Should(BeFalse())
+		}
+		Expect(leader.Announce(ctx, spec(storer.MemberStateServing))).To(Succeed(), "late messages are acknowledged")
+		_, ok := leader.Store().Get(announcedKey)
+		Expect(ok).To(BeFalse())
+	})
+
 	It("and routing configurations are read after all that was accepted", func() {
 		g, err := newGroup(3, shortLeases)
 		Expect(err).NotTo(HaveOccurred())
