subscriber: ask other control hosts for the age of their state before moving

The entry alternated between two control hosts that had lost the leader and were still reached by it: the client remembered one address to avoid, and leaving the second host made the nearer first one the preferred one again. Each such host also cost half a lease, and a client of a farther host went back to the nearest one every few seconds without asking whether that had a leader.

A control host now answers Control.Freshness with the age of its state. When the state of the host in use is older than half the lease, or its age is not known, the client asks the others in order of distance, a quarter of the dial timeout apart, and subscribes to the first whose state is at most a quarter of the lease old; if there is none, it stays and asks again after half a lease. The return to a nearer host and connecting after a loss use the same question. Quota reports, memberships, permits and proposals use the same subscription.

--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -40,6 +40,9 @@
 	MethodPropose Method = "Control.Propose"
 	// MethodSubscribe subscribes a node to deltas (package distributor).
 	MethodSubscribe Method = "Control.Subscribe"
+	// MethodFreshness requests the age of a control host's state, without a subscription;
+	// answered by Pulse (package distributor).
+	MethodFreshness Method = "Control.Freshness"
 	// MethodDelta carries changes to a node (package distributor).
 	MethodDelta Method = "Node.Delta"
 	// MethodApplied reports the revision that a node has applied (package distributor).
--- a/internal/transport/controller/handler.go
+++ b/internal/transport/controller/handler.go
@@ -46,6 +46,8 @@
 	switch method {
 	case messenger.MethodSubscribe:
 		return handleCall(params, func(s distributor.Subscribe) (distributor.Subscribed, error) { return c.startSession(conn, s) })
+	case messenger.MethodFreshness:
+		return c.pulse(), nil
 	case messenger.MethodPropose:
 		return handleCall(params, func(p distributor.Propose) (distributor.Proposed, error) { return c.propose(ctx, p) })
 	case messenger.MethodRead:
--- a/internal/transport/sealer/authorize.go
+++ b/internal/transport/sealer/authorize.go
@@ -62,7 +62,8 @@
 		// Operators' calls and claims are sent by entries. A companion has no need to read
 		// or change these data.
 		return entries | controls
-	case messenger.MethodHeartbeat, messenger.MethodPace, messenger.MethodSubscribe, messenger.MethodApplied, messenger.MethodGoodbye:
+	case messenger.MethodHeartbeat, messenger.MethodPace, messenger.MethodSubscribe, messenger.MethodFreshness,
+		messenger.MethodApplied, messenger.MethodGoodbye:
 		return entries | companions | controls
 	default:
 		return 0
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -30,6 +30,8 @@
 	workers sync.WaitGroup
 	// leaveReason ends the use of the present connection; its value is the reason.
 	leaveReason chan string
+	// outdated signals that the state of the control host in use is outdated.
+	outdated chan struct{}
 	// reportNow starts a report at once.
 	reportNow chan struct{}
 	// applyMu serializes changes of the replica: two connections may briefly deliver deltas
@@ -98,6 +100,7 @@
 		acks:           newAcknowledgements(),
 		accounts:       bucketer.NewAccounts(rand.New(rand.NewPCG(s.Random.Uint64(), s.Random.Uint64()))),
 		leaveReason:    make(chan string, 1),
+		outdated:       make(chan struct{}, 1),
 		reportNow:      make(chan struct{}, 1),
 		confirmation:   make(chan struct{}),
 		linkChanged:    make(chan struct{}),
@@ -221,14 +224,15 @@
 	}
 }
 
-// watchLease records the loss and recovery of the configuration lease, and leaves a control
-// host whose own state has become outdated before the lease expires, since another host may
-// still be in contact with a leader. It stays with a host for at least half a lease, so
-// that nodes don't keep changing hosts while there is no leader at all.
+// watchLease records the loss and recovery of the configuration lease, and starts a search
+// for another control host when the state of the one in use is outdated, before the lease
+// expires. Between two searches there is at least half a lease, so that nodes don't keep
+// searching while there is no leader at all.
 func (c *Client) watchLease() {
 	defer c.workers.Done()
 	ticker := time.NewTicker(c.settings.ConfigurationLease / leaseChecks)
 	defer ticker.Stop()
+	var searchedAt time.Time
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -256,8 +260,13 @@
 			}
 			c.settings.Recorder.Record(recorder.Event{Kind: kind, Revision: c.settings.Index.Revision()})
 		}
-		if settled && known && age > c.settings.ConfigurationLease/2 {
-			c.leaveHost("its state is outdated")
+		outdated := !known || age > c.settings.ConfigurationLease/2
+		if settled && outdated && now.Sub(searchedAt) > c.settings.ConfigurationLease/2 {
+			searchedAt = now
+			select {
+			case c.outdated <- struct{}{}:
+			default:
+			}
 		}
 	}
 }
--- a/internal/transport/subscriber/connection.go
+++ b/internal/transport/subscriber/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,51 +19,77 @@
 	defer c.workers.Done()
 	avoid := ""
 	pause := c.settings.RetryInterval
+	var l *link
 	for c.ctx.Err() == nil {
-		connected := false
-		for _, h := range orderHosts(c.knownHosts(), c.settings.Region, c.settings.FailureDomain, avoid, c.settings.Random) {
-			l, err := c.connect(h)
-			if err != nil {
-				c.settings.Log.Debug().Err(err).Str("Host", h.Address).Msg("subscription failed")
-				if c.ctx.Err() != nil {
-					return
-				}
-				continue
-			}
-			connected, pause = true, c.settings.RetryInterval
-			reason := c.use(l)
-			avoid = ""
-			if reason != "" {
-				avoid = h.Address
-			}
-			break
+		if l == nil {
+			l = c.connectAny(avoid)
 		}
-		if connected {
+		if l == nil {
+			// After the loss of all control hosts the nodes must not reconnect at the same
+			// time.
+			if !c.pause(time.Duration(float64(pause) * (0.5 + c.settings.Random.Float64()))) {
+				return
+			}
+			pause = min(2*pause, c.settings.RetryMax)
 			continue
 		}
-		// After the loss of all control hosts the nodes must not reconnect at the same
-		// time.
-		if !c.pause(time.Duration(float64(pause) * (0.5 + c.settings.Random.Float64()))) {
-			return
+		pause = c.settings.RetryInterval
+		host := l.host.Address
+		var reason string
+		reason, l = c.use(l)
+		avoid = ""
+		if reason != "" {
+			avoid = host
 		}
-		pause = min(2*pause, c.settings.RetryMax)
+	}
+	if l != nil {
+		// The client closes; the subscription was never used.
+		_ = l.conn.Close()
 	}
 }
 
-// connect dials a control host and subscribes to it.
-func (c *Client) connect(h configurer.ControlHost) (*link, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.settings.DialTimeout)
-	defer cancel()
-	network, err := c.settings.Dial(ctx, h.Address)
-	if err != nil {
-		return nil, errors.Annotatef(err, "dial %s", h.Address)
+// connectAny subscribes to the first control host whose state is fresh, or else to the first
+// that answers; nil if none does.
+func (c *Client) connectAny(avoid string) *link {
+	order := orderHosts(c.knownHosts(), c.settings.Region, c.settings.FailureDomain, avoid, c.settings.Random)
+	// After a start there may be no leader yet, and a host whose state is old is better than
+	// none.
+	if _, known := c.Age(); known {
+		if l := c.moveTo(order); l != nil {
+			return l
+		}
+	}
+	for _, h := range order {
+		l, err := c.dial(c.ctx, h)
+		if err == nil {
+			err = c.subscribe(l)
+		}
+		if err == nil {
+			return l
+		}
+		c.settings.Log.Debug().Err(err).Str("Host", h.Address).Msg("subscription failed")
+		if c.ctx.Err() != nil {
+			return nil
+		}
 	}
+	return nil
+}
+
+// newLink returns a link over a network connection, without a subscription.
+func (c *Client) newLink(h configurer.ControlHost, network net.Conn) *link {
 	l := &link{host: h, board: registrar.NewBoard()}
 	ms := c.settings.Messenger
 	ms.Handler = receiver{client: c, link: l}
 	l.conn = messenger.NewConn(network, ms)
+	return l
+}
+
+// subscribe subscribes over a link, and closes it if that fails.
+func (c *Client) subscribe(l *link) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.settings.DialTimeout)
+	defer cancel()
 	var subscribed distributor.Subscribed
-	err = l.conn.Call(ctx, messenger.MethodSubscribe, distributor.Subscribe{
+	err := l.conn.Call(ctx, messenger.MethodSubscribe, distributor.Subscribe{
 		Group:         c.settings.Group,
 		Formation:     c.formation,
 		Node:          c.settings.Node,
@@ -78,7 +105,7 @@
 	if err != nil {
 		// The error of the subscription is more useful than that of Close.
 		_ = l.conn.Close()
-		return nil, errors.Annotatef(err, "subscribe at %s", h.Address)
+		return errors.Annotatef(err, "subscribe at %s", l.host.Address)
 	}
 	if c.formation == 0 {
 		c.formation = subscribed.Formation
@@ -87,16 +114,14 @@
 	c.settings.Recorder.Record(recorder.Event{
 		Kind: recorder.KindConnectionOpened, Revision: subscribed.Revision, Detail: "control host " + subscribed.Host,
 	})
-	return l, nil
+	return nil
 }
 
-// use serves a connection until it ends, and returns the reason for leaving its host; empty
-// if the connection failed, the client closes, or a nearer host is to be tried.
-func (c *Client) use(l *link) string {
-	select {
-	case <-c.leaveReason:
-	default:
-	}
+// use serves a connection until it ends or another host is to be used. It returns the reason
+// for leaving the host, empty if the connection failed, the client closes, or the next host
+// is nearer; and the subscription to use next, if there is one.
+func (c *Client) use(l *link) (reason string, next *link) {
+	c.discardSignals()
 	c.setLink(l)
 	c.members.renewAll()
 	defer func() {
@@ -104,26 +129,59 @@
 		l.retired.Store(true)
 		c.workers.Go(func() { c.closeWhenIdle(l) })
 	}()
-	var returnTimer <-chan time.Time
+	var returnTicks <-chan time.Time
 	if tierOf(l.host, c.settings.Region, c.settings.FailureDomain) != c.bestTier() {
 		jittered := time.Duration(float64(c.settings.ReturnInterval) * (0.5 + c.settings.Random.Float64()))
-		timer := time.NewTimer(jittered)
-		defer timer.Stop()
-		returnTimer = timer.C
+		ticker := time.NewTicker(jittered)
+		defer ticker.Stop()
+		returnTicks = ticker.C
+	}
+	for {
+		select {
+		case <-c.ctx.Done():
+			return "", nil
+		case <-l.conn.Done():
+			return "", nil
+		case reason = <-c.leaveReason:
+			c.logLeaving(l, reason, "")
+			return reason, nil
+		case <-c.outdated:
+			if next = c.moveTo(c.otherHosts(l.host)); next != nil {
+				c.logLeaving(l, reasonOutdated, next.host.Address)
+				return reasonOutdated, next
+			}
+		case <-returnTicks:
+			if next = c.moveTo(c.nearerHosts(l.host)); next != nil {
+				return "", next
+			}
+		}
 	}
+}
+
+// discardSignals drops the signals that concern the previous connection.
+func (c *Client) discardSignals() {
 	select {
-	case <-c.ctx.Done():
-		return ""
-	case <-l.conn.Done():
-		return ""
-	case reason := <-c.leaveReason:
-		c.metrics.left.Inc()
-		c.settings.Log.Info().Str("Host", l.host.Address).Str("Reason", reason).Msg("leaving a control host")
-		return reason
-	case <-returnTimer:
-		// Try the nearer hosts again; the others follow in the order.
-		return ""
+	case <-c.leaveReason:
+	default:
+	}
+	select {
+	case <-c.outdated:
+	default:
+	}
+}
+
+// logLeaving logs that a control host is left. Next is the address of the host that is used
+// afterwards; empty if it is not known yet.
+func (c *Client) logLeaving(l *link, reason, next string) {
+	c.metrics.left.Inc()
+	entry := c.settings.Log.Info().Str("Host", l.host.Address).Str("Reason", reason)
+	if next != "" {
+		entry = entry.Str("Next", next)
+	}
+	if age, known := c.Age(); known {
+		entry = entry.Dur("Age", age)
 	}
+	entry.Msg("leaving a control host")
 }
 
 // closeWhenIdle closes a connection that is no longer in use once its calls have ended.
--- a/internal/transport/subscriber/metrics.go
+++ b/internal/transport/subscriber/metrics.go
@@ -9,6 +9,7 @@
 	trusted     prometheus.Gauge
 	connections prometheus.Counter
 	left        prometheus.Counter
+	probes      prometheus.Counter
 	permitWait  prometheus.Histogram
 
 	reports       prometheus.Counter
@@ -31,6 +32,7 @@
 		trusted:     gauge("configuration_lease", "1 while this node may trust its rules."),
 		connections: counter("control_connections_total", "Subscriptions begun at control hosts."),
 		left:        counter("control_hosts_left_total", "Control hosts left because they were behind or cut off."),
+		probes:      counter("control_probes_total", "Control hosts asked for the age of their state."),
 		permitWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "permit_wait_seconds", Help: "Wait for a load permit that was granted.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
@@ -41,7 +43,7 @@
 	m.confirmedAge = gauge("asked_age_seconds", "Time since this node last asked what was accepted and held it; -1 for never. Keys are trusted by it.")
 	if r != nil {
 		r.MustRegister(m.reports, m.reportsFailed, m.confirmedAge)
-		r.MustRegister(m.revision, m.age, m.trusted, m.connections, m.left, m.permitWait)
+		r.MustRegister(m.revision, m.age, m.trusted, m.connections, m.left, m.probes, m.permitWait)
 	}
 	return m
 }
