tracker, placer: apply views by their changes, and choose among followed engines

Each view change at each entry walked over all members: the tracker copied, filtered and sorted the lists of all services, the placer rebuilt its pools, and each report of an engine searched the members linearly, twice. With 640 engines that join one by one, and some hundred reports a second at an entry, this is the members squared.

Views now share their members, name those that differ from the preceding view and find one by binary search; the placer applies just these.

A call goes to another engine only if it is expected to be served sooner there, at the adapter's home of the whole fleet.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -16,10 +16,14 @@
 // by its pool's lock.
 type backend struct {
 	member tracker.Member
-	// hash is the hash of the name. index is the position among the pool's backends as
-	// of the last survey.
+	// hash is the hash of the name. index is the position among the candidates of the last
+	// survey.
 	hash  uint64
 	index int
+	// tier is 0 in the entry's own failure domain, and rank orders the backend servers of a
+	// tier for this entry.
+	tier int
+	rank uint64
 	// ownCalls is the number of this entry's calls in progress.
 	ownCalls int
 	// state is the companion's last report, received at reportedAt; both are zero
@@ -65,6 +69,16 @@
 	}
 }
 
+// forget drops the reported state.
+func (b *backend) forget() {
+	b.state, b.reportedAt, b.backlogUntil = EngineState{}, time.Time{}, time.Time{}
+	b.placedRead, b.placedWaitingRead, b.placedCalls = 0, 0, 0
+	clear(b.adapters)
+	clear(b.pendingAdapters)
+	clear(b.recent)
+	clear(b.cached)
+}
+
 // accepts reports whether a backend server of a plain service may receive the call now.
 // Servers that announce no slots are not limited.
 func (b *backend) accepts(now time.Time, c *Call) bool {
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -30,16 +29,6 @@
 	pools map[string]*pool
 }
 
-// pool holds the backend servers of one service.
-type pool struct {
-	mu sync.Mutex
-	// backends is sorted by name.
-	backends   []*backend
-	engine     *tracker.Engine
-	random     *rand.Rand
-	lastSurvey survey
-}
-
 // NewPlacer returns a placer without services.
 func NewPlacer(s Settings) *Placer {
 	if s.Random == nil {
@@ -48,15 +37,39 @@
 	return &Placer{settings: s.withDefaults(), pools: make(map[string]*pool)}
 }
 
-// SetView updates the services and backend servers to those of the view. State learned
-// about a backend server is kept as long as its incarnation is unchanged.
+// SetView updates the services and backend servers to those of the view. Views must be set
+// in order. State learned about a backend server is kept as long as its incarnation is
+// unchanged.
 func (p *Placer) SetView(v *tracker.View) {
 	if v.Routing == nil {
 		return
 	}
+	changed, known := v.Changed()
+	p.detachOthers(v.Routing)
 	for i := range v.Routing.Services {
 		s := &v.Routing.Services[i]
-		p.pool(s.Name).update(s.Engine, v.Members(s.Name))
+		o := p.pool(s.Name)
+		o.mu.Lock()
+		if known && o.attached {
+			o.update(s, v, changed, &p.settings)
+		} else {
+			o.reset(s, v.Members(s.Name), &p.settings)
+		}
+		o.mu.Unlock()
+	}
+}
+
+// detachOthers marks the pools of services that are not configured: they miss the changes of
+// members until they are configured again.
+func (p *Placer) detachOthers(r *tracker.Routing) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for name, o := range p.pools {
+		if r.Service(name) == nil {
+			o.mu.Lock()
+			o.attached = false
+			o.mu.Unlock()
+		}
 	}
 }
 
@@ -75,28 +88,6 @@
 	return p.pools[service]
 }
 
-func (o *pool) update(engine *tracker.Engine, members []tracker.Member) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.engine = engine
-	previous := make(map[string]*backend, len(o.backends))
-	for _, b := range o.backends {
-		previous[b.member.Name] = b
-	}
-	o.backends = o.backends[:0:0]
-	for _, m := range members {
-		b := previous[m.Name]
-		if b == nil || b.member.Spec.Incarnation != m.Spec.Incarnation {
-			b = newBackend(m)
-		}
-		if b.member.Spec.Slots != m.Spec.Slots {
-			b.throttle = throttler.NewThrottler(m.Spec.Slots)
-		}
-		b.member = m
-		o.backends = append(o.backends, b)
-	}
-}
-
 // Report applies a companion's report. It reports whether the engine's complete state
 // is known; if it is not, the caller must request it from the companion.
 func (p *Placer) Report(now time.Time, service string, s EngineState) bool {
@@ -130,16 +121,6 @@
 	return b != nil && b.reported()
 }
 
-// find returns the backend server with the name, or nil. The caller holds o.mu.
-func (o *pool) find(name string) *backend {
-	for _, b := range o.backends {
-		if b.member.Name == name {
-			return b
-		}
-	}
-	return nil
-}
-
 // Choose selects the backend server for a call and counts the call there until Finish.
 // It returns ErrNoBackend if none can take the call, and ErrBusy if the backend servers
 // of a plain service have reached their limits.
@@ -156,10 +137,14 @@
 		busy = busy || !accepts
 		return accepts
 	}
-	best := o.best(now, c, &p.settings, func(b *backend) bool { return !now.Before(b.suspectUntil) && eligible(b) })
+	trusted := func(b *backend) bool { return !now.Before(b.suspectUntil) && eligible(b) }
+	best, cost := o.best(now, c, &p.settings, trusted)
+	if other := o.bestUnknown(c, &p.settings, best, cost, trusted); other != nil {
+		best = other
+	}
 	if best == nil {
 		// All candidates are suspect. Try one anyway, since it may have recovered.
-		best = o.best(now, c, &p.settings, eligible)
+		best, _ = o.best(now, c, &p.settings, eligible)
 	}
 	switch {
 	case best == nil && busy:
@@ -177,8 +162,9 @@
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	best := o.best(now, c, &p.settings, func(b *backend) bool { return b.member.Name == name })
-	if best == nil {
+	o.survey(c, &p.settings)
+	best := o.find(name)
+	if best == nil || best.member.Spec.State != storer.MemberStateServing {
 		return errors.Trace(ErrNoBackend)
 	}
 	o.record(now, c, best, choice, &p.settings)
@@ -192,7 +178,7 @@
 	o := first.pool
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	best := o.best(now, c, &p.settings, func(b *backend) bool {
+	best, _ := o.best(now, c, &p.settings, func(b *backend) bool {
 		return b != first.backend && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported()
 	})
 	if best == nil {
@@ -202,11 +188,11 @@
 	return true
 }
 
-func (o *pool) best(now time.Time, c *Call, s *Settings, eligible func(*backend) bool) *backend {
-	var best *backend
-	var least time.Duration
-	engines := o.survey(c)
-	for _, b := range o.backends {
+// best returns the eligible engine or server with the lowest cost among those whose state the
+// entry knows; nil if there is none. The caller holds o.mu.
+func (o *pool) best(now time.Time, c *Call, s *Settings, eligible func(*backend) bool) (best *backend, least time.Duration) {
+	engines := o.survey(c, s)
+	for _, b := range engines.candidates {
 		if b.member.Spec.State != storer.MemberStateServing || !eligible(b) {
 			continue
 		}
@@ -215,7 +201,7 @@
 			best, least = b, cost
 		}
 	}
-	return best
+	return best, least
 }
 
 // record counts the call at the backend server that best returned and fills in the
@@ -230,6 +216,9 @@
 	}
 	if o.engine != nil {
 		choice.Backlog, choice.Load = b.backlog(now), b.adapterWait(o.lastSurvey.adapter, c.Version, s)
+		if o.lastSurvey.adapter != "" && !o.knows(b, s) {
+			choice.Load = s.ColdLoad
+		}
 		choice.Read = b.readTime(c, s)
 		choice.pendingRead = choice.Read
 		if choice.Load > 0 || c.Model != "" && !b.hasModel(c.Model) {
@@ -244,7 +233,9 @@
 			b.pendingAdapters[name] = AdapterState{Name: name, Version: c.Version, Loading: true, Pins: 1}
 		}
 	}
-	choice.Expected = o.cost(now, c, b, &o.lastSurvey, s)
+	if choice.Expected = o.unknownCost(c, b, &o.lastSurvey, s); o.knows(b, s) {
+		choice.Expected = o.cost(now, c, b, &o.lastSurvey, s)
+	}
 	b.ownCalls++
 	b.placedCalls++
 }
--- a/internal/coordination/placer/settings.go
+++ b/internal/coordination/placer/settings.go
@@ -8,6 +8,11 @@
 
 // Defaults of Settings. The load times are those of the deployed engines.
 const (
+	// DefaultMinFollowed covers all engines of a deployment of a few failure domains. More
+	// are followed only in the entry's own failure domain: an entry of a large fleet sends
+	// a call to the same engine of another one every few minutes, and its state is outdated
+	// many times in between.
+	DefaultMinFollowed = 128
 	// DefaultPrefillRate is the rate at which an engine reads prompts, in tokens per
 	// second.
 	DefaultPrefillRate = 38_000.0
@@ -35,7 +40,12 @@
 // Settings are the options of a Placer. A field with the zero value takes its
 // documented default.
 type Settings struct {
+	// Node is the name of the entry.
+	Node          string
 	FailureDomain string
+	// MinFollowed is the number of engines whose state the entry follows if its own failure
+	// domain has fewer.
+	MinFollowed int
 	// PrefillRate is in tokens per second.
 	PrefillRate float64
 	ColdLoad    time.Duration
@@ -51,6 +61,7 @@
 }
 
 func (s Settings) withDefaults() Settings {
+	s.MinFollowed = cmp.Or(s.MinFollowed, DefaultMinFollowed)
 	s.PrefillRate = cmp.Or(s.PrefillRate, DefaultPrefillRate)
 	s.ColdLoad = cmp.Or(s.ColdLoad, DefaultColdLoad)
 	s.WarmLoad = cmp.Or(s.WarmLoad, DefaultWarmLoad)
--- a/internal/coordination/placer/survey.go
+++ b/internal/coordination/placer/survey.go
@@ -10,7 +10,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
-// survey holds the properties of the whole pool that the cost of a call at a single
+// survey holds the properties of all known engines that the cost of a call at a single
 // engine depends on. It is computed once per choice: when it was computed per engine, a
 // choice took 1.1 ms of CPU time with 117 engines and 147 ms with 1,200. It belongs to
 // its pool, is guarded by the pool's lock, and is valid until the next survey.
@@ -20,6 +20,8 @@
 	// copies is the number of engines that have the adapter in a slot or in memory, and
 	// pins the number of requests using it there.
 	copies, pins int
+	// candidates are the backend servers that the entry knows.
+	candidates []*backend
 	// ranks lists the engines by decreasing affinity to the adapter; places maps an
 	// engine's index to its position in ranks.
 	ranks  []rank
@@ -32,18 +34,19 @@
 	index    int
 }
 
-// survey computes the survey of all engines for a call. The caller holds o.mu.
-func (o *pool) survey(c *Call) *survey {
+// survey computes the survey of the known engines for a call. The caller holds o.mu.
+func (o *pool) survey(c *Call, settings *Settings) *survey {
 	s := &o.lastSurvey
+	s.candidates = o.candidates(s.candidates[:0], settings)
 	s.adapter, s.copies, s.pins = "", 0, 0
 	if o.engine == nil || c.Adapter == "" {
 		return s
 	}
 	s.adapter = c.Model + "/" + c.Adapter
 	s.ranks = s.ranks[:0]
-	s.places = slices.Grow(s.places[:0], len(o.backends))[:len(o.backends)]
-	hash := xxhash.Sum64String(s.adapter)
-	for i, b := range o.backends {
+	s.places = slices.Grow(s.places[:0], len(s.candidates))[:len(s.candidates)]
+	hash := affinityHash(s.adapter)
+	for i, b := range s.candidates {
 		b.index = i
 		if b.member.Spec.State != storer.MemberStateServing {
 			continue
@@ -71,3 +74,6 @@
 	_, warm := b.recent[adapter]
 	return a.Pins, warm
 }
+
+// affinityHash returns the hash of an adapter that is mixed with those of engines.
+func affinityHash(adapter string) uint64 { return xxhash.Sum64String(adapter) }
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -1,7 +1,6 @@
 package tracker
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -79,7 +78,7 @@
 	if revision <= old.Revision {
 		return nil
 	}
-	d := draft{settings: &t.settings, view: View{Revision: revision, Routing: old.Routing}}
+	d := draft{settings: &t.settings, view: View{Revision: revision, Routing: old.Routing, reset: true}}
 	for _, r := range resources {
 		if err := d.apply(r, false); err != nil {
 			return errors.Annotatef(err, "state at revision %d", revision)
@@ -103,12 +102,15 @@
 	return nil
 }
 
-// draft is a view that is being built. Its maps are copied before the first write.
+// draft is a view that is being built. Its maps and the lists of members are copied before
+// the first write.
 type draft struct {
 	settings     *Settings
 	view         View
 	ownedMembers bool
-	ownedNewest  bool
+	// ownedServices are the services whose lists of members are copies.
+	ownedServices map[string]struct{}
+	ownedNewest   bool
 	// suspects are the changes of suspects; publish applies them together.
 	suspects []storer.Change
 }
@@ -152,23 +154,41 @@
 }
 
 func (d *draft) applyMember(m Member, deleted bool) {
-	if !d.ownedMembers {
-		d.view.members, d.ownedMembers = cloneMap(d.view.members), true
-	}
+	d.view.changed = append(d.view.changed, m.Name)
 	for service, members := range d.view.members {
-		remaining := slices.DeleteFunc(slices.Clone(members), func(o Member) bool { return o.Name == m.Name })
-		if len(remaining) == 0 {
-			delete(d.view.members, service)
+		i, found := findMember(members, m.Name)
+		if !found || !deleted && service == m.Spec.Service {
 			continue
 		}
-		d.view.members[service] = remaining
+		if remaining := slices.Delete(d.own(service), i, i+1); len(remaining) > 0 {
+			d.view.members[service] = remaining
+		} else {
+			delete(d.view.members, service)
+		}
 	}
 	if deleted {
 		return
 	}
-	list := append(slices.Clone(d.view.members[m.Spec.Service]), m)
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	d.view.members[m.Spec.Service] = list
+	members := d.own(m.Spec.Service)
+	i, found := findMember(members, m.Name)
+	if found {
+		members[i] = &m
+		return
+	}
+	d.view.members[m.Spec.Service] = slices.Insert(members, i, &m)
+}
+
+// own returns the list of a service's members for writing.
+func (d *draft) own(service string) []*Member {
+	if !d.ownedMembers {
+		d.view.members, d.ownedMembers = cloneMap(d.view.members), true
+		d.ownedServices = make(map[string]struct{})
+	}
+	if _, owned := d.ownedServices[service]; !owned {
+		d.view.members[service] = slices.Clone(d.view.members[service])
+		d.ownedServices[service] = struct{}{}
+	}
+	return d.view.members[service]
 }
 
 func cloneMap[K comparable, V any](m map[K]V) map[K]V {
--- a/internal/state/tracker/tracker_test.go
+++ b/internal/state/tracker/tracker_test.go
@@ -1,6 +1,8 @@
 package tracker_test
 
 import (
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -88,6 +90,17 @@
 		Expect(t.View().Members("other")).To(HaveLen(1))
 	})
 
+	It("names the backend servers that a view has changed", func() {
+		t := newTracker()
+		Expect(t.Reset(resources(member(2, "a", "i-1", false), member(2, "b", "i-2", false)), 2)).To(Succeed())
+		_, known := t.View().Changed()
+		Expect(known).To(BeFalse())
+		Expect(t.Apply([]storer.Change{member(3, "c", "i-3", false), member(4, "a", "i-1", true)}, 4)).To(Succeed())
+		names, known := t.View().Changed()
+		Expect(known).To(BeTrue())
+		Expect(names).To(ConsistOf("a", "c"))
+	})
+
 	It("refuses a configuration that can't be decoded, and keeps the one in force", func() {
 		t := newTracker()
 		Expect(t.Apply([]storer.Change{routing(2, 1, "a")}, 2)).To(Succeed())
@@ -226,3 +239,57 @@
 		Expect(calls.Cost(12)).To(BeEquivalentTo(1))
 	})
 })
+
+// TestPropertyMembers checks the members of each view against a plain map, and that earlier
+// views keep theirs.
+func TestPropertyMembers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := newTracker()
+		expected := make(map[string]storer.MemberSpec)
+		revision := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "views") {
+			before := tr.View()
+			kept := namesOf(before)
+			var changes []storer.Change
+			for range rapid.IntRange(1, 4).Draw(t, "changes") {
+				revision++
+				c := member(revision, string(rune('a'+rapid.IntRange(0, 9).Draw(t, "name"))), strconv.FormatUint(revision, 10), rapid.Bool().Draw(t, "deleted"))
+				spec := c.Resource.Spec.(storer.MemberSpec)
+				spec.Service = rapid.SampledFrom([]string{"s", "other"}).Draw(t, "service")
+				c.Resource.Spec = spec
+				changes = append(changes, c)
+				if expected[c.Resource.Metadata.Name] = spec; c.Deleted {
+					delete(expected, c.Resource.Metadata.Name)
+				}
+			}
+			if err := tr.Apply(changes, revision); err != nil {
+				t.Fatal(err)
+			}
+			v := tr.View()
+			for name, spec := range expected {
+				if m, ok := v.Member(name); !ok || m.Spec.Incarnation != spec.Incarnation || m.Spec.Service != spec.Service {
+					t.Fatalf("%s is %v, expected %v", name, m.Spec, spec)
+				}
+			}
+			if v.Len() != len(expected) {
+				t.Fatalf("%d members, expected %d", v.Len(), len(expected))
+			}
+			for _, service := range []string{"s", "other"} {
+				if !slices.IsSortedFunc(v.Members(service), func(a, b *tracker.Member) int { return strings.Compare(a.Name, b.Name) }) {
+					t.Fatalf("the members of %s are not sorted", service)
+				}
+			}
+			if !slices.Equal(namesOf(before), kept) {
+				t.Fatal("an earlier view has changed")
+			}
+		}
+	})
+}
+
+// namesOf returns the names and incarnations of a view's members in order.
+func namesOf(v *tracker.View) []string {
+	var names []string
+	v.Each(func(m tracker.Member) { names = append(names, m.Name+" "+m.Spec.Incarnation) })
+	slices.Sort(names)
+	return names
+}
--- a/internal/state/tracker/view.go
+++ b/internal/state/tracker/view.go
@@ -1,6 +1,9 @@
 package tracker
 
 import (
+	"cmp"
+	"slices"
+
 	"marigoldpoint.example/marigoldpoint/internal/state/blamer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
@@ -18,25 +21,28 @@
 	Revision uint64
 	// Routing is nil until a routing configuration is received.
 	Routing *Routing
-	// members holds the backend servers by service, sorted by name.
-	members map[string][]Member
+	// members holds the backend servers by service, sorted by name. Members are shared by
+	// the views that contain them and are not modified.
+	members map[string][]*Member
+	// changed holds the names of the backend servers that differ from the preceding view.
+	// It is meaningless if reset is set: then any may differ.
+	changed []string
+	reset   bool
 	// newest holds the newest versions by the name of the adapter or model.
 	newest map[string]uint64
 	// List holds the requests during which backend servers ended.
 	*blamer.List
 }
 
-// Members returns the backend servers of a service, sorted by name. The slice
-// must not be modified.
-func (v *View) Members(service string) []Member { return v.members[service] }
+// Members returns the backend servers of a service, sorted by name. They must not be
+// modified.
+func (v *View) Members(service string) []*Member { return v.members[service] }
 
 // Member returns the backend server with the given name, or false if there is none.
 func (v *View) Member(name string) (Member, bool) {
 	for _, members := range v.members {
-		for _, m := range members {
-			if m.Name == name {
-				return m, true
-			}
+		if i, found := findMember(members, name); found {
+			return *members[i], true
 		}
 	}
 	return Member{}, false
@@ -46,11 +52,30 @@
 func (v *View) Each(f func(Member)) {
 	for _, members := range v.members {
 		for _, m := range members {
-			f(m)
+			f(*m)
 		}
 	}
 }
 
+// Len returns the number of backend servers.
+func (v *View) Len() int {
+	n := 0
+	for _, members := range v.members {
+		n += len(members)
+	}
+	return n
+}
+
+// Changed returns the names of the backend servers that differ from the preceding view.
+// It returns false if any may differ.
+func (v *View) Changed() (names []string, known bool) { return v.changed, !v.reset }
+
+// findMember returns the position of the member with the name, or the one at which it would
+// be inserted.
+func findMember(members []*Member, name string) (i int, found bool) {
+	return slices.BinarySearchFunc(members, name, func(m *Member, name string) int { return cmp.Compare(m.Name, name) })
+}
+
 // Newest returns the newest version of an adapter or model, or FirstVersion if none
 // has been set.
 func (v *View) Newest(name string) uint64 {
--- a/internal/transport/relayer/export_test.go
+++ b/internal/transport/relayer/export_test.go
@@ -16,7 +16,7 @@
 // WatchConcurrently repeatedly subscribes to the companion of a service's first member,
 // and concurrently checks whether it is subscribed.
 func (r *Relayer) WatchConcurrently(service string, times int) {
-	m := r.settings.View().Members(service)[0]
+	m := *r.settings.View().Members(service)[0]
 	var both sync.WaitGroup
 	both.Go(func() {
 		for range times {
--- a/internal/transport/relayer/keys_test.go
+++ b/internal/transport/relayer/keys_test.go
@@ -90,7 +90,7 @@
 		e = newEntry(tracker.Route{}, &tracker.Engine{Models: []tracker.Model{{Name: "m"}}}, b)
 		e.control.decision = bucketer.Decision{Admitted: true}
 		e.reconfigure(keyed("k"))
-		e.reportState(e.tracker.View().Members("s")[0])
+		e.reportState(*e.tracker.View().Members("s")[0])
 	})
 
 	It("gives access to what its workspace may use", func() {
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -368,7 +368,7 @@
 func (e *entry) reportAll(backends ...*backend) {
 	for i := range backends {
 		v := e.tracker.View().Members("s")[i]
-		e.reportState(v)
+		e.reportState(*v)
 	}
 }
 
--- a/internal/transport/relayer/suspect_test.go
+++ b/internal/transport/relayer/suspect_test.go
@@ -125,7 +125,7 @@
 	It("is not sent if it was quarantined while it waited", func() {
 		b := newBackend(answersWell)
 		e := newEntry(runOnce, engine, b)
-		e.reportState(e.tracker.View().Members("s")[0])
+		e.reportState(*e.tracker.View().Members("s")[0])
 		e.admit = func(m messenger.Admit) (messenger.Admitted, error) {
 			e.addSuspect(3)
 			return messenger.Admitted{Version: m.Version}, nil
