relayer, attendant: follow the engines of the own failure domain only

Every entry kept a connection to every companion and was sent every engine's state: 224,000 connections with 359 entries and 625 engines, for one call from an entry to the same engine in ten minutes.

An entry now subscribes to the engines that its placer follows, and to others while it has calls there and for 20 s after; Watch.End ends a subscription. Silence is watched at both kinds, so that calls at a silent host move as before. The poll of subscriptions no longer compares all members with all watched ones, and no longer scans all connections for each new one.

No companion serves all entries any more, so that the retry budget can't be divided by what companions count: control hosts report their entries with the renewals, and pulses carry the total.

--- a/internal/coordination/distributor/message.go
+++ b/internal/coordination/distributor/message.go
@@ -65,6 +65,9 @@
 	AgeMillis int64
 	// Revision is the revision held by the host at that time.
 	Revision uint64
+	// Entries is the number of entries connected to all control hosts, as last known to the
+	// leader; 0 means unknown.
+	Entries int `json:",omitempty"`
 }
 
 // NodeRevision describes a node that lacks a revision.
--- a/internal/coordination/registrar/lease.go
+++ b/internal/coordination/registrar/lease.go
@@ -75,6 +75,8 @@
 	// FailureDomain is the failure domain of the control host.
 	FailureDomain string
 	Leases        []LeaseRenewal
+	// Entries is the number of entries connected to the host.
+	Entries int `json:",omitempty"`
 }
 
 // RenewAnswer is the answer to a RenewBatch.
--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -53,4 +53,6 @@
 	Node string
 	// FailureDomain is the failure domain of the entry.
 	FailureDomain string
+	// End ends the subscription instead.
+	End bool `json:",omitempty"`
 }
--- a/internal/standin/modeler/engine.go
+++ b/internal/standin/modeler/engine.go
@@ -346,6 +346,10 @@
 	s := e.state()
 	e.schedule(localDelay, func() {
 		for _, entry := range entries {
+			if !entry.receives(s.Name) {
+				continue
+			}
+			e.model.result.Reports++
 			entry.placer.Report(e.model.clock.now, engineService, s)
 		}
 	})
--- a/internal/standin/modeler/entry.go
+++ b/internal/standin/modeler/entry.go
@@ -1,6 +1,7 @@
 package modeler
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -18,19 +19,47 @@
 
 // entry simulates one entry host.
 type entry struct {
-	model  *model
-	domain string
-	placer *placer.Placer
+	model        *model
+	name, domain string
+	placer       *placer.Placer
 	// suspects is the table of requests that may have crashed backend servers.
 	suspects *suspecter.Table
+	// lastUsed holds the engines that are reported to the entry only because of its calls
+	// there, with the time of the last one.
+	lastUsed map[string]time.Time
+}
+
+// useRetention is the time for which an engine that is not followed is reported to an entry
+// after its last call there.
+const useRetention = 20 * time.Second
+
+// use makes the chosen engine report its state to the entry if it doesn't anyway.
+func (e *entry) use(c *call) {
+	name := c.choice.Name
+	if _, used := e.lastUsed[name]; e.placer.Use(engineService, name) || used {
+		e.lastUsed[name] = e.model.clock.now
+	}
+}
+
+// receives reports whether an engine reports its state to the entry.
+func (e *entry) receives(engine string) bool {
+	if at, used := e.lastUsed[engine]; used && e.model.clock.now.Sub(at) > useRetention {
+		delete(e.lastUsed, engine)
+		e.placer.Unuse(engineService, engine)
+	}
+	return e.placer.Knows(engineService, engine)
 }
 
 // start starts the entry without state, initially or after a power loss.
 func (e *entry) start(random *rand.Rand) {
-	s := placer.Settings{FailureDomain: e.domain, Random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
+	s := placer.Settings{Node: e.name, FailureDomain: e.domain, Random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
 	if e.model.without(MechanismDistance) {
 		s.PromptDistance, s.Distance = time.Nanosecond, time.Nanosecond
 	}
+	if e.model.without(MechanismFollowing) {
+		s.MinFollowed = math.MaxInt
+	}
+	e.lastUsed = make(map[string]time.Time)
 	e.placer = placer.NewPlacer(s)
 	e.suspects = suspecter.NewTable(suspecter.Settings{})
 	e.placer.SetView(e.model.view)
@@ -76,6 +105,7 @@
 		m.clock.after(delay, func() { m.servers[c.choice.Name].accept(c) })
 		return
 	}
+	e.use(c)
 	c.urgency = placer.Urgency(c.kind.Rank, c.kind.Target-m.clock.now.Sub(c.arrived)-c.choice.Read)
 	if m.without(MechanismUrgency) {
 		c.urgency = c.kind.Rank
--- a/internal/standin/modeler/mechanism_string.go
+++ b/internal/standin/modeler/mechanism_string.go
@@ -17,13 +17,14 @@
 	_ = x[MechanismSparing-6]
 	_ = x[MechanismSendingBack-7]
 	_ = x[MechanismQuarantine-8]
-	_ = x[MechanismThrottling-9]
-	_ = x[mechanisms-10]
+	_ = x[MechanismFollowing-9]
+	_ = x[MechanismThrottling-10]
+	_ = x[mechanisms-11]
 }
 
-const _Mechanism_name = "PacingWidthSlackUrgencyDistanceStatesSparingSendingBackQuarantineThrottlingmechanisms"
+const _Mechanism_name = "PacingWidthSlackUrgencyDistanceStatesSparingSendingBackQuarantineFollowingThrottlingmechanisms"
 
-var _Mechanism_index = [...]uint8{0, 6, 11, 16, 23, 31, 37, 44, 55, 65, 75, 85}
+var _Mechanism_index = [...]uint8{0, 6, 11, 16, 23, 31, 37, 44, 55, 65, 74, 84, 94}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/internal/standin/modeler/model.go
+++ b/internal/standin/modeler/model.go
@@ -118,7 +118,7 @@
 		return err
 	}
 	for i := range p.Entries {
-		e := &entry{model: m, domain: m.domain(i)}
+		e := &entry{model: m, name: "entry-" + strconv.Itoa(i), domain: m.domain(i)}
 		e.start(m.random)
 		m.entries = append(m.entries, e)
 	}
--- a/internal/standin/modeler/pattern.go
+++ b/internal/standin/modeler/pattern.go
@@ -110,7 +110,18 @@
 	largeLoss := large
 	largeLoss.Name, largeLoss.PowerLossAt, largeLoss.Outage = "LargePowerLoss", 8*time.Second, 1500*time.Millisecond
 	largeLoss.Origin = "the same desk when all hosts lose power: 117 engines begin to load before a store that serves 40 at once"
-	return append([]Pattern{burst, loss, grown, scarce, services, large, largeLoss}, endingPatterns(small)...)
+	fleet := large
+	fleet.Name, fleet.Entries, fleet.Engines, fleet.StoreConcurrency = "Fleet", 359, 625, 224
+	fleet.Kinds = []Kind{
+		{Name: "check", PerSecond: 196, Target: 800 * time.Millisecond, Prompt: 826, Answer: 290},
+		{Name: kindReview, PerSecond: 168, Target: time.Second, Rank: 2, Prompt: 9190, Answer: 52},
+		{Name: "premium", PerSecond: 23.3, Target: time.Second, Rank: 1, Prompt: 9190, Answer: 52},
+	}
+	fleet.Origin = "the same desk with its whole fleet: 359 entries send 387 calls a second to 625 engines, one to the same engine in ten minutes"
+	fleetLoss := fleet
+	fleetLoss.Name, fleetLoss.PowerLossAt, fleetLoss.Outage = "FleetPowerLoss", 8*time.Second, 1500*time.Millisecond
+	fleetLoss.Origin = "the whole fleet when all hosts lose power: 625 engines begin to load before a store that serves 224 at once"
+	return append([]Pattern{burst, loss, grown, scarce, services, large, largeLoss, fleet, fleetLoss}, endingPatterns(small)...)
 }
 
 // endingPatterns returns the patterns in which one request crashes the backend servers that
@@ -176,6 +187,9 @@
 	MechanismSendingBack
 	// MechanismQuarantine quarantines requests that have crashed three backend servers.
 	MechanismQuarantine
+	// MechanismFollowing makes entries follow the engines of their own failure domain and few
+	// others; without it they follow all.
+	MechanismFollowing
 	// MechanismThrottling limits the number of calls at backend servers of plain services.
 	MechanismThrottling
 	mechanisms
--- a/internal/standin/modeler/result.go
+++ b/internal/standin/modeler/result.go
@@ -23,6 +23,8 @@
 	TurnedAway int
 	// SentBack is the number of calls that engines sent back to their entries.
 	SentBack int
+	// Reports is the number of state reports that entries received.
+	Reports int
 	// Ended is the number of incarnations of backend servers that the crash request ended.
 	// Repeated is the number of its sends that reached a backend server after all entries
 	// must have quarantined it.
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -185,10 +185,16 @@
 	}
 }
 
-// watch subscribes an entry to the engine's state, starting with the full state.
+// watch subscribes an entry to the engine's state, starting with the full state, or ends its
+// subscription.
 func (a *Attendant) watch(conn *messenger.Conn, m messenger.Watch) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if m.End {
+		delete(a.localEntries.conns, conn)
+		delete(a.remoteEntries.conns, conn)
+		return
+	}
 	group := a.remoteEntries
 	if m.FailureDomain == a.settings.FailureDomain {
 		group = a.localEntries
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -51,6 +51,8 @@
 	knowledge distributor.Lease
 	// term is the highest term in the pulses received; guarded by knowledgeMu.
 	term uint64
+	// entries is the number of entries in the last pulse received; guarded by knowledgeMu.
+	entries int
 
 	lastHeartbeats lastHeartbeats
 
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -34,6 +34,8 @@
 	// guarded by leasesMu.
 	appliedUpTo uint64
 
+	// entries counts the entries of all control hosts; guarded by leasesMu.
+	entries *registrar.EntryCount
 	// suspects determines when a suspect is due for review; guarded by leasesMu.
 	suspects *suspecter.Reviewer
 
@@ -67,6 +69,7 @@
 		term:        term,
 		leases:      registrar.NewTable(registrar.Settings{Lease: time.Duration(s.MemberLease)}, now, memberships),
 		appliedUpTo: revision,
+		entries:     registrar.NewEntryCount(time.Duration(s.MemberLease)),
 		suspects:    c.suspects(now),
 		permits: permitter.NewTable(permitter.Settings{
 			Rate: s.StoreRate, Parallel: s.StoreParallel, Overlap: s.StoreOverlap, Expiry: time.Duration(s.PermitExpiry),
@@ -226,6 +229,7 @@
 	now := d.control.settings.Now()
 	d.leasesMu.Lock()
 	void := d.leases.Renew(now, b.Leases)
+	d.entries.Record(now, b.Host, b.Entries)
 	d.leasesMu.Unlock()
 	d.permitsMu.Lock()
 	for _, l := range b.Leases {
@@ -235,6 +239,13 @@
 	return registrar.RenewAnswer{Void: void}
 }
 
+// entryCount returns the number of entries connected to all control hosts; 0 means unknown.
+func (d *duties) entryCount() int {
+	d.leasesMu.Lock()
+	defer d.leasesMu.Unlock()
+	return d.entries.Total(d.control.settings.Now())
+}
+
 // requestPermit waits for a permit until ctx or the leadership ends.
 func (d *duties) requestPermit(ctx context.Context, r permitter.Request) (permitter.Grant, error) {
 	if _, member := d.control.store.Get(storer.Key{Kind: storer.KindMember, Name: r.Companion}); !member {
--- a/internal/transport/controller/member.go
+++ b/internal/transport/controller/member.go
@@ -58,10 +58,7 @@
 // sent is dropped: the leader would count its renewals from too late a time, and the next
 // heartbeats follow soon.
 func (c *Control) forwardRenewals() {
-	batch := registrar.RenewBatch{Host: c.settings.Node, FailureDomain: c.settings.FailureDomain, Leases: c.relay.takeRenewals()}
-	if len(batch.Leases) == 0 {
-		return
-	}
+	batch := registrar.RenewBatch{Host: c.settings.Node, FailureDomain: c.settings.FailureDomain, Leases: c.relay.takeRenewals(), Entries: c.entryCount()}
 	if d := c.currentDuties(); d != nil {
 		c.notifyMembershipEnd(d.renew(batch))
 		return
--- a/internal/transport/controller/pulse.go
+++ b/internal/transport/controller/pulse.go
@@ -76,7 +76,7 @@
 	}
 	// LeaderContact is 0 while the lease is valid: this leader then holds every accepted
 	// change.
-	p := distributor.Pulse{Term: status.Term, Revision: c.store.Revision()}
+	p := distributor.Pulse{Term: status.Term, Revision: c.store.Revision(), Entries: d.entryCount()}
 	c.applyPulse(now, p)
 	if !pulseHosts {
 		return
@@ -101,7 +101,7 @@
 	if p.Term < c.term {
 		return
 	}
-	c.term = p.Term
+	c.term, c.entries = p.Term, p.Entries
 	c.knowledge.Pulse(now, p, held)
 	c.knowledge.Applied(held)
 }
@@ -125,7 +125,10 @@
 // It contains the current revision, which is no older than the revision that the age
 // belongs to: the state of a node that holds the current revision is at most that old.
 func (c *Control) pulse() distributor.Pulse {
-	p := distributor.Pulse{Term: c.knownTerm(), Revision: c.store.Revision(), AgeMillis: -1}
+	p := distributor.Pulse{Revision: c.store.Revision(), AgeMillis: -1}
+	c.knowledgeMu.Lock()
+	p.Term, p.Entries = c.term, c.entries
+	c.knowledgeMu.Unlock()
 	if age, ok := c.knowledgeAge(); ok {
 		p.AgeMillis = age.Milliseconds()
 	}
--- a/internal/transport/relayer/budget.go
+++ b/internal/transport/relayer/budget.go
@@ -11,8 +11,10 @@
 type budget struct {
 	ratio, slack float64
 	window       time.Duration
-	// entries is the number of entries that share slack, as last reported.
-	entries atomic.Int64
+	// entries is the number of entries that share slack, as last reported by a companion,
+	// and allEntries returns the number that control knows; 0 means unknown.
+	entries    atomic.Int64
+	allEntries func() int
 
 	mu sync.Mutex
 	// usageByService is guarded by mu.
@@ -42,8 +44,11 @@
 // the configured one by up to one bucket, which errs on the safe side.
 const budgetBuckets = 10
 
-func newBudget(ratio, slack float64, window time.Duration) *budget {
-	b := &budget{ratio: ratio, slack: slack, window: window, usageByService: make(map[string]*usage)}
+func newBudget(ratio, slack float64, window time.Duration, allEntries func() int) *budget {
+	if allEntries == nil {
+		allEntries = func() int { return 0 }
+	}
+	b := &budget{ratio: ratio, slack: slack, window: window, allEntries: allEntries, usageByService: make(map[string]*usage)}
 	b.entries.Store(defaultEntries)
 	return b
 }
@@ -70,6 +75,9 @@
 	return s
 }
 
+// sharing returns the number of entries that share the slack.
+func (b *budget) sharing() int { return max(int(b.entries.Load()), b.allEntries()) }
+
 // call counts a call to a service.
 func (b *budget) call(now time.Time, service string) {
 	b.mu.Lock()
@@ -87,7 +95,7 @@
 		calls += s.calls[i]
 		repeats += s.repeats[i]
 	}
-	if repeats+1 > b.ratio*calls+b.slack/float64(b.entries.Load()) {
+	if repeats+1 > b.ratio*calls+b.slack/float64(b.sharing()) {
 		return false
 	}
 	s.repeats[0]++
--- a/internal/transport/relayer/budget_test.go
+++ b/internal/transport/relayer/budget_test.go
@@ -14,7 +14,7 @@
 	for _, entries := range []int{4, 7, 28} {
 		again := 0
 		for range entries {
-			b := newBudget(0, slack, window)
+			b := newBudget(0, slack, window, nil)
 			b.setEntries(entries)
 			for b.takeRetry(now, "s") {
 				again++
@@ -30,7 +30,7 @@
 // more than allowed.
 func TestBudgetSlides(t *testing.T) {
 	const slack, window = 40, 10 * time.Second
-	b := newBudget(0.1, slack, window)
+	b := newBudget(0.1, slack, window, nil)
 	b.setEntries(4)
 	var calls, again []time.Time
 	now := time.Unix(0, 0)
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -164,6 +164,8 @@
 	// companions overrides the addresses of companions, by the backend server's name;
 	// guarded by mu.
 	companions map[string]string
+	// dialed counts the dials to companions by address; guarded by mu.
+	dialed map[string]int
 	// unansweredDialCount counts the dials to unansweredAddress.
 	unansweredDialCount atomic.Int64
 	// resetCountdown is decremented by each write to a backend server; the connection
@@ -186,12 +188,18 @@
 
 // newEntry returns an entry with the given route, engine and backend servers.
 func newEntry(route tracker.Route, engine *tracker.Engine, backends ...*backend) *entry {
+	GinkgoHelper()
+	return newEntryWith(placer.Settings{}, route, engine, backends...)
+}
+
+// newEntryWith returns an entry whose placer has the given settings.
+func newEntryWith(placing placer.Settings, route tracker.Route, engine *tracker.Engine, backends ...*backend) *entry {
 	GinkgoHelper()
 	e := &entry{
 		admit: func(m messenger.Admit) (messenger.Admitted, error) {
 			return messenger.Admitted{Version: m.Version}, nil
 		},
-		companions: make(map[string]string), sent: gbytes.NewBuffer(), log: gbytes.NewBuffer(),
+		companions: make(map[string]string), dialed: make(map[string]int), sent: gbytes.NewBuffer(), log: gbytes.NewBuffer(),
 	}
 	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
 	route.Shares = []tracker.Share{{Service: "s", Weight: 1}}
@@ -213,7 +221,8 @@
 	})
 	companion := e.companion()
 	random := rand.New(rand.NewPCG(1, 2))
-	e.placer = placer.NewPlacer(placer.Settings{Random: rand.New(rand.NewPCG(5, 6))})
+	placing.Random = rand.New(rand.NewPCG(5, 6))
+	e.placer = placer.NewPlacer(placing)
 	pool := exchanger.NewPool(exchanger.Settings{Dial: e.dialBackend})
 	companions := dialer.NewPool(dialer.Settings{
 		Random: rand.New(rand.NewPCG(3, 4)), Dial: e.dial, Messenger: messenger.Settings{QuietInterval: quietInterval},
@@ -348,6 +357,9 @@
 	if err != nil {
 		return nil, err
 	}
+	e.mu.Lock()
+	e.dialed[address]++
+	e.mu.Unlock()
 	return recorded{Conn: conn, sent: e.sent}, nil
 }
 
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +12,6 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/suspecter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/watcher"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
-	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -54,6 +51,9 @@
 	// engines holds the names of the engines whose companions report their state, by
 	// connection; guarded by watchedMu.
 	engines map[*messenger.Conn]string
+	// lastUsed holds the engines that the entry watches only because of its calls there,
+	// with the time of the last one; guarded by watchedMu.
+	lastUsed map[string]time.Time
 
 	// suspects decides which requests may not be sent to backend servers.
 	suspects *suspecter.Table
@@ -78,12 +78,13 @@
 	r := &Relayer{
 		settings: s,
 		metrics:  newMetrics(s.Registerer),
-		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
+		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Entries),
 		poll:     make(chan struct{}, 1),
 		random:   s.Random,
 		watched:  make(map[string]companion),
 		watcher:  watcher.NewWatcher(s.Silence),
 		engines:  make(map[*messenger.Conn]string),
+		lastUsed: make(map[string]time.Time),
 		suspects: suspecter.NewTable(suspecter.Settings{}),
 		losses:   make(map[incarnation]*loss),
 		attempts: make(map[string]map[*attempt]struct{}),
@@ -157,110 +158,6 @@
 	return nil, nil
 }
 
-// engineOf returns the name of the engine whose companion is the peer of conn. Only
-// reports of the whole state contain the name.
-func (r *Relayer) engineOf(conn *messenger.Conn, name string) string {
-	r.watchedMu.Lock()
-	defer r.watchedMu.Unlock()
-	if name == "" {
-		return r.engines[conn]
-	}
-	if r.engines[conn] == "" {
-		for other := range r.engines {
-			if other.Ended() {
-				delete(r.engines, other)
-			}
-		}
-		r.engines[conn] = name
-	}
-	return name
-}
-
-// watchCompanions keeps the entry subscribed to the state of each engine's companion.
-func (r *Relayer) watchCompanions() {
-	ticker := time.NewTicker(r.settings.WatchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-r.root.Done():
-			return
-		case <-ticker.C:
-		case <-r.poll:
-		}
-		v := r.settings.View()
-		if v.Routing == nil {
-			continue
-		}
-		var wanted []tracker.Member
-		v.Each(func(m tracker.Member) {
-			s := v.Routing.Service(m.Spec.Service)
-			if s != nil && s.Engine != nil && m.Spec.State == storer.MemberStateServing {
-				wanted = append(wanted, m)
-			}
-		})
-		r.unwatchOthers(wanted)
-		for _, m := range wanted {
-			if !r.subscribed(m) {
-				r.tasks.Go(func() { r.subscribe(m) })
-			}
-		}
-	}
-}
-
-// unwatchOthers removes the companions of all engines that are not wanted.
-func (r *Relayer) unwatchOthers(wanted []tracker.Member) {
-	r.watchedMu.Lock()
-	defer r.watchedMu.Unlock()
-	maps.DeleteFunc(r.watched, func(name string, _ companion) bool {
-		return !slices.ContainsFunc(wanted, func(m tracker.Member) bool { return m.Name == name })
-	})
-	r.watcher.Retain(func(name string) bool {
-		_, is := r.watched[name]
-		return is
-	})
-}
-
-// subscribed reports whether a companion reports its state on the current connection,
-// and the state is known.
-func (r *Relayer) subscribed(m tracker.Member) bool {
-	conn := r.settings.Companions.Live(r.settings.CompanionAddress(m))
-	r.watchedMu.Lock()
-	c := r.watched[m.Name]
-	r.watchedMu.Unlock()
-	return conn != nil && c.conn == conn && r.settings.Placer.HasReport(m.Spec.Service, m.Name)
-}
-
-// subscribe asks a companion to report its state, unless it already does and the state
-// is known. The state may be unknown because the companion's first report can arrive
-// before the entry has learned of its engine.
-func (r *Relayer) subscribe(m tracker.Member) {
-	address := r.settings.CompanionAddress(m)
-	ctx, cancel := context.WithTimeout(r.root, r.settings.WatchInterval)
-	defer cancel()
-	conn, err := r.settings.Companions.Conn(ctx, address)
-	if err != nil {
-		return
-	}
-	r.watchedMu.Lock()
-	known := r.watched[m.Name].conn == conn
-	r.watched[m.Name] = companion{service: m.Spec.Service, conn: conn}
-	r.watchedMu.Unlock()
-	if known && r.settings.Placer.HasReport(m.Spec.Service, m.Name) {
-		return
-	}
-	if !known {
-		r.settings.Log.Info().Str("Companion", address).Msg("companion reached")
-	}
-	r.requestState(conn)
-}
-
-// requestState asks a companion to report the whole state of its engine.
-func (r *Relayer) requestState(conn *messenger.Conn) {
-	if err := conn.Notify(r.root, messenger.MethodWatch, messenger.Watch{Node: r.settings.Node, FailureDomain: r.settings.FailureDomain}); err != nil {
-		r.settings.Log.Debug().Err(err).Str("Companion", conn.Peer()).Msg("requesting the companion's state failed")
-	}
-}
-
 // draw returns a uniformly distributed random number in [0, 1).
 func (r *Relayer) draw() float64 {
 	r.randomMu.Lock()
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -59,6 +59,7 @@
 	a.waitingSince.Store(j.relayer.settings.Now().UnixNano())
 	name := j.choice.Name
 	if j.service.Engine != nil {
+		r.use(j)
 		r.useFullPace(name)
 	}
 	r.attemptsMu.Lock()
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -63,6 +63,8 @@
 	lastLeaseValid bool
 	// term is the highest leader term received; guarded by mu.
 	term uint64
+	// entries is the number of entries in the last pulse that named one; guarded by mu.
+	entries int
 	// onMembershipEnd and onDigest are the node's callbacks; guarded by mu.
 	onMembershipEnd func(name string, epoch uint64)
 	onDigest        func(registrar.Digest)
@@ -151,6 +153,14 @@
 	return c.lease.Age(c.settings.Now())
 }
 
+// Entries returns the number of entries connected to all control hosts, as last reported; 0
+// means unknown.
+func (c *Client) Entries() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries
+}
+
 // Host returns the address of the control host in use; empty means none.
 func (c *Client) Host() string {
 	c.mu.Lock()
--- a/internal/transport/subscriber/receiver.go
+++ b/internal/transport/subscriber/receiver.go
@@ -99,6 +99,9 @@
 	c.lease.Pulse(c.settings.Now(), p, held)
 	newTerm := p.Term > c.term
 	c.term = max(c.term, p.Term)
+	if p.Entries > 0 {
+		c.entries = p.Entries
+	}
 	c.mu.Unlock()
 	if newTerm {
 		// A new leader grants no load permit until each companion has reported its permits.
