distributor, platform: send companions their own membership only

On the users' platform companions subscribed like entries: each of 625 was sent the membership, the quarantines and the digests of all engines, of which it uses its own membership. 640 joins at a start were 400,000 changes applied at companions, and they were counted as entries that share quotas.

ScopeEngine is the routing configuration, the newest versions of adapters and the companion's own membership. A companion gets one delta for 30, 300 and 994 joins.

--- a/internal/coordination/distributor/feed_test.go
+++ b/internal/coordination/distributor/feed_test.go
@@ -136,6 +136,34 @@
 		Expect(f.Acknowledged()).To(BeEquivalentTo(5))
 	})
 
+	// Guards against companions that are sent every membership: the joins of n backend servers
+	// at a start were n squared messages to their companions.
+	DescribeTable("sends the companion of an engine its own membership only",
+		func(engines int) {
+			f := distributor.NewFeed(distributor.FeedSettings{Scope: distributor.ScopeEngine, Backend: "engine-7", After: 1})
+			deltas, changes := 0, 0
+			h := &host{head: 1}
+			for range engines {
+				h.head++
+				for d, ok := f.Next(joins{h}); ok; d, ok = f.Next(joins{h}) {
+					deltas, changes = deltas+1, changes+len(d.Changes)
+				}
+			}
+			Expect([]int{deltas, changes}).To(Equal([]int{1, 1}))
+			Expect(f.Unacknowledged()).To(Equal(1))
+		},
+		Entry("30", 30), Entry("300", 300), Entry("994", 994),
+	)
+
+	It("sends the companion of an engine the configuration and the newest versions", func() {
+		for _, kind := range []storer.Kind{storer.KindRouting, storer.KindNewest} {
+			Expect(distributor.ScopeEngine.Includes(storer.Resource{Kind: kind}, "engine-7")).To(BeTrue())
+		}
+		for _, kind := range []storer.Kind{storer.KindWorkspace, storer.KindAdapter, storer.KindSuspect} {
+			Expect(distributor.ScopeEngine.Includes(storer.Resource{Kind: kind}, "engine-7")).To(BeFalse())
+		}
+	})
+
 	// Guards against companions repeatedly leaving their control hosts and, without
 	// permits, no longer loading. A workspace changes, then adapters, which the
 	// companion does not receive, then a workspace again. The fault was that the delta
@@ -164,6 +192,18 @@
 	})
 })
 
+// joins is a host each of whose changes is the join of another engine.
+type joins struct{ *host }
+
+func (j joins) Since(after uint64, limit int) ([]storer.Change, uint64, bool) {
+	changes, upTo, ok := j.host.Since(after, limit)
+	for i := range changes {
+		r := &changes[i].Resource
+		r.Kind, r.Metadata.Name, r.Spec = storer.KindMember, fmt.Sprint("engine-", changes[i].Revision), storer.MemberSpec{}
+	}
+	return changes, upTo, ok
+}
+
 // adapters is a host all of whose changes concern adapters.
 type adapters struct{ *host }
 
--- a/internal/coordination/distributor/scope.go
+++ b/internal/coordination/distributor/scope.go
@@ -14,6 +14,9 @@
 	// ScopeCompanion includes the workspaces, for their shares, and the membership of
 	// the companion's own backend server.
 	ScopeCompanion
+	// ScopeEngine includes the routing configuration, the newest versions of adapters, and
+	// the membership of the companion's own backend server.
+	ScopeEngine
 )
 
 // Includes reports whether a node of the scope needs a resource. backend is the name of
@@ -23,6 +26,8 @@
 	switch s {
 	case ScopeCompanion:
 		return r.Kind == storer.KindWorkspace || r.Kind == storer.KindMember && r.Metadata.Name == backend
+	case ScopeEngine:
+		return r.Kind == storer.KindRouting || r.Kind == storer.KindNewest || r.Kind == storer.KindMember && r.Metadata.Name == backend
 	default:
 		return true
 	}
--- a/internal/coordination/distributor/scope_string.go
+++ b/internal/coordination/distributor/scope_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[ScopeEntry-0]
 	_ = x[ScopeCompanion-1]
+	_ = x[ScopeEngine-2]
 }
 
-const _Scope_name = "EntryCompanion"
+const _Scope_name = "EntryCompanionEngine"
 
-var _Scope_index = [...]uint8{0, 5, 14}
+var _Scope_index = [...]uint8{0, 5, 14, 20}
 
 func (i Scope) String() string {
 	idx := int(i) - 0
--- a/internal/transport/subscriber/receiver.go
+++ b/internal/transport/subscriber/receiver.go
@@ -93,7 +93,7 @@
 	c.mu.Lock()
 	// A companion's replica advances only with the changes in its scope, and its host sends
 	// the pulse after these, so the replica has the pulse's revision.
-	if c.settings.Scope == distributor.ScopeCompanion {
+	if c.settings.Scope != distributor.ScopeEntry {
 		held = max(held, p.Revision)
 	}
 	c.lease.Pulse(c.settings.Now(), p, held)
