--- a/internal/transport/relayer/budget_test.go
+++ b/internal/transport/relayer/budget_test.go
@@ -26,6 +26,21 @@
 	}
 }
 
+// TestBudgetUsesAllEntries guards against entries that divide the slack by the number of
+// those that follow the same engines: all entries together would use several times of it.
+func TestBudgetUsesAllEntries(t *testing.T) {
+	const slack, all, sameDomain = 718, 359, 72
+	b := newBudget(0, slack, 10*time.Second, func() int { return all })
+	b.setEntries(sameDomain)
+	again := 0
+	for now := time.Unix(0, 0); b.takeRetry(now, "s"); {
+		again++
+	}
+	if again*all > slack {
+		t.Errorf("%d retries at each of %d entries are more than %d", again, all, slack)
+	}
+}
+
 // TestBudgetSlides compares the budget with a count of all retries: no window contains
 // more than allowed.
 func TestBudgetSlides(t *testing.T) {
