relayer, explainer: the longest gap between two events of a stream

Nothing in the system saw that a stream was late by a pause. The line of a call has Gap and MaxGap, a histogram counts the longest gaps, and explain names "paused between events" as a cause.

--- a/internal/state/explainer/call.go
+++ b/internal/state/explainer/call.go
@@ -19,6 +19,8 @@
 	CausePrefill // waited for a reading
 	// CauseService means that a plain service exceeded the target time.
 	CauseService // waited for a service
+	// CauseGap means that the first event was in time, but a later one was not.
+	CauseGap // paused between events
 	// CauseRetried means that the call was sent to a second backend server.
 	CauseRetried // tried twice
 	// CauseBackendLost means that the connection to a backend server was lost, or that it
@@ -61,6 +63,9 @@
 	case line.Outcome == outcomeAnswered && line.Status >= 500:
 		return CauseBackendFailed
 	case line.Outcome == outcomeAnswered && (line.Target <= 0 || first <= line.Target):
+		if line.MaxGap > 0 && line.Gap > line.MaxGap {
+			return CauseGap
+		}
 		return CauseNone
 	case line.Outcome == outcomeRefused && line.Status != 502 && line.Status != 504:
 		return CauseRefused
--- a/internal/state/explainer/cause_string.go
+++ b/internal/state/explainer/cause_string.go
@@ -13,16 +13,17 @@
 	_ = x[CauseSlot-2]
 	_ = x[CausePrefill-3]
 	_ = x[CauseService-4]
-	_ = x[CauseRetried-5]
-	_ = x[CauseBackendLost-6]
-	_ = x[CauseBackendFailed-7]
-	_ = x[CauseRefused-8]
-	_ = x[CauseAbandoned-9]
+	_ = x[CauseGap-5]
+	_ = x[CauseRetried-6]
+	_ = x[CauseBackendLost-7]
+	_ = x[CauseBackendFailed-8]
+	_ = x[CauseRefused-9]
+	_ = x[CauseAbandoned-10]
 }
 
-const _Cause_name = "in timewaited for a loadwaited for a slotwaited for a readingwaited for a servicetried twicea backend server was losta backend server failedrefused by its entryleft in the middle"
+const _Cause_name = "in timewaited for a loadwaited for a slotwaited for a readingwaited for a servicepaused between eventstried twicea backend server was losta backend server failedrefused by its entryleft in the middle"
 
-var _Cause_index = [...]uint8{0, 7, 24, 41, 61, 81, 92, 117, 140, 160, 178}
+var _Cause_index = [...]uint8{0, 7, 24, 41, 61, 81, 102, 113, 138, 161, 181, 199}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/internal/state/explainer/line.go
+++ b/internal/state/explainer/line.go
@@ -44,7 +44,10 @@
 	Waited      millis
 	First       millis
 	Target      millis
-	Expected    json.RawMessage
+	// Gap is the longest time between two events of a stream, and MaxGap its target.
+	Gap      millis
+	MaxGap   millis
+	Expected json.RawMessage
 }
 
 // errMissingMessage means that a JSON object is not a log line.
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -16,6 +16,7 @@
 	calls       *prometheus.CounterVec
 	duration    prometheus.Histogram
 	firstEvent  prometheus.Histogram
+	longestGap  prometheus.Histogram
 	failures    *prometheus.CounterVec
 	attempts    *prometheus.CounterVec
 	losses      *prometheus.CounterVec
@@ -38,6 +39,10 @@
 			Name: "marigoldpoint_relayer_first_event_seconds", Help: "Time to a stream's first event.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}),
+		longestGap: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marigoldpoint_relayer_event_gap_seconds", Help: "Longest time between two events of a stream that was answered.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_failed_sends_total", Help: "Sendings that did not answer their call, by service.",
 		}, []string{labelService}),
@@ -59,7 +64,7 @@
 	}, []string{"workspace", "decision"})
 	if r != nil {
 		r.MustRegister(m.quotas)
-		r.MustRegister(m.calls, m.duration, m.firstEvent, m.failures, m.attempts, m.losses, m.quarantined, m.unattended)
+		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.unattended)
 	}
 	return m
 }
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -57,6 +57,10 @@
 	headerSent bool
 	// firstEventAt is when a stream's first event was forwarded to the caller.
 	firstEventAt time.Time
+	// lastEventAt is when the last part of a stream was forwarded, and longestGap the longest
+	// time between two of them.
+	lastEventAt time.Time
+	longestGap  time.Duration
 	// backup is the engine that keeps a copy of the request's KV cache; its name is
 	// empty if there is none. resumeFrom is set for an attempt that resumes from the
 	// copy.
@@ -240,7 +244,7 @@
 		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
 		Int("Prompt", j.call.PromptTokens).Int("Answer", j.call.AnswerTokens).Int("Expected", j.call.ExpectedTokens).
-		Dur("Target", targetOf(j.route)).Bool("Away", j.choice.Away).Int64("Bytes", j.bytes).
+		Dur("Target", targetOf(j.route)).Dur("Gap", j.longestGap).Dur("MaxGap", maxGapOf(j.route)).Bool("Away", j.choice.Away).Int64("Bytes", j.bytes).
 		Dur("Backlog", j.choice.Backlog).Dur("Read", j.choice.Read).Dur("Load", j.choice.Load).Int("Running", j.choice.Running).
 		Dur("ReportAge", j.choice.Age).Uint64("Revision", r.settings.View().Revision).Msg("call")
 }
@@ -253,4 +257,13 @@
 	return r.Target
 }
 
+// maxGapOf returns the target for the time between two events of a stream on a route, or 0 if
+// the route is unknown or has none.
+func maxGapOf(r *tracker.Route) time.Duration {
+	if r == nil || !r.Stream {
+		return 0
+	}
+	return r.MaxEventGap
+}
+
 const outcomeAnswered = "answered"
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -37,6 +38,7 @@
 					j.firstEventAt = r.settings.Now()
 					r.metrics.firstEvent.Observe(j.firstEventAt.Sub(j.arrived).Seconds())
 				}
+				j.recordEvent(r.settings.Now())
 				r.settings.Placer.RecordFirstByte(r.settings.Now(), &j.choice)
 				j.bytes += int64(len(piece))
 				if _, werr := j.writer.Write(piece); werr != nil || flusher.Flush() != nil {
@@ -58,6 +60,14 @@
 	}
 }
 
+// recordEvent records that a part of the stream is forwarded.
+func (j *job) recordEvent(now time.Time) {
+	if !j.lastEventAt.IsZero() {
+		j.longestGap = max(j.longestGap, now.Sub(j.lastEventAt))
+	}
+	j.lastEventAt = now
+}
+
 // finishStream handles the end of a stream.
 func (j *job) finishStream(conn *exchanger.Conn, response *http.Response, head Head, rest []byte) verdict {
 	if len(rest) > 0 {
@@ -70,6 +80,7 @@
 	j.count(endAnswered)
 	j.clearSuspect()
 	j.release(placer.OutcomeSuccess)
+	j.relayer.metrics.longestGap.Observe(j.longestGap.Seconds())
 	if !j.headerSent {
 		j.copyHeader(response)
 		j.writer.WriteHeader(response.StatusCode)
