--- a/internal/state/explainer/call.go
+++ b/internal/state/explainer/call.go
@@ -63,10 +63,7 @@
 	case line.Outcome == outcomeAnswered && line.Status >= 500:
 		return CauseBackendFailed
 	case line.Outcome == outcomeAnswered && (line.Target <= 0 || first <= line.Target):
-		if line.MaxGap > 0 && line.Gap > line.MaxGap {
-			return CauseGap
-		}
-		return CauseNone
+		return gapCause(line)
 	case line.Outcome == outcomeRefused && line.Status != 502 && line.Status != 504:
 		return CauseRefused
 	case line.Outcome == outcomeCallerLeft && line.First > 0 && (line.Target <= 0 || line.First <= line.Target):
@@ -84,6 +81,14 @@
 	}
 }
 
+// gapCause returns the cause of lateness of a call whose first event was in time.
+func gapCause(line *Line) Cause {
+	if line.MaxGap > 0 && line.Gap > line.MaxGap {
+		return CauseGap
+	}
+	return CauseNone
+}
+
 // waitCause returns the cause of a wait for admission: CauseLoad if a load of the adapter
 // ended during the call, and CauseSlot otherwise.
 func waitCause(line *Line, loads []load) Cause {
--- a/internal/transport/subscriber/connection.go
+++ b/internal/transport/subscriber/connection.go
@@ -120,7 +120,7 @@
 // use serves a connection until it ends or another host is to be used. It returns the reason
 // for leaving the host, empty if the connection failed, the client closes, or the next host
 // is nearer; and the subscription to use next, if there is one.
-func (c *Client) use(l *link) (reason string, next *link) {
+func (c *Client) use(l *link) (string, *link) {
 	c.discardSignals()
 	c.setLink(l)
 	c.members.renewAll()
@@ -142,16 +142,16 @@
 			return "", nil
 		case <-l.conn.Done():
 			return "", nil
-		case reason = <-c.leaveReason:
+		case reason := <-c.leaveReason:
 			c.logLeaving(l, reason, "")
 			return reason, nil
 		case <-c.outdated:
-			if next = c.moveTo(c.otherHosts(l.host)); next != nil {
+			if next := c.moveTo(c.otherHosts(l.host)); next != nil {
 				c.logLeaving(l, reasonOutdated, next.host.Address)
 				return reasonOutdated, next
 			}
 		case <-returnTicks:
-			if next = c.moveTo(c.nearerHosts(l.host)); next != nil {
+			if next := c.moveTo(c.nearerHosts(l.host)); next != nil {
 				return "", next
 			}
 		}
--- a/internal/transport/subscriber/search.go
+++ b/internal/transport/subscriber/search.go
@@ -132,5 +132,5 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "dial %s", h.Address)
 	}
-	return c.newLink(h, network), nil
+	return c.newLink(h, network), nil //nolint:contextcheck // The connection outlives its dial.
 }
