distributor: list the same report of a node in whatever order hosts answer

Which of two hosts' reports of one node Merge listed depended on the order of the answers: a later revision and a connection were compared one by one, which is no order. The connection decides now, then the revision.

--- a/internal/coordination/distributor/tally.go
+++ b/internal/coordination/distributor/tally.go
@@ -84,6 +84,19 @@
 	return a
 }
 
+// compareReports orders two hosts' reports of one node: the one of the host that it is
+// connected to is the better one, then that of the later revision.
+func compareReports(a, b NodeRevision) int {
+	switch {
+	case a.Connected != b.Connected && a.Connected:
+		return 1
+	case a.Connected != b.Connected:
+		return -1
+	default:
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(b.BehindMillis, a.BehindMillis))
+	}
+}
+
 // Merge combines the answers of all control hosts. A node that moved from one host to
 // another may be in several answers. It counts as holding the revision if any answer says
 // so. Otherwise one of its reports is listed; a higher revision and an existing connection
@@ -96,7 +109,7 @@
 			holding[n] = struct{}{}
 		}
 		for _, m := range a.Missing {
-			if best, ok := missing[m.Node]; !ok || m.Revision > best.Revision || m.Connected && !best.Connected {
+			if best, ok := missing[m.Node]; !ok || compareReports(m, best) > 0 {
 				missing[m.Node] = m
 			}
 		}
