attendant: count the requests that are refused at once, too

marigoldpoint_attendant_refused_total lacked the refusals before registration, such as of requests that are sent back. TestCountsEveryRefusal counted 0 of 2.

--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -39,6 +39,7 @@
 func (a *Attendant) admit(ctx context.Context, conn *messenger.Conn, m messenger.Admit) (any, error) {
 	adm, refusal := a.register(conn, m) //nolint:contextcheck // Orders outlive the request that led to them.
 	if refusal != nil {
+		a.metrics.refused.Inc()
 		return nil, refusal
 	}
 	timer := time.NewTimer(time.Duration(m.WaitMillis) * time.Millisecond)
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -161,6 +163,7 @@
 	// eventGap is the longest gap between two events that the streaming route allows; 0 means
 	// that there is no route.
 	eventGap time.Duration
+	registry *prometheus.Registry
 	// number is the number of the configuration.
 	number uint64
 }
@@ -190,7 +193,7 @@
 // deployment.
 func newFixtureWithoutDeployment(t *testing.T, e *engine) *fixture {
 	t.Helper()
-	f := &fixture{t: t, engine: e}
+	f := &fixture{t: t, engine: e, registry: prometheus.NewRegistry()}
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: f.number, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
 			Slots: 64, MemoryTokens: 1000, MaxAdapters: slots, Models: []tracker.Model{{Name: model}},
@@ -204,7 +207,7 @@
 		return r, err
 	}})
 	f.attendant = attendant.NewAttendant(attendant.Settings{
-		Name: backendName, FailureDomain: failureDomain, Engine: e, View: f.tracker.View, Random: rand.New(rand.NewPCG(1, 2)),
+		Name: backendName, FailureDomain: failureDomain, Engine: e, View: f.tracker.View, Registerer: f.registry, Random: rand.New(rand.NewPCG(1, 2)),
 	})
 	network, other := net.Pipe()
 	f.network = other
--- a/internal/transport/attendant/misled_test.go
+++ b/internal/transport/attendant/misled_test.go
@@ -56,3 +56,36 @@
 		}
 	})
 }
+
+// TestCountsEveryRefusal guards against a counter that lacks the requests refused at once.
+func TestCountsEveryRefusal(t *testing.T) {
+	withEngine(t, func(f *fixture, _ *engine) {
+		f.admit("1", "a1", 1)
+		f.admit("2", "a2", 1)
+		advance(time.Second)
+		for _, request := range []string{"3", "4"} {
+			if f.admitNow(messenger.Admit{Request: request, Adapter: "a" + request, Movable: true, ExpectedMillis: 1}) == nil {
+				t.Fatalf("request %s was admitted", request)
+			}
+		}
+		if n := f.counter("marigoldpoint_attendant_refused_total"); n != 2 {
+			t.Errorf("%.0f refusals are counted, want 2", n)
+		}
+	})
+}
+
+// counter returns the value of a counter.
+func (f *fixture) counter(name string) float64 {
+	f.t.Helper()
+	families, err := f.registry.Gather()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	f.t.Fatalf("no counter %s", name)
+	return 0
+}
