Revert "spacer, attendant: leave a pause between long prompts where streams run"

By the new lines of calls, 191 of 308 streams that paused did so while a single prompt of over 300 ms was read, which no spacing shortens.

--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -24,12 +24,8 @@
 	// done is closed when the wait ends; refused then holds the reason if it failed.
 	done     chan struct{}
 	admitted bool
-	// spaced means that the request is in Attendant.spaced, and prefill is the time that its
-	// prompt is expected to take.
-	spaced  bool
-	prefill time.Duration
-	refused *messenger.Refusal
-	started time.Time
+	refused  *messenger.Refusal
+	started  time.Time
 }
 
 // earlyReleaseRetention is how long a release that arrived before its admission is kept.
@@ -102,7 +98,7 @@
 	a.admissions[m.Request] = adm
 	a.markChanged()
 	if m.Adapter == "" && a.report.hasModel(m.Model) {
-		a.admitPrompt(adm, now)
+		a.grant(adm, now)
 		return adm, nil
 	}
 	if m.Adapter == "" {
@@ -169,7 +165,6 @@
 	for _, adm := range a.admissions {
 		if adm.name == version && adm.inTable && !adm.admitted {
 			adm.inTable = false
-			a.unspace(adm)
 			a.apply(a.table.Release(now, adm.msg.Request))
 			adm.version = max(adm.version, a.settings.View().Newest(adapterName(adm.msg.Model, adm.msg.Adapter)))
 			adm.name = versionName(adm.msg.Model, adm.msg.Adapter, adm.version)
@@ -183,8 +178,8 @@
 // that are no longer blocked by an earlier version or a missing model. The caller holds mu.
 func (a *Attendant) admitReady(now time.Time) {
 	for _, adm := range a.admissions {
-		if adm.inTable && !adm.admitted && !adm.spaced && adm.refused == nil && a.table.Pin(adm.msg.Request) {
-			a.admitPrompt(adm, now)
+		if adm.inTable && !adm.admitted && adm.refused == nil && a.table.Pin(adm.msg.Request) {
+			a.grant(adm, now)
 		}
 	}
 	for _, adm := range a.blocked {
@@ -192,7 +187,7 @@
 		case !a.report.hasModel(adm.msg.Model) || a.hasOtherVersion(adm):
 		case adm.msg.Adapter == "":
 			delete(a.blocked, adm.msg.Request)
-			a.admitPrompt(adm, now)
+			a.grant(adm, now)
 		default:
 			a.requestSlot(adm, now)
 		}
@@ -214,11 +209,23 @@
 	return false
 }
 
+// grant admits the request. The caller holds mu.
+func (a *Attendant) grant(adm *admission, now time.Time) {
+	adm.admitted = true
+	uncached := a.cache.prefill(adm.msg, adm.version)
+	prefill := placer.ReadTime(uncached, adm.msg.Tokens, a.settings.PrefillRate)
+	if a.prefillEnd.Before(now) {
+		a.prefillEnd = now
+	}
+	a.prefillEnd = a.prefillEnd.Add(prefill)
+	a.markChanged()
+	close(adm.done)
+}
+
 // refuse ends the wait of a request with a refusal. The caller holds mu.
 func (a *Attendant) refuse(adm *admission, r *messenger.Refusal) {
 	delete(a.admissions, adm.msg.Request)
 	delete(a.blocked, adm.msg.Request)
-	a.unspace(adm)
 	adm.refused = r
 	close(adm.done)
 }
@@ -246,7 +253,6 @@
 func (a *Attendant) remove(adm *admission) {
 	delete(a.admissions, adm.msg.Request)
 	delete(a.blocked, adm.msg.Request)
-	a.unspace(adm)
 	a.markChanged()
 	if adm.inTable {
 		now := a.settings.Now()
@@ -255,6 +261,24 @@
 	}
 }
 
+// backlogMillis returns the expected time to prefill the prompts admitted so far, in
+// milliseconds. The caller holds mu.
+func (a *Attendant) backlogMillis() int {
+	return int(max(0, a.prefillEnd.Sub(a.settings.Now())).Milliseconds())
+}
+
+// waitingMillis returns the expected time to prefill the prompts of the waiting requests,
+// in milliseconds. The caller holds mu.
+func (a *Attendant) waitingMillis() int {
+	var prefill time.Duration
+	for _, adm := range a.admissions {
+		if !adm.admitted {
+			prefill += placer.ReadTime(a.cache.uncachedTokens(adm.msg, adm.version), adm.msg.Tokens, a.settings.PrefillRate)
+		}
+	}
+	return int(prefill.Milliseconds())
+}
+
 func loadRefusal(f loader.FailAction) *messenger.Refusal {
 	r := messenger.NewRefusal(messenger.ReasonLoadFailed, fmt.Sprintf("%s: %s", f.Version, f.Cause))
 	r.RetryAfterMillis = f.RetryAfter.Milliseconds()
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -8,7 +8,6 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
-	"marigoldpoint.example/marigoldpoint/internal/coordination/spacer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
@@ -65,13 +64,9 @@
 	// are those that have not been handed to the subscriber groups yet.
 	evicted      []string
 	newlyEvicted []string
-	// prompts tracks the prefill of the prompts admitted so far.
-	prompts spacer.Spacer
-	// spaced holds the requests whose adapter is ready and whose prompts wait for those
-	// before them, in the order of admission; spacingTimer admits the first one.
-	spaced       []*admission
-	spacingTimer *time.Timer
-	closed       bool
+	// prefillEnd is when the prompts admitted so far are expected to be prefilled.
+	prefillEnd time.Time
+	closed     bool
 }
 
 // cacheMemoryShare is the part of the engine's memory that is assumed to hold cached prompt
@@ -138,9 +133,6 @@
 func (a *Attendant) Close() error {
 	a.mu.Lock()
 	a.closed = true
-	if a.spacingTimer != nil {
-		a.spacingTimer.Stop()
-	}
 	a.mu.Unlock()
 	a.cancel()
 	a.tasks.Wait()
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -160,12 +160,7 @@
 	revision  uint64
 	conn      *messenger.Conn
 	network   net.Conn
-	// eventGap is the longest gap between two events that the streaming route allows; 0 means
-	// that there is no route.
-	eventGap time.Duration
-	registry *prometheus.Registry
-	// number is the number of the configuration.
-	number uint64
+	registry  *prometheus.Registry
 }
 
 const backendName = "10.0.0.1-80"
@@ -179,30 +174,19 @@
 
 // publishDeployment gives the attendant the configuration and its engine's membership.
 func (f *fixture) publishDeployment() {
-	f.reconfigure(1)
+	f.apply(storer.KindRouting, storer.RoutingName, storer.RoutingSpec{Number: 1})
 	f.announce("i-1", storer.MemberStateServing)
 }
 
-// reconfigure applies a configuration with the given number.
-func (f *fixture) reconfigure(number uint64) {
-	f.number = number
-	f.apply(storer.KindRouting, storer.RoutingName, storer.RoutingSpec{Number: number})
-}
-
 // newFixtureWithoutDeployment returns a fixture whose attendant does not know the
 // deployment.
 func newFixtureWithoutDeployment(t *testing.T, e *engine) *fixture {
 	t.Helper()
 	f := &fixture{t: t, engine: e, registry: prometheus.NewRegistry()}
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
-		r := &tracker.Routing{Number: f.number, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
+		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
 			Slots: 64, MemoryTokens: 1000, MaxAdapters: slots, Models: []tracker.Model{{Name: model}},
 		}}}}
-		if f.eventGap > 0 {
-			r.Routes = []tracker.Route{{
-				Name: "r", Host: "h", Prefix: "/", Stream: true, Timeout: time.Minute, MaxEventGap: f.eventGap, Shares: []tracker.Share{{Service: "s", Weight: 1}},
-			}}
-		}
 		err := r.Compile()
 		return r, err
 	}})
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -109,7 +109,6 @@
 		a.preloadModel(r)
 		return
 	}
-	a.prompts.MaxEventGap = maxEventGap(a.settings.View().Routing, member.Spec.Service)
 	restarted := a.restarted(r, member)
 	a.incarnation, a.epoch = member.Spec.Incarnation, max(a.epoch, member.Spec.Epoch)
 	if len(r.Models) != len(a.report.Models) {
@@ -125,7 +124,6 @@
 	case restarted:
 		a.settings.Log.Warn().Str("Incarnation", a.incarnation).Msg("engine restarted")
 		a.cache.clear()
-		a.resetPrompts(now)
 		a.evicted = nil
 		a.localEntries.requireFull()
 		a.remoteEntries.requireFull()
