placer: EachKnown, and drop old reports of an engine that is used again

An engine that left the followed ones, as its failure domain grew, kept its last report, which a later call there would have been placed by.

--- a/internal/coordination/placer/followed_test.go
+++ b/internal/coordination/placer/followed_test.go
@@ -65,7 +65,7 @@
 // followed returns the names of the followed engines, with their failure domains.
 func followed(p *placer.Placer) map[string]string {
 	all := make(map[string]string)
-	p.EachFollowed(func(m tracker.Member) { all[m.Name] = m.Spec.FailureDomain })
+	p.EachKnown(func(m tracker.Member) { all[m.Name] = m.Spec.FailureDomain })
 	return all
 }
 
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -214,9 +214,10 @@
 	if b.reported() {
 		choice.Age = now.Sub(b.reportedAt)
 	}
+	known := o.knows(b, s)
 	if o.engine != nil {
 		choice.Backlog, choice.Load = b.backlog(now), b.adapterWait(o.lastSurvey.adapter, c.Version, s)
-		if o.lastSurvey.adapter != "" && !o.knows(b, s) {
+		if !known && o.lastSurvey.adapter != "" {
 			choice.Load = s.ColdLoad
 		}
 		choice.Read = b.readTime(c, s)
@@ -233,8 +234,10 @@
 			b.pendingAdapters[name] = AdapterState{Name: name, Version: c.Version, Loading: true, Pins: 1}
 		}
 	}
-	if choice.Expected = o.unknownCost(c, b, &o.lastSurvey, s); o.knows(b, s) {
+	if known {
 		choice.Expected = o.cost(now, c, b, &o.lastSurvey, s)
+	} else {
+		choice.Expected = o.unknownCost(c, b, &o.lastSurvey, s)
 	}
 	b.ownCalls++
 	b.placedCalls++
--- a/internal/coordination/placer/unknown.go
+++ b/internal/coordination/placer/unknown.go
@@ -56,17 +56,17 @@
 	return best
 }
 
-// EachFollowed calls f for the serving engines whose state the entry follows or has
-// subscribed to for its calls. It must not call the placer.
-func (p *Placer) EachFollowed(f func(tracker.Member)) {
+// EachKnown calls f for the serving engines that the entry knows, in the sense of Knows. F
+// must not call the placer.
+func (p *Placer) EachKnown(f func(tracker.Member)) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, o := range p.pools {
-		o.eachFollowed(&p.settings, f)
+		o.eachKnown(&p.settings, f)
 	}
 }
 
-func (o *pool) eachFollowed(s *Settings, f func(tracker.Member)) {
+func (o *pool) eachKnown(s *Settings, f func(tracker.Member)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.engine == nil {
@@ -99,6 +99,10 @@
 	if b == nil || o.engine == nil || o.knows(b, &p.settings) {
 		return false
 	}
+	if b.reported() {
+		// What was reported while the entry followed the engine may be old.
+		b.forget()
+	}
 	o.used = append(o.used, b)
 	return true
 }
--- a/internal/standin/modeler/entry.go
+++ b/internal/standin/modeler/entry.go
@@ -60,7 +60,7 @@
 func (e *entry) setView(v *tracker.View) {
 	e.placer.SetView(v)
 	e.followed = make(map[string]struct{})
-	e.placer.EachFollowed(func(m tracker.Member) { e.followed[m.Name] = struct{}{} })
+	e.placer.EachKnown(func(m tracker.Member) { e.followed[m.Name] = struct{}{} })
 }
 
 // start starts the entry without state, initially or after a power loss.
--- a/internal/transport/relayer/watch.go
+++ b/internal/transport/relayer/watch.go
@@ -41,7 +41,7 @@
 		}
 		r.endUnused()
 		wanted := make(map[string]tracker.Member)
-		r.settings.Placer.EachFollowed(func(m tracker.Member) { wanted[m.Name] = m })
+		r.settings.Placer.EachKnown(func(m tracker.Member) { wanted[m.Name] = m })
 		r.unwatchOthers(wanted)
 		for _, m := range wanted {
 			if !r.subscribed(m) {
--- a/internal/transport/relayer/watch_test.go
+++ b/internal/transport/relayer/watch_test.go
@@ -34,7 +34,7 @@
 		e.reconfigure(nil)
 		e.announce(0, b[0], 0)
 		e.announce(1, b[1], 0)
-		e.placer.EachFollowed(func(m tracker.Member) { followed = m.Name })
+		e.placer.EachKnown(func(m tracker.Member) { followed = m.Name })
 		other = map[string]string{"b0": "b1", "b1": "b0"}[followed]
 		otherCompanion = addresses[other]
 		Eventually(func() int { return e.dials(addresses[followed]) }).Should(Equal(1))
