--- a/internal/transport/relayer/watch.go
+++ b/internal/transport/relayer/watch.go
@@ -98,16 +98,17 @@
 	return len(r.attempts[name]) > 0
 }
 
-// unwatchOthers ends the subscriptions to all engines that are not wanted.
+// unwatchOthers ends the subscriptions to all engines that are not wanted and have no attempts
+// in progress: the silence of their hosts must still be noticed.
 func (r *Relayer) unwatchOthers(wanted map[string]tracker.Member) {
 	var ended []*messenger.Conn
 	r.watchedMu.Lock()
 	maps.DeleteFunc(r.watched, func(name string, c companion) bool {
-		_, is := wanted[name]
-		if !is {
-			ended = append(ended, c.conn)
+		if _, is := wanted[name]; is || r.hasAttempts(name) {
+			return false
 		}
-		return !is
+		ended = append(ended, c.conn)
+		return true
 	})
 	maps.DeleteFunc(r.engines, func(c *messenger.Conn, name string) bool {
 		w, is := r.watched[name]
