relayer, attendant, platform: log and count limits of requests that backend servers name

The record of a limit that was broken held no line on it: nothing told which process had seen which limit, of which incarnation, when, and what it sent there since. An entry now reads the limit from each answer, with or without the platform's prefix, and logs each change with the incarnation, the rate before and the number of calls that it placed under it; attempts under a limit are counted by service. A companion logs what the engine's reports name. No choice depends on any of it yet.

regulator.Limit orders what is known: only an answer to a request sent after the last answer that named the limit ends it.

--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+)
 
 // Call describes a call for which a backend server is chosen.
 type Call struct {
@@ -40,6 +44,8 @@
 	Running int
 	// Age is the age of the companion's last report; negative if there is none.
 	Age time.Duration
+	// Limit is the limit of requests that the backend server has named to the entry.
+	Limit regulator.Limit
 
 	backend       *backend
 	pool          *pool
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -241,6 +241,9 @@
 	}
 	b.ownCalls++
 	b.placedCalls++
+	if choice.Limit = b.limit; b.limit.Named {
+		b.limitedCalls++
+	}
 }
 
 // Finish ends a call at the chosen backend server and records its outcome.
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -8,6 +8,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
@@ -43,6 +44,10 @@
 	// reachable reports whether the last poll of the engine succeeded.
 	reachable  bool
 	admissions map[string]*admission
+	// limit is the limit of requests that the engine's incarnation has named, and
+	// limitReported means that its reports have named one.
+	limit         regulator.Limit
+	limitReported bool
 	// previousModel is the model that the engine held last.
 	previousModel string
 	// orderedModel is the model that the engine is loading; empty if none.
--- a/internal/transport/attendant/engine.go
+++ b/internal/transport/attendant/engine.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"strings"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 )
 
 // HeldAdapter is an adapter that an engine has loaded or is loading.
@@ -38,6 +40,8 @@
 	OnDisk []string
 	// Running and Queued count requests.
 	Running, Queued int
+	// Limit is what the engine said about its limit of requests.
+	Limit regulator.Notice
 }
 
 // hasModel reports whether the engine has loaded a model.
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -10,6 +10,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -59,6 +60,7 @@
 		sequence = a.table.Sequence()
 	}
 	a.mu.Unlock()
+	sentAt := a.settings.Now()
 	r, err := a.fetchReport()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -78,6 +80,7 @@
 		a.refuseWaiting()
 	}
 	a.applyReport(now, r, member, known, sequence)
+	a.recordReportedLimit(sentAt, now, r.Limit)
 	a.admitReady(now)
 	for request, at := range a.earlyReleases {
 		if now.Sub(at) > earlyReleaseRetention {
@@ -124,6 +127,7 @@
 	case restarted:
 		a.settings.Log.Warn().Str("Incarnation", a.incarnation).Msg("engine restarted")
 		a.cache.clear()
+		a.limit, a.limitReported = regulator.Limit{}, false
 		a.evicted = nil
 		a.localEntries.requireFull()
 		a.remoteEntries.requireFull()
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -74,6 +75,8 @@
 	Calls int
 	// KeepAlive is how long the connection may stay idle; 0 means unspecified.
 	KeepAlive time.Duration
+	// Limit is what the answer says about the backend server's limit of requests.
+	Limit regulator.Notice
 }
 
 // Translator implements the protocol of callers and backend servers.
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -22,6 +22,7 @@
 	losses      *prometheus.CounterVec
 	quarantined *prometheus.CounterVec
 	unattended  prometheus.Counter
+	limited     *prometheus.CounterVec
 	quotas      *prometheus.CounterVec
 	workspaces  workspaceLabels
 }
@@ -59,11 +60,14 @@
 			Name: "marigoldpoint_relayer_unattended_total", Help: "Calls sent without their companion's admission.",
 		}),
 	}
+	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_limited_attempts_total", Help: "Attempts at backend servers that had named a limit of requests to this entry, by service.",
+	}, []string{labelService})
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.quotas)
+		r.MustRegister(m.quotas, m.limited)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.unattended)
 	}
 	return m
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -23,6 +23,7 @@
 		return j.unanswered(err) //nolint:contextcheck // The report of a loss outlives the call.
 	}
 	head := r.settings.Translator.Head(response.StatusCode, response.Header)
+	j.recordLimit(head.Limit)
 	if head.Calls >= 0 {
 		r.settings.Placer.ReportLoad(r.settings.Now(), &j.choice, head.Calls)
 	}
@@ -58,6 +59,10 @@
 	j.sent++
 	j.reached++
 	j.bytesBeforeAttempt = j.bytes
+	j.attemptAt = j.relayer.settings.Now()
+	if j.choice.Limit.Named {
+		j.relayer.metrics.limited.WithLabelValues(j.service.Name).Inc()
+	}
 	conn, response, err := j.relayer.settings.Pool.Exchange(ctx, j.choice.Address,
 		func() *http.Request { return j.outgoing(a) },
 		func(h http.Header) bool {
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -80,6 +80,8 @@
 	// suspect means that backend servers ended while they ran the request, in this call
 	// or before.
 	suspect bool
+	// attemptAt is when the current attempt was sent.
+	attemptAt time.Time
 	// bytes counts the bytes of the answer that were forwarded to the caller, and
 	// bytesBeforeAttempt those of attempts before the current one.
 	bytes, bytesBeforeAttempt int64
