regulator, attendant, relayer, controller: keep the limit of requests that a backend server names

What callers and operators saw: a backend server that had named a limit of one request a second got 14 in 4 s from four entries, allowed 11.

Cause: no process read the limit.

One process counts the requests of all entries to a backend server. For an engine it is the companion, which admits each of them already: entries report to it what answers say, and it spaces admissions by the generic cell rate algorithm, the most urgent first. It refuses at once those whose turn comes after their deadline, and publishes the wait, by which entries choose other engines. A companion that restarts learns the limit with the next admission and starts without a burst. For a backend server without a companion, and for an engine whose companion is not reached (then at half of the limit, as the companion may still count others), the leader of the control group schedules each request up to a second ahead. Where all backend servers of a service leave no turn in time, the call is refused at once with the time until the next turn.

A limit ends with a signed answer without one to a request that was sent after the last answer that named it; a report ends only one that reports named. It is that of one incarnation. Limits below 0.1 a second are used as 0.1, since only an answer shows the end.

Why it works: the count is one for all senders, so that the sum can't exceed it, however callers are spread over the entries.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -49,10 +48,7 @@
 	// reported at loadAt.
 	load   int
 	loadAt time.Time
-	// limit is the limit of requests that the backend server named to this entry, and
-	// limitedCalls the number of calls that the entry placed here under it.
-	limit        regulator.Limit
-	limitedCalls int
+	limits limits
 	// throttle limits this entry's calls to a backend server of a plain service.
 	throttle *throttler.Throttler
 
--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -20,6 +20,9 @@
 	Parts      []uint32
 	PartTokens []int
 	Tokens     int
+	// MaxWait is the longest time for which the call can wait for its turn at a backend
+	// server that limits requests; 0 means any.
+	MaxWait time.Duration
 	// Late reports that the call can only meet its target if it is served immediately.
 	Late bool
 	// Avoid lists backend servers that must not be chosen.
@@ -44,8 +47,11 @@
 	Running int
 	// Age is the age of the companion's last report; negative if there is none.
 	Age time.Duration
-	// Limit is the limit of requests that the backend server has named to the entry.
-	Limit regulator.Limit
+	// Limit is the backend server's limit of requests, and Turn the expected time until the
+	// call's turn. NamedLimit is the limit that it has named to the entry itself.
+	Limit      regulator.Limit
+	NamedLimit regulator.Limit
+	Turn       time.Duration
 
 	backend       *backend
 	pool          *pool
--- a/internal/coordination/placer/cost.go
+++ b/internal/coordination/placer/cost.go
@@ -40,7 +40,7 @@
 // cost returns the expected time until the call's first byte, plus penalties expressed
 // as time. The caller holds o.mu.
 func (o *pool) cost(now time.Time, c *Call, b *backend, engines *survey, s *Settings) time.Duration {
-	cost := time.Duration(b.failures * float64(failureCost))
+	cost := time.Duration(b.failures*float64(failureCost)) + b.limits.wait(now)
 	otherDomain := b.member.Spec.FailureDomain != s.FailureDomain
 	if o.engine == nil {
 		if otherDomain {
--- a/internal/coordination/placer/limit.go
+++ b/internal/coordination/placer/limit.go
@@ -3,26 +3,159 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
+// ErrLimited means that all serving backend servers of the service limit requests, and that
+// none of them has a turn for the call within its MaxWait.
+const ErrLimited = errors.ConstError("all backend servers limit requests")
+
+// LimitState is a companion's report on the limit of requests that its engine has named.
+type LimitState struct {
+	_ struct{} `cbor:",toarray"`
+	// Name and Incarnation identify the engine.
+	Name        string
+	Incarnation string
+	// Named means that there is a limit, Rate requests per second, under which a further
+	// request would wait for WaitMillis milliseconds.
+	Named      bool
+	Rate       float64
+	WaitMillis int
+}
+
+// limits is what an entry knows about the limit of a backend server.
+type limits struct {
+	// named is the limit that the backend server's answers named to this entry, and calls
+	// the number of calls that the entry placed here under it.
+	named regulator.Limit
+	calls int
+	// reported is the limit that the engine's companion, which counts the requests of all
+	// entries, has reported.
+	reported regulator.Limit
+	// turnAt is the expected time of the turn of a further call: as the process that counts
+	// the requests has reported, and later by each call placed since.
+	turnAt time.Time
+}
+
+// apply reports whether the entry knows of a limit.
+func (l *limits) apply() bool { return l.named.Named || l.reported.Named }
+
+// limit returns the limit that applies.
+func (l *limits) limit() regulator.Limit {
+	if l.named.Named {
+		return l.named
+	}
+	return l.reported
+}
+
+// wait returns the expected time until the turn of a further call.
+func (l *limits) wait(now time.Time) time.Duration {
+	if !l.apply() {
+		return 0
+	}
+	return max(0, l.turnAt.Sub(now))
+}
+
+// place counts a call that is placed under the limit.
+func (l *limits) place(now time.Time) {
+	l.calls++
+	if l.turnAt.Before(now) {
+		l.turnAt = now
+	}
+	limit := l.limit()
+	l.turnAt = l.turnAt.Add(limit.Interval())
+}
+
 // LimitChange is a change of the limit that a backend server named.
 type LimitChange struct {
 	Before, After regulator.Limit
 	// Calls is the number of calls that the entry placed under the limit before.
 	Calls int
+	// Reported means that the engine's companion has reported what the answer says.
+	Reported bool
 }
 
 // RecordLimit applies what an answer to the chosen call, sent at sentAt, says about the
 // backend server's limit. It reports whether the limit has changed.
-func (p *Placer) RecordLimit(sentAt, now time.Time, choice *Choice, n regulator.Notice) (LimitChange, bool) {
+func (p *Placer) RecordLimit(sentAt, now time.Time, choice *Choice, n regulator.Notice) (c LimitChange, changed bool) {
 	choice.pool.mu.Lock()
 	defer choice.pool.mu.Unlock()
-	b := choice.backend
-	c := LimitChange{Before: b.limit, Calls: b.limitedCalls}
-	if !b.limit.Record(sentAt, now, n) {
-		return c, false
+	l := &choice.backend.limits
+	c = LimitChange{Before: l.named, Calls: l.calls}
+	if changed = l.named.Record(sentAt, now, n); changed {
+		l.calls = 0
 	}
-	c.After, b.limitedCalls = b.limit, 0
-	return c, true
+	c.After = l.named
+	switch n.Kind {
+	case regulator.NoticeLimited:
+		c.Reported = l.reported.Named && l.reported.Rate == n.Rate
+	case regulator.NoticeUnlimited:
+		c.Reported = !l.reported.Named
+	case regulator.NoticeMissing:
+		c.Reported = true
+	}
+	return c, changed
+}
+
+// ReportLimit applies a companion's report on the limit of its engine.
+func (p *Placer) ReportLimit(now time.Time, service string, s LimitState) {
+	o := p.pool(service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b := o.find(s.Name)
+	if b == nil || b.member.Spec.Incarnation != s.Incarnation {
+		return
+	}
+	b.limits.reported = regulator.Limit{Named: s.Named, Rate: s.Rate}
+	b.limits.turnAt = now.Add(time.Duration(s.WaitMillis) * time.Millisecond)
+}
+
+// PostponeTurn records that the next turn of a call at the chosen backend server is after
+// wait, as the process that counts its requests has answered.
+func (p *Placer) PostponeTurn(now time.Time, choice *Choice, wait time.Duration) {
+	choice.pool.mu.Lock()
+	defer choice.pool.mu.Unlock()
+	choice.backend.limits.turnAt = now.Add(wait)
+}
+
+// NextTurn returns the shortest time until the turn of a further call at a backend server
+// of the service.
+func (p *Placer) NextTurn(now time.Time, service string) time.Duration {
+	o := p.pool(service)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := time.Duration(-1)
+	for _, b := range o.backends {
+		if b.member.Spec.State != storer.MemberStateServing {
+			continue
+		}
+		if wait := b.limits.wait(now); next < 0 || wait < next {
+			next = wait
+		}
+	}
+	return max(0, next)
+}
+
+// limited reports whether no serving backend server has a turn for the call in time. The
+// caller holds o.mu.
+func (o *pool) limited(now time.Time, c *Call) bool {
+	serving := false
+	for _, b := range o.backends {
+		if b.member.Spec.State != storer.MemberStateServing {
+			continue
+		}
+		if b.hasTurn(now, c) {
+			return false
+		}
+		serving = true
+	}
+	return serving
+}
+
+// hasTurn reports whether the turn of the call under the backend server's limit is in time.
+func (b *backend) hasTurn(now time.Time, c *Call) bool {
+	return !b.limits.apply() || c.MaxWait <= 0 || b.limits.wait(now) <= c.MaxWait
 }
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -122,15 +122,15 @@
 }
 
 // Choose selects the backend server for a call and counts the call there until Finish.
-// It returns ErrNoBackend if none can take the call, and ErrBusy if the backend servers
-// of a plain service have reached their limits.
+// It returns ErrNoBackend if none can take the call, ErrBusy if the backend servers of a
+// plain service have reached their limits, and ErrLimited.
 func (p *Placer) Choose(now time.Time, c *Call, choice *Choice) error {
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	busy := false
 	eligible := func(b *backend) bool {
-		if slices.Contains(c.Avoid, b.member.Name) {
+		if slices.Contains(c.Avoid, b.member.Name) || !b.hasTurn(now, c) {
 			return false
 		}
 		accepts := o.engine != nil || b.accepts(now, c)
@@ -147,6 +147,8 @@
 		best, _ = o.best(now, c, &p.settings, eligible)
 	}
 	switch {
+	case best == nil && o.limited(now, c):
+		return errors.Trace(ErrLimited)
 	case best == nil && busy:
 		return errors.Trace(ErrBusy)
 	case best == nil:
@@ -215,6 +217,7 @@
 		choice.Age = now.Sub(b.reportedAt)
 	}
 	known := o.knows(b, s)
+	choice.NamedLimit, choice.Limit, choice.Turn = b.limits.named, b.limits.limit(), b.limits.wait(now)
 	if o.engine != nil {
 		choice.Backlog, choice.Load = b.backlog(now), b.adapterWait(o.lastSurvey.adapter, c.Version, s)
 		if !known && o.lastSurvey.adapter != "" {
@@ -241,8 +244,8 @@
 	}
 	b.ownCalls++
 	b.placedCalls++
-	if choice.Limit = b.limit; b.limit.Named {
-		b.limitedCalls++
+	if choice.Limit.Named {
+		b.limits.place(now)
 	}
 }
 
--- a/internal/coordination/placer/report.go
+++ b/internal/coordination/placer/report.go
@@ -32,12 +32,12 @@
 // been evicted, and shorter than the wait for a slot or for two concurrent loads.
 const maxExcessWait = 350 * time.Millisecond
 
-// CheckExpectedWait returns how long a call would wait for its adapter and for the
-// preceding prompts, given the engine's current state, and reports whether that exceeds
-// the wait the entry expected by more than maxExcessWait. State reaches entries in
+// CheckExpectedWait returns how long a call would wait for its adapter, for the preceding
+// prompts and for its turn under the engine's limit of requests, given the engine's current
+// state, and reports whether that exceeds the wait the entry expected by more than maxExcessWait. State reaches entries in
 // other failure domains late, and a call that finds all slots in use waits most of a
 // second, in which time its caller may disconnect.
-func CheckExpectedWait(s *EngineState, adapter string, version uint64, expected time.Duration) (wait time.Duration, exceeds bool) {
+func CheckExpectedWait(s *EngineState, adapter string, version uint64, turn, expected time.Duration) (wait time.Duration, exceeds bool) {
 	b := backend{
 		state: *s, reportedAt: time.Unix(1, 0),
 		adapters: make(map[string]AdapterState, len(s.Adapters)), recent: make(map[string]struct{}, len(s.Recent)),
@@ -47,7 +47,7 @@
 	}
 	addBounded(b.recent, s.Recent)
 	defaults := Settings{}.withDefaults()
-	wait = b.adapterWait(adapter, version, &defaults) + time.Duration(s.BacklogMillis)*time.Millisecond
+	wait = max(turn, b.adapterWait(adapter, version, &defaults)) + time.Duration(s.BacklogMillis)*time.Millisecond
 	return wait, wait >= expected+maxExcessWait
 }
 
--- a/internal/coordination/placer/unknown.go
+++ b/internal/coordination/placer/unknown.go
@@ -46,7 +46,7 @@
 	var best *backend
 	var highest uint64
 	for _, b := range others {
-		if b.member.Spec.State != storer.MemberStateServing || o.knows(b, s) || !eligible(b) {
+		if b.member.Spec.State != storer.MemberStateServing || o.knows(b, s) || !eligible(b) || b.limits.apply() {
 			continue
 		}
 		if affinity := hasher.Mix(hash ^ b.hash); best == nil || affinity > highest {
--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -35,6 +35,24 @@
 	// wait here much longer than ExpectedMillis before its prompt is processed.
 	Movable        bool
 	ExpectedMillis int64
+	// Urgency ranges from 0, the most urgent, to 9. It orders requests that wait for their
+	// turn under a limit of requests.
+	Urgency int
+	// Limit is the limit that the backend server named to the sender; nil if it named none.
+	Limit *Limit
+}
+
+// Limit reports what a backend server's answer to a request said about its limit of
+// requests.
+type Limit struct {
+	// Request is the request that was answered, and Incarnation the backend server's.
+	Request     string
+	Incarnation string
+	// Named means that the answer named a limit, Rate requests per second.
+	Named bool
+	Rate  float64
+	// AgeMillis is the time since the answer arrived, in milliseconds.
+	AgeMillis int64
 }
 
 // Admitted answers Admit once the adapter is ready.
--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -27,11 +27,18 @@
 	MethodAdmit Method = "Companion.Admit"
 	// MethodRelease ends an admission: Release.
 	MethodRelease Method = "Companion.Release"
+	// MethodLimit reports a change of the limit of requests that the backend server names:
+	// Limit.
+	MethodLimit Method = "Companion.Limit"
 	// MethodWatch subscribes to the state of the backend server: Watch.
 	MethodWatch Method = "Companion.Watch"
 	// MethodState carries the state of an engine to an entry (package placer).
 	MethodState Method = "Entry.State"
 
+	// MethodLimitState carries the state of an engine's limit of requests to an entry
+	// (package placer).
+	MethodLimitState Method = "Entry.LimitState"
+
 	// MethodReplicate carries messages of the replicated log between control
 	// hosts (package replicator).
 	MethodReplicate Method = "Control.Replicate"
@@ -94,6 +101,9 @@
 	// MethodDigest carries residency and load changes (package registrar).
 	MethodDigest Method = "Node.Digest"
 
+	// MethodReserve schedules a request to a backend server that limits requests (package
+	// regulator).
+	MethodReserve Method = "Control.Reserve"
 	// MethodRequestPermit requests a load permit (package permitter).
 	MethodRequestPermit Method = "Control.RequestPermit"
 	// MethodFinishPermit returns a load permit (package permitter).
--- a/internal/protocol/messenger/reason_string.go
+++ b/internal/protocol/messenger/reason_string.go
@@ -27,11 +27,12 @@
 	_ = x[ReasonInternal-16]
 	_ = x[ReasonForbidden-17]
 	_ = x[ReasonMisled-18]
+	_ = x[ReasonLimited-19]
 }
 
-const _Reason_name = "NoneMalformedUnsupportedNotLeaderUnavailableStoppingOverloadedDeadlineStaleEpochNeverSeenDuplicateLoadFailedOutcomeUnknownCompactedEngineCancelledInternalForbiddenMisled"
+const _Reason_name = "NoneMalformedUnsupportedNotLeaderUnavailableStoppingOverloadedDeadlineStaleEpochNeverSeenDuplicateLoadFailedOutcomeUnknownCompactedEngineCancelledInternalForbiddenMisledLimited"
 
-var _Reason_index = [...]uint8{0, 4, 13, 24, 33, 44, 52, 62, 70, 80, 89, 98, 108, 122, 131, 137, 146, 154, 163, 169}
+var _Reason_index = [...]uint8{0, 4, 13, 24, 33, 44, 52, 62, 70, 80, 89, 98, 108, 122, 131, 137, 146, 154, 163, 169, 176}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/protocol/messenger/refusal.go
+++ b/internal/protocol/messenger/refusal.go
@@ -53,6 +53,9 @@
 	// ReasonMisled means that the request would wait much longer than the sender
 	// expected; Refusal.RetryAfterMillis is the wait.
 	ReasonMisled
+	// ReasonLimited means that the request would exceed the limit of requests that the
+	// backend server has named, until the deadline has passed.
+	ReasonLimited
 )
 
 // Refusal is the error with which the peer answered a call.
--- a/internal/standin/modeler/engine.go
+++ b/internal/standin/modeler/engine.go
@@ -136,7 +136,7 @@
 		return false
 	}
 	s := e.state()
-	wait, misled := placer.CheckExpectedWait(&s, modelName+"/"+c.adapter, 1, c.choice.Load+c.choice.Backlog)
+	wait, misled := placer.CheckExpectedWait(&s, modelName+"/"+c.adapter, 1, 0, c.choice.Load+c.choice.Backlog)
 	if !misled {
 		return false
 	}
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -26,6 +26,8 @@
 	admitted bool
 	refused  *messenger.Refusal
 	started  time.Time
+	// grantedAt is when the request was admitted.
+	grantedAt time.Time
 }
 
 // earlyReleaseRetention is how long a release that arrived before its admission is kept.
@@ -91,36 +93,42 @@
 	case a.admissions[m.Request] != nil:
 		return nil, messenger.NewRefusal(messenger.ReasonMalformed, "the request is admitted already")
 	}
-	if refusal := a.checkExpectedWait(m); refusal != nil {
+	if m.Limit != nil {
+		a.recordLimit(*m.Limit, now)
+	}
+	if refusal := a.checkExpectedWait(m, now); refusal != nil {
 		return nil, refusal
 	}
 	adm := &admission{msg: m, conn: conn, done: make(chan struct{}), started: now}
 	a.admissions[m.Request] = adm
 	a.markChanged()
-	if m.Adapter == "" && a.report.hasModel(m.Model) {
-		a.grant(adm, now)
-		return adm, nil
-	}
 	if m.Adapter == "" {
 		a.blocked[m.Request] = adm
-		return adm, nil
+		a.admitReady(now)
+	} else {
+		adm.version = max(m.Version, a.settings.View().Newest(adapterName(m.Model, m.Adapter)))
+		adm.name = versionName(m.Model, m.Adapter, adm.version)
+		a.requestSlot(adm, now)
 	}
-	adm.version = max(m.Version, a.settings.View().Newest(adapterName(m.Model, m.Adapter)))
-	adm.name = versionName(m.Model, m.Adapter, adm.version)
-	a.requestSlot(adm, now)
+	a.refuseHopeless(now)
 	return adm, nil
 }
 
 // checkExpectedWait refuses a request that would wait much longer here than its entry
 // expected from an outdated engine state, so that the entry can choose another engine. The
 // caller holds mu.
-func (a *Attendant) checkExpectedWait(m messenger.Admit) *messenger.Refusal {
-	if !m.Movable || m.Adapter == "" {
+func (a *Attendant) checkExpectedWait(m messenger.Admit, now time.Time) *messenger.Refusal {
+	turn := a.turn(m, now)
+	if !m.Movable || m.Adapter == "" && turn == 0 {
 		return nil
 	}
-	version := max(m.Version, a.settings.View().Newest(adapterName(m.Model, m.Adapter)))
+	name, version := "", uint64(0)
+	if m.Adapter != "" {
+		name = adapterName(m.Model, m.Adapter)
+		version = max(m.Version, a.settings.View().Newest(name))
+	}
 	state := a.fullState()
-	wait, exceeded := placer.CheckExpectedWait(&state, adapterName(m.Model, m.Adapter), version, time.Duration(m.ExpectedMillis)*time.Millisecond)
+	wait, exceeded := placer.CheckExpectedWait(&state, name, version, turn, time.Duration(m.ExpectedMillis)*time.Millisecond)
 	if !exceeded {
 		return nil
 	}
@@ -174,26 +182,39 @@
 	a.apply(a.table.Replace(now, version))
 }
 
-// admitReady admits the requests whose version is loaded, and requests a slot for those
-// that are no longer blocked by an earlier version or a missing model. The caller holds mu.
+// admitReady admits the requests whose version is loaded and whose turn has come, and
+// requests a slot for those that are no longer blocked by an earlier version or a missing
+// model. The caller holds mu.
 func (a *Attendant) admitReady(now time.Time) {
-	for _, adm := range a.admissions {
-		if adm.inTable && !adm.admitted && adm.refused == nil && a.table.Pin(adm.msg.Request) {
-			a.grant(adm, now)
+	if a.regulator.Limit().Named {
+		a.admitInTurn(now)
+	} else {
+		for _, adm := range a.admissions {
+			if a.pin(adm) {
+				a.grant(adm, now)
+			}
 		}
 	}
 	for _, adm := range a.blocked {
-		switch {
-		case !a.report.hasModel(adm.msg.Model) || a.hasOtherVersion(adm):
-		case adm.msg.Adapter == "":
-			delete(a.blocked, adm.msg.Request)
-			a.grant(adm, now)
-		default:
+		if adm.msg.Adapter != "" && a.report.hasModel(adm.msg.Model) && !a.hasOtherVersion(adm) {
 			a.requestSlot(adm, now)
 		}
 	}
 }
 
+// pin reports whether a request still waits and its model and version are loaded. The
+// version then stays loaded. The caller holds mu.
+func (a *Attendant) pin(adm *admission) bool {
+	switch {
+	case adm.admitted, adm.refused != nil:
+		return false
+	case adm.msg.Adapter == "":
+		return a.report.hasModel(adm.msg.Model)
+	default:
+		return adm.inTable && a.table.Pin(adm.msg.Request)
+	}
+}
+
 // hasOtherVersion reports whether another version of the adapter occupies a slot. The
 // caller holds mu.
 func (a *Attendant) hasOtherVersion(adm *admission) bool {
@@ -211,7 +232,8 @@
 
 // grant admits the request. The caller holds mu.
 func (a *Attendant) grant(adm *admission, now time.Time) {
-	adm.admitted = true
+	adm.admitted, adm.grantedAt = true, now
+	delete(a.blocked, adm.msg.Request)
 	uncached := a.cache.prefill(adm.msg, adm.version)
 	prefill := placer.ReadTime(uncached, adm.msg.Tokens, a.settings.PrefillRate)
 	if a.prefillEnd.Before(now) {
@@ -224,6 +246,10 @@
 
 // refuse ends the wait of a request with a refusal. The caller holds mu.
 func (a *Attendant) refuse(adm *admission, r *messenger.Refusal) {
+	if adm.inTable {
+		adm.inTable = false
+		a.apply(a.table.Release(a.settings.Now(), adm.msg.Request))
+	}
 	delete(a.admissions, adm.msg.Request)
 	delete(a.blocked, adm.msg.Request)
 	adm.refused = r
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -44,10 +44,14 @@
 	// reachable reports whether the last poll of the engine succeeded.
 	reachable  bool
 	admissions map[string]*admission
-	// limit is the limit of requests that the engine's incarnation has named, and
-	// limitReported means that its reports have named one.
-	limit         regulator.Limit
+	// regulator spaces the requests to the engine's incarnation if it has named a limit, and
+	// limitReported means that its reports have named one. limitedGrants is the number of
+	// requests admitted under the current limit.
+	regulator     regulator.Regulator
 	limitReported bool
+	limitedGrants int
+	// turnScheduled means that a task waits for the next request's turn under the limit.
+	turnScheduled bool
 	// previousModel is the model that the engine held last.
 	previousModel string
 	// orderedModel is the model that the engine is loading; empty if none.
@@ -178,6 +182,13 @@
 		}
 		a.release(m.Request) //nolint:contextcheck // Orders outlive the request that led to them.
 		return nil, nil
+	case messenger.MethodLimit:
+		var m messenger.Limit
+		if err := messenger.Decode(params, &m); err != nil {
+			return nil, err
+		}
+		a.limitNamed(m) //nolint:contextcheck // Orders outlive the request that led to them.
+		return nil, nil
 	case messenger.MethodWatch:
 		var m messenger.Watch
 		if err := messenger.Decode(params, &m); err != nil {
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -46,6 +47,14 @@
 	lostOrderDelay time.Duration
 	orders         []attendant.Order
 	failure        string
+	// limit is what reports say about the limit of requests.
+	limit regulator.Notice
+}
+
+func (e *engine) setLimit(n regulator.Notice) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = n
 }
 
 func newEngine() *engine {
@@ -55,7 +64,7 @@
 func (e *engine) Report(context.Context) (attendant.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := attendant.Report{Sequence: e.sequence, Born: e.started, Busy: e.busy, OnDisk: e.disk}
+	r := attendant.Report{Sequence: e.sequence, Born: e.started, Busy: e.busy, OnDisk: e.disk, Limit: e.limit}
 	if !e.empty {
 		m := attendant.HeldModel{Name: model, Version: 1}
 		for name, version := range e.held {
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -1,6 +1,10 @@
 package attendant
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+)
 
 // metrics are the metrics of an attendant.
 type metrics struct {
@@ -8,6 +12,7 @@
 	loadTime prometheus.Histogram
 	refused  prometheus.Counter
 	sentBack prometheus.Counter
+	limit    prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -27,8 +32,21 @@
 			Name: "marigoldpoint_attendant_sent_back_total", Help: "Requests that were sent elsewhere since they would wait much longer than their entry expected.",
 		}),
 	}
+	m.limit = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marigoldpoint_attendant_request_limit", Help: "Limit of requests per second that the engine has named, or -1.",
+	})
+	m.setLimit(regulator.Limit{})
 	if r != nil {
-		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack)
+		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit)
 	}
 	return m
 }
+
+// setLimit records the engine's limit of requests.
+func (m *metrics) setLimit(l regulator.Limit) {
+	if l.Named {
+		m.limit.Set(l.Rate)
+	} else {
+		m.limit.Set(-1)
+	}
+}
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -10,7 +10,6 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
-	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -93,14 +92,9 @@
 // end after the engine has stopped accepting requests. The caller holds mu.
 func (a *Attendant) refuseWaiting() {
 	for _, adm := range a.admissions {
-		if adm.admitted {
-			continue
+		if !adm.admitted {
+			a.refuse(adm, messenger.NewRefusal(messenger.ReasonStopping, "the engine leaves"))
 		}
-		if adm.inTable {
-			adm.inTable = false
-			a.apply(a.table.Release(a.settings.Now(), adm.msg.Request))
-		}
-		a.refuse(adm, messenger.NewRefusal(messenger.ReasonStopping, "the engine leaves"))
 	}
 }
 
@@ -127,7 +121,7 @@
 	case restarted:
 		a.settings.Log.Warn().Str("Incarnation", a.incarnation).Msg("engine restarted")
 		a.cache.clear()
-		a.limit, a.limitReported = regulator.Limit{}, false
+		a.forgetLimit()
 		a.evicted = nil
 		a.localEntries.requireFull()
 		a.remoteEntries.requireFull()
--- a/internal/transport/attendant/publish.go
+++ b/internal/transport/attendant/publish.go
@@ -34,9 +34,24 @@
 				_ = conn.Notify(a.root, messenger.MethodState, params)
 			}
 		}
+		state, entries := a.limitUpdate(group)
+		for _, conn := range entries {
+			_ = conn.Notify(a.root, messenger.MethodLimitState, state)
+		}
 	}
 }
 
+// limitUpdate returns the state of the engine's limit and the connections that it is to be
+// sent to.
+func (a *Attendant) limitUpdate(group *subscriberGroup) (placer.LimitState, []*messenger.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.settings.Now()
+	state := a.limitState(now)
+	interval := placer.ReportInterval(a.settings.PublishInterval, len(group.conns), group == a.localEntries)
+	return state, group.limitReceivers(now, state, interval)
+}
+
 // update is a state and the connections that it is to be sent to.
 type update struct {
 	state   placer.EngineState
--- a/internal/transport/attendant/publish_test.go
+++ b/internal/transport/attendant/publish_test.go
@@ -22,6 +22,7 @@
 	near   *messenger.Conn
 	mu     sync.Mutex
 	states []placer.EngineState
+	limits []placer.LimitState
 }
 
 func (f *fixture) watchLocal() *stateListener {
@@ -36,7 +37,10 @@
 	network, other := net.Pipe()
 	quiet := messenger.Settings{HeartbeatInterval: time.Hour, SilenceLimit: 24 * time.Hour}
 	l.conn = messenger.NewConn(network, quiet)
-	quiet.Handler = messenger.HandlerFunc(func(_ context.Context, _ *messenger.Conn, _ messenger.Method, params json.RawMessage) (any, error) {
+	quiet.Handler = messenger.HandlerFunc(func(_ context.Context, _ *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
+		if method == messenger.MethodLimitState {
+			return nil, l.addLimit(params)
+		}
 		var s placer.EngineState
 		if err := messenger.Decode(params, &s); err != nil {
 			f.t.Error(err)
--- a/internal/transport/attendant/subscribergroup.go
+++ b/internal/transport/attendant/subscribergroup.go
@@ -1,6 +1,7 @@
 package attendant
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -27,15 +28,53 @@
 	// newlyCached the hashes of the prompt parts that have been prefilled since.
 	newlyEvicted []string
 	newlyCached  []uint32
+	// limits holds the last state of the engine's limit that each connection has got.
+	limits map[*messenger.Conn]publishedLimit
+}
+
+// publishedLimit is a state of the engine's limit, published at the time at. The zero value
+// stands for none.
+type publishedLimit struct {
+	state placer.LimitState
+	at    time.Time
+}
+
+// outdated reports whether a state has to replace the published one. Entries expect the wait
+// to shorten as time passes; a different one is published after interval.
+func (l *publishedLimit) outdated(now time.Time, s placer.LimitState, interval time.Duration) bool {
+	if s.Named != l.state.Named || s.Named && (s.Rate != l.state.Rate || s.Incarnation != l.state.Incarnation) {
+		return true
+	}
+	passed := now.Sub(l.at)
+	expected := max(0, l.state.WaitMillis-int(passed.Milliseconds()))
+	return passed >= interval && differs(s.WaitMillis, expected, int(minTimeChange.Milliseconds()))
+}
+
+// limitReceivers returns the connections that are to get a state of the engine's limit, and
+// records that they have.
+func (g *subscriberGroup) limitReceivers(now time.Time, s placer.LimitState, interval time.Duration) []*messenger.Conn {
+	maps.DeleteFunc(g.limits, func(conn *messenger.Conn, _ publishedLimit) bool {
+		_, subscribed := g.conns[conn]
+		return !subscribed
+	})
+	var conns []*messenger.Conn
+	for conn := range g.conns {
+		if l := g.limits[conn]; l.outdated(now, s, interval) {
+			g.limits[conn] = publishedLimit{state: s, at: now}
+			conns = append(conns, conn)
+		}
+	}
+	return conns
 }
 
 func newSubscriberGroup() *subscriberGroup {
-	return &subscriberGroup{full: true, conns: make(map[*messenger.Conn]bool), slots: make(map[string]placer.AdapterState)}
+	return &subscriberGroup{full: true, conns: make(map[*messenger.Conn]bool), slots: make(map[string]placer.AdapterState), limits: make(map[*messenger.Conn]publishedLimit)}
 }
 
 // add subscribes an entry; it gets the full state first.
 func (g *subscriberGroup) add(conn *messenger.Conn) {
 	g.conns[conn] = false
+	delete(g.limits, conn)
 	g.changed = true
 }
 
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -10,6 +10,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/suspecter"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
@@ -54,6 +55,11 @@
 	ledgerMu sync.Mutex
 	// ledger enforces the workspaces' quotas; guarded by ledgerMu.
 	ledger *bucketer.Ledger
+
+	scheduleMu sync.Mutex
+	// schedule schedules the requests to backend servers that limit requests and have no
+	// companion; guarded by scheduleMu.
+	schedule *regulator.Schedule
 }
 
 func newDuties(c *Control, term uint64) *duties {
@@ -77,6 +83,7 @@
 		waiters:    make(map[permitKey]chan permitter.Grant),
 		grantTimer: time.NewTimer(time.Hour),
 		ledger:     bucketer.NewLedger(now, term),
+		schedule:   regulator.NewSchedule(),
 	}
 	d.ctx, d.cancel = context.WithCancel(c.ctx)
 	return d
--- a/internal/transport/controller/handler.go
+++ b/internal/transport/controller/handler.go
@@ -8,6 +8,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/replicator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
@@ -72,6 +73,8 @@
 		return handleCall(params, func(l registrar.LeaveRequest) (distributor.Proposed, error) { return c.leave(ctx, l) })
 	case messenger.MethodRenewBatch:
 		return handleCall(params, func(b registrar.RenewBatch) (registrar.RenewAnswer, error) { return c.serveRenewBatch(b) })
+	case messenger.MethodReserve:
+		return handleCall(params, func(q regulator.Reserve) (regulator.Reserved, error) { return c.reserve(ctx, q) })
 	case messenger.MethodRequestPermit:
 		return handleCall(params, func(a permitter.PermitRequest) (permitter.Grant, error) { return c.requestPermit(ctx, a) })
 	default:
--- a/internal/transport/controller/metrics.go
+++ b/internal/transport/controller/metrics.go
@@ -19,6 +19,8 @@
 	held      prometheus.Gauge
 	leading   prometheus.Gauge
 	buckets   prometheus.Gauge
+	// limitedServers is the number of backend servers in the leader's schedule.
+	limitedServers prometheus.Gauge
 }
 
 const namespace = "marigoldpoint_control"
@@ -43,20 +45,21 @@
 		sessions: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "sessions", Help: "Nodes subscribed here, by scope.",
 		}, []string{"scope"}),
-		revision: gauge("revision", "Newest revision held here."),
-		age:      gauge("knowledge_age_seconds", "Time since this host was known to hold all that was accepted; -1 for never."),
-		members:  gauge("members", "Memberships of backend servers, at the leader."),
-		expired:  counter("members_expired_total", "Memberships ended because their lease ran out."),
-		deltas:   counter("deltas_total", "Deltas sent to nodes."),
-		permits:  counter("permits_total", "Load permits granted."),
-		waiting:  gauge("permits_waiting", "Requests for a load permit that wait, at the leader."),
-		held:     gauge("permits_held", "Load permits in use, at the leader."),
-		leading:  gauge("leading", "1 while this host has a leader's duties."),
-		buckets:  gauge("quota_buckets", "Workspaces whose quota is in use, at the leader."),
+		revision:       gauge("revision", "Newest revision held here."),
+		age:            gauge("knowledge_age_seconds", "Time since this host was known to hold all that was accepted; -1 for never."),
+		members:        gauge("members", "Memberships of backend servers, at the leader."),
+		expired:        counter("members_expired_total", "Memberships ended because their lease ran out."),
+		deltas:         counter("deltas_total", "Deltas sent to nodes."),
+		permits:        counter("permits_total", "Load permits granted."),
+		waiting:        gauge("permits_waiting", "Requests for a load permit that wait, at the leader."),
+		held:           gauge("permits_held", "Load permits in use, at the leader."),
+		limitedServers: gauge("limited_servers", "Backend servers whose requests the leader schedules."),
+		leading:        gauge("leading", "1 while this host has a leader's duties."),
+		buckets:        gauge("quota_buckets", "Workspaces whose quota is in use, at the leader."),
 	}
 	if r != nil {
 		r.MustRegister(m.elections, m.refused, m.proposals, m.sync, m.sessions, m.revision, m.age, m.members,
-			m.expired, m.deltas, m.permits, m.waiting, m.held, m.leading, m.buckets)
+			m.expired, m.deltas, m.permits, m.waiting, m.held, m.leading, m.buckets, m.limitedServers)
 	}
 	return m
 }
--- a/internal/transport/relayer/keys_test.go
+++ b/internal/transport/relayer/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -26,6 +28,8 @@
 	answers bool
 	// decision is the result for calls with a quota; guarded by mu.
 	decision bucketer.Decision
+	// reserve answers reservations; guarded by mu.
+	reserve func(regulator.Reserve) regulator.Reserved
 	// balance is the amount spent minus the amount refunded; guarded by mu.
 	balance float64
 }
@@ -60,6 +64,16 @@
 	return c.decision
 }
 
+// Reserve is answered by reserve; without it, no control host is reached.
+func (c *control) Reserve(_ context.Context, q regulator.Reserve) (regulator.Reserved, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reserve == nil {
+		return regulator.Reserved{}, errors.New("no control host")
+	}
+	return c.reserve(q), nil
+}
+
 func (c *control) Refund(_ string, cost float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -22,9 +22,10 @@
 	losses      *prometheus.CounterVec
 	quarantined *prometheus.CounterVec
 	unattended  prometheus.Counter
-	limited     *prometheus.CounterVec
-	quotas      *prometheus.CounterVec
-	workspaces  workspaceLabels
+	// limited counts attempts under a limit, and limitRefused calls refused because of one.
+	limited, limitRefused *prometheus.CounterVec
+	quotas                *prometheus.CounterVec
+	workspaces            workspaceLabels
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -63,11 +64,14 @@
 	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_limited_attempts_total", Help: "Attempts at backend servers that had named a limit of requests to this entry, by service.",
 	}, []string{labelService})
+	m.limitRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_limit_refused_total", Help: "Calls refused since all backend servers limit requests, by service.",
+	}, []string{labelService})
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.quotas, m.limited)
+		r.MustRegister(m.quotas, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.unattended)
 	}
 	return m
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -141,12 +141,21 @@
 
 // Handle processes the messages of companions.
 func (r *Relayer) Handle(_ context.Context, conn *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
-	if method != messenger.MethodState {
+	switch method {
+	case messenger.MethodState:
+		return nil, r.applyState(conn, params)
+	case messenger.MethodLimitState:
+		return nil, r.applyLimitState(conn, params)
+	default:
 		return nil, messenger.NewRefusal(messenger.ReasonUnsupported, string(method))
 	}
+}
+
+// applyState applies a companion's report on its engine.
+func (r *Relayer) applyState(conn *messenger.Conn, params json.RawMessage) error {
 	var s placer.EngineState
 	if err := messenger.Decode(params, &s); err != nil {
-		return nil, err
+		return err
 	}
 	s.Name = r.engineOf(conn, s.Name)
 	if s.Entries > 0 {
@@ -155,7 +164,7 @@
 	if m, ok := r.settings.View().Member(s.Name); ok && !r.settings.Placer.Report(r.settings.Now(), m.Spec.Service, s) {
 		r.requestState(conn)
 	}
-	return nil, nil
+	return nil
 }
 
 // draw returns a uniformly distributed random number in [0, 1).
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -70,6 +70,10 @@
 			j.release(placer.OutcomeCanceled)
 			err = errTriedAll
 		}
+		if errors.Is(err, placer.ErrLimited) {
+			j.refuseLimited()
+			return
+		}
 		if err != nil {
 			if !j.holdForRetry(err) {
 				j.answerExhausted(err.Error())
@@ -174,7 +178,7 @@
 
 // placerCall returns the properties of the call by which the placer chooses.
 func (j *job) placerCall() *placer.Call {
-	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid}
+	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid, MaxWait: j.maxWait()}
 	if j.service.Engine == nil {
 		c.Late = j.route.Target > 0 && j.relayer.settings.Now().Sub(j.arrived) > j.route.Target/2
 		return c
@@ -198,6 +202,7 @@
 	a := Attempt{Workspace: j.workspaceName(), Incarnation: j.choice.Incarnation, Urgency: -1, LastEvent: j.lastEvent, ResumeFrom: j.resumeFrom}
 	current, ctx, end := r.trackAttempt(j)
 	defer end()
+	j.counted = false
 	if j.service.Engine != nil {
 		admitted, release, err := j.admit(ctx)
 		switch {
@@ -219,6 +224,11 @@
 		}
 		a.Urgency = placer.Urgency(j.priority(), j.slack())
 	}
+	if j.choice.Limit.Named && !j.counted {
+		if v, ok := j.awaitTurn(ctx); !ok {
+			return v
+		}
+	}
 	if _, is := j.quarantined(); is {
 		// The request was quarantined while it waited for admission.
 		j.release(placer.OutcomeCanceled)
@@ -286,12 +296,16 @@
 	var refusal *messenger.Refusal
 	switch {
 	case err == nil:
+		j.counted = true
 		return admitted, release, nil
 	case errors.As(err, &refusal) && refusal.Reason == messenger.ReasonMisled:
 		j.redirected = true
 		r.settings.Placer.CorrectWait(r.settings.Now(), &j.choice, refusal.RetryAfter())
 		return messenger.Admitted{}, nil, err
 	case errors.As(err, &refusal):
+		if refusal.Reason == messenger.ReasonLimited {
+			r.settings.Placer.PostponeTurn(r.settings.Now(), &j.choice, refusal.RetryAfter())
+		}
 		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Reason", refusal.Detail).
 			Dur("Waited", r.settings.Now().Sub(began)).Msg("not admitted")
 		return messenger.Admitted{}, nil, err
@@ -314,7 +328,8 @@
 		Model: j.call.Model, Adapter: j.call.Adapter,
 		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
 		SlackMillis: max(0, j.slack().Milliseconds()),
-		Movable:     !j.redirected && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog).Milliseconds(),
+		Movable:     !j.redirected && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
+		Urgency: placer.Urgency(j.priority(), j.slack()), Limit: j.namedLimit(j.relayer.settings.Now()),
 	}
 	if params.Adapter != "" {
 		params.Version = j.relayer.settings.View().Newest(params.Model + "/" + params.Adapter)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -80,8 +80,10 @@
 	// suspect means that backend servers ended while they ran the request, in this call
 	// or before.
 	suspect bool
-	// attemptAt is when the current attempt was sent.
+	// attemptAt is when the current attempt was sent, and counted means that the engine's
+	// companion has admitted it, and has counted it under the engine's limit.
 	attemptAt time.Time
+	counted   bool
 	// bytes counts the bytes of the answer that were forwarded to the caller, and
 	// bytesBeforeAttempt those of attempts before the current one.
 	bytes, bytesBeforeAttempt int64
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -11,6 +11,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/watcher"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
@@ -52,6 +53,8 @@
 	Spend(workspace string, limit bucketer.Limit, cost float64) bucketer.Decision
 	// Refund returns the cost of a call that did not run.
 	Refund(workspace string, cost float64)
+	// Reserve asks the leader to schedule a call to a backend server that limits requests.
+	Reserve(ctx context.Context, q regulator.Reserve) (regulator.Reserved, error)
 }
 
 // Settings are the options of a Relayer. The zero value of a field selects its
--- a/internal/transport/sealer/authorize.go
+++ b/internal/transport/sealer/authorize.go
@@ -48,9 +48,9 @@
 func senders(m messenger.Method) roleSet {
 	switch m {
 	case messenger.MethodDispatch, messenger.MethodResume, messenger.MethodAcknowledge, messenger.MethodCancel,
-		messenger.MethodAdmit, messenger.MethodRelease, messenger.MethodWatch:
+		messenger.MethodAdmit, messenger.MethodRelease, messenger.MethodLimit, messenger.MethodWatch:
 		return entries
-	case messenger.MethodPiece, messenger.MethodState, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
+	case messenger.MethodPiece, messenger.MethodState, messenger.MethodLimitState, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
 		return companions
 	case messenger.MethodRequestPermit, messenger.MethodFinishPermit:
 		// A control host forwards these to the leader.
@@ -58,7 +58,7 @@
 	case messenger.MethodReplicate, messenger.MethodTally, messenger.MethodBarrier, messenger.MethodRenewBatch, messenger.MethodReportBatch,
 		messenger.MethodEnlist, messenger.MethodShareDigest, messenger.MethodDelta, messenger.MethodPulse, messenger.MethodDigest, messenger.MethodVoid:
 		return controls
-	case messenger.MethodReport, messenger.MethodPropose, messenger.MethodRead, messenger.MethodInForce, messenger.MethodGroup:
+	case messenger.MethodReport, messenger.MethodReserve, messenger.MethodPropose, messenger.MethodRead, messenger.MethodInForce, messenger.MethodGroup:
 		// Operators' calls and claims are sent by entries. A companion has no need to read
 		// or change these data.
 		return entries | controls
