regulator, placer, relayer, controller: refuse what a limit would make late, and tell all entries

Cause: with a whole service in need, requests waited for their turn up to their deadline, so that nearly all answers came late; a call was tried at one backend server after the other; and at a plain service an entry learned of a limit only by an answer of its own. All three were seen in the model, which plays limits now.

Change: a request waits behind others only as long as its answer is on time, and for the next turn in any case; the leader keeps that turn for punctual requests while it refuses others. A call that two backend servers have no turn for goes to those without a limit, or is refused with the time of the next turn. The leader's pulses name the limits that it schedules, and entries tell it of their ends.

--- a/internal/coordination/distributor/message.go
+++ b/internal/coordination/distributor/message.go
@@ -1,6 +1,9 @@
 package distributor
 
-import "marigoldpoint.example/marigoldpoint/internal/state/storer"
+import (
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
 
 // Subscribe starts a subscription. It replaces an earlier one on the same connection.
 type Subscribe struct {
@@ -68,6 +71,9 @@
 	// Entries is the number of entries connected to all control hosts, as last known to the
 	// leader; 0 means unknown.
 	Entries int `json:",omitempty"`
+	// Limits are the limits of backend servers whose requests the leader schedules. Only
+	// control hosts and entries get them.
+	Limits []regulator.ServerLimit `json:",omitempty"`
 }
 
 // NodeRevision describes a node that lacks a revision.
--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -20,9 +20,12 @@
 	Parts      []uint32
 	PartTokens []int
 	Tokens     int
-	// MaxWait is the longest time for which the call can wait for its turn at a backend
-	// server that limits requests; 0 means any.
-	MaxWait time.Duration
+	// Slack is the longest wait for its turn, at a backend server that limits requests, after
+	// which the call is still answered on time, and MaxWait the longest one at all; 0 means
+	// any.
+	Slack, MaxWait time.Duration
+	// AvoidLimited excludes backend servers that limit requests.
+	AvoidLimited bool
 	// Late reports that the call can only meet its target if it is served immediately.
 	Late bool
 	// Avoid lists backend servers that must not be chosen.
@@ -47,6 +50,8 @@
 	Running int
 	// Age is the age of the companion's last report; negative if there is none.
 	Age time.Duration
+	// Duration is the expected duration of a call to a plain service.
+	Duration time.Duration
 	// Limit is the backend server's limit of requests, and Turn the expected time until the
 	// call's turn. NamedLimit is the limit that it has named to the entry itself.
 	Limit      regulator.Limit
--- a/internal/coordination/placer/limit.go
+++ b/internal/coordination/placer/limit.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,8 +33,8 @@
 	// the number of calls that the entry placed here under it.
 	named regulator.Limit
 	calls int
-	// reported is the limit that the engine's companion, which counts the requests of all
-	// entries, has reported.
+	// reported is the limit that the process that counts the requests of all entries has
+	// reported: the engine's companion, or the leader of the control group.
 	reported regulator.Limit
 	// turnAt is the expected time of the turn of a further call: as the process that counts
 	// the requests has reported, and later by each call placed since.
@@ -74,7 +75,7 @@
 	Before, After regulator.Limit
 	// Calls is the number of calls that the entry placed under the limit before.
 	Calls int
-	// Reported means that the engine's companion has reported what the answer says.
+	// Reported means that the process that counts has reported what the answer says.
 	Reported bool
 }
 
@@ -113,6 +114,32 @@
 	b.limits.turnAt = now.Add(time.Duration(s.WaitMillis) * time.Millisecond)
 }
 
+// SetScheduled sets the limits of the backend servers of plain services, which the leader of
+// the control group counts.
+func (p *Placer) SetScheduled(limits []regulator.ServerLimit) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, o := range p.pools {
+		o.setScheduled(limits)
+	}
+}
+
+func (o *pool) setScheduled(limits []regulator.ServerLimit) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.engine != nil {
+		return
+	}
+	for _, b := range o.backends {
+		b.limits.reported = regulator.Limit{}
+	}
+	for _, l := range limits {
+		if b := o.find(l.Server); b != nil && b.member.Spec.Incarnation == l.Incarnation {
+			b.limits.reported = regulator.Limit{Named: true, Rate: l.Rate}
+		}
+	}
+}
+
 // PostponeTurn records that the next turn of a call at the chosen backend server is after
 // wait, as the process that counts its requests has answered.
 func (p *Placer) PostponeTurn(now time.Time, choice *Choice, wait time.Duration) {
@@ -141,13 +168,13 @@
 
 // limited reports whether no serving backend server has a turn for the call in time. The
 // caller holds o.mu.
-func (o *pool) limited(now time.Time, c *Call) bool {
+func (o *pool) limited(now time.Time, c *Call, s *Settings) bool {
 	serving := false
 	for _, b := range o.backends {
 		if b.member.Spec.State != storer.MemberStateServing {
 			continue
 		}
-		if b.hasTurn(now, c) {
+		if o.hasTurn(now, c, b, s) {
 			return false
 		}
 		serving = true
@@ -156,6 +183,25 @@
 }
 
 // hasTurn reports whether the turn of the call under the backend server's limit is in time.
-func (b *backend) hasTurn(now time.Time, c *Call) bool {
-	return !b.limits.apply() || c.MaxWait <= 0 || b.limits.wait(now) <= c.MaxWait
+// The caller holds o.mu.
+func (o *pool) hasTurn(now time.Time, c *Call, b *backend, s *Settings) bool {
+	switch {
+	case !b.limits.apply():
+		return true
+	case c.AvoidLimited:
+		return false
+	case c.MaxWait <= 0:
+		return true
+	}
+	limit := b.limits.limit()
+	return b.limits.wait(now) <= limit.LongestWait(c.Slack-o.duration(b, s), c.MaxWait)
+}
+
+// duration returns the expected duration of a call to a plain service, and 0 for an engine,
+// whose calls are due when their stream starts.
+func (o *pool) duration(b *backend, s *Settings) time.Duration {
+	if o.engine != nil {
+		return 0
+	}
+	return cmp.Or(b.callTime, s.CallTime)
 }
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -130,7 +130,7 @@
 	defer o.mu.Unlock()
 	busy := false
 	eligible := func(b *backend) bool {
-		if slices.Contains(c.Avoid, b.member.Name) || !b.hasTurn(now, c) {
+		if slices.Contains(c.Avoid, b.member.Name) || !o.hasTurn(now, c, b, &p.settings) {
 			return false
 		}
 		accepts := o.engine != nil || b.accepts(now, c)
@@ -147,7 +147,7 @@
 		best, _ = o.best(now, c, &p.settings, eligible)
 	}
 	switch {
-	case best == nil && o.limited(now, c):
+	case best == nil && o.limited(now, c, &p.settings):
 		return errors.Trace(ErrLimited)
 	case best == nil && busy:
 		return errors.Trace(ErrBusy)
@@ -217,6 +217,7 @@
 		choice.Age = now.Sub(b.reportedAt)
 	}
 	known := o.knows(b, s)
+	choice.Duration = o.duration(b, s)
 	choice.NamedLimit, choice.Limit, choice.Turn = b.limits.named, b.limits.limit(), b.limits.wait(now)
 	if o.engine != nil {
 		choice.Backlog, choice.Load = b.backlog(now), b.adapterWait(o.lastSurvey.adapter, c.Version, s)
--- a/internal/coordination/regulator/waiter.go
+++ b/internal/coordination/regulator/waiter.go
@@ -31,19 +31,33 @@
 	return before
 }
 
-// Refusal is a request whose turn comes after its deadline, and the time until its turn.
+// LateWait is the longest wait of a request that can't be answered on time any more, if
+// others wait too.
+const LateWait = 100 * time.Millisecond
+
+// LongestWait returns the longest time for which a request may wait for its turn under the
+// limit, where it is answered on time after a wait of at most slack, and given up after most.
+//
+// While there are more requests than the limit allows, longer waits would make all of them
+// late. A request that no other precedes may wait for the next turn in any case.
+func (l *Limit) LongestWait(slack, most time.Duration) time.Duration {
+	return min(most, max(slack, LateWait, l.Interval()))
+}
+
+// Refusal is a request that is refused, and the time until its turn.
 type Refusal struct {
 	ID   string
 	Wait time.Duration
 }
 
-// Hopeless returns those of the sorted waiters whose turn comes after their deadline, if the
-// others take theirs.
+// Hopeless returns those of the sorted waiters whose turn comes too late, if the others take
+// theirs: after the deadline, or, behind others, too late for an answer on time.
 func (r *Regulator) Hopeless(now time.Time, waiters []Waiter) []Refusal {
 	var refused []Refusal
 	ahead := 0
 	for _, w := range waiters {
-		if wait := r.Wait(now, ahead); now.Add(wait).After(w.Deadline) {
+		wait := r.Wait(now, ahead)
+		if wait > r.limit.LongestWait(w.Due.Sub(now), w.Deadline.Sub(now)) {
 			refused = append(refused, Refusal{ID: w.ID, Wait: wait})
 			continue
 		}
--- a/internal/standin/modeler/call.go
+++ b/internal/standin/modeler/call.go
@@ -21,7 +21,12 @@
 	answer              int
 	choice              placer.Choice
 	placed              bool
-	urgency             int
+	// limitRefusals is the number of backend servers that refused the call because of their
+	// limits.
+	limitRefusals int
+	// sentAt is when the call was sent to the backend server.
+	sentAt  time.Time
+	urgency int
 	// redirected is set when an engine has sent the call back to its entry, which happens at
 	// most once.
 	redirected bool
--- a/internal/standin/modeler/model.go
+++ b/internal/standin/modeler/model.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -52,6 +53,8 @@
 	// thresholdAt is the time at which the number of crashes reached quarantineThreshold.
 	// incarnations is the number of restarts of backend servers.
 	thresholdAt  time.Time
+	limits       []*limited
+	schedule     *regulator.Schedule
 	incarnations int
 }
 
@@ -64,7 +67,7 @@
 	}
 	m := &model{
 		settings: s, pattern: p, start: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(s.Seed, 1)),
-		engines: make(map[string]*engine), servers: make(map[string]*server), loaded: make(map[string]bool), inProgress: make(map[string]*call), control: storer.NewStore(storer.Settings{}),
+		engines: make(map[string]*engine), servers: make(map[string]*server), loaded: make(map[string]bool), inProgress: make(map[string]*call), control: storer.NewStore(storer.Settings{}), schedule: regulator.NewSchedule(),
 		result: Result{Kinds: make(map[string]*KindResult), windows: make(map[int]*window)},
 	}
 	m.clock = &clock{now: m.start}
@@ -85,10 +88,14 @@
 	if p.CrashRate > 0 {
 		m.clock.after(p.CrashesAt, m.sendCrashRequest)
 	}
+	if p.Limited > 0 && m.counts() {
+		m.clock.after(limitsInterval, m.distributeLimits)
+	}
 	if p.Leaving > 0 {
 		m.clock.after(p.LeaveAt, m.leave)
 	}
 	m.clock.run(m.start.Add(p.Length + m.drainTime()))
+	m.summarizeLimits()
 	return &m.result, nil
 }
 
@@ -101,6 +108,7 @@
 	p := m.pattern
 	for i := range p.Engines {
 		e := &engine{model: m, member: m.member(engineService, i, 64)}
+		e.limit = m.newLimited(e.member.Name, i)
 		m.members = append(m.members, e.member)
 		m.engines[e.member.Name] = e
 	}
@@ -112,7 +120,7 @@
 	for i := range p.Servers {
 		s := m.member(plainService, i, places)
 		m.members = append(m.members, s)
-		m.servers[s.Name] = &server{model: m, name: s.Name}
+		m.servers[s.Name] = &server{model: m, name: s.Name, limit: m.newLimited(s.Name, i)}
 	}
 	if err := m.publish(); err != nil {
 		return err
--- a/internal/standin/modeler/pattern.go
+++ b/internal/standin/modeler/pattern.go
@@ -51,6 +51,11 @@
 	// service if there are no engines.
 	CrashRate                      float64
 	CrashesAt, CrashesFor, Restart time.Duration
+	// Limited is the number of backend servers of each service that name a limit of
+	// LimitedRate requests per second, beginning at LimitedAt and for LimitedFor.
+	Limited               int
+	LimitedRate           float64
+	LimitedAt, LimitedFor time.Duration
 	// WarmUp is the time before calls are counted, and Length the total time in which calls
 	// are made.
 	WarmUp, Length time.Duration
@@ -121,7 +126,36 @@
 	fleetLoss := fleet
 	fleetLoss.Name, fleetLoss.PowerLossAt, fleetLoss.Outage = "FleetPowerLoss", 8*time.Second, 1500*time.Millisecond
 	fleetLoss.Origin = "the whole fleet when all hosts lose power: 625 engines begin to load before a store that serves 224 at once"
-	return append([]Pattern{burst, loss, grown, scarce, services, large, largeLoss, fleet, fleetLoss}, endingPatterns(small)...)
+	all := []Pattern{burst, loss, grown, scarce, services, large, largeLoss, fleet, fleetLoss}
+	all = append(all, endingPatterns(small)...)
+	return append(all, limitedPatterns(large)...)
+}
+
+// limitedPatterns returns the patterns in which backend servers limit requests.
+func limitedPatterns(large Pattern) []Pattern {
+	engines := Pattern{
+		Name: "LimitedEngines", Domains: 4, Entries: 4, Engines: 12, Slots: 8, Adapters: 3000, StoreConcurrency: 8, Load: 250 * time.Millisecond,
+		Kinds: []Kind{
+			{Name: "explain", PerSecond: 22, Target: time.Second, Prompt: 826, Answer: 290},
+			{Name: kindReview, PerSecond: 21, Target: time.Second, Rank: 1, Prompt: 9190, Answer: 52},
+		},
+		Limited: 2, LimitedRate: 1, LimitedAt: 8 * time.Second, LimitedFor: 12 * time.Second,
+		Origin: "a recorded day: two of 12 engines name a limit of one request a second, four entries send 43 calls a second",
+		WarmUp: 4 * time.Second, Length: 24 * time.Second,
+	}
+	all := engines
+	all.Name, all.Limited, all.LimitedRate = "LimitedService", 12, 2
+	all.Origin = "the same with all engines in need: room for 24 of 43 calls a second"
+	servers := Pattern{
+		Name: "LimitedServers", Domains: 4, Entries: 21, Servers: 4, Places: 6, Queue: 24,
+		Kinds:   []Kind{{Name: "status", PerSecond: 40, Target: 150 * time.Millisecond}},
+		Limited: 4, LimitedRate: 5, LimitedAt: 4 * time.Second, LimitedFor: 12 * time.Second,
+		Origin: "the same at a plain service of four servers, all in need, behind 21 entries",
+		WarmUp: 2 * time.Second, Length: 20 * time.Second,
+	}
+	large.Name, large.Limited, large.LimitedRate, large.LimitedAt, large.LimitedFor = "LargeLimited", 12, 1, 7*time.Second, 7*time.Second
+	large.Origin = "a clearance desk in five failure domains, a tenth of its 117 engines in need"
+	return []Pattern{engines, all, servers, large}
 }
 
 // endingPatterns returns the patterns in which one request crashes the backend servers that
@@ -192,6 +226,11 @@
 	MechanismFollowing
 	// MechanismThrottling limits the number of calls at backend servers of plain services.
 	MechanismThrottling
+	// MechanismLimits keeps the limits of requests that backend servers name.
+	MechanismLimits
+	// MechanismCounting lets one process count the requests of all entries to a backend
+	// server that limits requests; without it each entry keeps an equal share.
+	MechanismCounting
 	mechanisms
 )
 
--- a/internal/standin/modeler/result.go
+++ b/internal/standin/modeler/result.go
@@ -32,6 +32,12 @@
 	// Quarantined is the number of refusals of the crash request by quarantine, and Innocent
 	// the number of refusals of other requests.
 	Quarantined, Innocent int
+	// LimitedMost is the largest number of requests in limitWindow at a backend server that
+	// limits requests, from entries to which it has named the limit limitKnownAfter before.
+	// LimitedUse is the number of all requests at such backend servers as a share of what the
+	// limits allow.
+	LimitedMost int
+	LimitedUse  float64
 	// windows contains the windows by index; a call belongs to that of its first attempt.
 	windows map[int]*window
 }
--- a/internal/standin/modeler/server.go
+++ b/internal/standin/modeler/server.go
@@ -24,6 +24,7 @@
 	// incarnation rises with each crash. down is set between a crash and the next start.
 	incarnation int
 	down        bool
+	limit       *limited
 	// working contains the calls in processing.
 	working []*call
 }
@@ -38,6 +39,7 @@
 		m.clock.after(localDelay, func() { c.entry.unreachable(c) })
 		return
 	}
+	s.limit.arrived(c)
 	m.countRepeated(c)
 	if len(s.waiting) >= m.pattern.Queue {
 		m.result.TurnedAway++
@@ -76,6 +78,7 @@
 			s.work()
 			m.clock.after(localDelay, func() {
 				c.entry.placer.ReportLoad(m.clock.now, &c.choice, calls)
+				s.limit.answer(c)
 				c.entry.recordSuccess(c)
 				c.entry.finish(c, placer.OutcomeSuccess)
 				m.answered(c)
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/replicator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
@@ -53,6 +54,9 @@
 	term uint64
 	// entries is the number of entries in the last pulse received; guarded by knowledgeMu.
 	entries int
+	// limits are the limits of backend servers in the last pulse received; guarded by
+	// knowledgeMu.
+	limits []regulator.ServerLimit
 
 	lastHeartbeats lastHeartbeats
 
--- a/internal/transport/controller/pulse.go
+++ b/internal/transport/controller/pulse.go
@@ -76,7 +76,7 @@
 	}
 	// LeaderContact is 0 while the lease is valid: this leader then holds every accepted
 	// change.
-	p := distributor.Pulse{Term: status.Term, Revision: c.store.Revision(), Entries: d.entryCount()}
+	p := distributor.Pulse{Term: status.Term, Revision: c.store.Revision(), Entries: d.entryCount(), Limits: d.limits(now)}
 	c.applyPulse(now, p)
 	if !pulseHosts {
 		return
@@ -101,7 +101,7 @@
 	if p.Term < c.term {
 		return
 	}
-	c.term, c.entries = p.Term, p.Entries
+	c.term, c.entries, c.limits = p.Term, p.Entries, p.Limits
 	c.knowledge.Pulse(now, p, held)
 	c.knowledge.Applied(held)
 }
@@ -120,14 +120,14 @@
 	return c.term
 }
 
-// pulse returns the pulse for a node.
+// pulse returns the pulse for an entry.
 //
 // It contains the current revision, which is no older than the revision that the age
 // belongs to: the state of a node that holds the current revision is at most that old.
 func (c *Control) pulse() distributor.Pulse {
 	p := distributor.Pulse{Revision: c.store.Revision(), AgeMillis: -1}
 	c.knowledgeMu.Lock()
-	p.Term, p.Entries = c.term, c.entries
+	p.Term, p.Entries, p.Limits = c.term, c.entries, c.limits
 	c.knowledgeMu.Unlock()
 	if age, ok := c.knowledgeAge(); ok {
 		p.AgeMillis = age.Milliseconds()
--- a/internal/transport/controller/reserve.go
+++ b/internal/transport/controller/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
@@ -25,6 +26,13 @@
 	return answer, err
 }
 
+// limits returns the limits of backend servers whose requests the leader schedules.
+func (d *duties) limits(now time.Time) []regulator.ServerLimit {
+	d.scheduleMu.Lock()
+	defer d.scheduleMu.Unlock()
+	return d.schedule.Limits(now)
+}
+
 // reserve schedules a request.
 func (d *duties) reserve(q regulator.Reserve) regulator.Reserved {
 	d.scheduleMu.Lock()
--- a/internal/transport/controller/session.go
+++ b/internal/transport/controller/session.go
@@ -175,6 +175,9 @@
 	s.mu.Lock()
 	due := s.pulseDue
 	s.pulseDue = false
+	if s.subscribe.Scope != distributor.ScopeEntry {
+		pulse.Limits = nil
+	}
 	if s.subscribe.Scope != distributor.ScopeEntry && s.feed.Acknowledged() < pulse.Revision {
 		// The node receives only some of the changes, so its own revision does not show
 		// whether it is up to date. The pulse then only shows that the host is alive.
--- a/internal/transport/relayer/limit.go
+++ b/internal/transport/relayer/limit.go
@@ -22,6 +22,12 @@
 	// unattendedShare is the share of an engine's limit that entries use together without
 	// its companion, which may still count the requests of others.
 	unattendedShare = 0.5
+	// maxWaitShare is the share of the wait at a companion up to which an entry sends a call
+	// there.
+	maxWaitShare = 0.8
+	// maxLimitRefusals is the number of backend servers that may have no turn for a call before
+	// it is sent to those without a limit only.
+	maxLimitRefusals = 2
 	// maxLimitedRetryAfter is the longest Retry-After of calls refused because of limits,
 	// which may end earlier.
 	maxLimitedRetryAfter = 5 * time.Second
@@ -41,11 +47,34 @@
 		}
 		e.Msg("request limit changed")
 	}
-	if j.service.Engine != nil && !c.Reported {
+	switch {
+	case c.Reported:
+	case j.service.Engine != nil:
 		r.notifyLimit(j, n)
+	case n.Kind == regulator.NoticeUnlimited:
+		r.reportEnd(j)
 	}
 }
 
+// reportEnd informs the leader that the limit of the chosen backend server has ended.
+func (r *Relayer) reportEnd(j *job) {
+	if r.settings.Control == nil || r.root.Err() != nil {
+		return
+	}
+	q := regulator.Reserve{
+		Server: j.choice.Name, Incarnation: j.choice.Incarnation,
+		Ended: true, SentAgeMillis: r.settings.Now().Sub(j.attemptAt).Milliseconds(),
+	}
+	ctx, cancel := context.WithTimeout(r.root, reserveTimeout)
+	r.tasks.Go(func() {
+		defer cancel()
+		if _, err := r.settings.Control.Reserve(ctx, q); err != nil {
+			// Further answers without a limit are reported until the leader knows.
+			r.settings.Log.Debug().Err(err).Str("Backend", q.Server).Msg("reporting the end of a limit failed")
+		}
+	})
+}
+
 // notifyLimit informs the companion of the chosen engine of what an answer says about its
 // limit. A companion that is not connected learns of a limit with the next admission.
 func (r *Relayer) notifyLimit(j *job, n regulator.Notice) {
@@ -99,6 +128,7 @@
 		r.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).Msg("no turn: control not reached")
 		r.settings.Placer.PostponeTurn(now, &j.choice, reserveRetry)
 	case !answer.Granted:
+		j.limitRefusals++
 		r.settings.Placer.PostponeTurn(now, &j.choice, wait)
 	default:
 		r.settings.Placer.PostponeTurn(now, &j.choice, wait+j.choice.Limit.Interval())
@@ -124,25 +154,40 @@
 	if r.settings.Control == nil {
 		return regulator.Reserved{}, errNoControl
 	}
-	rate := j.choice.Limit.Rate
+	q := regulator.Reserve{
+		Server: j.choice.Name, Incarnation: j.choice.Incarnation, Rate: j.choice.Limit.Rate,
+		SlackMillis: max(0, (j.untilTarget() - j.choice.Duration).Milliseconds()), MaxWaitMillis: j.maxWait().Milliseconds(),
+	}
 	if j.service.Engine != nil {
-		rate *= unattendedShare
+		q.Rate *= unattendedShare
+	}
+	if j.choice.NamedLimit.Named {
+		q.Heard, q.AgeMillis = true, j.choice.NamedLimit.Age(r.settings.Now()).Milliseconds()
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	return r.settings.Control.Reserve(ctx, regulator.Reserve{
-		Server: j.choice.Name, Incarnation: j.choice.Incarnation, Rate: rate, MaxWaitMillis: j.maxWait().Milliseconds(),
-	})
+	return r.settings.Control.Reserve(ctx, q)
+}
+
+// untilTarget returns the time left until the route's target time, or until the deadline if
+// the route has none.
+func (j *job) untilTarget() time.Duration {
+	now := j.relayer.settings.Now()
+	if j.route.Target <= 0 {
+		return j.deadline.Sub(now)
+	}
+	return j.route.Target - now.Sub(j.arrived)
 }
 
 // maxWait returns the longest time for which the call can wait for its turn at a backend
-// server that limits requests.
+// server that limits requests. It is shorter than the time for which a companion lets it
+// wait, since the entry knows the queue there by reports only.
 func (j *job) maxWait() time.Duration {
-	longest := regulator.MaxReservedWait
+	left := j.deadline.Sub(j.relayer.settings.Now())
 	if j.service.Engine != nil {
-		longest = j.relayer.settings.AdmitTimeout
+		return time.Duration(maxWaitShare * float64(min(j.relayer.settings.AdmitTimeout, left)))
 	}
-	return min(longest, j.deadline.Sub(j.relayer.settings.Now()))
+	return min(regulator.MaxReservedWait, left)
 }
 
 // refuseLimited refuses a call that no backend server can take in time under its limit. The
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -178,7 +178,7 @@
 
 // placerCall returns the properties of the call by which the placer chooses.
 func (j *job) placerCall() *placer.Call {
-	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid, MaxWait: j.maxWait()}
+	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid, Slack: j.untilTarget(), MaxWait: j.maxWait(), AvoidLimited: j.limitRefusals >= maxLimitRefusals}
 	if j.service.Engine == nil {
 		c.Late = j.route.Target > 0 && j.relayer.settings.Now().Sub(j.arrived) > j.route.Target/2
 		return c
@@ -304,6 +304,7 @@
 		return messenger.Admitted{}, nil, err
 	case errors.As(err, &refusal):
 		if refusal.Reason == messenger.ReasonLimited {
+			j.limitRefusals++
 			r.settings.Placer.PostponeTurn(r.settings.Now(), &j.choice, refusal.RetryAfter())
 		}
 		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Reason", refusal.Detail).
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -23,7 +23,7 @@
 		return j.unanswered(err) //nolint:contextcheck // The report of a loss outlives the call.
 	}
 	head := r.settings.Translator.Head(response.StatusCode, response.Header)
-	j.recordLimit(head.Limit)
+	j.recordLimit(head.Limit) //nolint:contextcheck // The report of an end outlives the call.
 	if head.Calls >= 0 {
 		r.settings.Placer.ReportLoad(r.settings.Now(), &j.choice, head.Calls)
 	}
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -84,6 +84,9 @@
 	// companion has admitted it, and has counted it under the engine's limit.
 	attemptAt time.Time
 	counted   bool
+	// limitRefusals is the number of backend servers that had no turn for the call under
+	// their limit.
+	limitRefusals int
 	// bytes counts the bytes of the answer that were forwarded to the caller, and
 	// bytesBeforeAttempt those of attempts before the current one.
 	bytes, bytesBeforeAttempt int64
--- a/internal/transport/subscriber/receiver.go
+++ b/internal/transport/subscriber/receiver.go
@@ -103,6 +103,9 @@
 		c.entries = p.Entries
 	}
 	c.mu.Unlock()
+	if c.settings.OnLimits != nil {
+		c.settings.OnLimits(p.Limits)
+	}
 	if newTerm {
 		// A new leader grants no load permit until each companion has reported its permits.
 		c.members.renewAll()
--- a/internal/transport/subscriber/settings.go
+++ b/internal/transport/subscriber/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
@@ -76,6 +77,10 @@
 	ReportInterval         time.Duration
 	LowQuotaReportInterval time.Duration
 
+	// OnLimits receives the limits of backend servers whose requests the leader schedules,
+	// with each pulse of a control host; nil means that they are not needed.
+	OnLimits func([]regulator.ServerLimit)
+
 	// Messenger holds the intervals of connections; its other fields are set by the client.
 	Messenger messenger.Settings
 	Recorder  *recorder.Recorder
