companion, orderer, regulator: keep limits of requests in the product's own API, too

The other edge had the same fault: neither companion nor entries of the product's own API read a limit of requests. All requests to a backend server pass through its companion there, plain services too, so that its count is complete: it starts waiting requests by the same regulator, refuses what has no turn before its deadline with the time of the next one, and forgets the limit of an engine that has restarted. Backend servers name the limit in Request-Limit; the platform's header is parsed by the same function. The stand-in engine and the stand-in plain service name a limit when told to.

On the platform's edge a call that has waited for its turn is not sent to a backend server that has begun to leave.

--- a/internal/protocol/orderer/caller.go
+++ b/internal/protocol/orderer/caller.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 )
 
 // Settings are the settings of a client. The zero value of every field except Address
@@ -210,3 +212,16 @@
 	}
 	return nil
 }
+
+// reportLimit passes on what an answer says about the backend server's limit of requests. A
+// malformed limit says nothing, and an answer with an error status does not end one.
+func reportLimit(answer *http.Response, report func(regulator.Notice)) {
+	if report == nil {
+		return
+	}
+	n, err := regulator.ParseNotice(answer.Header.Values(HeaderRequestLimit))
+	if err != nil || n.Kind == regulator.NoticeUnlimited && answer.StatusCode >= http.StatusBadRequest {
+		return
+	}
+	report(n)
+}
--- a/internal/protocol/orderer/generate.go
+++ b/internal/protocol/orderer/generate.go
@@ -11,6 +11,8 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
@@ -30,6 +32,8 @@
 	// stream and stream_options fields are replaced; all others reach the engine
 	// unchanged.
 	Body json.RawMessage
+	// OnLimit, if set, receives what the engine's answer says about its limit of requests.
+	OnLimit func(regulator.Notice)
 }
 
 // Piece is one event of an answer.
@@ -93,7 +97,11 @@
 		if c.IdempotencyKey != "" {
 			r.Header.Set(HeaderIdempotencyKey, c.IdempotencyKey)
 		}
-		return e.client.sendOnce(r)
+		answer, err := e.client.sendOnce(r)
+		if err == nil {
+			reportLimit(answer, c.OnLimit)
+		}
+		return answer, err
 	})
 	if end {
 		return err
--- a/internal/protocol/orderer/service.go
+++ b/internal/protocol/orderer/service.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 )
 
 const headerUserAgent = "User-Agent"
@@ -28,6 +30,8 @@
 	Body   []byte
 	// Idempotent allows the call to be resent if a reused connection breaks.
 	Idempotent bool
+	// OnLimit, if set, receives what the answer says about the service's limit of requests.
+	OnLimit func(regulator.Notice)
 }
 
 // ServiceAnswer is the answer of a plain service, of any status. Only the service knows
@@ -73,6 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
+	reportLimit(answer, c.OnLimit)
 	header := http.Header{}
 	copyEndToEnd(header, answer.Header)
 	return &ServiceAnswer{Status: answer.StatusCode, Header: header, Body: &serviceBody{answer.Body}}, nil
--- a/internal/protocol/orderer/wire.go
+++ b/internal/protocol/orderer/wire.go
@@ -42,6 +42,9 @@
 	HeaderIncarnation = "Engine-Incarnation"
 	// HeaderIdempotencyKey carries the idempotency key of a call.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRequestLimit carries the number of requests per second that the backend server
+	// takes from all senders together, in decimal, for as long as its answers name it.
+	HeaderRequestLimit = "Request-Limit"
 )
 
 // DoneMark is the data of the event that ends a complete stream.
--- a/internal/standin/generator/completions.go
+++ b/internal/standin/generator/completions.go
@@ -44,6 +44,7 @@
 	e.attach(s)
 	defer e.detach(s)
 	w.Header().Set(orderer.HeaderRequest, id)
+	e.nameLimit(w)
 	if body.Stream {
 		e.stream(w, r, s, 0)
 		return
@@ -51,6 +52,15 @@
 	e.answer(w, r, s)
 }
 
+// nameLimit sets the header with the engine's limit of requests, if there is one.
+func (e *Engine) nameLimit(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.RequestLimit > 0 {
+		w.Header().Set(orderer.HeaderRequestLimit, strconv.FormatFloat(e.faults.RequestLimit, 'g', -1, 64))
+	}
+}
+
 // answer waits for the end of the sequence and writes its answer in one piece.
 func (e *Engine) answer(w http.ResponseWriter, r *http.Request, s *sequence) {
 	for {
--- a/internal/standin/generator/faults.go
+++ b/internal/standin/generator/faults.go
@@ -29,6 +29,9 @@
 	DropAfter   int
 	// RefuseGeneration answers all generation requests with status 503.
 	RefuseGeneration bool
+	// RequestLimit, if positive, is the limit of requests per second that answers to
+	// generation requests name.
+	RequestLimit float64
 	// Fencing overrides Settings.ChecksFencing.
 	Fencing Fencing
 
--- a/internal/standin/responder/service.go
+++ b/internal/standin/responder/service.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,10 +17,11 @@
 	PathFaults = "/_faults"
 )
 
-// Headers that the service reads.
+// Headers that the service reads, and the one in which it names its limit of requests.
 const (
 	HeaderRequest        = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestLimit   = "Request-Limit"
 )
 
 const maxBodyBytes = 64 << 20
@@ -47,6 +49,8 @@
 	// Refuse is the number of following calls that are answered with status 503 without
 	// being run.
 	Refuse int
+	// RequestLimit, if positive, is the limit of requests per second that answers name.
+	RequestLimit float64
 }
 
 // Answer is the body of the answer to a call.
@@ -133,6 +137,9 @@
 	}
 	s.end(run, Answered)
 	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+	if f.RequestLimit > 0 {
+		w.Header().Set(HeaderRequestLimit, strconv.FormatFloat(f.RequestLimit, 'g', -1, 64))
+	}
 	writeJSON(w, Answer{
 		Service: s.settings.Name,
 		Request: r.Header.Get(HeaderRequest),
--- a/internal/transport/companion/companion.go
+++ b/internal/transport/companion/companion.go
@@ -11,6 +11,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/scheduler"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
@@ -63,6 +64,10 @@
 	// running is the number of occupied places in the batch.
 	running  int
 	maxBatch int
+	// regulator spaces the requests to the backend server if it has named a limit.
+	// turnScheduled means that a task waits for the next request's turn under it.
+	regulator     regulator.Regulator
+	turnScheduled bool
 	// engine is the last state read from the engine.
 	engine engineView
 	// refreshDue requests an early read of the engine's state.
@@ -100,6 +105,7 @@
 		grants:         map[string]permitter.Grant{},
 	}
 	c.metrics = newMetrics(c, s.Registerer)
+	c.metrics.setLimit(regulator.Limit{})
 	return c
 }
 
--- a/internal/transport/companion/dispatch.go
+++ b/internal/transport/companion/dispatch.go
@@ -121,6 +121,10 @@
 		r := messenger.NewRefusal(messenger.ReasonUnavailable, "backend server does not answer")
 		r.RetryAfterMillis = engineTimeout.Milliseconds()
 		return r
+	case d.DeadlineMillis > 0 && c.regulator.Wait(now, c.queue.Len()) > time.Duration(d.DeadlineMillis)*time.Millisecond:
+		r := messenger.NewRefusal(messenger.ReasonOverloaded, "the limit of requests leaves no turn before the deadline")
+		r.RetryAfterMillis = c.regulator.Wait(now, c.queue.Len()).Milliseconds()
+		return r
 	case service != (d.Kind == messenger.CallKindService):
 		return messenger.NewRefusal(messenger.ReasonUnsupported, "another kind of backend server")
 	case !service && d.Version == "":
--- a/internal/transport/companion/metrics.go
+++ b/internal/transport/companion/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/scheduler"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
@@ -25,6 +26,7 @@
 	outcomes   *prometheus.CounterVec
 	running    prometheus.Gauge
 	waiting    prometheus.Gauge
+	limit      prometheus.Gauge
 
 	loads      prometheus.Counter
 	failures   prometheus.Counter
@@ -66,6 +68,7 @@
 		}, []string{"outcome", "reason"}),
 		running:    gauge("batch_running", "Requests that run at the backend server."),
 		waiting:    gauge("queue_length", "Requests that wait at the companion."),
+		limit:      gauge("backend_request_limit", "Limit of requests per second that the backend server has named, or -1."),
 		loads:      counter("slot_loads_total", "Adapter loads ordered."),
 		failures:   counter("slot_load_failures_total", "Adapter loads that failed."),
 		evictions:  counter("slot_evictions_total", "Adapter evictions ordered."),
@@ -78,7 +81,7 @@
 		Namespace: namespace, Name: "answer_buffer_bytes", Help: "Bytes of answers held for entries.",
 	}, func() float64 { return float64(c.buffer.Used()) })
 	m.collectors = []prometheus.Collector{
-		m.stall, m.queueWait, m.permitWait, m.fill, m.outcomes, m.running, m.waiting, m.loads, m.failures, m.evictions,
+		m.stall, m.queueWait, m.permitWait, m.fill, m.outcomes, m.running, m.waiting, m.limit, m.loads, m.failures, m.evictions,
 		m.regrets, m.prefetches, m.steps, m.sequences, buffered,
 	}
 	if r != nil {
@@ -145,3 +148,12 @@
 	m.sequences.Add(float64(max(0, r.SequenceSteps-m.report.SequenceSteps)))
 	m.report = r
 }
+
+// setLimit records the backend server's limit of requests.
+func (m *metrics) setLimit(l regulator.Limit) {
+	if l.Named {
+		m.limit.Set(l.Rate)
+	} else {
+		m.limit.Set(-1)
+	}
+}
--- a/internal/transport/companion/run.go
+++ b/internal/transport/companion/run.go
@@ -42,6 +42,7 @@
 		// For engines the lowest number has the highest priority, for a dispatch the highest.
 		Priority: maxPriority - min(max(0, j.dispatch.Priority), maxPriority),
 		Body:     j.dispatch.Body,
+		OnLimit:  c.limitRecorder(j),
 	}
 	if !j.dispatch.Idempotent {
 		call.IdempotencyKey = j.dispatch.Request
--- a/internal/transport/companion/service.go
+++ b/internal/transport/companion/service.go
@@ -18,6 +18,7 @@
 	call := orderer.ServiceCall{
 		Request: j.dispatch.Request, Method: j.dispatch.Method, Target: j.dispatch.Path,
 		Header: http.Header{}, Body: j.dispatch.Body, Idempotent: j.dispatch.Idempotent,
+		OnLimit: c.limitRecorder(j),
 	}
 	for _, f := range j.dispatch.Header {
 		call.Header.Add(f.Name, f.Value)
--- a/internal/transport/companion/watch.go
+++ b/internal/transport/companion/watch.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
@@ -151,6 +152,8 @@
 	c.settings.Recorder.Record(recorder.Event{
 		Kind: recorder.KindEngineRestarted, Backend: c.settings.Node, Detail: s.Incarnation,
 	})
+	c.regulator = regulator.Regulator{}
+	c.metrics.setLimit(regulator.Limit{})
 	c.table.RaiseFence(c.lease.Epoch, s.HighestFence)
 	return c.table.Restarted(now)
 }
--- a/internal/transport/companion/work.go
+++ b/internal/transport/companion/work.go
@@ -41,6 +41,8 @@
 	// endedIncarnations are the incarnations of the engine that ended while they ran the
 	// job.
 	endedIncarnations []string
+	// startedAt is when the current run started.
+	startedAt time.Time
 	// runs counts the runs at the engine.
 	runs int
 	// incarnation is the engine's incarnation of the current run.
@@ -170,6 +172,10 @@
 func (c *Companion) startReady() {
 	for {
 		now := c.settings.Now()
+		if wait := c.regulator.Wait(now, 0); wait > 0 {
+			c.scheduleTurn(wait)
+			return
+		}
 		free := c.maxBatch - c.running - c.foreignRequests()
 		started, ok := c.queue.Next(now, free, func(it scheduler.Item) bool {
 			return c.table == nil || c.table.Pin(it.Request)
@@ -177,6 +183,7 @@
 		if !ok {
 			return
 		}
+		c.regulator.Take(now)
 		c.startJob(now, started)
 	}
 }
@@ -196,6 +203,7 @@
 	j.queued += s.Queued
 	j.stalled += s.Stalled
 	j.runs++
+	j.startedAt = now
 	j.incarnation = c.engine.Incarnation
 	c.running++
 	c.metrics.jobStarted(j.dispatch, s)
--- a/internal/transport/relayer/limit.go
+++ b/internal/transport/relayer/limit.go
@@ -133,7 +133,8 @@
 	default:
 		r.settings.Placer.PostponeTurn(now, &j.choice, wait+j.choice.Limit.Interval())
 		j.waited += wait
-		if wait <= 0 || pauser.Pause(ctx, wait) {
+		// The backend server may have started to leave during the wait.
+		if wait <= 0 || pauser.Pause(ctx, wait) && j.stillServes() {
 			return 0, true
 		}
 	}
