--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/permitter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/registrar"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/transport/controller"
@@ -174,6 +176,57 @@
 		Expect(float64(spent)).To(BeNumerically("<=", allowed))
 	})
 
+	// Guards against a limit of requests that is broken since entries on both sides of a
+	// change of the leader get turns for the same time.
+	It("keeps the limits of requests over the loss of the leader, and tells all entries", func() {
+		var entries []*node
+		limits := make([]atomic.Pointer[[]regulator.ServerLimit], 3)
+		for i := range 3 {
+			n := g.node(fmt.Sprint("entry-", i), fmt.Sprintf("d%d", i+1), distributor.ScopeEntry, func(s *subscriber.Settings) {
+				shortLease(s)
+				s.OnLimits = func(l []regulator.ServerLimit) { limits[i].Store(&l) }
+			})
+			DeferCleanup(n.Close)
+			entries = append(entries, n)
+		}
+		const rate = 20.0
+		var sent []time.Time
+		reserve := func(e *node) bool {
+			callCtx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			answer, err := e.Reserve(callCtx, regulator.Reserve{Server: "s", Incarnation: "i", Rate: rate, Heard: true, SlackMillis: 300, MaxWaitMillis: 300})
+			if err == nil && answer.Granted {
+				sent = append(sent, time.Now().Add(time.Duration(answer.WaitMillis)*time.Millisecond))
+			}
+			return err == nil
+		}
+		drain := func(atLeast int) {
+			from := len(sent)
+			Eventually(func() int {
+				for _, e := range entries {
+					reserve(e)
+				}
+				return len(sent) - from
+			}, longTimeout, "5ms").Should(BeNumerically(">=", atLeast))
+		}
+		began := time.Now()
+		drain(10)
+		for i := range limits {
+			Eventually(func() []regulator.ServerLimit {
+				if l := limits[i].Load(); l != nil {
+					return *l
+				}
+				return nil
+			}, eventuallyTimeout).Should(Equal([]regulator.ServerLimit{{Server: "s", Incarnation: "i", Rate: rate}}))
+		}
+		Expect(g.kill(g.leader())).To(Succeed())
+		drain(10)
+		last := slices.MaxFunc(sent, time.Time.Compare)
+		// A turn is at most 300 ms ahead, and the burst is 5 requests.
+		allowed := rate*last.Sub(began).Seconds() + 2*5 + rate*0.3
+		Expect(float64(len(sent))).To(BeNumerically("<=", allowed+1))
+	})
+
 	// Guards against leases that are identified by name only. A companion is suspended,
 	// another incarnation joins under its name, and the first one resumes and renews; it
 	// would continue to send orders with an old fencing number.
