placer, attendant, relayer, controller: end limits whose end was not heard; resumed streams first

With the companion or its connection lost in between, the entry went on sending no more than the limit, for good. A whole state of an engine, which every subscription starts with, now drops the reported limit, and a reported end also ends what the entry had heard itself. - A stream that goes on at a limited engine counted as late, and was refused behind others, which broke it off. Its turn is before all others now. - A control host that is cut off passed on the leader's last list of limits; it stops after 2 s. - Reports of ends to the leader were not bounded, and could start while the entry closed.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -99,6 +100,8 @@
 		return true
 	}
 	if s.Whole {
+		// A state of the limit follows if there is one.
+		b.limits.reported = regulator.Limit{}
 		clear(b.adapters)
 		clear(b.recent)
 		clear(b.cached)
--- a/internal/coordination/placer/limit.go
+++ b/internal/coordination/placer/limit.go
@@ -11,7 +11,7 @@
 )
 
 // ErrLimited means that all serving backend servers of the service limit requests, and that
-// none of them has a turn for the call within its MaxWait.
+// none of them has a turn for the call in time.
 const ErrLimited = errors.ConstError("all backend servers limit requests")
 
 // LimitState is a companion's report on the limit of requests that its engine has named.
@@ -101,7 +101,8 @@
 	return c, changed
 }
 
-// ReportLimit applies a companion's report on the limit of its engine.
+// ReportLimit applies a companion's report on the limit of its engine. A companion reports
+// the end of a limit only if it has reported the limit.
 func (p *Placer) ReportLimit(now time.Time, service string, s LimitState) {
 	o := p.pool(service)
 	o.mu.Lock()
@@ -110,6 +111,9 @@
 	if b == nil || b.member.Spec.Incarnation != s.Incarnation {
 		return
 	}
+	if !s.Named {
+		b.limits.named.End(now)
+	}
 	b.limits.reported = regulator.Limit{Named: s.Named, Rate: s.Rate}
 	b.limits.turnAt = now.Add(time.Duration(s.WaitMillis) * time.Millisecond)
 }
--- a/internal/coordination/placer/limit_test.go
+++ b/internal/coordination/placer/limit_test.go
@@ -106,6 +106,23 @@
 		Expect(d.choose(start, inTime(adapterCall("a1", 1000))).Name).To(Equal("e00"))
 	})
 
+	// Guards against calls that are held back for a limit that has ended, since the report of
+	// its end was lost with the companion or its connection.
+	It("ends with the companion's report, and with a whole state that no limit follows", func() {
+		c := d.choose(start, adapterCall("", 1000))
+		i := map[string]int{"e00": 0, "e01": 1, "e02": 2}[c.Name]
+		limited := func() bool { return d.placer.NextTurn(start, engines) > 0 }
+		limitAll(time.Minute)
+		d.placer.RecordLimit(start, start, &c, regulator.Notice{Kind: regulator.NoticeLimited, Rate: 1})
+		Expect(limited()).To(BeTrue())
+		d.placer.ReportLimit(start, engines, placer.LimitState{Name: c.Name, Incarnation: c.Incarnation})
+		Expect(limited()).To(BeFalse())
+		limitAll(time.Minute)
+		Expect(limited()).To(BeTrue())
+		d.report(start, i, placer.EngineState{})
+		Expect(limited()).To(BeFalse())
+	})
+
 	It("that an answer names is known at once, and reported as new until the companion reports it", func() {
 		c := d.choose(start, adapterCall("", 1000))
 		change, changed := d.placer.RecordLimit(start, start, &c, regulator.Notice{Kind: regulator.NoticeLimited, Rate: 4})
--- a/internal/coordination/regulator/limit.go
+++ b/internal/coordination/regulator/limit.go
@@ -37,6 +37,13 @@
 	return changed
 }
 
+// End ends the limit, as another process has reported at now.
+func (l *Limit) End(now time.Time) {
+	if l.Named {
+		l.Named, l.Rate, l.endedAt = false, 0, now
+	}
+}
+
 // Age returns the time since the last answer that named the limit.
 func (l *Limit) Age(now time.Time) time.Duration { return now.Sub(l.namedAt) }
 
--- a/internal/coordination/regulator/waiter.go
+++ b/internal/coordination/regulator/waiter.go
@@ -9,7 +9,7 @@
 // Waiter is a request that waits for its turn.
 type Waiter struct {
 	ID string
-	// Urgency ranges from 0, the most urgent, upwards.
+	// Urgency is lowest for the most urgent requests.
 	Urgency int
 	// Due is when the request has to be sent to be answered on time, and Deadline when it
 	// is given up.
--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -38,8 +38,11 @@
 	// Urgency ranges from 0, the most urgent, to 9. It orders requests that wait for their
 	// turn under a limit of requests.
 	Urgency int
+	// Resumed means that the caller has received a part of the answer. Under a limit of
+	// requests its turn is before those of all others.
+	Resumed bool `json:",omitempty"`
 	// Limit is the limit that the backend server named to the sender; nil if it named none.
-	Limit *Limit
+	Limit *Limit `json:",omitempty"`
 }
 
 // Limit reports what a backend server's answer to a request said about its limit of
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -187,7 +187,7 @@
 		if err := messenger.Decode(params, &m); err != nil {
 			return nil, err
 		}
-		a.limitNamed(m) //nolint:contextcheck // Orders outlive the request that led to them.
+		a.handleLimit(m) //nolint:contextcheck // Orders outlive the request that led to them.
 		return nil, nil
 	case messenger.MethodWatch:
 		var m messenger.Watch
--- a/internal/transport/attendant/limit.go
+++ b/internal/transport/attendant/limit.go
@@ -8,8 +8,8 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
 
-// limitNamed handles an entry's notice of what an answer said about the engine's limit.
-func (a *Attendant) limitNamed(m messenger.Limit) {
+// handleLimit handles an entry's notice of what an answer said about the engine's limit.
+func (a *Attendant) handleLimit(m messenger.Limit) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.recordLimit(m, a.settings.Now())
@@ -68,13 +68,20 @@
 
 // waiter returns a request's claim to a turn under the limit, from the time started.
 func waiter(m *messenger.Admit, started time.Time) regulator.Waiter {
-	return regulator.Waiter{
+	w := regulator.Waiter{
 		ID: m.Request, Urgency: m.Urgency,
 		Due:      started.Add(time.Duration(m.SlackMillis) * time.Millisecond),
 		Deadline: started.Add(time.Duration(m.WaitMillis) * time.Millisecond),
 	}
+	if m.Resumed {
+		w.Urgency, w.Due = resumedUrgency, w.Deadline
+	}
+	return w
 }
 
+// resumedUrgency is the urgency of requests whose caller has received a part of the answer.
+const resumedUrgency = -1
+
 // waiters returns the waiting requests in the order of their turns. The caller holds mu.
 func (a *Attendant) waiters() []regulator.Waiter {
 	var all []regulator.Waiter
@@ -133,8 +140,7 @@
 	})
 }
 
-// refuseHopeless refuses the waiting requests whose turn comes after their deadline. The
-// caller holds mu.
+// refuseHopeless refuses the waiting requests whose turn comes too late. The caller holds mu.
 func (a *Attendant) refuseHopeless(now time.Time) {
 	if !a.regulator.Limit().Named {
 		return
--- a/internal/transport/attendant/limit_test.go
+++ b/internal/transport/attendant/limit_test.go
@@ -138,6 +138,23 @@
 	})
 }
 
+// TestResumedRequestsFirstUnderLimit guards against streams that break off since they wait
+// behind requests whose callers have received nothing yet.
+func TestResumedRequestsFirstUnderLimit(t *testing.T) {
+	withEngine(t, func(f *fixture, _ *engine) {
+		f.admit("first", "a1", 1).mustBeAdmittedAfter(t, time.Second)
+		f.nameLimit(1)
+		waiting := f.send(messenger.Admit{Request: "waiting", Adapter: "a1", Version: 1, SlackMillis: 10_000})
+		advance(time.Millisecond)
+		resumed := f.send(messenger.Admit{Request: "resumed", Adapter: "a1", Version: 1, Urgency: 9, Resumed: true})
+		resumed.mustBeAdmittedAfter(t, 1100*time.Millisecond)
+		if waiting.ended() {
+			t.Error("the other request was admitted first")
+		}
+		waiting.mustBeAdmittedAfter(t, time.Second)
+	})
+}
+
 // TestLimitEnds guards against a limit that lasts longer than the engine names it, and one
 // that ends by an answer to a request that was sent before it.
 func TestLimitEnds(t *testing.T) {
--- a/internal/transport/attendant/subscribergroup.go
+++ b/internal/transport/attendant/subscribergroup.go
@@ -53,6 +53,9 @@
 // limitReceivers returns the connections that are to get a state of the engine's limit, and
 // records that they have.
 func (g *subscriberGroup) limitReceivers(now time.Time, s placer.LimitState, interval time.Duration) []*messenger.Conn {
+	if !s.Named && len(g.limits) == 0 {
+		return nil
+	}
 	maps.DeleteFunc(g.limits, func(conn *messenger.Conn, _ publishedLimit) bool {
 		_, subscribed := g.conns[conn]
 		return !subscribed
@@ -60,8 +63,10 @@
 	var conns []*messenger.Conn
 	for conn := range g.conns {
 		if l := g.limits[conn]; l.outdated(now, s, interval) {
-			g.limits[conn] = publishedLimit{state: s, at: now}
 			conns = append(conns, conn)
+			if g.limits[conn] = (publishedLimit{state: s, at: now}); !s.Named {
+				delete(g.limits, conn)
+			}
 		}
 	}
 	return conns
--- a/internal/transport/controller/pulse.go
+++ b/internal/transport/controller/pulse.go
@@ -129,12 +129,20 @@
 	c.knowledgeMu.Lock()
 	p.Term, p.Entries, p.Limits = c.term, c.entries, c.limits
 	c.knowledgeMu.Unlock()
-	if age, ok := c.knowledgeAge(); ok {
+	age, ok := c.knowledgeAge()
+	if ok {
 		p.AgeMillis = age.Milliseconds()
 	}
+	if !ok || age > maxLimitsAge {
+		p.Limits = nil
+	}
 	return p
 }
 
+// maxLimitsAge is the age of a host's knowledge beyond which it does not pass on the limits of
+// backend servers, which may have ended.
+const maxLimitsAge = 2 * time.Second
+
 // otherHosts returns the addresses of the other members of the group.
 func (c *Control) otherHosts() []string {
 	var addresses []string
--- a/internal/transport/relayer/limit.go
+++ b/internal/transport/relayer/limit.go
@@ -57,21 +57,27 @@
 }
 
 // reportEnd informs the leader that the limit of the chosen backend server has ended.
+// Further answers without a limit report it again until the leader's pulses don't list it.
 func (r *Relayer) reportEnd(j *job) {
-	if r.settings.Control == nil || r.root.Err() != nil {
-		return
-	}
 	q := regulator.Reserve{
 		Server: j.choice.Name, Incarnation: j.choice.Incarnation,
 		Ended: true, SentAgeMillis: r.settings.Now().Sub(j.attemptAt).Milliseconds(),
 	}
-	ctx, cancel := context.WithTimeout(r.root, reserveTimeout)
+	r.lossesMu.Lock()
+	defer r.lossesMu.Unlock()
+	if _, reporting := r.endedLimits[q.Server]; reporting || r.settings.Control == nil || r.root.Err() != nil {
+		return
+	}
+	r.endedLimits[q.Server] = struct{}{}
 	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(r.root, reserveTimeout)
 		defer cancel()
 		if _, err := r.settings.Control.Reserve(ctx, q); err != nil {
-			// Further answers without a limit are reported until the leader knows.
 			r.settings.Log.Debug().Err(err).Str("Backend", q.Server).Msg("reporting the end of a limit failed")
 		}
+		r.lossesMu.Lock()
+		defer r.lossesMu.Unlock()
+		delete(r.endedLimits, q.Server)
 	})
 }
 
--- a/internal/transport/relayer/limit_test.go
+++ b/internal/transport/relayer/limit_test.go
@@ -129,6 +129,11 @@
 		Expect(leader.received()).To(HaveLen(1))
 		e.call(ctx, nil)
 		Expect(leader.received()).To(HaveLen(1))
+		e.placer.SetScheduled([]regulator.ServerLimit{{Server: "b0", Incarnation: "i-0", Rate: 2}})
+		e.call(ctx, nil)
+		Eventually(leader.received).Should(HaveLen(3))
+		Expect(leader.received()[1].Ended).To(BeFalse(), "the leader still lists the limit")
+		Expect(leader.received()[2].Ended).To(BeTrue())
 	})
 })
 
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -66,6 +66,9 @@
 	// of running inspections and reports; guarded by lossesMu.
 	losses      map[incarnation]*loss
 	inspections int
+	// endedLimits holds the names of the backend servers whose limit's end is being reported
+	// to the leader; guarded by lossesMu.
+	endedLimits map[string]struct{}
 
 	attemptsMu sync.Mutex
 	// attempts holds the attempts in progress by engine name; guarded by attemptsMu.
@@ -87,7 +90,9 @@
 		lastUsed: make(map[string]time.Time),
 		suspects: suspecter.NewTable(suspecter.Settings{}),
 		losses:   make(map[incarnation]*loss),
-		attempts: make(map[string]map[*attempt]struct{}),
+
+		endedLimits: make(map[string]struct{}),
+		attempts:    make(map[string]map[*attempt]struct{}),
 	}
 	r.root, r.cancel = context.WithCancel(context.Background())
 	r.tasks.Go(r.watchCompanions)
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -330,7 +330,7 @@
 		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
 		SlackMillis: max(0, j.slack().Milliseconds()),
 		Movable:     !j.redirected && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
-		Urgency: placer.Urgency(j.priority(), j.slack()), Limit: j.namedLimit(j.relayer.settings.Now()),
+		Urgency: placer.Urgency(j.priority(), j.slack()), Resumed: j.headerSent, Limit: j.namedLimit(j.relayer.settings.Now()),
 	}
 	if params.Adapter != "" {
 		params.Version = j.relayer.settings.View().Newest(params.Model + "/" + params.Adapter)
