--- a/internal/transport/attendant/limit_test.go
+++ b/internal/transport/attendant/limit_test.go
@@ -62,6 +62,17 @@
 	return refusal.RetryAfter(), true
 }
 
+// countAdmitted returns the number of requests that were admitted.
+func countAdmitted(requests []*admission) int {
+	n := 0
+	for _, a := range requests {
+		if a.ended() && a.err == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // TestKeepsLimitOfRequests guards against more requests at an engine than it has named,
 // whichever entries send them.
 func TestKeepsLimitOfRequests(t *testing.T) {
@@ -74,12 +85,7 @@
 			requests = append(requests, f.admitPunctual(strconv.Itoa(i)))
 		}
 		advance(4*time.Second + 10*time.Millisecond)
-		admitted := 0
-		for _, a := range requests {
-			if a.ended() && a.err == nil {
-				admitted++
-			}
-		}
+		admitted := countAdmitted(requests)
 		if admitted != 8 {
 			t.Errorf("%d requests admitted in 4 s under a limit of 2 a second, want 8", admitted)
 		}
@@ -250,17 +256,12 @@
 	withEngine(t, func(f *fixture, _ *engine) {
 		f.admit("1", "a1", 1).mustBeAdmittedAfter(t, time.Second)
 		known := &messenger.Limit{Incarnation: "i-1", Named: true, Rate: 2, AgeMillis: 900}
-		admitted := 0
 		var requests []*admission
 		for i := range 20 {
 			requests = append(requests, f.send(messenger.Admit{Request: "r" + strconv.Itoa(i), Adapter: "a1", Version: 1, Limit: known, SlackMillis: 10_000}))
 		}
 		advance(2*time.Second + 10*time.Millisecond)
-		for _, a := range requests {
-			if a.ended() && a.err == nil {
-				admitted++
-			}
-		}
+		admitted := countAdmitted(requests)
 		if admitted > 5 {
 			t.Errorf("%d requests admitted in 2 s, want at most 5", admitted)
 		}
