relayer, exchanger, splitter: log the framing and completeness of answers

An entry's log did not show whether an answer was delimited by its length, its last chunk or the close of its connection, nor whether its last event was complete. The log lines of attempts and calls now contain Framing and Unfinished, the number of bytes of an incomplete event, and a metric counts answers by framing. Neither affects how calls are handled.

--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -124,8 +124,8 @@
 	return stale || err != nil
 }
 
-// Exchange sends the request and reads the head of its answer. The function accept
-// reports whether a head belongs to the answer to this request; up to
+// Exchange sends the request and reads the head of its answer, whose body is a *Body. The
+// function accept reports whether a head belongs to the answer to this request; up to
 // maxMismatchedAnswers other answers are skipped. Abort ends the exchange at any time.
 // On an error, which matches ErrNotSent, ErrSent or ErrAnswerMismatch, the connection is
 // closed.
@@ -153,6 +153,7 @@
 		if response.StatusCode == http.StatusContinue {
 			continue
 		}
+		response.Body = NewBody(response)
 		if accept(response.Header) {
 			return response, nil
 		}
@@ -168,7 +169,7 @@
 // closes it if it can't be reused. The parameter limit is the idle time that the peer
 // announced in the head of the answer; 0 means none.
 func (c *Conn) Finish(response *http.Response, limit time.Duration) {
-	if !c.unbindContext() || response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 || c.reader.Buffered() > 0 {
+	if !c.unbindContext() || response.Close || BodyOf(response).Framing() == FramingConnection || c.reader.Buffered() > 0 {
 		c.Abort()
 		return
 	}
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -22,6 +22,7 @@
 	losses      *prometheus.CounterVec
 	quarantined *prometheus.CounterVec
 	unattended  prometheus.Counter
+	framings    *prometheus.CounterVec
 	// limited counts attempts under a limit, and limitRefused calls refused because of one.
 	limited, limitRefused *prometheus.CounterVec
 	quotas                *prometheus.CounterVec
@@ -64,6 +65,9 @@
 	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_limited_attempts_total", Help: "Attempts at backend servers that had named a limit of requests to this entry, by service.",
 	}, []string{labelService})
+	m.framings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_answers_total", Help: "Answers of backend servers by service, framing, and whether they ended inside an event.",
+	}, []string{labelService, "framing", "unfinished"})
 	m.limitRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_limit_refused_total", Help: "Calls refused since all backend servers limit requests, by service.",
 	}, []string{labelService})
@@ -71,7 +75,7 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.quotas, m.limited, m.limitRefused)
+		r.MustRegister(m.framings, m.quotas, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.unattended)
 	}
 	return m
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -22,6 +22,8 @@
 	if err != nil {
 		return j.unanswered(err) //nolint:contextcheck // The report of a loss outlives the call.
 	}
+	j.answerBody = exchanger.BodyOf(response)
+	defer j.countFraming()
 	head := r.settings.Translator.Head(response.StatusCode, response.Header)
 	j.recordLimit(head.Limit) //nolint:contextcheck // The report of an end outlives the call.
 	if head.Calls >= 0 {
@@ -60,6 +62,7 @@
 	j.reached++
 	j.bytesBeforeAttempt = j.bytes
 	j.attemptAt = j.relayer.settings.Now()
+	j.answerBody = nil
 	if j.choice.Limit.Named {
 		j.relayer.metrics.limited.WithLabelValues(j.service.Name).Inc()
 	}
@@ -76,6 +79,13 @@
 	return conn, response, err
 }
 
+// countFraming counts the answer to an attempt by its framing and by whether it ended inside
+// an event.
+func (j *job) countFraming() {
+	b := j.answerBody
+	j.relayer.metrics.framings.WithLabelValues(j.service.Name, b.Framing().String(), strconv.FormatBool(b.Unfinished() > 0)).Inc()
+}
+
 // outgoing returns the request for the backend server.
 func (j *job) outgoing(a Attempt) *http.Request {
 	out := &http.Request{
@@ -138,8 +148,10 @@
 // logFailure logs and counts an attempt that did not answer the call.
 func (j *job) logFailure(err error, what string) {
 	j.relayer.metrics.failures.WithLabelValues(j.service.Name).Inc()
-	j.relayer.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).
-		Str("Incarnation", j.choice.Incarnation).Int("Sent", j.sent).Msg(what)
+	e := j.relayer.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).
+		Str("Incarnation", j.choice.Incarnation).Int("Sent", j.sent)
+	j.addFraming(e)
+	e.Msg(what)
 }
 
 // discard reads an answer that is not needed, so that the connection can be reused.
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -77,6 +79,8 @@
 	waited    time.Duration
 	// current is the attempt in progress.
 	current *attempt
+	// answerBody is the body of the answer to the last attempt; nil if it got none.
+	answerBody *exchanger.Body
 	// suspect means that backend servers ended while they ran the request, in this call
 	// or before.
 	suspect bool
@@ -247,6 +251,7 @@
 	if j.suspect {
 		e.Stringer("Same", j.requestIdentity())
 	}
+	j.addFraming(e)
 	e.Str("Request", j.call.ID).Str("Outcome", outcome).Int("Status", status).Str("Reason", reason).
 		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
@@ -256,6 +261,14 @@
 		Dur("ReportAge", j.choice.Age).Uint64("Revision", r.settings.View().Revision).Msg("call")
 }
 
+// addFraming adds the framing of the answer to the last attempt to a log line, and the number
+// of bytes that were read of an incomplete event.
+func (j *job) addFraming(e *zerolog.Event) {
+	if b := j.answerBody; b != nil {
+		e.Stringer("Framing", b.Framing()).Int("Unfinished", b.Unfinished())
+	}
+}
+
 // targetOf returns the target time for calls on a route, or 0 if the route is unknown.
 func targetOf(r *tracker.Route) time.Duration {
 	if r == nil {
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -1,7 +1,7 @@
 package relayer
 
 import (
-	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"time"
@@ -10,6 +10,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/splitter"
 )
 
 // streamBuffer is the size of one read of a stream, in bytes. Events are far smaller.
@@ -21,15 +22,17 @@
 	r := j.relayer
 	current.markStarted()
 	flusher := http.NewResponseController(j.writer)
-	var events eventSplitter
+	var events splitter.Events
+	body := exchanger.BodyOf(response)
+	body.ExpectEvents()
 	buffer := make([]byte, streamBuffer)
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			piece := buffer[:n]
 			if j.route.Resumable || j.backup.Name != "" {
-				piece = events.push(piece)
-				j.lastEvent = events.last(j.lastEvent)
+				piece = events.Push(piece)
+				j.lastEvent = cmp.Or(events.ID(), j.lastEvent)
 			}
 			if len(piece) > 0 {
 				if !j.headerSent {
@@ -51,7 +54,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return j.finishStream(conn, response, head, events.unfinished())
+			return j.finishStream(conn, response, head, events.Unfinished())
 		}
 		if err != nil {
 			conn.Abort()
@@ -69,8 +72,8 @@
 }
 
 // finishStream handles the end of a stream.
-func (j *job) finishStream(conn *exchanger.Conn, response *http.Response, head Head, rest []byte) verdict {
-	if len(rest) > 0 {
+func (j *job) finishStream(conn *exchanger.Conn, response *http.Response, head Head, unfinished int) verdict {
+	if unfinished > 0 {
 		// The stream ended inside an event: it is incomplete, even if its framing
 		// ended correctly.
 		conn.Abort()
@@ -99,40 +102,3 @@
 	}
 	return v
 }
-
-// eventSplitter splits a stream into complete events. The zero value is ready for use.
-type eventSplitter struct {
-	pending []byte
-	out     []byte
-}
-
-// eventEnd terminates an event.
-var eventEnd = []byte("\n\n")
-
-// push adds a piece and returns the events that are complete by now. The result is
-// valid until the next call.
-func (s *eventSplitter) push(piece []byte) []byte {
-	s.pending = append(s.pending, piece...)
-	end := bytes.LastIndex(s.pending, eventEnd)
-	s.out = s.out[:0]
-	if end < 0 {
-		return s.out
-	}
-	end += len(eventEnd)
-	s.out = append(s.out, s.pending[:end]...)
-	s.pending = append(s.pending[:0], s.pending[end:]...)
-	return s.out
-}
-
-// last returns the id of the last event that push returned, or before if there is none.
-func (s *eventSplitter) last(before string) string {
-	for line := range bytes.Lines(s.out) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			before = string(bytes.TrimSpace(id))
-		}
-	}
-	return before
-}
-
-// unfinished returns the part of an event that has not ended.
-func (s *eventSplitter) unfinished() []byte { return s.pending }
