exchanger, relayer, orderer: detect truncated answers in one place

Symptom: callers received 200, the signature of the backend server, part of a stream and a proper end, although the backend server had crashed in the middle of the stream.

Cause: the answer had neither a length nor chunks and was delimited by the close of its connection, and net/http treats an orderly close as the end of such a body. Only resumable streams were checked for an incomplete last event, since they are split into events anyway; streams of other routes were forwarded to their end and considered complete.

Why the fix holds: all answers of backend servers are read through exchanger.Body, which decides by the framing and, for event streams, by the state of the last event whether io.EOF is the end of a complete body. No caller can omit the check, and no route is exempt. A stream that is delimited by its connection and ends before its first event is also broken. Outcome, loss of the stream, suspicion, budget, metrics and log are those of a broken attempt.

--- a/internal/protocol/exchanger/body.go
+++ b/internal/protocol/exchanger/body.go
@@ -5,13 +5,21 @@
 	"mime"
 	"net/http"
 
+	"github.com/juju/errors"
+
 	"marigoldpoint.example/marigoldpoint/internal/protocol/splitter"
 )
 
 // eventStream is the media type of server-sent events.
 const eventStream = "text/event-stream"
 
-// Body is the body of an answer of a backend server.
+// Body is the body of an answer. It detects truncated bodies: Read returns io.EOF only at the
+// end of the body according to its framing and, in an event stream, only after a complete
+// event. Otherwise, it returns io.ErrUnexpectedEOF or the error of the connection.
+//
+// The end of a body that is delimited by the close of its connection is ambiguous. Unless the
+// body is an event stream, an orderly close is the end of the body (RFC 9112, section 8). An
+// event stream must also contain at least one event.
 type Body struct {
 	io.ReadCloser
 	framing Framing
@@ -47,11 +55,15 @@
 	return b.events.Unfinished()
 }
 
-// Read reads the body.
-func (b *Body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if b.events != nil {
-		b.events.Push(p[:n])
+// Read reads from the body. It returns io.EOF only at the end of a complete body.
+func (b *Body) Read(p []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(p)
+	if b.events == nil {
+		return n, err
+	}
+	b.events.Push(p[:n])
+	if errors.Is(err, io.EOF) && (b.events.Unfinished() > 0 || b.framing == FramingConnection && b.events.Count() == 0) {
+		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
--- a/internal/protocol/orderer/service.go
+++ b/internal/protocol/orderer/service.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 )
 
 const headerUserAgent = "User-Agent"
@@ -80,7 +81,7 @@
 	reportLimit(answer, c.OnLimit)
 	header := http.Header{}
 	copyEndToEnd(header, answer.Header)
-	return &ServiceAnswer{Status: answer.StatusCode, Header: header, Body: &serviceBody{answer.Body}}, nil
+	return &ServiceAnswer{Status: answer.StatusCode, Header: header, Body: &serviceBody{exchanger.NewBody(answer)}}, nil
 }
 
 // serviceBody converts read errors to errors that match ErrUnknown, since the service has
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -54,7 +54,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return j.finishStream(conn, response, head, events.Unfinished())
+			return j.finishStream(conn, response, head)
 		}
 		if err != nil {
 			conn.Abort()
@@ -71,14 +71,8 @@
 	j.lastEventAt = now
 }
 
-// finishStream handles the end of a stream.
-func (j *job) finishStream(conn *exchanger.Conn, response *http.Response, head Head, unfinished int) verdict {
-	if unfinished > 0 {
-		// The stream ended inside an event: it is incomplete, even if its framing
-		// ended correctly.
-		conn.Abort()
-		return j.streamBroke(io.ErrUnexpectedEOF)
-	}
+// finishStream handles the end of a complete stream.
+func (j *job) finishStream(conn *exchanger.Conn, response *http.Response, head Head) verdict {
 	conn.Finish(response, head.KeepAlive)
 	j.count(endAnswered)
 	j.clearSuspect()
