listener, relayer, gatekeeper: reset connections whose close would complete an answer

Symptom: callers that use HTTP/1.0 received part of a stream and then an orderly close of the connection, which to them is the end of a complete answer. The entry had detected the break and aborted its answer, but http.ErrAbortHandler closes the connection in an orderly way. The same applied to large answers of plain services in the product's own API.

Evidence: the test that truncates answers at every byte failed over HTTP/1.0 for streams in all framings (truncated at 4 bytes of a chunked body: status 200, complete).

listener.AbortAnswer resets the connection for HTTP/1.0 callers and for those that requested its close. For all others it closes the connection, since their answers lack their last chunk or part of their length; a reset would discard events in transit.

--- a/internal/transport/gatekeeper/answer.go
+++ b/internal/transport/gatekeeper/answer.go
@@ -11,6 +11,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 )
 
 // answer is the answer to the caller. An answer that was not requested as a stream is
@@ -150,7 +151,7 @@
 	q := a.request
 	q.w.Header().Set(translator.HeaderOutcome, f.Outcome.String())
 	if !a.isEventStream() {
-		panic(http.ErrAbortHandler)
+		listener.AbortAnswer(q.w, q.r)
 	}
 	if err := a.send(f.Event(q.id)); err != nil {
 		q.entry.settings.Log.Debug().Err(err).Str("Request", q.id).Msg("the caller left before the error")
--- a/internal/transport/listener/kept.go
+++ b/internal/transport/listener/kept.go
@@ -31,6 +31,9 @@
 	ending bool
 }
 
+// NetConn returns the underlying connection.
+func (c *gracefulConn) NetConn() net.Conn { return c.Conn }
+
 // pastDeadline is a read deadline that makes a read return at once.
 var pastDeadline = time.Unix(1, 0)
 
--- a/internal/transport/relayer/ending_test.go
+++ b/internal/transport/relayer/ending_test.go
@@ -134,6 +134,11 @@
 	// Guards against a truncated answer that its caller receives as a complete one after the
 	// backend server has crashed.
 	It("is broken to its caller", func() { checkEveryCut("HTTP/1.1", "") })
+
+	// Guards against an orderly close of a connection that delimits the answer.
+	It("is broken to a caller of HTTP/1.0", func() { checkEveryCut("HTTP/1.0", "") })
+
+	It("is broken to a caller that asked for the end of the connection", func() { checkEveryCut("HTTP/1.1", "Connection: close\r\n") })
 })
 
 // checkEveryCut truncates answers of all kinds and framings at every byte, and checks that the
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -15,6 +15,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 )
 
 // job is one call in progress.
@@ -215,7 +216,7 @@
 		// Part of the answer was sent. Only a broken connection shows the caller that
 		// it is incomplete.
 		j.log("broken", status, reason)
-		panic(http.ErrAbortHandler)
+		listener.AbortAnswer(j.writer, j.request)
 	}
 	j.headerSent = true
 	h := j.writer.Header()
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -11,6 +11,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/splitter"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 )
 
 // streamBuffer is the size of one read of a stream, in bytes. Events are far smaller.
@@ -92,7 +93,7 @@
 	v := j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
 	if v == verdictUnknown && j.headerSent && !j.route.Resumable && !j.resume() {
 		j.log("broken", http.StatusOK, err.Error())
-		panic(http.ErrAbortHandler)
+		listener.AbortAnswer(j.writer, j.request)
 	}
 	return v
 }
