relayer: complete or abort every answer in one place

Symptom: callers received 200, the signature of a backend server, some events, then the bytes of another backend server's 500 answer, and a proper end.

Cause: a stream reached its deadline after an earlier attempt had failed, and answerAborted sent the kept failure without checking whether part of another answer had been forwarded. Each of the eight ends of a call had to check that itself. Two more did not: a caller that had closed only its sending half received a proper end after part of a stream, and an empty 200 before the first event.

Why the fix holds: the response writer belongs to a type with two proper ends: a whole answer sent at once, which is rejected if another answer has begun, and finish after a complete stream. If the handler returns in any other way, the answer is aborted. The log line and the metric of such a call contain the outcome broken, the status that was sent, and the cause.

--- a/internal/transport/relayer/attemptend.go
+++ b/internal/transport/relayer/attemptend.go
@@ -41,4 +41,4 @@
 }
 
 // progressed reports whether any part of the current attempt's answer was forwarded.
-func (j *job) progressed() bool { return j.bytes > j.bytesBeforeAttempt }
+func (j *job) progressed() bool { return j.answer.bytes > j.bytesBeforeAttempt }
--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -53,7 +53,7 @@
 // the same moment: then it would not be known whether the request had started again. A
 // request is therefore resumed only if its copy must have arrived.
 func (j *job) resume() bool {
-	if j.backup.Name == "" || !j.headerSent || j.relayer.settings.Now().Sub(j.firstEventAt) < backupReadyDelay {
+	if j.backup.Name == "" || !j.answer.begun() || j.relayer.settings.Now().Sub(j.firstEventAt) < backupReadyDelay {
 		return false
 	}
 	j.resumeFrom = j.backup.Address + "/" + j.call.ID
--- a/internal/transport/relayer/ending_test.go
+++ b/internal/transport/relayer/ending_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -167,3 +170,101 @@
 		}
 	}
 }
+
+var _ = Describe("A stream that can't be completed", func() {
+	// hangs sends two events and leaves the stream open.
+	hangs := func(c net.Conn, r *http.Request) { events(c, r, 1, 2) }
+	breaks := func(c net.Conn, r *http.Request) {
+		events(c, r, 1, 2)
+		reset(c)
+	}
+	fails := text("500", signed, "failure of the first")
+	refuses := text("503", "Not-Run: 1\r\n", "")
+	short := resumable
+	short.Timeout = 500 * time.Millisecond
+
+	// Guards against the answer of a failed attempt being appended to a partial stream whose
+	// deadline passes.
+	DescribeTable("is broken to its caller when its deadline passes",
+		func(route tracker.Route, scripts ...func(net.Conn, *http.Request)) {
+			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				var runs atomic.Int64
+				script := func(c net.Conn, r *http.Request) { scripts[runs.Add(1)-1](c, r) }
+				e := newEntry(route, nil, newBackend(script), newBackend(script), newBackend(script))
+				got := e.callOnSocket(protocol, "")
+				Expect(runs.Load()).To(BeEquivalentTo(len(scripts)))
+				Expect(got.status).To(Equal(http.StatusOK))
+				Expect(got.complete).To(BeFalse())
+				Expect(got.body).To(HavePrefix("id: 1\n"))
+				Expect(got.body).NotTo(ContainSubstring("failure"))
+				Expect(e.log).To(gbytes.Say(`"Outcome":"broken","Status":200,"Reason":"no answer in time"`))
+			}
+		},
+		Entry("in the first attempt", short, hangs),
+		Entry("after a failed attempt", short, fails, hangs),
+		Entry("after a refused attempt", short, refuses, hangs),
+		Entry("after it was resumed", short, breaks, hangs),
+		Entry("after a failed attempt and a resumption", short, fails, breaks, hangs),
+	)
+
+	It("is broken to its caller when it was resumed and then failed", func() {
+		var runs atomic.Int64
+		script := func(c net.Conn, r *http.Request) {
+			if runs.Add(1) == 1 {
+				breaks(c, r)
+				return
+			}
+			fails(c, r)
+		}
+		e := newEntry(short, nil, newBackend(script), newBackend(script))
+		got := e.callOnSocket("HTTP/1.1", "")
+		Expect(got.complete).To(BeFalse())
+		Expect(got.body).NotTo(ContainSubstring("failure"))
+		Expect(e.log).To(gbytes.Say(`"Outcome":"broken","Status":200`))
+	})
+
+	It("leaves a whole failure to its caller if nothing of it was forwarded", func() {
+		var runs atomic.Int64
+		script := func(c net.Conn, r *http.Request) {
+			if runs.Add(1) == 1 {
+				fails(c, r)
+			}
+		}
+		got := newEntry(short, nil, newBackend(script), newBackend(script)).callOnSocket("HTTP/1.1", "")
+		Expect(got).To(Equal(socketAnswer{status: 500, body: "failure of the first", complete: true}))
+	})
+
+	// Guards against an answer that appears complete to a caller that has closed only its
+	// sending half.
+	DescribeTable("is broken to a caller that has closed its sending half",
+		func(script func(net.Conn, *http.Request), want string) {
+			sent := make(chan struct{})
+			b := newBackend(func(c net.Conn, r *http.Request) {
+				script(c, r)
+				close(sent)
+			})
+			e := newEntry(streamed, nil, b)
+			conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			Expect(conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+			_, err = io.WriteString(conn, "POST /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nDeadline: 20000\r\nContent-Length: 0\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			<-sent
+			Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+			text, err := io.ReadAll(conn)
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
+			if want == "" {
+				Expect(err).To(HaveOccurred())
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(response.Body)
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			Expect(string(body)).To(HavePrefix(want))
+		},
+		Entry("before the first event", func(net.Conn, *http.Request) {}, ""),
+		Entry("after events", hangs, "id: 1\n"),
+	)
+})
--- a/internal/transport/relayer/keys.go
+++ b/internal/transport/relayer/keys.go
@@ -95,7 +95,7 @@
 
 // refuseRejected answers a call that may not proceed.
 func (j *job) refuseRejected(b *rejection) {
-	if j.mayHaveRun || j.headerSent {
+	if j.mayHaveRun || j.answer.begun() {
 		j.answerExhausted(b.reason)
 		return
 	}
--- a/internal/transport/relayer/limit.go
+++ b/internal/transport/relayer/limit.go
@@ -202,7 +202,7 @@
 // refused together do not return together.
 func (j *job) refuseLimited() {
 	r := j.relayer
-	if j.failed != nil || j.mayHaveRun || j.headerSent {
+	if j.failed != nil || j.mayHaveRun || j.answer.begun() {
 		j.answerExhausted(placer.ErrLimited.Error())
 		return
 	}
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -157,7 +157,7 @@
 // be offered again. Unless all servers were busy, servers that were tried before are
 // included again.
 func (j *job) holdForRetry(cause error) bool {
-	if j.headerSent || !j.mayHold() {
+	if j.answer.begun() || !j.mayHold() {
 		return false
 	}
 	if errors.Is(cause, placer.ErrBusy) {
@@ -330,7 +330,7 @@
 		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
 		SlackMillis: max(0, j.slack().Milliseconds()),
 		Movable:     !j.redirected && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
-		Urgency: placer.Urgency(j.priority(), j.slack()), Resumed: j.headerSent, Limit: j.namedLimit(j.relayer.settings.Now()),
+		Urgency: placer.Urgency(j.priority(), j.slack()), Resumed: j.answer.begun(), Limit: j.namedLimit(j.relayer.settings.Now()),
 	}
 	if params.Adapter != "" {
 		params.Version = j.relayer.settings.View().Newest(params.Model + "/" + params.Adapter)
@@ -346,8 +346,8 @@
 func (j *job) answerAborted() {
 	switch {
 	case j.request.Context().Err() != nil:
-		j.log("left", 0, "the caller has left")
-	case j.failed != nil:
+		j.logLeft()
+	case j.failed != nil && !j.answer.begun():
 		j.answerFailed()
 	case j.sent > 0:
 		_ = j.refuse(http.StatusGatewayTimeout, "no answer in time", 0)
@@ -359,9 +359,9 @@
 // answerExhausted answers a call that no further backend server may try.
 func (j *job) answerExhausted(reason string) {
 	switch {
-	case j.failed != nil && !j.headerSent:
+	case j.failed != nil && !j.answer.begun():
 		j.answerFailed()
-	case j.mayHaveRun || j.headerSent:
+	case j.mayHaveRun || j.answer.begun():
 		_ = j.refuse(http.StatusBadGateway, reason, 0)
 	default:
 		_ = j.refuse(http.StatusServiceUnavailable, reason, j.relayer.settings.RetryAfter)
@@ -370,13 +370,5 @@
 
 // answerFailed forwards the answer of a backend server that failed.
 func (j *job) answerFailed() {
-	j.headerSent = true
-	h := j.writer.Header()
-	for k, v := range j.failed.header {
-		h[k] = v
-	}
-	j.writer.WriteHeader(j.failed.status)
-	// A write error means that the caller has left.
-	_, _ = j.writer.Write(j.failed.body)
-	j.log(outcomeAnswered, j.failed.status, "the backend server's failure")
+	j.sendWhole(outcomeAnswered, *j.failed, "the backend server's failure")
 }
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -60,7 +60,7 @@
 	t := j.relayer.settings.Translator
 	j.sent++
 	j.reached++
-	j.bytesBeforeAttempt = j.bytes
+	j.bytesBeforeAttempt = j.answer.bytes
 	j.attemptAt = j.relayer.settings.Now()
 	j.answerBody = nil
 	if j.choice.Limit.Named {
@@ -173,8 +173,7 @@
 	}
 	conn.Finish(response, head.KeepAlive)
 	header := j.relayer.settings.Translator.AnswerHeader(response.Header)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	j.failed = &failedAnswer{status: response.StatusCode, header: header, body: body}
+	j.failed = &wholeAnswer{status: response.StatusCode, header: header, body: body}
 	j.count(endFailed)
 	if head.Signed {
 		j.clearSuspect()
@@ -196,21 +195,21 @@
 	j.count(endAnswered)
 	j.clearSuspect()
 	j.release(placer.OutcomeSuccess)
-	j.copyHeader(response)
-	j.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	j.writer.WriteHeader(response.StatusCode)
-	// A write error means that the caller has left.
-	_, _ = j.writer.Write(body)
-	j.bytes += int64(len(body))
-	j.log(outcomeAnswered, response.StatusCode, "")
+	header := j.relayer.settings.Translator.AnswerHeader(response.Header)
+	j.sendWhole(outcomeAnswered, wholeAnswer{status: response.StatusCode, header: header, body: body}, "")
 	return verdictAnswered
 }
 
-// copyHeader sets the header of the answer to the caller.
-func (j *job) copyHeader(response *http.Response) {
-	j.headerSent = true
-	h := j.writer.Header()
-	for k, v := range j.relayer.settings.Translator.AnswerHeader(response.Header) {
-		h[k] = v
+// sendWhole sends a complete answer and logs the call with the given outcome and reason. If part
+// of another answer was sent, it sends nothing, and logs the call as broken for that reason.
+func (j *job) sendWhole(outcome string, w wholeAnswer, reason string) {
+	w.header.Set("Content-Length", strconv.Itoa(len(w.body)))
+	switch err := j.answer.sendWhole(w.status, w.header, w.body); {
+	case errors.Is(err, errBegun):
+		j.log(outcomeBroken, j.answer.status, reason)
+	case err != nil:
+		j.logLeft()
+	default:
+		j.log(outcome, w.status, reason)
 	}
 }
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -15,13 +15,12 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
-	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 )
 
 // job is one call in progress.
 type job struct {
 	relayer *Relayer
-	writer  http.ResponseWriter
+	answer  answer
 	request *http.Request
 	call    Call
 	route   *tracker.Route
@@ -55,9 +54,7 @@
 	reached int
 	// failed is the answer of a backend server that failed; it is sent if no other
 	// answer comes.
-	failed *failedAnswer
-	// headerSent means that the answer's header was sent to the caller.
-	headerSent bool
+	failed *wholeAnswer
 	// firstEventAt is when a stream's first event was forwarded to the caller.
 	firstEventAt time.Time
 	// lastEventAt is when the last part of a stream was forwarded, and longestGap the longest
@@ -92,15 +89,15 @@
 	// limitRefusals is the number of backend servers that had no turn for the call under
 	// their limit.
 	limitRefusals int
-	// bytes counts the bytes of the answer that were forwarded to the caller, and
-	// bytesBeforeAttempt those of attempts before the current one.
-	bytes, bytesBeforeAttempt int64
+	// bytesBeforeAttempt is the number of bytes sent to the caller before the current
+	// attempt.
+	bytesBeforeAttempt int64
 	// identityCache caches the call's identity and hash, which are computed on first use.
 	identityCache identityCache
 }
 
-// failedAnswer is a complete answer of a backend server that failed.
-type failedAnswer struct {
+// wholeAnswer is a complete answer.
+type wholeAnswer struct {
 	status int
 	header http.Header
 	body   []byte
@@ -110,8 +107,14 @@
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	j := &job{relayer: r, writer: w, request: request, arrived: r.settings.Now(), ctx: request.Context()}
+	j := &job{relayer: r, answer: answer{writer: w, request: request}, request: request, arrived: r.settings.Now(), ctx: request.Context()}
 	defer j.refundQuota()
+	j.serve()
+	j.answer.end()
+}
+
+// serve processes the call and sends its answer to the caller.
+func (j *job) serve() {
 	if err := j.receive(); err != nil { //nolint:contextcheck // The job holds its context.
 		return
 	}
@@ -155,7 +158,7 @@
 	if j.request.ContentLength > limit {
 		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
 	}
-	j.body, err = io.ReadAll(http.MaxBytesReader(j.writer, j.request.Body, limit))
+	j.body, err = io.ReadAll(http.MaxBytesReader(j.answer.writer, j.request.Body, limit))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -212,26 +215,17 @@
 // refuse answers the call without a backend server, and returns errAnswered. A status
 // of 429 or 503 guarantees that the call has not run and will not run.
 func (j *job) refuse(status int, reason string, after time.Duration) error {
-	if j.headerSent {
-		// Part of the answer was sent. Only a broken connection shows the caller that
-		// it is incomplete.
-		j.log("broken", status, reason)
-		listener.AbortAnswer(j.writer, j.request)
-	}
-	j.headerSent = true
-	h := j.writer.Header()
+	h := http.Header{"Content-Type": {"text/plain"}}
 	if after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
-	h.Set("Content-Type", "text/plain")
-	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
-	j.writer.WriteHeader(status)
-	// A write error means that the caller has left.
-	_, _ = io.WriteString(j.writer, reason+"\n")
-	j.log("refused", status, reason)
+	j.sendWhole(outcomeRefused, wholeAnswer{status: status, header: h, body: []byte(reason + "\n")}, reason)
 	return errAnswered
 }
 
+// logLeft logs that the caller has left.
+func (j *job) logLeft() { j.log(outcomeLeft, j.answer.status, "the caller has left") }
+
 // log writes the single log line of a call and updates the metrics.
 func (j *job) log(outcome string, status int, reason string) {
 	r := j.relayer
@@ -257,7 +251,7 @@
 		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
 		Int("Prompt", j.call.PromptTokens).Int("Answer", j.call.AnswerTokens).Int("Expected", j.call.ExpectedTokens).
-		Dur("Target", targetOf(j.route)).Dur("Gap", j.longestGap).Dur("MaxGap", maxGapOf(j.route)).Bool("Away", j.choice.Away).Int64("Bytes", j.bytes).
+		Dur("Target", targetOf(j.route)).Dur("Gap", j.longestGap).Dur("MaxGap", maxGapOf(j.route)).Bool("Away", j.choice.Away).Int64("Bytes", j.answer.bytes).
 		Dur("Backlog", j.choice.Backlog).Dur("Read", j.choice.Read).Dur("Load", j.choice.Load).Int("Running", j.choice.Running).
 		Dur("ReportAge", j.choice.Age).Uint64("Revision", r.settings.View().Revision).Msg("call")
 }
@@ -287,4 +281,11 @@
 	return r.MaxEventGap
 }
 
-const outcomeAnswered = "answered"
+// Outcomes of calls, as written to logs and metrics.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	// outcomeBroken means that the answer was aborted after part of it had been sent.
+	outcomeBroken = "broken"
+	outcomeLeft   = "left"
+)
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -84,7 +84,7 @@
 // markSent records that the call is about to be sent to the engine.
 func (a *attempt) markSent() {
 	j := a.job
-	a.movable = j.repeatable() && !j.headerSent && j.sent+1 < j.route.MaxAttempts
+	a.movable = j.repeatable() && !j.answer.begun() && j.sent+1 < j.route.MaxAttempts
 	a.waitingSince.Store(j.relayer.settings.Now().UnixNano())
 	a.sent.Store(true)
 }
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -11,7 +11,6 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/splitter"
-	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 )
 
 // streamBuffer is the size of one read of a stream, in bytes. Events are far smaller.
@@ -22,7 +21,6 @@
 func (j *job) stream(conn *exchanger.Conn, response *http.Response, head Head, current *attempt) verdict {
 	r := j.relayer
 	current.markStarted()
-	flusher := http.NewResponseController(j.writer)
 	var events splitter.Events
 	body := exchanger.BodyOf(response)
 	body.ExpectEvents()
@@ -36,20 +34,18 @@
 				j.lastEvent = cmp.Or(events.ID(), j.lastEvent)
 			}
 			if len(piece) > 0 {
-				if !j.headerSent {
-					j.copyHeader(response)
-					j.writer.WriteHeader(response.StatusCode)
+				if !j.answer.begun() {
+					j.answer.begin(response.StatusCode, r.settings.Translator.AnswerHeader(response.Header))
 					j.firstEventAt = r.settings.Now()
 					r.metrics.firstEvent.Observe(j.firstEventAt.Sub(j.arrived).Seconds())
 				}
 				j.recordEvent(r.settings.Now())
 				r.settings.Placer.RecordFirstByte(r.settings.Now(), &j.choice)
-				j.bytes += int64(len(piece))
-				if _, werr := j.writer.Write(piece); werr != nil || flusher.Flush() != nil {
+				if err := j.answer.write(piece); err != nil {
 					conn.Abort()
 					j.count(endGivenUp)
 					j.release(placer.OutcomeCanceled)
-					j.log("left", response.StatusCode, "the caller has left")
+					j.logLeft()
 					return verdictAnswered
 				}
 			}
@@ -79,10 +75,8 @@
 	j.clearSuspect()
 	j.release(placer.OutcomeSuccess)
 	j.relayer.metrics.longestGap.Observe(j.longestGap.Seconds())
-	if !j.headerSent {
-		j.copyHeader(response)
-		j.writer.WriteHeader(response.StatusCode)
-	}
+	j.answer.begin(response.StatusCode, j.relayer.settings.Translator.AnswerHeader(response.Header))
+	j.answer.finish()
 	j.log(outcomeAnswered, response.StatusCode, "")
 	return verdictAnswered
 }
@@ -91,9 +85,9 @@
 // be replaced by another answer, unless it may be resumed.
 func (j *job) streamBroke(err error) verdict {
 	v := j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
-	if v == verdictUnknown && j.headerSent && !j.route.Resumable && !j.resume() {
-		j.log("broken", http.StatusOK, err.Error())
-		listener.AbortAnswer(j.writer, j.request)
+	if v == verdictUnknown && j.answer.begun() && !j.route.Resumable && !j.resume() {
+		j.log(outcomeBroken, j.answer.status, err.Error())
+		return verdictAnswered
 	}
 	return v
 }
--- a/internal/transport/relayer/suspect.go
+++ b/internal/transport/relayer/suspect.go
@@ -104,7 +104,7 @@
 // left.
 func (j *job) refuseQuarantined(whole time.Duration) {
 	j.relayer.metrics.quarantined.WithLabelValues(j.service.Name).Inc()
-	if j.failed != nil || j.mayHaveRun || j.headerSent {
+	if j.failed != nil || j.mayHaveRun || j.answer.begun() {
 		j.answerExhausted(reasonQuarantined)
 		return
 	}
