splitter, exchanger: count only events with data, and scan without a buffer

A stream that is delimited by its connection must contain an event, or it is truncated. Comments and blank lines counted as events, so that a head followed by ": ping" and a blank line was a complete answer. By the grammar, an event without data is not dispatched.

Body needs only the ends of events: it used to keep a copy of the current event, which had no limit.

--- a/internal/protocol/exchanger/body.go
+++ b/internal/protocol/exchanger/body.go
@@ -19,12 +19,12 @@
 //
 // The end of a body that is delimited by the close of its connection is ambiguous. Unless the
 // body is an event stream, an orderly close is the end of the body (RFC 9112, section 8). An
-// event stream must also contain at least one event.
+// event stream must also contain at least one event with data.
 type Body struct {
 	io.ReadCloser
 	framing Framing
-	// events splits an event stream; nil for other bodies.
-	events *splitter.Events
+	// events finds the ends of the events of an event stream; nil for other bodies.
+	events *splitter.Scanner
 }
 
 // NewBody returns the body of a received answer.
@@ -42,7 +42,7 @@
 
 // ExpectEvents treats the body as an event stream regardless of its media type. It must be
 // called before the first Read.
-func (b *Body) ExpectEvents() { b.events = &splitter.Events{} }
+func (b *Body) ExpectEvents() { b.events = &splitter.Scanner{} }
 
 // Framing returns the framing of the body.
 func (b *Body) Framing() Framing { return b.framing }
@@ -61,7 +61,7 @@
 	if b.events == nil {
 		return n, err
 	}
-	b.events.Push(p[:n])
+	b.events.Scan(p[:n])
 	if errors.Is(err, io.EOF) && (b.events.Unfinished() > 0 || b.framing == FramingConnection && b.events.Count() == 0) {
 		return n, io.ErrUnexpectedEOF
 	}
