exchanger, relayer: expect events only in streams of events

Symptom: a backend server's 400 with a JSON body on a route that streams reached its caller as 400, its body and a reset, and counted as a loss of the backend server under the request; on a route whose streams may be resumed, callers got 502. An answer to HEAD without a length was broken likewise.

Cause: since truncated answers are detected in one place, every answer below 500 on a route that streams was expected to consist of events.

Events are expected in successful answers only, unless they state another media type or a content coding, and never in answers without a body, whose framing is that of a length. The test of every cut covers errors of callers, and streams that end inside an event within a proper framing; the former failed before.

--- a/internal/protocol/exchanger/body.go
+++ b/internal/protocol/exchanger/body.go
@@ -30,8 +30,10 @@
 // NewBody returns the body of a received answer.
 func NewBody(response *http.Response) *Body {
 	b := &Body{ReadCloser: response.Body, framing: framingOf(response)}
-	// A body with a malformed media type is not an event stream.
-	if media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type")); err == nil && media == eventStream {
+	// A body with a malformed media type is not an event stream, and the events of one with a
+	// content coding can't be found.
+	media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err == nil && media == eventStream && response.Header.Get("Content-Encoding") == "" && hasBody(response) {
 		b.ExpectEvents()
 	}
 	return b
--- a/internal/protocol/exchanger/framing.go
+++ b/internal/protocol/exchanger/framing.go
@@ -20,6 +20,8 @@
 // framingOf returns the framing of an answer's body.
 func framingOf(response *http.Response) Framing {
 	switch {
+	case !hasBody(response):
+		return FramingLength
 	case len(response.TransferEncoding) > 0:
 		return FramingChunks
 	case response.ContentLength < 0:
@@ -28,3 +30,14 @@
 		return FramingLength
 	}
 }
+
+// hasBody reports whether an answer may have a body (RFC 9112, section 6.3).
+func hasBody(response *http.Response) bool {
+	switch {
+	case response.Request != nil && response.Request.Method == http.MethodHead:
+		return false
+	case response.StatusCode < http.StatusOK, response.StatusCode == http.StatusNoContent, response.StatusCode == http.StatusNotModified:
+		return false
+	}
+	return true
+}
--- a/internal/transport/relayer/ending_test.go
+++ b/internal/transport/relayer/ending_test.go
@@ -123,14 +123,20 @@
 	fields string
 	pieces []string
 	events bool
+	// truncated means that the backend server ends its answer properly inside an event.
+	truncated bool
 }{
-	{"a stream", streamed, "200", "Content-Type: text/event-stream\r\n", []string{"id: 1\ndata: x\n\n", "id: 2\n", "data: y\n\n"}, true},
-	{"a stream of no stated type", streamed, "200", "", []string{"id: 1\r\ndata: x\r\n\r\n", "data: y\r\n\r\n"}, true},
-	{"a stream that may go on", tracker.Route{Stream: true, Resumable: true, MaxAttempts: 1}, "200", "", []string{"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}, true},
-	{"an answer", runOnce, "200", "", []string{"one ", "two"}, false},
-	{"events that are no stream", runOnce, "200", "Content-Type: text/event-stream; charset=utf-8\r\n", []string{"data: x\n\n", "data: y\n\n"}, true},
-	{"a failure", runOnce, "500", "", []string{"it ", "failed"}, false},
-	{"a failure instead of events", streamed, "500", "", []string{"it ", "failed"}, false},
+	{"a stream", streamed, "200", "Content-Type: text/event-stream\r\n", []string{"id: 1\ndata: x\n\n", "id: 2\n", "data: y\n\n"}, true, false},
+	{"a stream of no stated type", streamed, "200", "", []string{"id: 1\r\ndata: x\r\n\r\n", "data: y\r\n\r\n"}, true, false},
+	{"a stream that may go on", tracker.Route{Stream: true, Resumable: true, MaxAttempts: 1}, "200", "", []string{"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}, true, false},
+	{"a stream that ends inside an event", streamed, "200", "Content-Type: text/event-stream\r\n", []string{"id: 1\ndata: x\n\n", "id: 2\nda"}, true, true},
+	{"a stream that may go on and ends inside an event", tracker.Route{Stream: true, Resumable: true, MaxAttempts: 1}, "200", "", []string{"id: 1\ndata: x\n\n", "id: 2\nda"}, true, true},
+	{"an answer", runOnce, "200", "", []string{"one ", "two"}, false, false},
+	{"events that are no stream", runOnce, "200", "Content-Type: text/event-stream; charset=utf-8\r\n", []string{"data: x\n\n", "data: y\n\n"}, true, false},
+	{"a failure", runOnce, "500", "", []string{"it ", "failed"}, false, false},
+	{"a failure instead of events", streamed, "500", "", []string{"it ", "failed"}, false, false},
+	{"an error of the caller instead of events", streamed, "400", "Content-Type: application/json\r\n", []string{"it was ", "wrong"}, false, false},
+	{"an error of the caller instead of events that may go on", resumable, "404", "", []string{"it was ", "wrong"}, false, false},
 }
 
 var _ = Describe("An answer that ends early", func() {
@@ -156,13 +162,17 @@
 			b := newBackend(nil)
 			b.script = func(c net.Conn, r *http.Request) { sent.script(c, r) }
 			e := newEntry(a.route, nil, b)
-			for sent.cut = range len(sent.head) + len(body) {
+			for sent.cut = range len(sent.head) - len("%s") + len("1") + len(body) + 1 {
 				for _, sent.reset = range []bool{false, true} {
 					// Backend servers are avoided for a while after a broken connection.
 					e.clockOffset.Add(int64(time.Minute))
 					got := e.callOnSocket(protocol, fields)
 					delivered := got.complete && strconv.Itoa(got.status) == a.status
-					if want := sent.completeness(f.name, a.events); want != undecided {
+					want := sent.completeness(f.name, a.events)
+					if a.truncated && sent.bodyCut() == len(body) {
+						want = broken
+					}
+					if want != undecided {
 						Expect(delivered).To(Equal(want == complete), "%s framed by %s, cut at %d of the body, reset %t: %+v", a.kind, f.name, sent.bodyCut(), sent.reset, got)
 					}
 				}
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -48,7 +48,7 @@
 	if response.StatusCode >= http.StatusInternalServerError || !head.Signed {
 		return j.keepFailure(conn, response, head) //nolint:contextcheck // The report of a loss outlives the call.
 	}
-	if j.route.Stream {
+	if j.route.Stream && response.StatusCode < http.StatusMultipleChoices && response.StatusCode != http.StatusNoContent && j.request.Method != http.MethodHead {
 		return j.stream(conn, response, head, current) //nolint:contextcheck // The report of a loss outlives the call.
 	}
 	return j.answerWhole(conn, response, head) //nolint:contextcheck // The report of a loss outlives the call.
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -23,13 +23,16 @@
 	current.markStarted()
 	var events splitter.Events
 	body := exchanger.BodyOf(response)
-	body.ExpectEvents()
+	splits := j.route.Resumable || j.backup.Name != ""
+	if splits || response.Header.Get("Content-Type") == "" {
+		body.ExpectEvents()
+	}
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			piece := buffer[:n]
-			if j.route.Resumable || j.backup.Name != "" {
+			if splits {
 				piece = events.Push(piece)
 				j.lastEvent = cmp.Or(events.ID(), j.lastEvent)
 			}
