exchanger: skip all interim answers

Symptom: if a backend server sent 103 before its answer, callers got 103, and then an empty, complete 200, with the server's signature if the 103 bore it.

Cause: only 100 was skipped; any other status below 200 was taken for the final one, which net/http replaces by an implicit 200.

All interim answers are skipped, and 101 fails the attempt, since no other protocol was requested. Found in review; both tests failed before.

--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -150,7 +150,11 @@
 			c.Abort()
 			return nil, errors.Annotatef(ErrSent, "%v", err)
 		}
-		if response.StatusCode == http.StatusContinue {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			c.Abort()
+			return nil, errors.Annotate(ErrSent, "another protocol, which was not requested")
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		response.Body = NewBody(response)
--- a/internal/protocol/exchanger/exchanger_test.go
+++ b/internal/protocol/exchanger/exchanger_test.go
@@ -184,6 +184,26 @@
 		Expect(body).To(Equal("two"))
 	})
 
+	// Guards against an interim answer that is taken for the final one: the caller received an
+	// empty, complete answer.
+	It("skips interim answers", func() {
+		s := serve(func(conn net.Conn, reader *bufio.Reader) {
+			answer(conn, reader, "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nId: %s\r\nLink: </a>\r\n\r\n",
+				"HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 3\r\n\r\none")
+		})
+		body, _, err := exchange(newPool(), s.address(), "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("one"))
+	})
+
+	It("fails if the protocol is switched", func() {
+		s := serve(func(conn net.Conn, reader *bufio.Reader) {
+			answer(conn, reader, "HTTP/1.1 101 Switching Protocols\r\nId: %s\r\n\r\nbytes")
+		})
+		_, _, err := exchange(newPool(), s.address(), "1")
+		Expect(err).To(MatchError(exchanger.ErrSent))
+	})
+
 	It("fails if only answers to other requests arrive", func() {
 		foreign := strings.Repeat("HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 1\r\n\r\nx", 5)
 		s := serve(func(conn net.Conn, reader *bufio.Reader) { answer(conn, reader, foreign) })
