--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -37,7 +37,9 @@
 	Name        string
 	Address     string
 	Incarnation string
-	Domain      string
+	// Software is the backend server's software version; empty means that it is not known.
+	Software string
+	Domain   string
 	// Away reports that the backend server is in another failure domain than the entry.
 	Away bool
 	// Expected is the expected time until the first byte; Backlog, Read and Load are
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -210,7 +210,7 @@
 // choice. The caller holds o.mu.
 func (o *pool) record(now time.Time, c *Call, b *backend, choice *Choice, s *Settings) {
 	*choice = Choice{
-		Name: b.member.Name, Address: b.member.Spec.Address, Incarnation: b.member.Spec.Incarnation,
+		Name: b.member.Name, Address: b.member.Spec.Address, Incarnation: b.member.Spec.Incarnation, Software: b.member.Spec.Software,
 		Domain: b.member.Spec.FailureDomain, Away: b.member.Spec.FailureDomain != s.FailureDomain, Running: b.runningCalls(), Age: -1, backend: b, pool: o, startedAt: now,
 	}
 	if b.reported() {
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -156,6 +156,9 @@
 	// Sequence is the sequence number of the message from which this content was
 	// taken; it increases within an incarnation. 0 means unknown.
 	Sequence uint64 `cbor:"15,keyasint,omitempty"`
+	// Software is the version of the backend server's software, an opaque name without
+	// order; empty means that it is not known.
+	Software string `cbor:"16,keyasint,omitempty"`
 }
 
 // RoutingName is the resource name of the only routing configuration.
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -29,6 +29,11 @@
 	// answer, both in tokens; 0 means unspecified.
 	PromptTokens int
 	AnswerTokens int
+	// Resumes is the attempt that returned the first event of the stream that the caller
+	// resumes, and LastEvent the id of the last event that it received; empty means
+	// unspecified.
+	Resumes   string
+	LastEvent string
 	// TokensKnown means that the caller specified PromptTokens and AnswerTokens.
 	TokensKnown bool
 	// ExpectedTokens is the caller's estimate of the length of the answer, in tokens; 0
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -151,6 +151,7 @@
 	e := j.relayer.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).
 		Str("Incarnation", j.choice.Incarnation).Int("Sent", j.sent)
 	j.addFraming(e)
+	j.addSoftware(e)
 	e.Msg(what)
 }
 
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -247,6 +247,7 @@
 		e.Stringer("Same", j.requestIdentity())
 	}
 	j.addFraming(e)
+	j.addSoftware(e)
 	e.Str("Request", j.call.ID).Str("Outcome", outcome).Int("Status", status).Str("Reason", reason).
 		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
@@ -264,6 +265,17 @@
 	}
 }
 
+// addSoftware adds to a log line the software version of the backend server chosen last. For a
+// stream that the caller resumes, it adds the attempt that began the stream and the last event.
+func (j *job) addSoftware(e *zerolog.Event) {
+	if j.choice.Software != "" {
+		e.Str("Software", j.choice.Software)
+	}
+	if j.call.Resumes != "" || j.call.LastEvent != "" {
+		e.Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEvent)
+	}
+}
+
 // targetOf returns the target time for calls on a route, or 0 if the route is unknown.
 func targetOf(r *tracker.Route) time.Duration {
 	if r == nil {
