continuer, relayer, placer, storer: continue streams only with their software version

Symptom: callers received streams whose first events came from a backend server of one software version and later ones from another.

Cause: the software version that began a stream was not recorded, and the choice of a backend server did not consider versions, neither when an entry continues a stream within one answer nor when a caller resumes it.

Before an entry forwards the first event of a resumable stream, it records the service and the software version that began the stream, locally and at three companions: one in its own failure domain and two that are the same for all entries, selected by rendezvous hashing of the attempt's id. If a caller resumes the stream at another entry, that entry queries these companions. The stream continues only with that service and version: within one answer, from a copy of its KV cache at another engine, and across the caller's attempts.

If neither is known, but control confirms that the service has had only one version, that version is used. To this end, the replicated state records the first version of each service and, with its first announcement, that there is a second one. Otherwise, and if no backend server has the version, the call is refused at once with 503, before anything has run. A version that is not announced is considered different from that of all other incarnations.

--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -15,6 +15,9 @@
 	Adapter string
 	// Version is the newest known version of the adapter.
 	Version uint64
+	// Software is the required software version of the backend server
+	// (storer.MemberSpec.SoftwareID); empty means any.
+	Software string
 	// Parts holds the hashes of the prompt's parts in order, and PartTokens their
 	// lengths in tokens. Tokens is the length of the whole prompt.
 	Parts      []uint32
@@ -37,7 +40,7 @@
 	Name        string
 	Address     string
 	Incarnation string
-	// Software is the backend server's software version; empty means that it is not known.
+	// Software is the backend server's software version (storer.MemberSpec.SoftwareID).
 	Software string
 	Domain   string
 	// Away reports that the backend server is in another failure domain than the entry.
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -130,7 +130,7 @@
 	defer o.mu.Unlock()
 	busy := false
 	eligible := func(b *backend) bool {
-		if slices.Contains(c.Avoid, b.member.Name) || !o.hasTurn(now, c, b, &p.settings) {
+		if slices.Contains(c.Avoid, b.member.Name) || !b.hasSoftware(c) || !o.hasTurn(now, c, b, &p.settings) {
 			return false
 		}
 		accepts := o.engine != nil || b.accepts(now, c)
@@ -159,14 +159,14 @@
 }
 
 // ChooseNamed counts a call at the named backend server until Finish. It returns
-// ErrNoBackend if that server is not serving.
+// ErrNoBackend if that server is not serving or lacks the required software version.
 func (p *Placer) ChooseNamed(now time.Time, c *Call, name string, choice *Choice) error {
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.survey(c, &p.settings)
 	best := o.find(name)
-	if best == nil || best.member.Spec.State != storer.MemberStateServing {
+	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) {
 		return errors.Trace(ErrNoBackend)
 	}
 	o.record(now, c, best, choice, &p.settings)
@@ -181,7 +181,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	best, _ := o.best(now, c, &p.settings, func(b *backend) bool {
-		return b != first.backend && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported()
+		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported()
 	})
 	if best == nil {
 		return false
@@ -210,7 +210,7 @@
 // choice. The caller holds o.mu.
 func (o *pool) record(now time.Time, c *Call, b *backend, choice *Choice, s *Settings) {
 	*choice = Choice{
-		Name: b.member.Name, Address: b.member.Spec.Address, Incarnation: b.member.Spec.Incarnation, Software: b.member.Spec.Software,
+		Name: b.member.Name, Address: b.member.Spec.Address, Incarnation: b.member.Spec.Incarnation, Software: b.member.Spec.SoftwareID(),
 		Domain: b.member.Spec.FailureDomain, Away: b.member.Spec.FailureDomain != s.FailureDomain, Running: b.runningCalls(), Age: -1, backend: b, pool: o, startedAt: now,
 	}
 	if b.reported() {
--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -30,6 +30,12 @@
 	// MethodLimit reports a change of the limit of requests that the backend server names:
 	// Limit.
 	MethodLimit Method = "Companion.Limit"
+	// MethodRecordOrigin reports the software version that began the stream of an attempt:
+	// RecordOrigin.
+	MethodRecordOrigin Method = "Companion.RecordOrigin"
+	// MethodFindOrigin requests the software version that began the stream of an attempt:
+	// FindOrigin, answered by FoundOrigin.
+	MethodFindOrigin Method = "Companion.FindOrigin"
 	// MethodWatch subscribes to the state of the backend server: Watch.
 	MethodWatch Method = "Companion.Watch"
 	// MethodState carries the state of an engine to an entry (package placer).
--- a/internal/state/storer/announcements.go
+++ b/internal/state/storer/announcements.go
@@ -42,7 +42,7 @@
 			return accepted(old)
 		}
 	}
-	changes := p.endPreviousMemberships(index, c)
+	changes := append(p.endPreviousMemberships(index, c), p.recordSoftware(index, c.Member)...)
 	r.Spec = c.Member
 	p.put(r)
 	s.publish(index, append(changes, Change{Revision: index, Resource: r})...)
@@ -53,6 +53,15 @@
 // its incarnations, or Incarnation if Instance is empty.
 func (s MemberSpec) ServerID() string { return cmp.Or(s.Instance, s.Incarnation) }
 
+// SoftwareID identifies the version of the backend server's software. An unknown version is
+// considered different from that of every other incarnation.
+func (s MemberSpec) SoftwareID() string {
+	if s.Software == "" {
+		return "incarnation " + s.Incarnation
+	}
+	return "version " + s.Software
+}
+
 // Equivalent reports whether two memberships are equal except for Sequence.
 func (s MemberSpec) Equivalent(other MemberSpec) bool {
 	s.Sequence, other.Sequence = 0, 0
@@ -85,6 +94,21 @@
 	return ""
 }
 
+// recordSoftware adds the software version of a backend server to the record of its service.
+func (p *space) recordSoftware(index uint64, m MemberSpec) []Change {
+	spec := SoftwareSpec{Software: m.SoftwareID()}
+	if old, exists := p.get(KindSoftware, m.Service); exists {
+		before := old.Spec.(SoftwareSpec)
+		if before.Several || before == spec {
+			return nil
+		}
+		spec = SoftwareSpec{Software: before.Software, Several: true}
+	}
+	r := Resource{Kind: KindSoftware, Metadata: Metadata{Name: m.Service, Revision: index}, Spec: spec}
+	p.put(r)
+	return []Change{{Revision: index, Resource: r}}
+}
+
 // endPreviousMemberships ends the memberships of earlier incarnations of a backend server at
 // other addresses.
 //
--- a/internal/state/storer/codec.go
+++ b/internal/state/storer/codec.go
@@ -262,6 +262,8 @@
 		want = KindNewest
 	case SuspectSpec:
 		want = KindSuspect
+	case SoftwareSpec:
+		want = KindSoftware
 	}
 	return want != KindNone && want == kind
 }
@@ -290,6 +292,8 @@
 		return specAs[NewestSpec](unmarshal)
 	case KindSuspect:
 		return specAs[SuspectSpec](unmarshal)
+	case KindSoftware:
+		return specAs[SoftwareSpec](unmarshal)
 	default:
 		return nil, errors.Errorf("unknown resource kind %d", int(kind))
 	}
--- a/internal/state/storer/kind.go
+++ b/internal/state/storer/kind.go
@@ -8,8 +8,8 @@
 type Kind int
 
 // The kinds of resources. Members, the routing configuration, newest versions and
-// suspects are written by their own commands; all others are declared individually
-// by operators.
+// suspects are written by their own commands, and software versions by announcements
+// of members; all others are declared individually by operators.
 const (
 	KindNone Kind = iota
 	KindWorkspace
@@ -26,14 +26,16 @@
 	KindNewest
 	// KindSuspect is a request during which backend servers ended.
 	KindSuspect
+	// KindSoftware records the software versions that a service has had.
+	KindSoftware
 
 	// kindLast is the last kind.
-	kindLast = KindSuspect
+	kindLast = KindSoftware
 )
 
 // shared reports whether resources of the kind belong to no workspace.
 func (k Kind) shared() bool {
-	return k == KindMember || k == KindRouting || k == KindNewest || k == KindSuspect
+	return k == KindMember || k == KindRouting || k == KindNewest || k == KindSuspect || k == KindSoftware
 }
 
 // PathSegment returns the path segment of the kind in the operators' API, or an
@@ -60,6 +62,8 @@
 		return "newest"
 	case KindSuspect:
 		return "suspects"
+	case KindSoftware:
+		return "software"
 	default:
 		return ""
 	}
--- a/internal/state/storer/kind_string.go
+++ b/internal/state/storer/kind_string.go
@@ -19,11 +19,12 @@
 	_ = x[KindRouting-8]
 	_ = x[KindNewest-9]
 	_ = x[KindSuspect-10]
+	_ = x[KindSoftware-11]
 }
 
-const _Kind_name = "NoneWorkspaceAdapterVersionPriorityRuleServiceKeyMemberRoutingNewestSuspect"
+const _Kind_name = "NoneWorkspaceAdapterVersionPriorityRuleServiceKeyMemberRoutingNewestSuspectSoftware"
 
-var _Kind_index = [...]uint8{0, 4, 13, 20, 27, 39, 46, 49, 55, 62, 68, 75}
+var _Kind_index = [...]uint8{0, 4, 13, 20, 27, 39, 46, 49, 55, 62, 68, 75, 83}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -38,7 +38,7 @@
 
 // Spec is the declared content of a resource: one of WorkspaceSpec,
 // AdapterSpec, VersionSpec, PriorityRuleSpec, ServiceSpec, KeySpec, MemberSpec,
-// RoutingSpec, NewestSpec and SuspectSpec.
+// RoutingSpec, NewestSpec, SuspectSpec and SoftwareSpec.
 type Spec interface{ spec() }
 
 // WorkspaceSpec declares a workspace and its share of the engines.
@@ -156,8 +156,8 @@
 	// Sequence is the sequence number of the message from which this content was
 	// taken; it increases within an incarnation. 0 means unknown.
 	Sequence uint64 `cbor:"15,keyasint,omitempty"`
-	// Software is the version of the backend server's software, an opaque name without
-	// order; empty means that it is not known.
+	// Software is the version of the backend server's software, an opaque, unordered
+	// string; empty means unknown.
 	Software string `cbor:"16,keyasint,omitempty"`
 }
 
@@ -178,6 +178,15 @@
 	Version uint64 `cbor:"1,keyasint,omitempty"`
 }
 
+// SoftwareSpec records whether the backend servers of a service have had more than one software
+// version. If they have not, all streams of the service began at that version.
+type SoftwareSpec struct {
+	// Software is the first version (MemberSpec.SoftwareID). Several means that another one was
+	// announced later.
+	Software string `cbor:"1,keyasint,omitempty"`
+	Several  bool   `cbor:"2,keyasint,omitempty"`
+}
+
 func (WorkspaceSpec) spec()    {}
 func (AdapterSpec) spec()      {}
 func (VersionSpec) spec()      {}
@@ -187,6 +196,7 @@
 func (MemberSpec) spec()       {}
 func (RoutingSpec) spec()      {}
 func (NewestSpec) spec()       {}
+func (SoftwareSpec) spec()     {}
 
 // Change is one entry of the resource history: a resource as written, or its
 // deletion.
--- /dev/null
+++ b/internal/state/storer/software_test.go
@@ -0,0 +1,42 @@
+package storer
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("The software versions of a service", func() {
+	announceSoftware := func(a *machine, service, incarnation, software string) {
+		GinkgoHelper()
+		c := AnnounceMember{Name: incarnation, Member: MemberSpec{
+			Address: "10.0.0.1:80", Service: service, Incarnation: incarnation, Software: software, State: MemberStateServing,
+		}}
+		Expect(a.do(c).Verdict).To(Equal(VerdictAccepted))
+	}
+	record := func(a *machine, service string) Spec {
+		r, _ := a.Get(Key{Kind: KindSoftware, Name: service})
+		return r.Spec
+	}
+
+	It("are recorded with the announcements, and kept after their backend servers have ended", func() {
+		a := newMachine(Retention{})
+		announceSoftware(a, "s", "i-1", "v1")
+		announceSoftware(a, "s", "i-2", "v1")
+		Expect(record(a, "s")).To(Equal(SoftwareSpec{Software: "version v1"}))
+		announceSoftware(a, "t", "i-3", "v2")
+		Expect(record(a, "s")).To(Equal(SoftwareSpec{Software: "version v1"}))
+		announceSoftware(a, "s", "i-4", "v2")
+		a.do(RetireMember{Incarnation: "i-4"})
+		announceSoftware(a, "s", "i-5", "v1")
+		Expect(record(a, "s")).To(Equal(SoftwareSpec{Software: "version v1", Several: true}))
+		Expect(record(a, "t")).To(Equal(SoftwareSpec{Software: "version v2"}))
+	})
+
+	// Guards against treating unknown versions as equal.
+	It("differ where they are not known", func() {
+		a := newMachine(Retention{})
+		announceSoftware(a, "s", "i-1", "")
+		announceSoftware(a, "s", "i-2", "")
+		Expect(record(a, "s")).To(Equal(SoftwareSpec{Software: "incarnation i-1", Several: true}))
+	})
+})
--- a/internal/state/tracker/tracker.go
+++ b/internal/state/tracker/tracker.go
@@ -57,7 +57,7 @@
 	if upTo <= old.Revision {
 		return nil
 	}
-	d := draft{settings: &t.settings, view: View{Revision: upTo, Routing: old.Routing, members: old.members, newest: old.newest, List: old.List}}
+	d := draft{settings: &t.settings, view: View{Revision: upTo, Routing: old.Routing, members: old.members, newest: old.newest, software: old.software, List: old.List}}
 	for _, c := range changes {
 		if c.Revision > old.Revision {
 			if err := d.apply(c.Resource, c.Deleted); err != nil {
@@ -111,6 +111,7 @@
 	// ownedServices are the services whose lists of members are copies.
 	ownedServices map[string]struct{}
 	ownedNewest   bool
+	ownedSoftware bool
 	// suspects are the changes of suspects; publish applies them together.
 	suspects []storer.Change
 }
@@ -124,6 +125,11 @@
 			d.view.newest, d.ownedNewest = cloneMap(d.view.newest), true
 		}
 		d.view.newest[r.Metadata.Name] = max(d.view.newest[r.Metadata.Name], spec.Version)
+	case storer.SoftwareSpec:
+		if !d.ownedSoftware {
+			d.view.software, d.ownedSoftware = cloneMap(d.view.software), true
+		}
+		d.view.software[r.Metadata.Name] = spec
 	case storer.MemberSpec:
 		d.applyMember(Member{Name: r.Metadata.Name, Spec: spec}, deleted)
 	case storer.SuspectSpec:
--- a/internal/state/tracker/view.go
+++ b/internal/state/tracker/view.go
@@ -30,6 +30,8 @@
 	reset   bool
 	// newest holds the newest versions by the name of the adapter or model.
 	newest map[string]uint64
+	// software holds the records of software versions by service.
+	software map[string]storer.SoftwareSpec
 	// List holds the requests during which backend servers ended.
 	*blamer.List
 }
@@ -76,6 +78,13 @@
 	return slices.BinarySearchFunc(members, name, func(m *Member, name string) int { return cmp.Compare(m.Name, name) })
 }
 
+// SoleSoftware returns the software version (storer.MemberSpec.SoftwareID) that all backend
+// servers of a service have had so far. It returns false if there were several or none.
+func (v *View) SoleSoftware(service string) (string, bool) {
+	s, ok := v.software[service]
+	return s.Software, ok && !s.Several
+}
+
 // Newest returns the newest version of an adapter or model, or FirstVersion if none
 // has been set.
 func (v *View) Newest(name string) uint64 {
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/continuer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
@@ -52,6 +53,8 @@
 	limitedGrants int
 	// turnScheduled means that a task waits for the next request's turn under the limit.
 	turnScheduled bool
+	// origins holds the origins of the attempts of which this companion is a replica.
+	origins *continuer.Store
 	// previousModel is the model that the engine held last.
 	previousModel string
 	// orderedModel is the model that the engine is loading; empty if none.
@@ -100,6 +103,7 @@
 		localEntries:  newSubscriberGroup(),
 		remoteEntries: newSubscriberGroup(),
 		cache:         newPromptCache(0),
+		origins:       continuer.NewStore(continuer.Settings{}),
 	}
 	a.metrics = newMetrics(s.Registerer)
 	a.root, a.cancel = context.WithCancel(context.Background())
@@ -189,6 +193,19 @@
 		}
 		a.handleLimit(m) //nolint:contextcheck // Orders outlive the request that led to them.
 		return nil, nil
+	case messenger.MethodRecordOrigin:
+		var m messenger.RecordOrigin
+		if err := messenger.Decode(params, &m); err != nil {
+			return nil, err
+		}
+		a.recordOrigin(m)
+		return nil, nil
+	case messenger.MethodFindOrigin:
+		var m messenger.FindOrigin
+		if err := messenger.Decode(params, &m); err != nil {
+			return nil, err
+		}
+		return a.findOrigin(m), nil
 	case messenger.MethodWatch:
 		var m messenger.Watch
 		if err := messenger.Decode(params, &m); err != nil {
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -13,6 +13,8 @@
 	refused  prometheus.Counter
 	sentBack prometheus.Counter
 	limit    prometheus.Gauge
+	// originsRefused counts origins that the store rejected.
+	originsRefused prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -35,9 +37,12 @@
 	m.limit = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "marigoldpoint_attendant_request_limit", Help: "Limit of requests per second that the engine has named, or -1.",
 	})
+	m.originsRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "marigoldpoint_attendant_origins_refused_total", Help: "Software versions of streams that were not recorded, since they were malformed or there was no room.",
+	})
 	m.setLimit(regulator.Limit{})
 	if r != nil {
-		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit)
+		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused)
 	}
 	return m
 }
--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -36,7 +36,9 @@
 		return ""
 	}
 	r := j.relayer
-	if !r.settings.Placer.Second(r.settings.Now(), j.placerCall(), &j.choice, &j.backup) {
+	call := j.placerCall()
+	call.Software = j.choice.Software
+	if !r.settings.Placer.Second(r.settings.Now(), call, &j.choice, &j.backup) {
 		return ""
 	}
 	return j.backup.Address
--- a/internal/transport/relayer/ending_test.go
+++ b/internal/transport/relayer/ending_test.go
@@ -101,7 +101,7 @@
 // the given header fields, and reads the answer to its end.
 func (e *entry) callOnSocket(protocol, fields string) socketAnswer {
 	GinkgoHelper()
-	conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.server.Listener.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	Expect(conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
@@ -254,7 +254,7 @@
 				close(sent)
 			})
 			e := newEntry(streamed, nil, b)
-			conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.server.Listener.Addr().String())
 			Expect(err).NotTo(HaveOccurred())
 			defer conn.Close()
 			Expect(conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -45,6 +45,7 @@
 	c.Key = tracker.DigestKey(r.Header.Get("Key"))
 	// A missing estimate is 0.
 	c.ExpectedTokens, _ = strconv.Atoi(r.Header.Get("Expected"))
+	c.Resumes, c.LastEvent = r.Header.Get("Resumes"), r.Header.Get("Last-Event-Id")
 	return c, err
 }
 
@@ -83,6 +84,8 @@
 	// runs counts the requests that were read.
 	runs   atomic.Int64
 	script func(c net.Conn, r *http.Request)
+	// software is the software version that is announced; empty means none.
+	software string
 	// disconnected receives a value when a connection ends.
 	disconnected chan struct{}
 }
@@ -92,7 +95,7 @@
 	network, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = network.Close() })
-	b := &backend{network: network, script: script, disconnected: make(chan struct{}, 64)}
+	b := &backend{network: network, script: script, software: "v1", disconnected: make(chan struct{}, 64)}
 	go func() {
 		for {
 			conn, err := network.Accept()
@@ -168,6 +171,10 @@
 	released    []string
 	// limits holds the limits reported to companions; guarded by mu.
 	limits []messenger.Limit
+	// recorded holds the origins recorded at companions; guarded by mu.
+	recorded []messenger.RecordOrigin
+	// found holds the companions' answers to FindOrigin by attempt; guarded by mu.
+	found map[string]messenger.FoundOrigin
 	// admit implements the admission of all companions.
 	admit func(messenger.Admit) (messenger.Admitted, error)
 	// companions overrides the addresses of companions, by the backend server's name;
@@ -318,7 +325,7 @@
 
 func (e *entry) announce(i int, b *backend, state storer.MemberState) {
 	e.put(storer.KindMember, "b"+strconv.Itoa(i), storer.MemberSpec{
-		Service: "s", Address: b.network.Addr().String(), Incarnation: "i-" + strconv.Itoa(i), State: state, Slots: 8, BaseModel: "m",
+		Service: "s", Address: b.network.Addr().String(), Incarnation: "i-" + strconv.Itoa(i), State: state, Slots: 8, BaseModel: "m", Software: b.software,
 	})
 }
 
@@ -346,6 +353,18 @@
 					return nil, err
 				}
 				e.limits = append(e.limits, m)
+			case messenger.MethodRecordOrigin:
+				var m messenger.RecordOrigin
+				if err := messenger.Decode(params, &m); err != nil {
+					return nil, err
+				}
+				e.recorded = append(e.recorded, m)
+			case messenger.MethodFindOrigin:
+				var m messenger.FindOrigin
+				if err := messenger.Decode(params, &m); err != nil {
+					return nil, err
+				}
+				return e.found[m.Attempt], nil
 			case messenger.MethodRelease:
 				var m messenger.Release
 				if err := messenger.Decode(params, &m); err != nil {
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -23,6 +23,10 @@
 	quarantined *prometheus.CounterVec
 	unattended  prometheus.Counter
 	framings    *prometheus.CounterVec
+	// resumed counts the streams that callers resume, by the source of their origin, and
+	// originsRefused the origins that the entry's store rejected.
+	resumed        *prometheus.CounterVec
+	originsRefused prometheus.Counter
 	// limited counts attempts under a limit, and limitRefused calls refused because of one.
 	limited, limitRefused *prometheus.CounterVec
 	quotas                *prometheus.CounterVec
@@ -68,6 +72,12 @@
 	m.framings = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_answers_total", Help: "Answers of backend servers by service, framing, and whether they ended inside an event.",
 	}, []string{labelService, "framing", "unfinished"})
+	m.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_resumed_streams_total", Help: "Streams that callers take up, by where the software version was found that began them.",
+	}, []string{"source"})
+	m.originsRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_origins_refused_total", Help: "Software versions of streams that were not recorded, since there was no room.",
+	})
 	m.limitRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_limit_refused_total", Help: "Calls refused since all backend servers limit requests, by service.",
 	}, []string{labelService})
@@ -75,7 +85,7 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.framings, m.quotas, m.limited, m.limitRefused)
+		r.MustRegister(m.framings, m.resumed, m.originsRefused, m.quotas, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.unattended)
 	}
 	return m
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/continuer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/suspecter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/watcher"
@@ -70,6 +71,11 @@
 	// to the leader; guarded by lossesMu.
 	endedLimits map[string]struct{}
 
+	// origins holds the origins of the attempts at this entry.
+	origins *continuer.Store
+	// directory caches the directory of the companions in the current view.
+	directory atomic.Pointer[directory]
+
 	attemptsMu sync.Mutex
 	// attempts holds the attempts in progress by engine name; guarded by attemptsMu.
 	attempts map[string]map[*attempt]struct{}
@@ -93,6 +99,7 @@
 
 		endedLimits: make(map[string]struct{}),
 		attempts:    make(map[string]map[*attempt]struct{}),
+		origins:     continuer.NewStore(continuer.Settings{}),
 	}
 	r.root, r.cancel = context.WithCancel(context.Background())
 	r.tasks.Go(r.watchCompanions)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -79,6 +79,11 @@
 	current *attempt
 	// answerBody is the body of the answer to the last attempt; nil if it got none.
 	answerBody *exchanger.Body
+	// software is the software version that began the stream and must continue it; empty
+	// means that the stream has not begun.
+	software string
+	// originSource is the source of the origin, if the caller resumes a stream.
+	originSource originSource
 	// suspect means that backend servers ended while they ran the request, in this call
 	// or before.
 	suspect bool
@@ -109,19 +114,22 @@
 	defer r.inFlight.Add(-1)
 	j := &job{relayer: r, answer: answer{writer: w, request: request}, request: request, arrived: r.settings.Now(), ctx: request.Context()}
 	defer j.refundQuota()
-	j.serve()
+	j.serve() //nolint:contextcheck // The job holds its context, and releases its admission even if the caller has left.
 	j.answer.end()
 }
 
 // serve processes the call and sends its answer to the caller.
 func (j *job) serve() {
-	if err := j.receive(); err != nil { //nolint:contextcheck // The job holds its context.
+	if err := j.receive(); err != nil {
 		return
 	}
 	ctx, cancel := context.WithDeadline(j.ctx, j.deadline)
 	defer cancel()
 	j.ctx = ctx
-	j.run() //nolint:contextcheck // The admission is released even if the caller has left.
+	if err := j.bindToSoftware(); err != nil {
+		return
+	}
+	j.run()
 }
 
 // errAnswered means that the call has already been answered.
@@ -265,14 +273,15 @@
 	}
 }
 
-// addSoftware adds to a log line the software version of the backend server chosen last. For a
-// stream that the caller resumes, it adds the attempt that began the stream and the last event.
+// addSoftware adds the software version of the backend server chosen last to a log line. For a
+// stream that the caller resumes, it adds the attempt that began the stream, the last event,
+// the required software version and the source of the origin.
 func (j *job) addSoftware(e *zerolog.Event) {
 	if j.choice.Software != "" {
 		e.Str("Software", j.choice.Software)
 	}
-	if j.call.Resumes != "" || j.call.LastEvent != "" {
-		e.Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEvent)
+	if j.route != nil && j.resumesStream() {
+		e.Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEvent).Str("RequiredSoftware", j.software).Str("OriginSource", string(j.originSource))
 	}
 }
 
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -38,6 +38,8 @@
 			}
 			if len(piece) > 0 {
 				if !j.answer.begun() {
+					j.software = j.choice.Software
+					j.recordOrigin()
 					j.answer.begin(response.StatusCode, r.settings.Translator.AnswerHeader(response.Header))
 					j.firstEventAt = r.settings.Now()
 					r.metrics.firstEvent.Observe(j.firstEventAt.Sub(j.arrived).Seconds())
--- a/internal/transport/sealer/authorize.go
+++ b/internal/transport/sealer/authorize.go
@@ -48,7 +48,8 @@
 func senders(m messenger.Method) roleSet {
 	switch m {
 	case messenger.MethodDispatch, messenger.MethodResume, messenger.MethodAcknowledge, messenger.MethodCancel,
-		messenger.MethodAdmit, messenger.MethodRelease, messenger.MethodLimit, messenger.MethodWatch:
+		messenger.MethodAdmit, messenger.MethodRelease, messenger.MethodLimit, messenger.MethodWatch,
+		messenger.MethodRecordOrigin, messenger.MethodFindOrigin:
 		return entries
 	case messenger.MethodPiece, messenger.MethodState, messenger.MethodLimitState, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
 		return companions
--- a/internal/transport/subscriber/reports.go
+++ b/internal/transport/subscriber/reports.go
@@ -67,13 +67,15 @@
 	timer := time.NewTimer(c.settings.ReportInterval)
 	defer timer.Stop()
 	for {
+		awaited := false
 		select {
 		case <-c.ctx.Done():
 			return
 		case <-timer.C:
 		case <-c.reportNow:
+			awaited = true
 		}
-		if c.accounts.Len() > 0 || c.settings.Keyed != nil && c.settings.Keyed() {
+		if awaited || c.accounts.Len() > 0 || c.settings.Keyed != nil && c.settings.Keyed() {
 			c.report()
 		}
 		timer.Reset(c.reportPause())
