listener: reset a connection whose answer in progress its end would complete

A caller of HTTP/1.0, or one that asked for the end of the connection, got an orderly end behind a part of its answer when the entry was closed before the answer ended, when a handler panicked, and when a write failed: net/http then closes the connection itself, before AbortAnswer can reset it. The connection now knows that such an answer is in progress.

--- a/internal/transport/listener/abort.go
+++ b/internal/transport/listener/abort.go
@@ -12,12 +12,16 @@
 // is closed. An answer to an HTTP/1.0 request or to one with "Connection: close" may be
 // delimited by the close of the connection, which is therefore reset.
 func AbortAnswer(w http.ResponseWriter, r *http.Request) {
-	if !r.ProtoAtLeast(1, 1) || r.Close {
+	if endsWithConn(r) {
 		resetConn(w)
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// endsWithConn reports whether the end of the connection may complete the answer to the
+// request.
+func endsWithConn(r *http.Request) bool { return !r.ProtoAtLeast(1, 1) || r.Close }
+
 // resetConn resets the connection of an answer.
 func resetConn(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -26,6 +30,13 @@
 		// answer.
 		return
 	}
+	resetOnClose(conn)
+	// The connection is discarded, so an error of Close doesn't matter.
+	_ = conn.Close()
+}
+
+// resetOnClose makes Close reset a TCP connection.
+func resetOnClose(conn net.Conn) {
 	for {
 		wrapped, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -37,6 +48,4 @@
 		// An error means that the caller has reset the connection.
 		_ = tcp.SetLinger(0)
 	}
-	// The connection is discarded, so an error of Close doesn't matter.
-	_ = conn.Close()
 }
--- a/internal/transport/listener/http.go
+++ b/internal/transport/listener/http.go
@@ -42,11 +42,14 @@
 func NewHTTP(network net.Listener, handler http.Handler, limits Limits, log zerolog.Logger) *HTTP {
 	h := &HTTP{network: network, done: make(chan struct{}), conns: make(map[*gracefulConn]struct{})}
 	h.server = &http.Server{
-		Handler:           h.withConnectionClose(handler),
+		Handler:           h.withConnectionClose(withUnfinished(handler)),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		ConnState:         h.connStateChanged,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	go func() {
 		defer close(h.done)
@@ -68,6 +71,25 @@
 	})
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withUnfinished returns a handler that marks the connection of an answer that ends with it,
+// until the answer is complete.
+func withUnfinished(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*gracefulConn)
+		if !ok || !endsWithConn(r) {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		c.setUnfinished(true)
+		handler.ServeHTTP(w, r)
+		// A handler that panics does not complete its answer.
+		c.setUnfinished(false)
+	})
+}
+
 // connStateChanged tracks the state of a connection; it is the server's ConnState callback.
 func (h *HTTP) connStateChanged(network net.Conn, state http.ConnState) {
 	c, ok := network.(*gracefulConn)
--- a/internal/transport/listener/kept.go
+++ b/internal/transport/listener/kept.go
@@ -29,6 +29,9 @@
 	hasRead bool
 	// ending makes the next read end the connection, unless it returns bytes.
 	ending bool
+	// unfinished reports whether an answer is in progress that the end of the connection may
+	// complete.
+	unfinished bool
 }
 
 // NetConn returns the underlying connection.
@@ -90,6 +93,27 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// setUnfinished records whether an answer is in progress that the end of the connection may
+// complete.
+func (c *gracefulConn) setUnfinished(unfinished bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unfinished = unfinished
+}
+
+// Close closes the connection. It resets it while an answer is in progress that an orderly
+// end would complete: the server closes connections whose handler panicked or whose write
+// failed, and all of them when it is closed.
+func (c *gracefulConn) Close() error {
+	c.mu.Lock()
+	unfinished := c.unfinished
+	c.mu.Unlock()
+	if unfinished {
+		resetOnClose(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
 // setActive records whether the server is processing a request.
 func (c *gracefulConn) setActive(active bool) {
 	c.mu.Lock()
