gatekeeper: abort an answer whose last write failed

The answer to a call that may run only once goes on without its caller, and a broken stream of events gets an error event. Where the write of the rest or of that event failed, the handler returned as after a complete answer, and the connection ended in order.

--- a/internal/transport/gatekeeper/answer.go
+++ b/internal/transport/gatekeeper/answer.go
@@ -30,7 +30,8 @@
 	// hedged means that the whole answer is buffered until it is finished, because
 	// another attempt may complete before this one.
 	hedged bool
-	// callerGone means that a write to the caller failed.
+	// callerGone means that a write to the caller failed. The caller may have left, or still
+	// read the part that was sent.
 	callerGone bool
 }
 
@@ -61,7 +62,16 @@
 	if err := a.send(data); err != nil {
 		return err
 	}
-	return errors.Trace(ignoreUnsupported(a.control.Flush()))
+	return a.flush()
+}
+
+// flush sends what was written to the caller.
+func (a *answer) flush() error {
+	if err := ignoreUnsupported(a.control.Flush()); err != nil {
+		a.callerGone = true
+		return errors.Annotate(err, "write to the caller")
+	}
+	return nil
 }
 
 // sendHeader sends the header. The outcome of an answer that is not complete yet
@@ -153,12 +163,13 @@
 	if !a.isEventStream() {
 		listener.AbortAnswer(q.w, q.r)
 	}
-	if err := a.send(f.Event(q.id)); err != nil {
-		q.entry.settings.Log.Debug().Err(err).Str("Request", q.id).Msg("the caller left before the error")
-		return
+	err := a.send(f.Event(q.id))
+	if err == nil {
+		err = a.flush()
 	}
-	if err := ignoreUnsupported(a.control.Flush()); err != nil {
+	if err != nil {
 		q.entry.settings.Log.Debug().Err(err).Str("Request", q.id).Msg("the caller left before the error")
+		listener.AbortAnswer(q.w, q.r)
 	}
 }
 
--- a/internal/transport/gatekeeper/cut_test.go
+++ b/internal/transport/gatekeeper/cut_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -159,3 +161,45 @@
 		Entry("HTTP/1.0", "HTTP/1.0", ""),
 	)
 })
+
+// failingWriter fails to flush an answer after the given number of bytes, like the connection
+// of a caller that does not read in time.
+type failingWriter struct {
+	*httptest.ResponseRecorder
+	limit int
+}
+
+func (w *failingWriter) FlushError() error {
+	if w.Body.Len() > w.limit {
+		return os.ErrDeadlineExceeded
+	}
+	return nil
+}
+
+var _ = Describe("An answer whose last write fails", func() {
+	// Guards against an orderly end of the connection behind the part that was sent: the entry
+	// can write neither the rest nor an error.
+	DescribeTable("is not ended as a complete one",
+		func(name, path, body string, limit int, answer func(messenger.Dispatch) []messenger.Piece) {
+			c := newCompanion(name)
+			c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+				send(conn, answer(d)...)
+				return nil
+			}
+			e := newDeployment(c).entry(nil)
+			r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, path, strings.NewReader(body))
+			r.Header.Set("Authorization", "Bearer "+bearer)
+			w := &failingWriter{httptest.NewRecorder(), limit}
+			Expect(func() { e.Handler().ServeHTTP(w, r) }).To(PanicWith(http.ErrAbortHandler))
+			Expect(w.Body.Len()).To(BeNumerically(">", limit))
+		},
+		Entry("if it is of a call that may run only once", "service-1", "/services/booking/print", "", 6<<20,
+			func(d messenger.Dispatch) []messenger.Piece {
+				pieces := servicePieces(d, append(large(), "last")...)
+				pieces[len(pieces)-1].End = completed("")
+				return pieces
+			}),
+		Entry("if it is a stream of events", "engine-1", "/v1/chat/completions", streamBody, 0,
+			func(d messenger.Dispatch) []messenger.Piece { return streamedAnswer(d.Request, d.Attempt, "one") }),
+	)
+})
--- a/internal/transport/gatekeeper/request.go
+++ b/internal/transport/gatekeeper/request.go
@@ -15,6 +15,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 )
 
 // request is one caller's request and its attempts. The caller's goroutine owns it.
@@ -122,6 +123,10 @@
 		e.settings.Recorder.Record(q.event(recorder.KindRequestAnswered, ""))
 		e.settings.Log.Info().Str("Request", q.id).Str("Workspace", q.dispatch.Workspace).Str("Version", q.dispatch.Version).
 			Str("Backend", q.decision.Backend).Int("Attempts", q.attempts).Dur("Took", e.settings.Now().Sub(q.began)).Msg("answered")
+		if q.answer.callerGone {
+			// A call that may run only once goes on without its caller.
+			listener.AbortAnswer(q.w, q.r)
+		}
 		return nil
 	}
 	if !q.answer.headerSent {
