gatekeeper: state the length of an answer that is sent whole

Without it, an answer of more than 2 KB to a caller of HTTP/1.0 ended with its connection only, so that the caller took a part for the whole when the entry crashed while it sent it.

--- a/internal/transport/gatekeeper/answer.go
+++ b/internal/transport/gatekeeper/answer.go
@@ -100,6 +100,11 @@
 		h.Set(translator.HeaderAdapter, v)
 	}
 	if whole {
+		if len(a.buffered) > 0 {
+			// Otherwise a caller of HTTP/1.0 can't tell a part of the answer from the whole. An
+			// answer without a body may be one to HEAD, whose length is another.
+			h.Set("Content-Length", strconv.Itoa(len(a.buffered)))
+		}
 		h.Set(translator.HeaderOutcome, messenger.OutcomeCompleted.String())
 	} else {
 		h.Set("Trailer", strings.Join([]string{
--- a/internal/transport/gatekeeper/cut_test.go
+++ b/internal/transport/gatekeeper/cut_test.go
@@ -203,3 +203,21 @@
 			func(d messenger.Dispatch) []messenger.Piece { return streamedAnswer(d.Request, d.Attempt, "one") }),
 	)
 })
+
+var _ = Describe("An answer that is sent whole", func() {
+	// Guards against an end of the connection that a caller of HTTP/1.0 takes for the end of
+	// the answer, after the entry has crashed while it sent it.
+	It("states its length", func() {
+		c := newCompanion("service-1")
+		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+			pieces := servicePieces(d, large()[:2]...)
+			pieces[1].End = completed("")
+			send(conn, pieces...)
+			return nil
+		}
+		got, body, err := newDeployment(c).entry(nil).callOnSocket("HTTP/1.0", "", http.MethodPost, "/services/booking/print", "").read()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HaveLen(2 << 20))
+		Expect(got.ContentLength).To(BeEquivalentTo(2 << 20))
+	})
+})
