--- a/internal/protocol/exchanger/exchanger_test.go
+++ b/internal/protocol/exchanger/exchanger_test.go
@@ -280,6 +280,28 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("takes an answer without a body for whole", func() {
+		// Guards against an answer to HEAD that is taken for a broken stream, since it states
+		// the type of one and neither a length nor chunks.
+		s := serve(func(conn net.Conn, reader *bufio.Reader) {
+			for answer(conn, reader, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n") {
+			}
+		})
+		p := newPool()
+		for range 2 {
+			conn, err := p.Get(context.Background(), s.address())
+			Expect(err).NotTo(HaveOccurred())
+			head := request("1")
+			head.Method, head.Body, head.ContentLength = http.MethodHead, nil, 0
+			response, err := conn.Exchange(head, hasID("1"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			conn.Finish(response, 0)
+		}
+		Expect(s.accepted).To(HaveLen(1), "the connection is used again")
+	})
+
 	It("ends when it is aborted", func() {
 		s := serve(func(_ net.Conn, reader *bufio.Reader) { _, _ = io.Copy(io.Discard, reader) })
 		p := newPool()
