--- a/internal/standin/responder/record.go
+++ b/internal/standin/responder/record.go
@@ -16,9 +16,9 @@
 const (
 	// Running means that the run has not ended yet.
 	Running Outcome = iota
-	// Answered means that the run completed and its answer was about to be written.
+	// Answered means that the run completed and its whole answer was about to be written.
 	Answered
-	// Cut means that the run completed or was aborted without an answer.
+	// Cut means that the run completed or was aborted without a whole answer.
 	Cut
 )
 
--- a/internal/standin/responder/service.go
+++ b/internal/standin/responder/service.go
@@ -51,6 +51,14 @@
 	Refuse int
 	// RequestLimit, if positive, is the limit of requests per second that answers name.
 	RequestLimit float64
+	// Unframed makes answers come without a length and chunks: they end with their
+	// connection.
+	Unframed bool
+	// CutAnswers is the number of following calls that run, but whose answer ends after
+	// CutAfter bytes of its body: with an orderly end of the connection, or a reset.
+	CutAnswers int
+	CutAfter   int
+	CutByReset bool
 }
 
 // Answer is the body of the answer to a call.
@@ -135,19 +143,24 @@
 		s.end(run, Cut)
 		panic(http.ErrAbortHandler)
 	}
-	s.end(run, Answered)
 	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 	if f.RequestLimit > 0 {
 		w.Header().Set(HeaderRequestLimit, strconv.FormatFloat(f.RequestLimit, 'g', -1, 64))
 	}
-	writeJSON(w, Answer{
+	answer := Answer{
 		Service: s.settings.Name,
 		Request: r.Header.Get(HeaderRequest),
 		Method:  r.Method,
 		Path:    r.URL.Path,
 		Run:     run,
 		Bytes:   size,
-	})
+	}
+	if f.Unframed || f.CutAnswers > 0 {
+		s.sendRaw(w, run, answer, f)
+		return
+	}
+	s.end(run, Answered)
+	writeJSON(w, answer)
 }
 
 // takeFaults returns the faults for one call and decrements the counter of the fault that
@@ -163,6 +176,8 @@
 		s.faults.DieBefore--
 	case f.DieAfter > 0:
 		s.faults.DieAfter--
+	case f.CutAnswers > 0:
+		s.faults.CutAnswers--
 	}
 	return f
 }
