--- a/internal/standin/driver/checker.go
+++ b/internal/standin/driver/checker.go
@@ -1,8 +1,10 @@
 package driver
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -31,6 +33,8 @@
 	figures   [promises]PromiseFigures
 	// notRun holds the calls that were refused as not run.
 	notRun []refusedCall
+	// services holds the complete answers of plain services.
+	services []serviceAnswer
 	// keyed holds, by Idempotency-Key, the first complete answer.
 	keyed map[string]keyedCall
 	// keys holds the Idempotency-Key by request id.
@@ -55,6 +59,14 @@
 	runID string
 }
 
+// serviceAnswer is an answer of a plain service that its caller took for complete.
+type serviceAnswer struct {
+	// request and run identify the run that the answer names; run is 0 if it names none.
+	request string
+	run     int64
+	number  int
+}
+
 // NewChecker returns a checker without findings. Without checkText the text of answers is
 // not compared.
 func NewChecker(checkText bool) *Checker {
@@ -104,6 +116,9 @@
 	if a.Ending() == NotRun {
 		c.notRun = append(c.notRun, refusedCall{request: a.Request, number: call.Number, key: call.Key, sentAt: a.SentAt})
 	}
+	if call.Kind.isService() && a.Ending() == Completed && a.Status == http.StatusOK {
+		c.services = append(c.services, serviceAnswer{cmp.Or(a.Service.Request, a.Request), a.Service.Run, call.Number})
+	}
 	if other, ok := c.requests[a.Request]; ok && other != call.Number {
 		c.add(Finding{Promise: OwnAnswer, Broken: true, Detail: fmt.Sprintf("calls %d and %d got one request id, %s", other, call.Number, a.Request)})
 	}
@@ -164,6 +179,34 @@
 		c.checkNotRun(&runs)
 	}
 	c.checkKeys(runs.byKey)
+	c.checkServices(services)
+}
+
+// checkServices checks that an answer of a plain service that was complete to its caller was
+// sent whole by the run that it names. Answers to runs that are not in the records are not
+// checked.
+func (c *Checker) checkServices(services []responder.Record) {
+	whole := make(map[string][]int64)
+	for i := range services {
+		for _, r := range services[i].Runs {
+			runs := whole[r.Request]
+			if r.Outcome == responder.Answered {
+				runs = append(runs, r.Sequence)
+			}
+			whole[r.Request] = runs
+		}
+	}
+	for _, a := range c.services {
+		runs, ran := whole[a.request]
+		if !ran {
+			continue
+		}
+		f := Finding{Promise: HonestEnd, Broken: !slices.Contains(runs, a.run)}
+		if f.Broken {
+			f.Detail = fmt.Sprintf("call %d: the answer to request %s was complete to its caller, and run %d did not send it whole", a.number, a.request, a.run)
+		}
+		c.add(f)
+	}
 }
 
 // runCounts counts runs by request id and by the caller's Idempotency-Key.
--- a/internal/standin/driver/checker_test.go
+++ b/internal/standin/driver/checker_test.go
@@ -74,7 +74,7 @@
 	for i := range all {
 		id := all[i].answer.Request
 		if all[i].call.Model == "" {
-			s.Runs = append(s.Runs, responder.Run{Request: id, Key: all[i].call.Key})
+			s.Runs = append(s.Runs, responder.Run{Request: id, Key: all[i].call.Key, Outcome: responder.Answered})
 		} else {
 			e.Runs = append(e.Runs, generator.Run{Request: id, Started: now})
 		}
@@ -150,6 +150,13 @@
 	{"booking that ran twice", driver.AtMostOnce, kind(driver.ServiceWrite), func(x, _ *exchange, _ *generator.Record, s *responder.Record) {
 		s.Runs = append(s.Runs, responder.Run{Request: "late", Key: x.call.Key})
 	}},
+	{"cut answer that ends as a complete one", driver.HonestEnd, serviceRead, func(x, _ *exchange, _ *generator.Record, s *responder.Record) {
+		for i := range s.Runs {
+			if s.Runs[i].Request == x.answer.Request {
+				s.Runs[i].Outcome = responder.Cut
+			}
+		}
+	}},
 	{"review that ran on two engines", driver.AtMostOnce, kind(driver.Review), func(x, _ *exchange, e *generator.Record, _ *responder.Record) {
 		e.Runs = append(e.Runs, generator.Run{Request: x.answer.Request, Started: time.Now()})
 	}},
--- a/internal/standin/driver/enum.go
+++ b/internal/standin/driver/enum.go
@@ -40,7 +40,8 @@
 	WholeAnswer
 	// OwnAnswer means that the answer belongs to the request.
 	OwnAnswer
-	// HonestEnd means that an interrupted stream does not end as a complete one does.
+	// HonestEnd means that an interrupted stream, or an interrupted answer of a plain service,
+	// does not end as a complete one does.
 	HonestEnd
 	// OutcomeTold means that the answer states the request id, a consistent outcome and,
 	// with a status that asks to retry, the time to do so.
