--- a/internal/standin/demonstrator/network_test.go
+++ b/internal/standin/demonstrator/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -87,6 +88,31 @@
 		Expect(receivesNothing(old, silenceTime)).To(BeTrue())
 	}, NodeTimeout(testLimit))
 
+	// Guards against a relay that ends a reset connection in order, which completes an answer
+	// that ends with its connection.
+	It("propagates a reset", func(ctx SpecContext) {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		n.setOwner(l.Addr().String(), "b")
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(c, make([]byte, len("reset")))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}()
+		c, err := n.dialFrom("a")(ctx, l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = c.Write([]byte("reset"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	}, NodeTimeout(testLimit))
+
 	It("refuses a connection that the host refuses", func(ctx SpecContext) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/standin/demonstrator/relay.go
+++ b/internal/standin/demonstrator/relay.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -147,13 +148,17 @@
 }
 
 // propagateEnd closes the other side of a connection after a read failed with
-// cause: half-closes it after EOF, closes it otherwise.
+// cause: half-closes it after EOF, resets it after a reset, closes it otherwise.
 func propagateEnd(to net.Conn, cause error) {
 	tcp, ok := to.(*net.TCPConn)
 	if ok && errors.Is(cause, io.EOF) {
 		_ = tcp.CloseWrite()
 		return
 	}
+	if ok && errors.Is(cause, syscall.ECONNRESET) {
+		// This fails if the other side is closed already.
+		_ = tcp.SetLinger(0)
+	}
 	_ = to.Close()
 }
 
