--- a/internal/standin/demonstrator/faultactions.go
+++ b/internal/standin/demonstrator/faultactions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -97,6 +98,8 @@
 			return faultOutcome{}, err
 		}
 		return f.kill(ctx, leader, s.busiest())
+	case CutAnswers:
+		return f.cutAnswers(ctx), nil
 	default:
 		panic("demonstrator: unknown fault")
 	}
@@ -276,6 +279,32 @@
 	return o
 }
 
+// cutAnswers makes plain services cut their answers for degradedTime, in each of several ways
+// for a part of it. It leaves out an orderly end of an answer without framing, which shows
+// nowhere that it is cut.
+func (f *faultRun) cutAnswers(ctx context.Context) faultOutcome {
+	const all = math.MaxInt
+	ways := []responder.Faults{
+		{CutAnswers: all, CutAfter: 20},
+		{CutAnswers: all, CutAfter: 20, CutByReset: true},
+		{Unframed: true, CutAnswers: all, CutAfter: 20, CutByReset: true},
+		{Unframed: true},
+	}
+	for _, way := range ways {
+		f.setServiceFaults(way)
+		sleep(ctx, degradedTime/time.Duration(len(ways)))
+	}
+	f.setServiceFaults(responder.Faults{})
+	return faultOutcome{"all plain services", OthersGoOn, nil}
+}
+
+// setServiceFaults sets the faults that all plain services inject.
+func (f *faultRun) setServiceFaults(faults responder.Faults) {
+	for _, s := range f.deployment.Services() {
+		s.Inject(faults)
+	}
+}
+
 // setEngineFaults sets the faults that all engines inject.
 func (f *faultRun) setEngineFaults(faults generator.Faults) {
 	for _, e := range f.deployment.Engines() {
--- a/internal/standin/demonstrator/faults.go
+++ b/internal/standin/demonstrator/faults.go
@@ -57,6 +57,8 @@
 	SecondLoss
 	// LeaderAndCompanion: the leader and a companion are killed at once.
 	LeaderAndCompanion
+	// CutAnswers: plain services cut their answers, in several ways in turn.
+	CutAnswers
 
 	faults = iota
 )
@@ -83,6 +85,7 @@
 		LostDisk:           "a control host loses its disk and is replaced under a new identity",
 		SecondLoss:         "another control host is lost right after such a repair",
 		LeaderAndCompanion: "the leader and a companion are killed at once",
+		CutAnswers:         "plain services cut their answers, and send them without framing",
 	}[f]
 }
 
--- a/internal/standin/demonstrator/faults_string.go
+++ b/internal/standin/demonstrator/faults_string.go
@@ -27,11 +27,12 @@
 	_ = x[LostDisk-16]
 	_ = x[SecondLoss-17]
 	_ = x[LeaderAndCompanion-18]
+	_ = x[CutAnswers-19]
 }
 
-const _Fault_name = "EngineRestartCompanionKillCompanionStopBackendLeavesLeaderKillLeaderStopEntryKillEntryStopSilentEntrySilentEngineSilentControlFailingLoadsSlowStoreLeaderCutLeaderCutOutboundLeaderCutInboundLostDiskSecondLossLeaderAndCompanion"
+const _Fault_name = "EngineRestartCompanionKillCompanionStopBackendLeavesLeaderKillLeaderStopEntryKillEntryStopSilentEntrySilentEngineSilentControlFailingLoadsSlowStoreLeaderCutLeaderCutOutboundLeaderCutInboundLostDiskSecondLossLeaderAndCompanionCutAnswers"
 
-var _Fault_index = [...]uint8{0, 13, 26, 39, 52, 62, 72, 81, 90, 101, 113, 126, 138, 147, 156, 173, 189, 197, 207, 225}
+var _Fault_index = [...]uint8{0, 13, 26, 39, 52, 62, 72, 81, 90, 101, 113, 126, 138, 147, 156, 173, 189, 197, 207, 225, 235}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
