--- a/internal/protocol/orderer/ending_test.go
+++ b/internal/protocol/orderer/ending_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 
@@ -198,3 +199,25 @@
 		Entry("before the first event, by connection", 2, nil, false),
 	)
 })
+
+var _ = Describe("An answer of an engine that exceeds the limit", func() {
+	// Guards against an exported request of which the rest is missing when it is imported.
+	DescribeTable("is not taken for whole",
+		func(length int, whole bool) {
+			body := strings.Repeat("x", length)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+			DeferCleanup(server.Close)
+			engine := orderer.NewEngine(orderer.Settings{Address: server.Listener.Addr().String(), MaxAnswerBytes: 100})
+			DeferCleanup(engine.Close)
+			data, err := engine.ExportKV(context.Background(), 1, "r1")
+			if whole {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(data)).To(Equal(body))
+				return
+			}
+			Expect(err).To(MatchError(orderer.ErrUnknown))
+		},
+		Entry("at the limit", 100, true),
+		Entry("above the limit", 101, false),
+	)
+})
--- a/internal/protocol/orderer/engine.go
+++ b/internal/protocol/orderer/engine.go
@@ -147,7 +147,11 @@
 		return refusal(answer)
 	}
 	incarnation := answer.Header.Get(HeaderIncarnation)
-	data, err := io.ReadAll(io.LimitReader(answer.Body, e.client.settings.MaxAnswerBytes))
+	limit := e.client.settings.MaxAnswerBytes
+	data, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if int64(len(data)) > limit {
+		err = errors.Errorf("answer longer than %d bytes", limit)
+	}
 	if err != nil {
 		return &Error{MayHaveBegun: true, Status: answer.StatusCode, Incarnation: incarnation, Cause: err}
 	}
