storer, tracker, relayer: stricter proof that there was one software version

By reading, in review: a stream could have been continued at another version if its route had led to another service before, or if a service had members of several versions when its record began; and streams were refused although their version serves, since an announcement without a version replaced the known one, and since an origin was kept for the time of the first attempt only.

The proof asks all services of the same kind, a record that begins beside members of other versions contains several, an incarnation keeps its version, and each resumption records the first attempt's origin again. If there were several versions, control is not asked. Each has a test.

--- a/internal/state/storer/announcements.go
+++ b/internal/state/storer/announcements.go
@@ -35,14 +35,15 @@
 			c.Member.Epoch = previous.Epoch
 			c.Member.State = max(c.Member.State, previous.State)
 			c.Member.Sequence = max(c.Member.Sequence, previous.Sequence)
+			c.Member.Software = cmp.Or(c.Member.Software, previous.Software)
 		} else {
 			p.supersede(c.Name, previous.Incarnation)
 		}
-		if previous.Equivalent(c.Member) {
+		if _, recorded := p.get(KindSoftware, c.Member.Service); recorded && previous.Equivalent(c.Member) {
 			return accepted(old)
 		}
 	}
-	changes := append(p.endPreviousMemberships(index, c), p.recordSoftware(index, c.Member)...)
+	changes := append(p.recordSoftware(index, c.Member), p.endPreviousMemberships(index, c)...)
 	r.Spec = c.Member
 	p.put(r)
 	s.publish(index, append(changes, Change{Revision: index, Resource: r})...)
@@ -94,15 +95,23 @@
 	return ""
 }
 
-// recordSoftware adds the software version of a backend server to the record of its service.
+// recordSoftware adds the software version of a backend server to the record of its service. A
+// record that begins while the service has members of other versions, as in a state from before
+// there were records, contains several.
 func (p *space) recordSoftware(index uint64, m MemberSpec) []Change {
-	spec := SoftwareSpec{Software: m.SoftwareID()}
+	spec := SoftwareSpec{Software: m.SoftwareID(), Engine: m.Kind == MemberKindEngine}
 	if old, exists := p.get(KindSoftware, m.Service); exists {
 		before := old.Spec.(SoftwareSpec)
 		if before.Several || before == spec {
 			return nil
 		}
-		spec = SoftwareSpec{Software: before.Software, Several: true}
+		spec = before
+		spec.Several = true
+	} else {
+		for _, r := range p.resources[KindMember] {
+			other := r.Spec.(MemberSpec)
+			spec.Several = spec.Several || other.Service == m.Service && other.SoftwareID() != spec.Software
+		}
 	}
 	r := Resource{Kind: KindSoftware, Metadata: Metadata{Name: m.Service, Revision: index}, Spec: spec}
 	p.put(r)
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -185,6 +185,8 @@
 	// announced later.
 	Software string `cbor:"1,keyasint,omitempty"`
 	Several  bool   `cbor:"2,keyasint,omitempty"`
+	// Engine means that the backend servers of the service are engines.
+	Engine bool `cbor:"3,keyasint,omitempty"`
 }
 
 func (WorkspaceSpec) spec()    {}
--- a/internal/state/storer/software_test.go
+++ b/internal/state/storer/software_test.go
@@ -9,7 +9,7 @@
 	announceSoftware := func(a *machine, service, incarnation, software string) {
 		GinkgoHelper()
 		c := AnnounceMember{Name: incarnation, Member: MemberSpec{
-			Address: "10.0.0.1:80", Service: service, Incarnation: incarnation, Software: software, State: MemberStateServing,
+			Kind: MemberKindService, Address: "10.0.0.1:80", Service: service, Incarnation: incarnation, Software: software, State: MemberStateServing,
 		}}
 		Expect(a.do(c).Verdict).To(Equal(VerdictAccepted))
 	}
@@ -32,6 +32,25 @@
 		Expect(record(a, "t")).To(Equal(SoftwareSpec{Software: "version v2"}))
 	})
 
+	It("are those of a service without a record if its members differ", func() {
+		a := newMachine(Retention{})
+		announceSoftware(a, "s", "i-1", "v1")
+		announceSoftware(a, "s", "i-2", "v2")
+		a.shard("").space("").remove(KindSoftware, "s")
+		announceSoftware(a, "s", "i-1", "v1")
+		Expect(record(a, "s")).To(Equal(SoftwareSpec{Software: "version v1", Several: true}))
+	})
+
+	// Guards against streams that are refused since a later announcement lacks the version.
+	It("are kept by announcements without one", func() {
+		a := newMachine(Retention{})
+		announceSoftware(a, "s", "i-1", "v1")
+		announceSoftware(a, "s", "i-1", "")
+		Expect(record(a, "s")).To(Equal(SoftwareSpec{Software: "version v1"}))
+		r, _ := a.Get(Key{Kind: KindMember, Name: "i-1"})
+		Expect(r.Spec.(MemberSpec).Software).To(Equal("v1"))
+	})
+
 	// Guards against treating unknown versions as equal.
 	It("differ where they are not known", func() {
 		a := newMachine(Retention{})
--- a/internal/state/tracker/view.go
+++ b/internal/state/tracker/view.go
@@ -79,10 +79,15 @@
 }
 
 // SoleSoftware returns the software version (storer.MemberSpec.SoftwareID) that all backend
-// servers of a service have had so far. It returns false if there were several or none.
-func (v *View) SoleSoftware(service string) (string, bool) {
-	s, ok := v.software[service]
-	return s.Software, ok && !s.Several
+// servers of a service and of all services of its kind have had so far: a route may have had
+// another service before. known is false if there were several versions, or none yet; several
+// excludes the latter.
+func (v *View) SoleSoftware(service string) (software string, known, several bool) {
+	own, known := v.software[service]
+	for _, s := range v.software {
+		several = several || s.Engine == own.Engine && (s.Several || s.Software != own.Software)
+	}
+	return own.Software, known && !several, known && several
 }
 
 // Newest returns the newest version of an adapter or model, or FirstVersion if none
--- a/internal/transport/relayer/origin.go
+++ b/internal/transport/relayer/origin.go
@@ -154,15 +154,15 @@
 }
 
 // soleSoftware returns the only software version that the backend servers of the service have
-// had. It first waits until the replica of the state is newer than the call, since an older one
-// may lack the version that began the stream. known is false if there were several versions or
+// had. Unless the replica of the state contains several, it waits until the replica is newer
+// than the call, since an older one may lack the version that began the stream. known is false if there were several versions or
 // none, or if the route has several services; confirmed is false if control did not confirm the
 // replica.
 func (j *job) soleSoftware() (software string, known, confirmed bool) {
-	if len(j.route.Shares) > 1 {
+	r := j.relayer
+	if _, _, several := r.settings.View().SoleSoftware(j.service.Name); several || len(j.route.Shares) > 1 {
 		return "", false, true
 	}
-	r := j.relayer
 	ctx, cancel := context.WithTimeout(j.ctx, controlReplyTimeout)
 	defer cancel()
 	for !r.stateNewerThan(j.arrived) {
@@ -170,7 +170,7 @@
 			return "", false, false
 		}
 	}
-	software, known = r.settings.View().SoleSoftware(j.service.Name)
+	software, known, _ = r.settings.View().SoleSoftware(j.service.Name)
 	return software, known, true
 }
 
@@ -186,17 +186,27 @@
 }
 
 // recordOrigin records the service and the software version of the backend server that sent the
-// first event as the origin of the call's attempt, at this entry and at the attempt's replicas.
-// It is called before the event is forwarded, and does not wait for the replicas.
+// first event as the origin of the call's attempt, and again as that of the attempt that began
+// the stream, if the caller resumes one and will wait longer than was known then. It is called
+// before the event is forwarded.
 func (j *job) recordOrigin() {
 	if !j.route.Resumable {
 		return
 	}
+	j.recordOriginOf(j.call.ID)
+	if j.call.Resumes != "" && j.call.Resumes != j.call.ID {
+		j.recordOriginOf(j.call.Resumes)
+	}
+}
+
+// recordOriginOf records the origin of an attempt at this entry and at the attempt's replicas. It
+// does not wait for the replicas.
+func (j *job) recordOriginOf(attempt string) {
 	r := j.relayer
 	now := r.settings.Now()
 	ttl := j.arrived.Add(max(j.call.Deadline, j.route.Timeout) + originMargin).Sub(now)
 	m := messenger.RecordOrigin{
-		Attempt: j.call.ID, Service: j.service.Name, Software: j.software, KeepMillis: ttl.Milliseconds(),
+		Attempt: attempt, Service: j.service.Name, Software: j.software, KeepMillis: ttl.Milliseconds(),
 		Request: r.settings.Node + " " + strconv.FormatInt(j.arrived.UnixNano(), 36),
 	}
 	if !r.origins.Put(now, m.Attempt, continuer.Origin{Service: m.Service, Software: m.Software, Request: m.Request, Expires: now.Add(ttl)}) {
--- a/internal/transport/relayer/origin_test.go
+++ b/internal/transport/relayer/origin_test.go
@@ -97,7 +97,10 @@
 			{"Id": "two", "Resumes": "one", "Last-Event-Id": "2"},
 			{"Id": "three", "Resumes": "one", "Last-Event-Id": "4"},
 			{"Id": "four", "Resumes": "two", "Last-Event-Id": "6"},
+			{"Id": "five", "Resumes": "one", "Last-Event-Id": "8"},
 		} {
+			// The first attempt's own time ends after 22 s.
+			e.clockOffset.Add(int64(10 * time.Second))
 			Expect(read(e.call(ctx, header))).NotTo(BeEmpty())
 			Expect(runs(all[first])).To(Equal(2 + i))
 			Expect(runs(all[1-first])).To(BeZero())
@@ -219,6 +222,21 @@
 		Expect(runs(all...)).To(BeZero())
 	})
 
+	// Guards against a stream of another service that the route had before.
+	It("is refused if another service had another version", func() {
+		e.put(storer.KindSoftware, "before", storer.SoftwareSpec{Software: "version v2"})
+		Expect(resume().StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(runs(all...)).To(BeZero())
+	})
+
+	It("is refused at once if there were several, whether or not control answers", func() {
+		e.put(storer.KindSoftware, "s", storer.SoftwareSpec{Software: "version v1", Several: true})
+		e.control.set(time.Hour, false)
+		got := resume()
+		Expect(got.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Retry-After")).To(BeEmpty())
+	})
+
 	It("is refused once there was another version", func() {
 		e.put(storer.KindSoftware, "s", storer.SoftwareSpec{Software: "version v1", Several: true})
 		Expect(resume().StatusCode).To(Equal(http.StatusServiceUnavailable))
