--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -48,12 +48,19 @@
 	if response.StatusCode >= http.StatusInternalServerError || !head.Signed {
 		return j.keepFailure(conn, response, head) //nolint:contextcheck // The report of a loss outlives the call.
 	}
-	if j.route.Stream && response.StatusCode < http.StatusMultipleChoices && response.StatusCode != http.StatusNoContent && j.request.Method != http.MethodHead {
+	if j.isStream(response) {
 		return j.stream(conn, response, head, current) //nolint:contextcheck // The report of a loss outlives the call.
 	}
 	return j.answerWhole(conn, response, head) //nolint:contextcheck // The report of a loss outlives the call.
 }
 
+// isStream reports whether the answer is a stream. Errors of the caller and answers without a
+// body are not, even on a route that streams.
+func (j *job) isStream(response *http.Response) bool {
+	success := response.StatusCode < http.StatusMultipleChoices && response.StatusCode != http.StatusNoContent
+	return j.route.Stream && success && j.request.Method != http.MethodHead
+}
+
 // exchange sends the call to the chosen backend server. The end of the context resets
 // the connection, which makes the backend server cancel the request.
 func (j *job) exchange(ctx context.Context, a Attempt) (*exchanger.Conn, *http.Response, error) {
