--- a/internal/transport/relayer/doc.go
+++ b/internal/transport/relayer/doc.go
@@ -12,4 +12,17 @@
 // one reported that it did not run the call, or if no byte of the call was sent. In
 // every other case the entry answers at once that the outcome is unknown. A call that
 // may be repeated is retried while attempts, time and the retry budget last.
+//
+// # Ends of answers
+//
+// An answer to a caller is complete only if the backend server's is, which exchanger.Body
+// decides. Any other answer of which a part was sent is aborted, so that its caller sees a
+// broken connection.
+//
+// # Resumed streams
+//
+// A stream is continued only at the service and the software version that sent its first
+// event, whether the entry continues it within one answer or its caller resumes it. The
+// origins of streams are recorded at companions, see package continuer. A stream whose
+// origin is unknown is refused, unless its service has had only one software version.
 package relayer
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -20,7 +20,7 @@
 
 const (
 	// verdictAnswered means that the call is finished: the caller has the complete
-	// answer, or has left while it was forwarded.
+	// answer or has left, or the answer broke after a part of it was forwarded.
 	verdictAnswered verdict = iota
 	// verdictNotRun means that the backend server did not run the call.
 	verdictNotRun
