moderator, listener, subscriber: limit connections while an entry's link is saturated

Callers saw: while a balancer sent most new connections of a region to one entry with a link of 10 Mbit/s, that entry read requests and served hardly any of them at the first attempt. A caller's retry would have reached another entry.

Cause: an entry accepted every connection. All requests share its link, each takes longer the more there are, and beyond what the link carries all of them arrive after their callers have left. The entry's own dials, admissions and heartbeats wait in the same queue, so that it refused calls because backend servers seemed unreachable. Its core was used to less than a half.

Fix: the time to open connections to control hosts tells that the link is saturated, and what was accepted until its queue is empty again what it carries. Connections beyond are refused before their callers send anything, by a listener that is closed between, with a backlog of one.

--- a/internal/standin/linker/link_test.go
+++ b/internal/standin/linker/link_test.go
@@ -41,7 +41,7 @@
 	began := time.Now()
 	for range connections {
 		go func() {
-			conn, err := net.Dial("tcp", address)
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
 			if err != nil {
 				t.Error(err)
 				return
@@ -86,7 +86,7 @@
 	if err := l.Expose(address, freeAddress(t)); err != nil {
 		t.Fatal(err)
 	}
-	conn, err := net.Dial("tcp", address)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/listener/http.go
+++ b/internal/transport/listener/http.go
@@ -23,13 +23,16 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout limits the time between two requests of a connection; 0 means no limit.
 	IdleTimeout time.Duration
+	// Admission limits the connections that a TCP listener accepts; nil means no limit.
+	Admission Admission
 }
 
 // HTTP serves HTTP on one listener.
 type HTTP struct {
-	network net.Listener
-	server  *http.Server
-	done    chan struct{}
+	network   net.Listener
+	server    *http.Server
+	admission Admission
+	done      chan struct{}
 	// draining makes each response close its connection.
 	draining atomic.Bool
 
@@ -40,7 +43,10 @@
 
 // NewHTTP serves handler on network until Close or Shutdown.
 func NewHTTP(network net.Listener, handler http.Handler, limits Limits, log zerolog.Logger) *HTTP {
-	h := &HTTP{network: network, done: make(chan struct{}), conns: make(map[*gracefulConn]struct{})}
+	if tcp, ok := network.(*net.TCPListener); ok && limits.Admission != nil {
+		network = newPausingListener(tcp, limits.Admission)
+	}
+	h := &HTTP{network: network, admission: limits.Admission, done: make(chan struct{}), conns: make(map[*gracefulConn]struct{})}
 	h.server = &http.Server{
 		Handler:           h.withConnectionClose(withUnfinished(handler)),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
@@ -61,10 +67,10 @@
 }
 
 // withConnectionClose returns a handler that sets "Connection: close" on responses while
-// the server drains.
+// the server drains or limits connections.
 func (h *HTTP) withConnectionClose(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h.draining.Load() {
+		if h.draining.Load() || h.admission != nil && h.admission.Limited() {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
--- a/internal/transport/starter/process.go
+++ b/internal/transport/starter/process.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/moderator"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
@@ -67,12 +68,14 @@
 	recorder *recorder.Recorder
 	random   *rand.Rand
 
-	index             *indexer.Index
-	client            *subscriber.Client
-	control           *controller.Control
-	entry             *gatekeeper.Entry
-	pool              *dialer.Pool
-	entryListener     *listener.HTTP
+	index         *indexer.Index
+	client        *subscriber.Client
+	control       *controller.Control
+	entry         *gatekeeper.Entry
+	pool          *dialer.Pool
+	entryListener *listener.HTTP
+	// callerConnections limits the connections of callers; nil without an entry.
+	callerConnections *moderator.Moderator
 	operatorsListener *listener.HTTP
 
 	// companionRandom is the companion's random source. It is created at the start, since
--- a/internal/transport/starter/roles.go
+++ b/internal/transport/starter/roles.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/moderator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/indexer"
@@ -69,6 +70,9 @@
 		scope = distributor.ScopeEntry
 	}
 	p.index = indexer.NewIndex(indexer.Settings{})
+	if c.HasRole(configurer.RoleEntry) {
+		p.callerConnections = moderator.NewModerator()
+	}
 	p.client = subscriber.NewClient(subscriber.Settings{
 		Node:               c.Node,
 		Region:             c.Region,
@@ -85,6 +89,7 @@
 		Now:                p.settings.Now,
 		Random:             p.forkRandom(),
 		Dial:               p.dialPeers(configurer.RoleControl),
+		Moderator:          p.callerConnections,
 	})
 }
 
@@ -113,7 +118,9 @@
 		Now:           p.settings.Now,
 		Random:        p.forkRandom(),
 	})
-	p.entryListener = listener.NewHTTP(network, p.entry.Handler(), gatekeeper.Limits(c.Entry), p.settings.Log)
+	limits := gatekeeper.Limits(c.Entry)
+	limits.Admission = p.callerConnections
+	p.entryListener = listener.NewHTTP(network, p.entry.Handler(), limits, p.settings.Log)
 	return nil
 }
 
--- a/internal/transport/subscriber/client.go
+++ b/internal/transport/subscriber/client.go
@@ -111,6 +111,10 @@
 		reportedStates: make(map[string]registrar.ServerState),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if s.Moderator != nil {
+		random := rand.New(rand.NewPCG(s.Random.Uint64(), s.Random.Uint64()))
+		c.workers.Go(func() { c.watchLink(s.Moderator, random) })
+	}
 	c.workers.Add(5)
 	go c.reportLoop()
 	go c.run()
--- a/internal/transport/subscriber/settings.go
+++ b/internal/transport/subscriber/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/distributor"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/moderator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
@@ -81,6 +82,9 @@
 	// with each pulse of a control host; nil means that they are not needed.
 	OnLimits func([]regulator.ServerLimit)
 
+	// Moderator receives round trips to the control hosts; nil means that none are measured.
+	Moderator *moderator.Moderator
+
 	// Messenger holds the intervals of connections; its other fields are set by the client.
 	Messenger messenger.Settings
 	Recorder  *recorder.Recorder
