relayer, platform: a retry budget that holds over all entries and in every window

Cause: each entry bounded its own retries by its own counts, and three things broke the sum. - A retry was charged when it was decided, and arrived when it had been admitted, up to 3.5 s later. - An entry that started again had empty counts and a whole share of the slack, and shares grew while other entries were away, although what they had sent was in the window still. Before the number of entries was known, 8 were assumed. - Requests were counted in the window that ended with the retry. Callers that move between entries make the sum of these larger than the requests of any one window.

Evidence: TestBudgetHoldsOverAllEntries failed after 85 cases: 7 entries, two restart, 41 retries where 40 are allowed; without restarts and stops 56 for 78 requests, 55.6 allowed.

Fix: retries are reserved when they are decided and counted, or given up, when they are sent, and 2 s are added for their way. For each window that has not ended, an entry's retries since its beginning are at most ratio times half of its requests in that window and the one before it: the same windows at all entries. The slack is divided by the largest number of entries within that time; an entry that has had a previous incarnation uses none for 14 s, and one whose number of entries is older than 2 s uses none either. Entries take the number from control alone: what companions reported counted the entries that follow one engine, and is no longer sent.

The test of shares by all entries keeps its bound on the new signature; two tests are added, of an entry without control and of the part of the budget that can be used. The spec of two attempts waits until the entry knows the number of entries, and in the meantime still fails at a third attempt.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -132,7 +132,6 @@
 	}
 	s.Incarnation, s.Life = cmp.Or(s.Incarnation, before.Incarnation), cmp.Or(s.Life, before.Life)
 	s.MaxAdapters = cmp.Or(s.MaxAdapters, before.MaxAdapters)
-	s.Entries = cmp.Or(s.Entries, before.Entries)
 }
 
 // slot returns the known state of an adapter's slot.
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -196,7 +196,7 @@
 
 	It("applies a delta to the known state", func() {
 		d := newDeployment(1)
-		d.report(start, 0, placer.EngineState{Adapters: held("a1", "a2"), Entries: 7})
+		d.report(start, 0, placer.EngineState{Adapters: held("a1", "a2")})
 		part := placer.EngineState{
 			Name: "e00", Incarnation: "i-0", Life: 1, Sequence: d.sequence + 1, Running: 3,
 			Adapters: []placer.AdapterState{{Name: model + "/a3", Version: 1}}, Gone: []string{model + "/a1"}, Recent: []string{model + "/a1"},
--- a/internal/coordination/placer/state.go
+++ b/internal/coordination/placer/state.go
@@ -24,8 +24,8 @@
 	Life     uint64
 	Sequence uint64
 	// Whole marks a complete state. Otherwise the report is a delta against the state
-	// with the preceding Sequence; empty values of Incarnation, Life, Models, Entries
-	// and MaxAdapters are unchanged.
+	// with the preceding Sequence; empty values of Incarnation, Life, Models and
+	// MaxAdapters are unchanged.
 	Whole bool
 	// Models lists the models that the engine has loaded.
 	Models []string
@@ -41,8 +41,6 @@
 	// been evicted.
 	Adapters []AdapterState
 	Gone     []string
-	// Entries is the number of entries to which the companion reports.
-	Entries int
 	// MaxAdapters is the number of adapter slots.
 	MaxAdapters int
 	// Recent lists recently evicted adapters, which load quickly from the engine's
--- a/internal/transport/attendant/publish.go
+++ b/internal/transport/attendant/publish.go
@@ -114,7 +114,7 @@
 	s := placer.EngineState{
 		Name: a.settings.Name, Incarnation: a.incarnation, Life: a.generation, Whole: true,
 		Running: len(a.admissions), BacklogMillis: a.backlogMillis(), WaitingMillis: a.waitingMillis(),
-		Entries: len(a.localEntries.conns) + len(a.remoteEntries.conns), MaxAdapters: a.table.Slots(),
+		MaxAdapters: a.table.Slots(),
 		Recent: slices.Clone(a.evicted), Cached: a.cache.newest(nil, maxCachedInFullState),
 	}
 	for _, m := range a.report.Models {
--- a/internal/transport/attendant/subscribergroup.go
+++ b/internal/transport/attendant/subscribergroup.go
@@ -119,9 +119,6 @@
 	if !slices.Equal(full.Models, g.published.Models) {
 		s.Models = full.Models
 	}
-	if full.Entries != g.published.Entries {
-		s.Entries = full.Entries
-	}
 	held := make(map[string]struct{}, len(full.Adapters))
 	for _, adapter := range full.Adapters {
 		held[adapter.Name] = struct{}{}
@@ -149,7 +146,7 @@
 // changes are ends of requests, most of which can't.
 func (g *subscriberGroup) significant(now time.Time, full, changes *placer.EngineState) bool {
 	backlog := max(0, g.published.BacklogMillis-int(now.Sub(g.publishedAt).Milliseconds()))
-	return g.full || len(changes.Adapters)+len(changes.Gone)+len(changes.Recent)+len(changes.Cached)+len(changes.Models)+changes.Entries > 0 ||
+	return g.full || len(changes.Adapters)+len(changes.Gone)+len(changes.Recent)+len(changes.Cached)+len(changes.Models) > 0 ||
 		changes.Incarnation != "" ||
 		differs(full.Running, g.published.Running, minRunningChange) ||
 		differs(full.BacklogMillis, backlog, int(minTimeChange.Milliseconds())) ||
--- a/internal/transport/relayer/budget_test.go
+++ b/internal/transport/relayer/budget_test.go
@@ -14,9 +14,8 @@
 	for _, entries := range []int{4, 7, 28} {
 		again := 0
 		for range entries {
-			b := newBudget(0, slack, window, nil)
-			b.setEntries(entries)
-			for b.takeRetry(now, "s") {
+			b := newBudget(now, 0, slack, window, func() int { return entries }, true)
+			for takeRetry(b, now) {
 				again++
 			}
 		}
@@ -26,34 +25,57 @@
 	}
 }
 
-// TestBudgetUsesAllEntries guards against entries that divide the slack by the number of
-// those that follow the same engines: all entries together would use several times of it.
-func TestBudgetUsesAllEntries(t *testing.T) {
-	const slack, all, sameDomain = 718, 359, 72
-	b := newBudget(0, slack, 10*time.Second, func() int { return all })
-	b.setEntries(sameDomain)
+// TestBudgetUsesSlackOfAllEntries guards against a large number of entries that use nothing of the
+// slack, or more than all of it.
+func TestBudgetUsesSlackOfAllEntries(t *testing.T) {
+	const slack, all = 718, 359
+	now := time.Unix(0, 0)
+	b := newBudget(now, 0, slack, 10*time.Second, func() int { return all }, true)
 	again := 0
-	for now := time.Unix(0, 0); b.takeRetry(now, "s"); {
+	for takeRetry(b, now) {
 		again++
 	}
-	if again*all > slack {
-		t.Errorf("%d retries at each of %d entries are more than %d", again, all, slack)
+	if again*all > slack || again == 0 {
+		t.Errorf("%d retries at each of %d entries, for %d", again, all, slack)
+	}
+}
+
+// TestBudgetWithoutControl guards against an entry that is cut off from control and goes on using
+// slack, while the others divide it without that entry.
+func TestBudgetWithoutControl(t *testing.T) {
+	now, entries := time.Unix(0, 0), 2
+	b := newBudget(now, 0.2, 100, 10*time.Second, func() int { return entries }, true)
+	if !takeRetry(b, now) {
+		t.Fatal("no retry was allowed")
+	}
+	if entries = 0; takeRetry(b, now) {
+		t.Error("a retry was allowed although the number of entries is unknown")
+	}
+	for range 100 {
+		b.call(now, "s")
+	}
+	if now = now.Add(time.Second); !takeRetry(b, now) {
+		t.Error("no retry was allowed for 100 requests")
 	}
 }
 
+// takeRetry makes a retry at once if the budget allows it.
+func takeRetry(b *budget, now time.Time) bool {
+	return b.reserve(now, "s") && b.commit(now, "s")
+}
+
 // TestBudgetSlides compares the budget with a count of all retries: no window contains
 // more than allowed.
 func TestBudgetSlides(t *testing.T) {
 	const slack, window = 40, 10 * time.Second
-	b := newBudget(0.1, slack, window, nil)
-	b.setEntries(4)
 	var calls, again []time.Time
 	now := time.Unix(0, 0)
+	b := newBudget(now, 0.1, slack, window, func() int { return 4 }, true)
 	for range 4000 {
 		now = now.Add(10 * time.Millisecond)
 		b.call(now, "s")
 		calls = append(calls, now)
-		if b.takeRetry(now, "s") {
+		if takeRetry(b, now) {
 			again = append(again, now)
 		}
 	}
@@ -76,3 +98,33 @@
 	}
 	return n
 }
+
+// TestBudgetAllowsSteadyRetries guards against a bound that leaves much of the budget unused, while
+// requests fail all the time and when many fail at once.
+func TestBudgetAllowsSteadyRetries(t *testing.T) {
+	const ratio, window, perSecond = 0.2, 10 * time.Second, 20
+	now := time.Unix(0, 0)
+	b := newBudget(now, ratio, 0, window, nil, false)
+	again := 0
+	for range 60 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		b.call(now, "s")
+		if takeRetry(b, now) {
+			again++
+		}
+	}
+	if allowed := ratio * 60 * perSecond; float64(again) < 0.7*allowed {
+		t.Errorf("%d retries, %.0f are allowed", again, allowed)
+	}
+	for range 20 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		b.call(now, "s")
+	}
+	again = 0
+	for takeRetry(b, now) {
+		again++
+	}
+	if allowed := ratio * window.Seconds() * perSecond; float64(again) < 0.4*allowed {
+		t.Errorf("%d retries at once, %.0f are allowed", again, allowed)
+	}
+}
--- a/internal/transport/relayer/budgetsum_test.go
+++ b/internal/transport/relayer/budgetsum_test.go
@@ -47,8 +47,8 @@
 	return n
 }
 
-func (d *deploymentBudget) start(e *budgetEntry) {
-	e.budget = newBudget(d.ratio, d.slack, d.window, d.running)
+func (d *deploymentBudget) start(e *budgetEntry, first bool) {
+	e.budget = newBudget(d.now, d.ratio, d.slack, d.window, d.running, first)
 }
 
 // advance lets time pass, and sends the retries that have been admitted.
@@ -57,11 +57,16 @@
 	for end := d.now.Add(by); d.now.Before(end); {
 		d.now = d.now.Add(min(step, end.Sub(d.now)))
 		for _, e := range d.entries {
+			if e.budget != nil {
+				e.budget.observe(d.now)
+			}
 			e.waiting = slices.DeleteFunc(e.waiting, func(r waitingRetry) bool {
 				if r.sent.After(d.now) {
 					return false
 				}
-				d.arrivals = append(d.arrivals, d.now.Add(r.transit))
+				if e.budget.commit(d.now, "s") {
+					d.arrivals = append(d.arrivals, d.now.Add(r.transit))
+				}
 				return true
 			})
 		}
@@ -106,7 +111,7 @@
 		for range rapid.IntRange(1, 8).Draw(t, "entries") {
 			e := &budgetEntry{}
 			d.entries = append(d.entries, e)
-			d.start(e)
+			d.start(e, true)
 		}
 		anyEntry := func(t *rapid.T) *budgetEntry {
 			return d.entries[rapid.IntRange(0, len(d.entries)-1).Draw(t, "entry")]
@@ -126,7 +131,7 @@
 				count := rapid.IntRange(1, 60).Draw(t, "count")
 				for _, e := range d.entries {
 					for range count {
-						if e.budget != nil && e.budget.takeRetry(d.now, "s") {
+						if e.budget != nil && e.budget.reserve(d.now, "s") {
 							e.waiting = append(e.waiting, waitingRetry{sent: d.now.Add(wait), transit: transit})
 						}
 					}
@@ -135,7 +140,7 @@
 			"restart": func(t *rapid.T) {
 				e := anyEntry(t)
 				e.waiting = nil
-				d.start(e)
+				d.start(e, false)
 			},
 			"stop": func(t *rapid.T) {
 				e := anyEntry(t)
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -97,7 +97,7 @@
 	r := &Relayer{
 		settings: s,
 		metrics:  newMetrics(s.Registerer),
-		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Entries),
+		budget:   newBudget(s.Now(), s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Entries, s.FirstStart),
 		poll:     make(chan struct{}, 1),
 		random:   s.Random,
 		watched:  make(map[string]companion),
@@ -194,9 +194,6 @@
 		return err
 	}
 	s.Name = r.engineOf(conn, s.Name)
-	if s.Entries > 0 {
-		r.budget.setEntries(s.Entries)
-	}
 	if m, ok := r.settings.View().Member(s.Name); ok && !r.settings.Placer.Report(r.settings.Now(), m.Spec.Service, s) {
 		r.requestState(conn)
 	}
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -72,9 +72,9 @@
 	// redirected means that a companion has sent the call elsewhere, which is allowed
 	// once.
 	redirected bool
-	// retryPaid means that the next attempt is already charged to the retry budget.
-	retryPaid bool
-	waited    time.Duration
+	// retryReserved means that the next attempt is reserved in the retry budget.
+	retryReserved bool
+	waited        time.Duration
 	// current is the attempt in progress.
 	current *attempt
 	// answerBody is the body of the answer to the last attempt; nil if it got none.
@@ -123,6 +123,7 @@
 	defer r.inFlight.Add(-1)
 	j := &job{relayer: r, answer: answer{writer: w, request: request}, request: request, arrived: r.settings.Now(), ctx: request.Context()}
 	defer j.refundQuota()
+	defer j.cancelRetry()
 	j.serve() //nolint:contextcheck // The job holds its context, and releases its admission even if the caller has left.
 	j.answer.end()
 }
@@ -184,7 +185,7 @@
 		// The caller broke off, or sent a malformed body.
 		return j.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
-	r.budget.call(j.arrived, j.service.Name)
+	r.budget.call(r.settings.Now(), j.service.Name)
 	return nil
 }
 
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -72,10 +72,12 @@
 	// Control provides the age of the known keys, and the quotas; nil means that
 	// neither are used.
 	Control Control
-	// Entries returns the number of entries that share the retry budget, 0 if it is not
-	// known; nil means that companions alone report it. A companion counts only the entries
-	// that follow its engine.
+	// Entries returns the number of entries that share the retry budget, 0 if it is not known
+	// to be current; nil means that this is the only one.
 	Entries func() int
+	// FirstStart means that the entry has had no previous incarnation, whose retries may still
+	// be on their way.
+	FirstStart bool
 	// KeyLease is the maximum age of the known state at which keys are accepted; 0
 	// means no limit.
 	KeyLease time.Duration
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -37,9 +37,9 @@
 	sent atomic.Bool
 	// started means that part of the answer was received.
 	started atomic.Bool
-	// retryPaid means that a further attempt of the call was charged to the retry
+	// retryReserved means that a further attempt of the call was reserved in the retry
 	// budget before this one ended.
-	retryPaid atomic.Bool
+	retryReserved atomic.Bool
 	// waitingSince is when the attempt began, or when the call was sent, in nanoseconds
 	// since 1970.
 	waitingSince atomic.Int64
@@ -102,6 +102,7 @@
 		case <-ticker.C:
 		}
 		now := r.settings.Now()
+		r.budget.observe(now)
 		for name, service := range r.pollSilent(now) {
 			r.settings.Placer.Suspect(service, name, now.Add(suspectPolls*r.watcher.Interval()))
 			r.cancelWaiting(now, name)
@@ -179,13 +180,13 @@
 }
 
 // takeMove reports whether a call that was sent may move to another engine, and if so
-// charges it to the retry budget. A call that may not move stays, since the host may
+// reserves it in the retry budget. A call that may not move stays, since the host may
 // recover.
 func (a *attempt) takeMove(now time.Time) bool {
-	if !a.movable || a.started.Load() || a.retryPaid.Load() || !a.job.relayer.budget.takeRetry(now, a.job.service.Name) {
+	if !a.movable || a.started.Load() || a.retryReserved.Load() || !a.job.relayer.budget.reserve(now, a.job.service.Name) {
 		return false
 	}
-	a.retryPaid.Store(true)
+	a.retryReserved.Store(true)
 	return true
 }
 
