--- a/internal/transport/attendant/publish.go
+++ b/internal/transport/attendant/publish.go
@@ -115,7 +115,7 @@
 		Name: a.settings.Name, Incarnation: a.incarnation, Life: a.generation, Whole: true,
 		Running: len(a.admissions), BacklogMillis: a.backlogMillis(), WaitingMillis: a.waitingMillis(),
 		MaxAdapters: a.table.Slots(),
-		Recent: slices.Clone(a.evicted), Cached: a.cache.newest(nil, maxCachedInFullState),
+		Recent:      slices.Clone(a.evicted), Cached: a.cache.newest(nil, maxCachedInFullState),
 	}
 	for _, m := range a.report.Models {
 		s.Models = append(s.Models, m.Name)
