placer, relayer, platform: leave backend servers alone that ask for rest

Callers saw: of some engines that rejected all requests they got one call in six refused, although others had room; the engines got three to seven requests from an entry that they had asked for 3 s of rest.

Cause: nobody read Retry-After of a backend server. An engine that rejects everything has nothing to do, and was chosen for that, at first and second attempts.

Fix: the entry keeps the end of the rest by incarnation, so that it outlives the membership and ends with the incarnation, and leaves the server out wherever one is chosen: first and second attempts, copies, engines that take over; requests that waited for admission or a turn are checked once more before they are sent. If all servers rest, a call is held if the first rest ends in time, and else refused at once; its caller is asked to return between that end and a quarter of the time later. Other entries aren't told: the rest is asked of one host.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -123,16 +123,20 @@
 
 // Choose selects the backend server for a call and counts the call there until Finish.
 // It returns ErrNoBackend if none can take the call, ErrBusy if the backend servers of a
-// plain service have reached their limits, and ErrLimited.
+// plain service have reached their limits, ErrLimited and ErrResting.
 func (p *Placer) Choose(now time.Time, c *Call, choice *Choice) error {
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	busy := false
+	busy, resting := false, false
 	eligible := func(b *backend) bool {
 		if slices.Contains(c.Avoid, b.member.Name) || !b.hasSoftware(c) || !o.hasTurn(now, c, b, &p.settings) {
 			return false
 		}
+		if o.rests(now, b) {
+			resting = true
+			return false
+		}
 		accepts := o.engine != nil || b.accepts(now, c)
 		busy = busy || !accepts
 		return accepts
@@ -151,6 +155,8 @@
 		return errors.Trace(ErrLimited)
 	case best == nil && busy:
 		return errors.Trace(ErrBusy)
+	case best == nil && resting:
+		return errors.Trace(ErrResting)
 	case best == nil:
 		return errors.Trace(ErrNoBackend)
 	}
@@ -159,14 +165,14 @@
 }
 
 // ChooseNamed counts a call at the named backend server until Finish. It returns
-// ErrNoBackend if that server is not serving or lacks the required software version.
+// ErrNoBackend if that server is not serving, rests or lacks the required software version.
 func (p *Placer) ChooseNamed(now time.Time, c *Call, name string, choice *Choice) error {
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.survey(c, &p.settings)
 	best := o.find(name)
-	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) {
+	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) || o.rests(now, best) {
 		return errors.Trace(ErrNoBackend)
 	}
 	o.record(now, c, best, choice, &p.settings)
@@ -181,7 +187,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	best, _ := o.best(now, c, &p.settings, func(b *backend) bool {
-		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported()
+		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported() && !o.rests(now, b)
 	})
 	if best == nil {
 		return false
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -91,6 +91,9 @@
 	KeepAlive time.Duration
 	// Limit is what the answer says about the backend server's limit of requests.
 	Limit regulator.Notice
+	// Rest is the time for which the backend server asks the entry not to send requests; 0
+	// means unspecified.
+	Rest time.Duration
 }
 
 // Translator implements the protocol of callers and backend servers.
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -31,6 +31,7 @@
 	originsRefused prometheus.Counter
 	// limited counts attempts under a limit, and limitRefused calls refused because of one.
 	limited, limitRefused *prometheus.CounterVec
+	rests                 *prometheus.CounterVec
 	quotas                *prometheus.CounterVec
 	workspaces            workspaceLabels
 }
@@ -71,6 +72,7 @@
 			Name: "marigoldpoint_relayer_unattended_total", Help: "Calls sent without their companion's admission.",
 		}),
 	}
+	m.rests = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "marigoldpoint_relayer_rests_total", Help: "Answers of backend servers that asked this entry for rest, by service."}, []string{labelService})
 	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_limited_attempts_total", Help: "Attempts at backend servers that had named a limit of requests to this entry, by service.",
 	}, []string{labelService})
@@ -90,7 +92,7 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.framings, m.resumed, m.originsRefused, m.quotas, m.limited, m.limitRefused)
+		r.MustRegister(m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
 	return m
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -74,6 +74,13 @@
 			j.refuseLimited()
 			return
 		}
+		if errors.Is(err, placer.ErrResting) {
+			if !j.awaitRest() {
+				j.refuseResting()
+				return
+			}
+			continue
+		}
 		if err != nil {
 			if !j.holdForRetry(err) {
 				j.answerExhausted(err.Error())
@@ -265,7 +272,8 @@
 	}
 	a.Backup = j.chooseBackup()
 	a.TimeLeft = j.deadline.Sub(r.settings.Now())
-	if !j.commitRetry() {
+	if !r.settings.Placer.Accepts(r.settings.Now(), &j.choice) || !j.commitRetry() {
+		// The backend server may have asked for rest while the request waited.
 		j.release(placer.OutcomeCanceled)
 		return verdictNotRun
 	}
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -26,6 +26,7 @@
 	defer j.countFraming()
 	head := r.settings.Translator.Head(response.StatusCode, response.Header)
 	j.recordLimit(head.Limit) //nolint:contextcheck // The report of an end outlives the call.
+	j.recordNotices(head)
 	if head.Calls >= 0 {
 		r.settings.Placer.ReportLoad(r.settings.Now(), &j.choice, head.Calls)
 	}
