--- a/internal/coordination/placer/notice.go
+++ b/internal/coordination/placer/notice.go
@@ -20,6 +20,8 @@
 type notice struct {
 	// restUntil is the end of the rest.
 	restUntil time.Time
+	// leaving means that it has said that it leaves.
+	leaving bool
 	// receivedAt is the time of the last answer with a notice.
 	receivedAt time.Time
 }
@@ -71,6 +73,12 @@
 	return time.Time{}
 }
 
+// leaves reports whether a backend server has said that it leaves. The caller holds mu.
+func (o *pool) leaves(b *backend) bool {
+	n := o.notices[b.member.Spec.Incarnation]
+	return n != nil && n.leaving
+}
+
 // rests reports whether a backend server has asked for a rest that has not ended. The caller holds
 // mu.
 func (o *pool) rests(now time.Time, b *backend) bool { return now.Before(o.restsUntil(b)) }
@@ -86,12 +94,24 @@
 	}
 }
 
+// RecordLeaving records that the chosen backend server has said that it leaves, and reports whether
+// that is new. It does not take that back: a server that stays after all gets no requests from this
+// entry until its next incarnation.
+func (p *Placer) RecordLeaving(now time.Time, choice *Choice) bool {
+	choice.pool.mu.Lock()
+	defer choice.pool.mu.Unlock()
+	n := choice.pool.notice(now, choice.Incarnation)
+	known := n.leaving
+	n.leaving = true
+	return !known
+}
+
 // Accepts reports whether the chosen backend server still accepts requests of this entry. It may
-// have asked for rest since it was chosen.
+// have asked for rest, or said that it leaves, since it was chosen.
 func (p *Placer) Accepts(now time.Time, choice *Choice) bool {
 	choice.pool.mu.Lock()
 	defer choice.pool.mu.Unlock()
-	return !choice.pool.rests(now, choice.backend)
+	return !choice.pool.rests(now, choice.backend) && !choice.pool.leaves(choice.backend)
 }
 
 // RestEnd returns the time until the first of the backend servers of a service ends its rest, 0 if
@@ -102,7 +122,7 @@
 	defer o.mu.Unlock()
 	least := time.Duration(-1)
 	for _, b := range o.backends {
-		if b.member.Spec.State != storer.MemberStateServing {
+		if b.member.Spec.State != storer.MemberStateServing || o.leaves(b) {
 			continue
 		}
 		if left := max(0, o.restsUntil(b).Sub(now)); least < 0 || left < least {
--- a/internal/coordination/placer/notice_test.go
+++ b/internal/coordination/placer/notice_test.go
@@ -82,3 +82,32 @@
 		Expect(chosen).To(HaveKey(first.Name))
 	})
 })
+
+var _ = Describe("A backend server that says that it leaves", func() {
+	// Guards against requests to a server that control believes to be serving.
+	It("is left out until its next incarnation", func() {
+		d := newDeployment(2)
+		for i := range 2 {
+			d.report(start, i, placer.EngineState{})
+		}
+		first := d.choose(start, adapterCall("", 100))
+		Expect(d.placer.RecordLeaving(start, &first)).To(BeTrue())
+		Expect(d.placer.RecordLeaving(start, &first)).To(BeFalse())
+		later := start.Add(time.Hour)
+		Expect(d.placer.Accepts(later, &first)).To(BeFalse())
+		d.publish()
+		for range 10 {
+			Expect(d.choose(later, adapterCall("", 100)).Name).NotTo(Equal(first.Name))
+		}
+		var named placer.Choice
+		Expect(d.placer.ChooseNamed(later, adapterCall("", 100), first.Name, &named)).To(MatchError(placer.ErrNoBackend))
+		other := d.choose(later, adapterCall("", 100))
+		d.placer.RecordLeaving(later, &other)
+		Expect(d.placer.Choose(later, adapterCall("", 100), &named)).To(MatchError(placer.ErrNoBackend))
+		for i := range d.members {
+			d.members[i].Spec.Incarnation += "-next"
+		}
+		d.publish()
+		Expect(d.placer.Choose(later, adapterCall("", 100), &named)).To(Succeed())
+	})
+})
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -130,7 +130,7 @@
 	defer o.mu.Unlock()
 	busy, resting := false, false
 	eligible := func(b *backend) bool {
-		if slices.Contains(c.Avoid, b.member.Name) || !b.hasSoftware(c) || !o.hasTurn(now, c, b, &p.settings) {
+		if o.leaves(b) || slices.Contains(c.Avoid, b.member.Name) || !b.hasSoftware(c) || !o.hasTurn(now, c, b, &p.settings) {
 			return false
 		}
 		if o.rests(now, b) {
@@ -165,14 +165,14 @@
 }
 
 // ChooseNamed counts a call at the named backend server until Finish. It returns
-// ErrNoBackend if that server is not serving, rests or lacks the required software version.
+// ErrNoBackend if that server is not serving, leaves, rests or lacks the required software version.
 func (p *Placer) ChooseNamed(now time.Time, c *Call, name string, choice *Choice) error {
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.survey(c, &p.settings)
 	best := o.find(name)
-	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) || o.rests(now, best) {
+	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) || o.rests(now, best) || o.leaves(best) {
 		return errors.Trace(ErrNoBackend)
 	}
 	o.record(now, c, best, choice, &p.settings)
@@ -187,7 +187,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	best, _ := o.best(now, c, &p.settings, func(b *backend) bool {
-		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported() && !o.rests(now, b)
+		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported() && !o.rests(now, b) && !o.leaves(b)
 	})
 	if best == nil {
 		return false
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -94,6 +94,8 @@
 	// Rest is the time for which the backend server asks the entry not to send requests; 0
 	// means unspecified.
 	Rest time.Duration
+	// Leaving means that the backend server leaves, and wants no new requests.
+	Leaving bool
 }
 
 // Translator implements the protocol of callers and backend servers.
--- a/internal/transport/relayer/notice.go
+++ b/internal/transport/relayer/notice.go
@@ -15,7 +15,14 @@
 // recordNotices applies what the answer to the current attempt asks of this entry.
 func (j *job) recordNotices(head Head) {
 	r := j.relayer
-	if head.OtherIncarnation || head.Rest <= 0 {
+	if head.OtherIncarnation {
+		return
+	}
+	if head.Leaving && r.settings.Placer.RecordLeaving(r.settings.Now(), &j.choice) {
+		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Incarnation", j.choice.Incarnation).
+			Msg("backend server says that it leaves")
+	}
+	if head.Rest <= 0 {
 		return
 	}
 	r.settings.Placer.RecordRest(r.settings.Now(), &j.choice, head.Rest)
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -273,7 +273,8 @@
 	a.Backup = j.chooseBackup()
 	a.TimeLeft = j.deadline.Sub(r.settings.Now())
 	if !r.settings.Placer.Accepts(r.settings.Now(), &j.choice) || !j.commitRetry() {
-		// The backend server may have asked for rest while the request waited.
+		// The backend server may have asked for rest, or begun to leave, while the request
+		// waited.
 		j.release(placer.OutcomeCanceled)
 		return verdictNotRun
 	}
