relayer: refuse a call without a route only by state that is newer than the call

Callers saw: an entry answered 404 for a route that had been accepted 2.8 s before, a status after which they don't try again.

Cause: the entry refused by the configuration that it held, however old. Control is asked for keys in the same place, but was not for routes.

The spec "without a route is refused as such only by state newer than the call" got 404 where 503 is due.

Fix: before it says that there is no route, an entry has its state confirmed by control, as it does for unknown keys.

--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -205,6 +205,8 @@
 	// workspaces are the configured workspaces; nil means that callers need no key.
 	// Guarded by mu.
 	workspaces []tracker.Workspace
+	// prefix replaces the prefix of the route if it is not empty; guarded by mu.
+	prefix string
 	// control is a test double for the control hosts.
 	control control
 }
@@ -233,6 +235,8 @@
 		Decode: func([]byte) (*tracker.Routing, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
+			route := route
+			route.Prefix = cmp.Or(e.prefix, route.Prefix)
 			r := &tracker.Routing{
 				Number: e.view, Routes: []tracker.Route{route}, Services: []tracker.Service{{Name: "s", Engine: engine}},
 				Keyed: e.workspaces != nil, Workspaces: e.workspaces,
--- a/internal/transport/relayer/keys.go
+++ b/internal/transport/relayer/keys.go
@@ -45,8 +45,8 @@
 	return ok && age < r.settings.Now().Sub(at)
 }
 
-// identify finds the route, and the workspace of the caller's key. A key that is
-// unknown here may already be in force at another entry: it is refused only based on
+// identify finds the route, and the workspace of the caller's key. A route or a key that
+// is unknown here may already be in force at another entry: it is refused only based on
 // state that is newer than the call.
 func (j *job) identify() error {
 	r := j.relayer
@@ -55,7 +55,13 @@
 	for {
 		routing := r.Routing()
 		if j.route = routing.Match(j.call.Host, j.call.Path); j.route == nil {
-			return j.refuse(http.StatusNotFound, "no route", 0)
+			switch {
+			case r.stateNewerThan(j.arrived):
+				return j.refuse(http.StatusNotFound, "no route", 0)
+			case !r.settings.Control.AwaitReport(ctx):
+				return j.refuse(http.StatusServiceUnavailable, "what is known of routes is too old", retryElsewhereDelay)
+			}
+			continue
 		}
 		j.service = routing.Service(j.route.Pick(r.draw()))
 		if !routing.Keyed || j.route.Public {
--- a/internal/transport/relayer/keys_test.go
+++ b/internal/transport/relayer/keys_test.go
@@ -26,6 +26,8 @@
 	// then set age to 0. Both are guarded by mu.
 	age     time.Duration
 	answers bool
+	// onReport is called for each report that is answered; nil means nothing. Guarded by mu.
+	onReport func()
 	// decision is the result for calls with a quota; guarded by mu.
 	decision bucketer.Decision
 	// reserve answers reservations; guarded by mu.
@@ -48,11 +50,18 @@
 
 func (c *control) AwaitReport(context.Context) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.answers {
-		c.age = 0
+	answers, onReport := c.answers, c.onReport
+	c.mu.Unlock()
+	if !answers {
+		return false
+	}
+	if onReport != nil {
+		onReport()
 	}
-	return c.answers
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.age = 0
+	return true
 }
 
 func (c *control) Spend(_ string, _ bucketer.Limit, cost float64) bucketer.Decision {
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -86,16 +86,43 @@
 		Expect(e.call(ctx, nil).StatusCode).To(Equal(200), "the configuration stays in use without contact")
 	})
 
-	It("without a route is refused", func() {
-		e := newEntry(runOnce, nil, newBackend(answersWell))
+	callOther := func(e *entry) *http.Response {
+		GinkgoHelper()
 		r, err := http.NewRequest(http.MethodGet, e.server.URL+"/other/", nil)
 		Expect(err).NotTo(HaveOccurred())
 		r.Host = "h"
+		r.Header.Set("Id", "1")
 		r.Header.Set("Deadline", "1000")
 		answer, err := e.server.Client().Do(r)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Body.Close()).To(Succeed())
-		Expect(answer.StatusCode).To(Equal(http.StatusNotFound))
+		return answer
+	}
+
+	It("without a route is refused", func() {
+		e := newEntry(runOnce, nil, newBackend(answersWell))
+		Expect(callOther(e).StatusCode).To(Equal(http.StatusNotFound))
+	})
+
+	// Guards against 404 for a route that is in force at other entries already.
+	It("without a route is refused as such only by state newer than the call", func() {
+		e := newEntry(runOnce, nil, newBackend(answersWell))
+		e.control.set(time.Second, false)
+		refused := callOther(e)
+		Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.Header.Get("Retry-After")).NotTo(BeEmpty())
+		e.control.set(time.Second, true)
+		Expect(callOther(e).StatusCode).To(Equal(http.StatusNotFound))
+		e.control.set(time.Second, true)
+		e.control.mu.Lock()
+		e.control.onReport = func() {
+			e.mu.Lock()
+			e.prefix = "/other/"
+			e.mu.Unlock()
+			e.reconfigure(nil)
+		}
+		e.control.mu.Unlock()
+		Expect(callOther(e).StatusCode).To(Equal(http.StatusOK))
 	})
 
 	It("that may run once runs once, even if its answer is lost", func() {
