--- a/internal/coordination/moderator/moderator.go
+++ b/internal/coordination/moderator/moderator.go
@@ -20,6 +20,9 @@
 	busyConnections = 8
 	// rateSpan is the time over which accepted connections are counted.
 	rateSpan = 500 * time.Millisecond
+	// confirmations is the number of long round trips in a row from which the link is taken
+	// for saturated: peers may be lost between two measurements.
+	confirmations = 2
 	// baselineSpan is the time for which the shortest round trip is remembered at least.
 	baselineSpan = time.Minute
 	// utilization is the limit after a saturation, as a share of the connections that the
@@ -47,13 +50,13 @@
 	limiter *rate.Limiter
 	// accepted holds the times of the connections accepted within rateSpan.
 	accepted []time.Time
-	// pausedAt is the time of the last pause, and saturatedAt the time of the last round trip
-	// that was too long.
+	// pausedAt is the time of the last pause, and saturatedAt the last time at which the link
+	// was saturated.
 	pausedAt, saturatedAt time.Time
-	// saturated reports whether the last round trip was too long.
-	saturated bool
-	// shortAt is the time of the last short round trip before saturated was set, and carried
-	// the number of connections accepted since.
+	// long is the number of round trips since the last short one.
+	long int
+	// shortAt is the time of the last short round trip, and carried the number of connections
+	// accepted since.
 	shortAt time.Time
 	carried int
 	// measuredAt is when the last measurement of the round trip began.
@@ -93,15 +96,15 @@
 		m.previousBaseline, m.baseline, m.baselineStart = m.baseline, math.MaxInt64, now
 	}
 	m.baseline = min(m.baseline, took)
-	wasSaturated := m.saturated
-	m.saturated = took-min(m.baseline, m.previousBaseline) > MaxExcess
-	if m.saturated {
-		m.saturatedAt = now
-		m.limiter.SetLimitAt(now, minRate)
+	if took-min(m.baseline, m.previousBaseline) > MaxExcess {
+		if m.long++; m.long >= confirmations {
+			m.saturatedAt = now
+			m.limiter.SetLimitAt(now, minRate)
+		}
 		return
 	}
 	switch limit := m.limiter.Limit(); {
-	case wasSaturated:
+	case m.long >= confirmations:
 		carried := rate.Limit(float64(m.carried) / now.Sub(m.shortAt).Seconds())
 		m.limiter.SetLimitAt(now, max(minRate, utilization*carried))
 	case limit == rate.Inf:
@@ -110,7 +113,16 @@
 	default:
 		m.limiter.SetLimitAt(now, limit*(1+growthShare)+growthRate)
 	}
-	m.shortAt, m.carried = now, 0
+	m.shortAt, m.carried, m.long = now, 0, 0
+}
+
+// RecordNoPeers records that no peer is reached, so that nothing is known about the link. It ends
+// the limit.
+func (m *Moderator) RecordNoPeers(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limiter.SetLimitAt(now, rate.Inf)
+	m.shortAt, m.carried, m.long = now, 0, 0
 }
 
 // connections returns the number of connections accepted within rateSpan. The caller holds mu.
--- a/internal/coordination/moderator/moderator_test.go
+++ b/internal/coordination/moderator/moderator_test.go
@@ -122,6 +122,7 @@
 		m.RecordAccepted(now)
 	}
 	m.RecordRoundTrip(now.Add(step), giveUp)
+	m.RecordRoundTrip(now.Add(2*step), giveUp)
 	if !m.Limited() {
 		t.Fatal("no limit although the link is saturated")
 	}
@@ -133,3 +134,19 @@
 		t.Error("the limit remains without callers")
 	}
 }
+
+// TestModeratorWithoutPeers guards against a host that refuses callers because its peers are gone.
+func TestModeratorWithoutPeers(t *testing.T) {
+	m := moderator.NewModerator()
+	now := time.Unix(1000, 0)
+	m.RecordRoundTrip(now, time.Millisecond)
+	m.RecordRoundTrip(now, giveUp)
+	if m.Limited() {
+		t.Error("one long round trip limits connections")
+	}
+	m.RecordRoundTrip(now, giveUp)
+	m.RecordNoPeers(now)
+	if m.Limited() || m.Pause(now) > 0 {
+		t.Error("connections are limited although no peer is known")
+	}
+}
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -133,41 +133,6 @@
 	return true
 }
 
-// allowAttempt reports whether the call may be sent to another backend server, and reserves
-// retries in the budget. If not, it releases the choice.
-func (j *job) allowAttempt() bool {
-	if j.reached == 0 {
-		return true
-	}
-	attemptsLeft := j.resumeFrom != "" || j.sent < max(1, j.route.MaxAttempts)
-	if attemptsLeft && !j.retryReserved {
-		j.retryReserved = j.relayer.budget.reserve(j.relayer.settings.Now(), j.service.Name)
-	}
-	if !attemptsLeft || !j.retryReserved {
-		j.release(placer.OutcomeCanceled)
-		return false
-	}
-	return true
-}
-
-// commitRetry reports whether the attempt may be sent now. Retries are counted when they are sent,
-// since they may have waited for seconds.
-func (j *job) commitRetry() bool {
-	if !j.retryReserved {
-		return true
-	}
-	j.retryReserved = false
-	return j.relayer.budget.commit(j.relayer.settings.Now(), j.service.Name)
-}
-
-// cancelRetry ends the reservation of a retry that was not sent.
-func (j *job) cancelRetry() {
-	if j.retryReserved {
-		j.retryReserved = false
-		j.relayer.budget.cancel(j.relayer.settings.Now(), j.service.Name)
-	}
-}
-
 // errTriedAll means that maxServersPerCall backend servers refused the call.
 const errTriedAll = errors.ConstError("tried all that may take it")
 
--- a/internal/transport/starter/roles.go
+++ b/internal/transport/starter/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	stderrors "errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -90,9 +91,20 @@
 		Random:             p.forkRandom(),
 		Dial:               p.dialPeers(configurer.RoleControl),
 		Moderator:          p.callerConnections,
+		Peers:              p.randomCompanions,
 	})
 }
 
+// randomCompanions returns the addresses of up to n random companions.
+func (p *Process) randomCompanions(random *rand.Rand, n int) []string {
+	members := p.index.Members().Members
+	var addresses []string
+	for range min(n, len(members)) {
+		addresses = append(addresses, members[random.IntN(len(members))].Spec.Address)
+	}
+	return addresses
+}
+
 func (p *Process) startEntry() error {
 	c := p.settings.Configuration
 	network, err := p.settings.Listen(c.Entry.Listen)
--- a/internal/transport/subscriber/settings.go
+++ b/internal/transport/subscriber/settings.go
@@ -82,8 +82,11 @@
 	// with each pulse of a control host; nil means that they are not needed.
 	OnLimits func([]regulator.ServerLimit)
 
-	// Moderator receives round trips to the control hosts; nil means that none are measured.
+	// Moderator receives the times of round trips to control hosts and other peers; nil means
+	// that none are measured.
 	Moderator *moderator.Moderator
+	// Peers returns the addresses of up to n random other hosts; required with Moderator.
+	Peers func(random *rand.Rand, n int) []string
 
 	// Messenger holds the intervals of connections; its other fields are set by the client.
 	Messenger messenger.Settings
