relayer: log the age of the known state with each call

A record of a stale answer couldn't tell whether the entry took its state for current, or knew that it was old and hadn't found another control host yet.

--- a/internal/transport/relayer/keys_test.go
+++ b/internal/transport/relayer/keys_test.go
@@ -42,6 +42,8 @@
 	c.age, c.answers = age, answers
 }
 
+func (c *control) Age() (time.Duration, bool) { return c.ConfirmedAge() }
+
 func (c *control) ConfirmedAge() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -269,6 +269,7 @@
 	}
 	j.addFraming(e)
 	j.addSoftware(e)
+	j.addStateAge(e)
 	e.Str("Request", j.call.ID).Str("Outcome", outcome).Int("Status", status).Str("Reason", reason).
 		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
@@ -278,6 +279,22 @@
 		Dur("ReportAge", j.choice.Age).Uint64("Revision", r.settings.View().Revision).Strs("Parts", formatParts(j.call.partIDs())).Msg("call")
 }
 
+// addStateAge adds the ages of the known state to a log line, as far as they are known: by the
+// reports of the control host, and by the entry's own requests. A state that looks younger by the
+// former was reported late.
+func (j *job) addStateAge(e *zerolog.Event) {
+	control := j.relayer.settings.Control
+	if control == nil {
+		return
+	}
+	if age, ok := control.Age(); ok {
+		e.Dur("StateAge", age)
+	}
+	if age, ok := control.ConfirmedAge(); ok {
+		e.Dur("ConfirmedAge", age)
+	}
+}
+
 // addFraming adds the framing of the answer to the last attempt to a log line, and the number
 // of bytes that were read of an incomplete event.
 func (j *job) addFraming(e *zerolog.Event) {
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -42,6 +42,10 @@
 
 // Control is the entry's client of the control hosts, a *subscriber.Client.
 type Control interface {
+	// Age returns the age of the known state by the reports of the control host in use: the
+	// time since it was last known to hold everything accepted. It returns false if it
+	// never was. The time that a report was on its way is not counted.
+	Age() (time.Duration, bool)
 	// ConfirmedAge returns the age of the known state: the time since the entry sent the
 	// last request after whose answer it held everything accepted until then. It
 	// returns false if there was none.
