--- a/internal/coordination/placer/notice.go
+++ b/internal/coordination/placer/notice.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -114,20 +115,20 @@
 	return !choice.pool.rests(now, choice.backend) && !choice.pool.leaves(choice.backend)
 }
 
-// RestEnd returns the time until the first of the backend servers of a service ends its rest, 0 if
-// one does not rest.
-func (p *Placer) RestEnd(now time.Time, service string) time.Duration {
-	o := p.pool(service)
+// RestEnd returns the time until the first of the backend servers that the call may use ends its
+// rest, 0 if none of them rests.
+func (p *Placer) RestEnd(now time.Time, c *Call) time.Duration {
+	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	least := time.Duration(-1)
+	least := time.Duration(0)
 	for _, b := range o.backends {
-		if b.member.Spec.State != storer.MemberStateServing || o.leaves(b) {
+		if !o.rests(now, b) || b.member.Spec.State != storer.MemberStateServing || o.leaves(b) || !b.hasSoftware(c) || slices.Contains(c.Avoid, b.member.Name) {
 			continue
 		}
-		if left := max(0, o.restsUntil(b).Sub(now)); least < 0 || left < least {
+		if left := o.restsUntil(b).Sub(now); least == 0 || left < least {
 			least = left
 		}
 	}
-	return max(0, least)
+	return least
 }
--- a/internal/coordination/placer/notice_test.go
+++ b/internal/coordination/placer/notice_test.go
@@ -39,7 +39,7 @@
 		var named, second placer.Choice
 		Expect(d.placer.ChooseNamed(start, adapterCall("", 100), first.Name, &named)).To(MatchError(placer.ErrNoBackend))
 		Expect(d.placer.Second(start, adapterCall("", 100), &other, &second)).To(BeFalse())
-		Expect(d.placer.RestEnd(start, engines)).To(BeZero())
+		Expect(d.placer.RestEnd(start, adapterCall("", 100))).To(Equal(rest))
 		Expect(d.placer.Accepts(start.Add(rest), &first)).To(BeTrue())
 	})
 
@@ -48,7 +48,10 @@
 		Expect(second.Name).NotTo(Equal(first.Name))
 		var none placer.Choice
 		Expect(d.placer.Choose(start, adapterCall("", 100), &none)).To(MatchError(placer.ErrResting))
-		Expect(d.placer.RestEnd(start, engines)).To(Equal(rest))
+		Expect(d.placer.RestEnd(start, adapterCall("", 100))).To(Equal(rest))
+		tried := adapterCall("", 100)
+		tried.Avoid = []string{first.Name}
+		Expect(d.placer.RestEnd(start, tried)).To(Equal(2*rest), "of the one that was not tried")
 		Expect(d.choose(start.Add(rest), adapterCall("", 100)).Name).To(Equal(first.Name))
 	})
 
--- a/internal/transport/relayer/notice.go
+++ b/internal/transport/relayer/notice.go
@@ -36,9 +36,9 @@
 func (j *job) awaitRest() bool {
 	r := j.relayer
 	now := r.settings.Now()
-	left := r.settings.Placer.RestEnd(now, j.service.Name)
+	left := r.settings.Placer.RestEnd(now, j.placerCall())
 	holdUntil := j.arrived.Add(time.Duration(holdShare * float64(j.deadline.Sub(j.arrived))))
-	return !j.answer.begun() && !now.Add(left).After(holdUntil) && pauser.Pause(j.ctx, max(left, busyPause))
+	return left > 0 && !j.answer.begun() && !now.Add(left).After(holdUntil) && pauser.Pause(j.ctx, left)
 }
 
 // refuseResting refuses a call whose backend servers all rest. The caller is asked to return after
@@ -54,7 +54,7 @@
 		j.answerExhausted(placer.ErrResting.Error())
 		return
 	}
-	left := r.settings.Placer.RestEnd(r.settings.Now(), j.service.Name)
+	left := r.settings.Placer.RestEnd(r.settings.Now(), j.placerCall())
 	after := max(r.settings.RetryAfter, left+time.Duration(r.draw()*maxRestSpread*float64(left)))
 	_ = j.refuse(http.StatusServiceUnavailable, placer.ErrResting.Error(), after)
 }
