--- a/internal/coordination/placer/notice.go
+++ b/internal/coordination/placer/notice.go
@@ -84,6 +84,10 @@
 // mu.
 func (o *pool) rests(now time.Time, b *backend) bool { return now.Before(o.restsUntil(b)) }
 
+// declines reports whether a backend server wants no new requests of this entry, because it rests or
+// leaves. The caller holds mu.
+func (o *pool) declines(now time.Time, b *backend) bool { return o.rests(now, b) || o.leaves(b) }
+
 // RecordRest records that the chosen backend server has asked this entry for a rest, at most
 // MaxRest. A shorter rest than one in progress does not end it.
 func (p *Placer) RecordRest(now time.Time, choice *Choice, rest time.Duration) {
@@ -112,7 +116,7 @@
 func (p *Placer) Accepts(now time.Time, choice *Choice) bool {
 	choice.pool.mu.Lock()
 	defer choice.pool.mu.Unlock()
-	return !choice.pool.rests(now, choice.backend) && !choice.pool.leaves(choice.backend)
+	return !choice.pool.declines(now, choice.backend)
 }
 
 // RestEnd returns the time until the first of the backend servers that the call may use ends its
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -172,7 +172,7 @@
 	defer o.mu.Unlock()
 	o.survey(c, &p.settings)
 	best := o.find(name)
-	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) || o.rests(now, best) || o.leaves(best) {
+	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) || o.declines(now, best) {
 		return errors.Trace(ErrNoBackend)
 	}
 	o.record(now, c, best, choice, &p.settings)
@@ -187,7 +187,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	best, _ := o.best(now, c, &p.settings, func(b *backend) bool {
-		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported() && !o.rests(now, b) && !o.leaves(b)
+		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported() && !o.declines(now, b)
 	})
 	if best == nil {
 		return false
