bucketer: a delayed report of an entry is not counted

Reports carry a number that rises with each; one that is not higher than that of the last one counted for the account is ignored.

--- a/internal/coordination/bucketer/accounts.go
+++ b/internal/coordination/bucketer/accounts.go
@@ -42,6 +42,8 @@
 	entries int
 	// lastNumber is the number of the most recently created account; guarded by mu.
 	lastNumber uint64
+	// lastReport is the number of the last report; guarded by mu.
+	lastReport uint64
 }
 
 // account is the account of one workspace.
@@ -137,7 +139,8 @@
 func (a *Accounts) Collect(now time.Time) Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var r Report
+	a.lastReport++
+	r := Report{Number: a.lastReport}
 	for _, name := range slices.Sorted(maps.Keys(a.accounts)) {
 		c := a.accounts[name]
 		if now.Sub(c.usedAt) > activePeriod && c.unreported == 0 {
--- a/internal/coordination/bucketer/ledger.go
+++ b/internal/coordination/bucketer/ledger.go
@@ -41,8 +41,10 @@
 // countedTotal is the last total counted for one account of an entry.
 type countedTotal struct {
 	account uint64
-	total   float64
-	at      time.Time
+	// report is the number of the report that contained the total.
+	report uint64
+	total  float64
+	at     time.Time
 }
 
 // hostEntries is the last number of entries reported by a control host.
@@ -92,7 +94,7 @@
 	for i := range b.Reports {
 		r := &b.Reports[i]
 		for j := range r.Uses {
-			level := l.applyUse(now, r.Entry, &r.Uses[j])
+			level := l.applyUse(now, r, &r.Uses[j])
 			if k, is := at[level.Workspace]; is {
 				levels[k] = level
 				continue
@@ -105,23 +107,28 @@
 }
 
 // count returns the units that a use adds to those already counted. For an account that is new to
-// this ledger, these are the units that no leader has acknowledged.
-func (l *Ledger) count(now time.Time, entry string, u *Use) float64 {
-	e := l.counted[entry]
+// this ledger, these are the units that no leader has acknowledged. A suspended control host
+// passes on reports that are older than those already counted; their totals are lower, and would
+// count as refunds that a full bucket loses.
+func (l *Ledger) count(now time.Time, r *Report, u *Use) float64 {
+	e := l.counted[r.Entry]
 	if e == nil {
 		e = &countedEntry{totals: make(map[string]countedTotal)}
-		l.counted[entry] = e
+		l.counted[r.Entry] = e
 	}
-	e.at = now
 	before, known := e.totals[u.Workspace]
-	e.totals[u.Workspace] = countedTotal{account: u.Account, total: u.Total, at: now}
+	if known && before.account == u.Account && r.Number > 0 && r.Number <= before.report {
+		return 0
+	}
+	e.at = now
+	e.totals[u.Workspace] = countedTotal{account: u.Account, report: r.Number, total: u.Total, at: now}
 	if !known || before.account != u.Account {
 		return u.Spent
 	}
 	return u.Total - before.total
 }
 
-func (l *Ledger) applyUse(now time.Time, entry string, u *Use) Level {
+func (l *Ledger) applyUse(now time.Time, r *Report, u *Use) Level {
 	b := l.buckets[u.Workspace]
 	starting := now.Sub(l.startedAt) < startupPeriod
 	maxLevel := u.Burst
@@ -147,7 +154,7 @@
 	}
 	b.fill(now, maxLevel)
 	b.level = b.limit.replace(u.Limit, b.level)
-	spent := l.count(now, entry, u)
+	spent := l.count(now, r, u)
 	b.level -= spent
 	b.spent += spent
 	b.rate.add(now, spent)
--- a/internal/coordination/bucketer/property_test.go
+++ b/internal/coordination/bucketer/property_test.go
@@ -140,6 +140,37 @@
 	}
 }
 
+// TestADelayedReportIsNotCounted guards against refusals of all workspaces after a control host
+// was suspended: it passes on reports that are seconds old, and their lower totals must not count
+// as refunds, which a full bucket loses.
+func TestADelayedReportIsNotCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := bucketer.Limit{Rate: 1000, Burst: 1000, Number: 1}
+	ledger := bucketer.NewLedger(now.Add(-time.Hour), 1)
+	a := bucketer.NewAccounts(rand.New(rand.NewPCG(1, 2)))
+	a.Spend(now, "w", limit, 0)
+	delayed := a.Collect(now)
+	level := func(r bucketer.Report) float64 {
+		levels := ledger.Report(now, batch("a", r))
+		a.ApplyAnswer(now, bucketer.Answer{Ledger: 1, Entries: 1, Levels: levels})
+		return levels[0].Tokens
+	}
+	level(delayed)
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		if !a.Spend(now, "w", limit, 100).Admitted {
+			t.Fatal("refused below the quota")
+		}
+		level(a.Collect(now))
+	}
+	ledger.Report(now, batch("a", delayed))
+	now = now.Add(200 * time.Millisecond)
+	a.Spend(now, "w", limit, 100)
+	if got := level(a.Collect(now)); got != 900 {
+		t.Errorf("level %v, want 900", got)
+	}
+}
+
 // TestALowerLimitCounts guards against a burst that persists after its limit was lowered.
 func TestALowerLimitCounts(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/coordination/bucketer/report.go
+++ b/internal/coordination/bucketer/report.go
@@ -21,7 +21,10 @@
 // Report reports to the leader what an entry has admitted.
 type Report struct {
 	Entry string
-	Uses  []Use
+	// Number increases with each report of an entry. A report whose number is not higher than
+	// one already counted was delayed, and is not counted. Reports of earlier versions have 0.
+	Number uint64 `json:",omitempty"`
+	Uses   []Use
 }
 
 // Batch holds the reports that a control host has collected.
