--- a/internal/coordination/placer/cost.go
+++ b/internal/coordination/placer/cost.go
@@ -37,34 +37,65 @@
 	affinityStepCost = 15 * time.Millisecond
 )
 
-// cost returns the expected time until the call's first byte, plus penalties expressed
-// as time. The caller holds o.mu.
-func (o *pool) cost(now time.Time, c *Call, b *backend, engines *survey, s *Settings) time.Duration {
-	cost := time.Duration(b.failures*float64(failureCost)) + b.limits.wait(now)
+// Terms are the terms of a candidate's cost: the expected time until the call's first byte,
+// plus penalties expressed as time.
+type Terms struct {
+	// Failures is the penalty for the failure rate, Turn the wait for the call's turn under the
+	// limit of requests, and Distance the penalty for another failure domain.
+	Failures, Turn, Distance time.Duration
+	// Read is the time to read the uncached part of the prompt, and Wait that until the reading
+	// starts: for prompts before it, and for the adapter and the model.
+	Read, Wait time.Duration
+	// Affinity and Store are the penalties for a load of the adapter at this engine instead of
+	// another one.
+	Affinity, Store time.Duration
+	// Running is the penalty for running calls, Streams that for delaying their streams, and
+	// FullBatch that for a full batch.
+	Running, Streams, FullBatch time.Duration
+	// Unknown is the penalty for a state that the entry does not follow.
+	Unknown time.Duration
+	// Duration is the duration of a call to a plain service, Queue the wait before it, and
+	// Tie a random time that breaks ties.
+	Duration, Queue, Tie time.Duration
+}
+
+// Cost returns the sum of the terms.
+func (t *Terms) Cost() time.Duration {
+	return t.Failures + t.Turn + t.Distance + t.Read + t.Wait + t.Affinity + t.Store +
+		t.Running + t.Streams + t.FullBatch + t.Unknown + t.Duration + t.Queue + t.Tie
+}
+
+// terms returns the terms of the cost of a call at a backend server that the entry knows.
+// The caller holds o.mu.
+func (o *pool) terms(now time.Time, c *Call, b *backend, engines *survey, s *Settings) Terms {
+	t := Terms{Failures: time.Duration(b.failures * float64(failureCost)), Turn: b.limits.wait(now)}
 	otherDomain := b.member.Spec.FailureDomain != s.FailureDomain
 	if o.engine == nil {
 		if otherDomain {
-			cost += s.Distance
+			t.Distance = s.Distance
 		}
-		return cost + o.serviceCost(now, b, s)
+		t.Duration, t.Queue = o.serviceCost(now, b, s)
+		t.Tie = time.Duration(o.random.Int64N(int64(maxTie)))
+		return t
 	}
 	if otherDomain {
-		cost += s.PromptDistance
+		t.Distance = s.PromptDistance
 	}
-	read := b.readTime(c, s)
+	t.Read = b.readTime(c, s)
 	load := b.adapterWait(engines.adapter, c.Version, s)
 	if load > 0 {
-		cost += time.Duration(engines.places[b.index])*affinityStepCost + engines.storeCost(c, b)
+		t.Affinity, t.Store = time.Duration(engines.places[b.index])*affinityStepCost, engines.storeCost(c, b)
 	}
 	if c.Model != "" && !b.hasModel(c.Model) {
 		load += missingModelCost
 	}
-	cost += read + b.promptWait(now, load) + time.Duration(b.runningCalls())*runningCallCost
-	cost += time.Duration(float64(read) * float64(b.runningCalls()) * streamDelayShare)
+	t.Wait = b.promptWait(now, load)
+	t.Running = time.Duration(b.runningCalls()) * runningCallCost
+	t.Streams = time.Duration(float64(t.Read) * float64(b.runningCalls()) * streamDelayShare)
 	if b.runningCalls() >= o.engine.Slots {
-		cost += fullBatchCost
+		t.FullBatch = fullBatchCost
 	}
-	return cost
+	return t
 }
 
 // overlappingWaitShare is the share of the shorter of two concurrent waits that is
@@ -106,18 +137,20 @@
 // maxLoadAge is the age up to which a load reported by a backend server is used.
 const maxLoadAge = 400 * time.Millisecond
 
-// serviceCost returns the expected queueing time at a backend server of a plain
-// service: the calls in progress divided by its slots, times the mean duration of a
-// call. The caller holds o.mu.
-func (o *pool) serviceCost(now time.Time, b *backend, s *Settings) time.Duration {
+// maxTie bounds the random time that breaks ties between backend servers of a plain service.
+const maxTie = time.Millisecond
+
+// serviceCost returns the expected duration of a call at a backend server of a plain service,
+// and the queueing time before it: the calls in progress divided by its slots, times the mean
+// duration of a call. The caller holds o.mu.
+func (o *pool) serviceCost(now time.Time, b *backend, s *Settings) (duration, queue time.Duration) {
 	calls := b.ownCalls
 	if now.Sub(b.loadAt) < maxLoadAge {
 		calls = max(calls, b.load)
 	}
-	duration := cmp.Or(b.callTime, s.CallTime)
+	duration = cmp.Or(b.callTime, s.CallTime)
 	places := max(1, b.member.Spec.Slots)
-	return duration + time.Duration(float64(calls)/float64(places)*float64(duration)) +
-		time.Duration(o.random.Int64N(int64(time.Millisecond)))
+	return duration, time.Duration(float64(calls) / float64(places) * float64(duration))
 }
 
 // storeCost returns the cost that a load at the backend server causes to others if
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -83,7 +83,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.pools[service] == nil {
-		p.pools[service] = &pool{random: rand.New(rand.NewPCG(p.settings.Random.Uint64(), p.settings.Random.Uint64()))}
+		p.pools[service] = newPool(rand.NewPCG(p.settings.Random.Uint64(), p.settings.Random.Uint64()))
 	}
 	return p.pools[service]
 }
@@ -128,40 +128,43 @@
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	best, err := o.choose(now, c, &p.settings)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	o.record(now, c, best, choice, &p.settings)
+	return nil
+}
+
+// choose selects the backend server for a call, without counting the call there. The caller
+// holds o.mu.
+func (o *pool) choose(now time.Time, c *Call, s *Settings) (*backend, error) {
 	busy, resting := false, false
 	eligible := func(b *backend) bool {
-		if o.leaves(b) || slices.Contains(c.Avoid, b.member.Name) || !b.hasSoftware(c) || !o.hasTurn(now, c, b, &p.settings) {
-			return false
-		}
-		if o.rests(now, b) {
-			resting = true
-			return false
-		}
-		accepts := o.engine != nil || b.accepts(now, c)
-		busy = busy || !accepts
-		return accepts
+		e := o.exclusion(now, c, b, s)
+		busy, resting = busy || e == ExclusionBusy, resting || e == ExclusionResting
+		return e == ExclusionNone
 	}
 	trusted := func(b *backend) bool { return !now.Before(b.suspectUntil) && eligible(b) }
-	best, cost := o.best(now, c, &p.settings, trusted)
-	if other := o.bestUnknown(c, &p.settings, best, cost, trusted); other != nil {
+	best, cost := o.best(now, c, s, trusted)
+	if other := o.bestUnknown(c, s, best, cost, trusted); other != nil {
 		best = other
 	}
 	if best == nil {
 		// All candidates are suspect. Try one anyway, since it may have recovered.
-		best, _ = o.best(now, c, &p.settings, eligible)
+		best, _ = o.best(now, c, s, eligible)
 	}
 	switch {
-	case best == nil && o.limited(now, c, &p.settings):
-		return errors.Trace(ErrLimited)
-	case best == nil && busy:
-		return errors.Trace(ErrBusy)
-	case best == nil && resting:
-		return errors.Trace(ErrResting)
-	case best == nil:
-		return errors.Trace(ErrNoBackend)
+	case best != nil:
+		return best, nil
+	case o.limited(now, c, s):
+		return nil, ErrLimited
+	case busy:
+		return nil, ErrBusy
+	case resting:
+		return nil, ErrResting
 	}
-	o.record(now, c, best, choice, &p.settings)
-	return nil
+	return nil, ErrNoBackend
 }
 
 // ChooseNamed counts a call at the named backend server until Finish. It returns
@@ -204,8 +207,11 @@
 		if b.member.Spec.State != storer.MemberStateServing || !eligible(b) {
 			continue
 		}
-		cost := o.cost(now, c, b, engines, s)
-		if best == nil || cost < least {
+		t := o.terms(now, c, b, engines, s)
+		if o.compared != nil {
+			o.compared[b] = t
+		}
+		if cost := t.Cost(); best == nil || cost < least {
 			best, least = b, cost
 		}
 	}
@@ -244,11 +250,13 @@
 			b.pendingAdapters[name] = AdapterState{Name: name, Version: c.Version, Loading: true, Pins: 1}
 		}
 	}
+	t := Terms{}
 	if known {
-		choice.Expected = o.cost(now, c, b, &o.lastSurvey, s)
+		t = o.terms(now, c, b, &o.lastSurvey, s)
 	} else {
-		choice.Expected = o.unknownCost(c, b, &o.lastSurvey, s)
+		t = o.unknownTerms(c, b, &o.lastSurvey, s)
 	}
+	choice.Expected = t.Cost()
 	b.ownCalls++
 	b.placedCalls++
 	if choice.Limit.Named {
--- a/internal/coordination/placer/pool.go
+++ b/internal/coordination/placer/pool.go
@@ -25,14 +25,21 @@
 	// does not follow them, in no order.
 	used   []*backend
 	engine *tracker.Engine
+	// random draws from source, which Explain copies.
 	random *rand.Rand
+	source *rand.PCG
 	// attached reports whether the pool has received all changes of its members so far.
 	attached   bool
 	lastSurvey survey
 	// notices holds what backend servers have asked of this entry, by incarnation.
 	notices map[string]*notice
+	// compared receives the terms of each cost that a choice compares; nil except in the copies
+	// that Explain makes.
+	compared map[*backend]Terms
 }
 
+func newPool(source *rand.PCG) *pool { return &pool{random: rand.New(source), source: source} }
+
 // preferred compares backend servers by the entry's preference.
 func preferred(a, b *backend) int {
 	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.rank, b.rank), cmp.Compare(a.member.Name, b.member.Name))
--- a/internal/coordination/placer/unknown.go
+++ b/internal/coordination/placer/unknown.go
@@ -12,17 +12,17 @@
 // there may have to wait for a slot or for other prompts.
 const unknownStateCost = 150 * time.Millisecond
 
-// unknownCost returns the cost of a call at an engine whose state the entry does not follow.
-// The caller holds o.mu.
-func (o *pool) unknownCost(c *Call, b *backend, engines *survey, s *Settings) time.Duration {
-	cost := ReadTime(c.Tokens, c.Tokens, s.PrefillRate) + unknownStateCost
+// unknownTerms returns the terms of the cost of a call at an engine whose state the entry does
+// not follow. The caller holds o.mu.
+func (o *pool) unknownTerms(c *Call, b *backend, engines *survey, s *Settings) Terms {
+	t := Terms{Read: ReadTime(c.Tokens, c.Tokens, s.PrefillRate), Unknown: unknownStateCost}
 	if b.tier > 0 {
-		cost += s.PromptDistance
+		t.Distance = s.PromptDistance
 	}
 	if engines.adapter != "" {
-		cost += s.ColdLoad + engines.storeCost(c, b)
+		t.Wait, t.Store = s.ColdLoad, engines.storeCost(c, b)
 	}
-	return cost
+	return t
 }
 
 // bestUnknown returns an engine whose state the entry does not follow if a call is expected
@@ -36,8 +36,10 @@
 		return nil
 	}
 	engines := &o.lastSurvey
-	if known != nil && cost <= o.unknownCost(c, others[len(others)-1], engines, s) {
-		return nil
+	if known != nil {
+		if t := o.unknownTerms(c, others[len(others)-1], engines, s); cost <= t.Cost() {
+			return nil
+		}
 	}
 	hash := affinityHash(engines.adapter)
 	if engines.adapter == "" {
