--- a/internal/coordination/placer/explain.go
+++ b/internal/coordination/placer/explain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"time"
 
@@ -43,6 +44,24 @@
 	Remaining time.Duration
 }
 
+// Term is one term of a cost, by the name of its field in Terms.
+type Term struct {
+	Name string
+	Time time.Duration
+}
+
+// Named returns the terms other than 0 in the order of their fields.
+func (t Terms) Named() []Term {
+	var all []Term
+	fields := reflect.ValueOf(t)
+	for i := range fields.NumField() {
+		if d := time.Duration(fields.Field(i).Int()); d != 0 {
+			all = append(all, Term{Name: fields.Type().Field(i).Name, Time: d})
+		}
+	}
+	return all
+}
+
 // Explain returns what Choose would select for the call at this moment, and why. It changes
 // nothing: it runs the choice on a copy of the service's state, with a copy of the state of
 // its random numbers.
--- a/internal/coordination/placer/explain_test.go
+++ b/internal/coordination/placer/explain_test.go
@@ -214,6 +214,7 @@
 			fields.Field(i).SetInt(1 << i)
 		}
 		Expect(terms.Cost()).To(Equal(time.Duration(1<<fields.NumField() - 1)))
+		Expect(terms.Named()).To(HaveLen(fields.NumField()))
 	})
 
 	It("names what excludes a backend server, and the candidates of a tie", func() {
