platform: marigoldpoint route asks an entry where a request would go

The entry answers at /debug/route of its metrics' address, without a key as the metrics. It reads the query as a caller's request, and finds the route and builds the placer's call by the code that serves requests. Looking at an untrusted configuration does not make it trusted.

--- a/cmd/marigoldpoint/main.go
+++ b/cmd/marigoldpoint/main.go
@@ -38,6 +38,7 @@
 	Group        *groupCommand        `arg:"subcommand:group" help:"show and change the control group"`
 	Timeline     *timelineCommand     `arg:"subcommand:timeline" help:"merge the events of several processes into one time line"`
 	Explain      *explainCommand      `arg:"subcommand:explain" help:"tell from logs what became of calls, and why"`
+	Route        *routeCommand        `arg:"subcommand:route" help:"tell where an entry would send a request now, and why"`
 	Model        *modelCommand        `arg:"subcommand:model" help:"play loads on the deciding parts on virtual time"`
 	Standin      *standinCommand      `arg:"subcommand:standin" help:"run a stand-in for what the system serves"`
 	Demo         *demoCommand         `arg:"subcommand:demo" help:"run a whole small deployment on loopback and check its promises"`
--- a/internal/transport/relayer/keys.go
+++ b/internal/transport/relayer/keys.go
@@ -57,7 +57,7 @@
 		if j.route = routing.Match(j.call.Host, j.call.Path); j.route == nil {
 			switch {
 			case r.stateNewerThan(j.arrived):
-				return j.refuse(http.StatusNotFound, "no route", 0)
+				return j.refuse(http.StatusNotFound, reasonNoRoute, 0)
 			case !r.settings.Control.AwaitReport(ctx):
 				return j.refuse(http.StatusServiceUnavailable, "what is known of routes is too old", retryElsewhereDelay)
 			}
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -131,15 +131,20 @@
 // for a moment, seconds after a newer one was accepted. Once trusted, the known
 // configuration stays in use, even without contact to control hosts.
 func (r *Relayer) Routing() *tracker.Routing {
+	if !r.isTrusted() {
+		return nil
+	}
 	if !r.trusted.Load() {
-		if r.settings.Trusted != nil && !r.settings.Trusted() {
-			return nil
-		}
 		r.trusted.Store(true)
 	}
 	return r.settings.View().Routing
 }
 
+// isTrusted reports whether the view is, or has been, known to be up to date.
+func (r *Relayer) isTrusted() bool {
+	return r.trusted.Load() || r.settings.Trusted == nil || r.settings.Trusted()
+}
+
 // ViewChanged applies a new view. It does not block.
 func (r *Relayer) ViewChanged(v *tracker.View) {
 	r.settings.Placer.SetView(v)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -142,6 +142,12 @@
 	j.run()
 }
 
+// Parts of answers to callers.
+const (
+	reasonNoRouting = "no configuration is known yet"
+	reasonNoRoute   = "no route"
+)
+
 // errAnswered means that the call has already been answered.
 const errAnswered = errors.ConstError("answered")
 
@@ -156,7 +162,7 @@
 	j.call = call
 	routing := j.awaitRouting()
 	if routing == nil {
-		return j.refuse(http.StatusServiceUnavailable, "no configuration is known yet", r.settings.RetryAfter)
+		return j.refuse(http.StatusServiceUnavailable, reasonNoRouting, r.settings.RetryAfter)
 	}
 	if err := j.identify(); err != nil {
 		return err
@@ -164,11 +170,7 @@
 	if j.outlastsStop() {
 		return j.refuse(http.StatusServiceUnavailable, "stopping", retryElsewhereDelay)
 	}
-	wait := j.route.Timeout
-	if call.Deadline > 0 {
-		wait = min(wait, call.Deadline)
-	}
-	j.deadline = j.arrived.Add(wait)
+	j.setDeadline()
 	if err := j.charge(); err != nil {
 		return err
 	}
@@ -189,6 +191,15 @@
 	return nil
 }
 
+// setDeadline sets the deadline of a call whose route is known.
+func (j *job) setDeadline() {
+	wait := j.route.Timeout
+	if j.call.Deadline > 0 {
+		wait = min(wait, j.call.Deadline)
+	}
+	j.deadline = j.arrived.Add(wait)
+}
+
 // awaitRouting returns the configuration in force, or nil. Shortly after the start of a
 // process the call waits for it, for as long as it may be held.
 func (j *job) awaitRouting() *tracker.Routing {
