estimator, placer: choose by how fast backend servers are now

Long prompts were prefilled on engines whose machines were slowed, and delayed the events of all streams there: no component read the slowdown factor that backend servers report. Entries now scale prefill, backlog of placed calls and the duration of calls by it, and learn the prefill rate from calls that expected no wait.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/estimator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -37,9 +38,9 @@
 	pendingAdapters map[string]AdapterState
 	recent          map[string]struct{}
 	cached          map[uint32]struct{}
-	// placedRead is the reading time of prompts placed here since the last report that
-	// do not wait for an adapter or a model; placedWaitingRead is that of the prompts
-	// that do.
+	// placedRead is the reading time, at the usual speed, of prompts placed here since the
+	// last report that do not wait for an adapter or a model; placedWaitingRead is that of the
+	// prompts that do.
 	placedRead, placedWaitingRead time.Duration
 	// backlogUntil is the time at which the reported backlog will have been read.
 	backlogUntil time.Time
@@ -50,6 +51,8 @@
 	load   int
 	loadAt time.Time
 	limits limits
+	// speed is what is known of the machine's speed.
+	speed estimator.Speed
 	// throttle limits this entry's calls to a backend server of a plain service.
 	throttle *throttler.Throttler
 
@@ -59,7 +62,7 @@
 	suspicion    time.Duration
 	// failures is the smoothed failure rate.
 	failures float64
-	// callTime is the smoothed duration of calls; 0 before the first.
+	// callTime is the smoothed duration of calls at the usual speed; 0 before the first.
 	callTime time.Duration
 }
 
@@ -182,13 +185,13 @@
 
 // backlog returns the time to read the prompts queued there.
 func (b *backend) backlog(now time.Time) time.Duration {
-	return max(0, b.backlogUntil.Sub(now)) + b.placedRead
+	return max(0, b.backlogUntil.Sub(now)) + estimator.Scale(b.placedRead, b.speed.Factor(now))
 }
 
 // waitingRead returns the time to read the prompts that wait for their adapter or
 // model.
-func (b *backend) waitingRead() time.Duration {
-	return time.Duration(b.state.WaitingMillis)*time.Millisecond + b.placedWaitingRead
+func (b *backend) waitingRead(now time.Time) time.Duration {
+	return time.Duration(b.state.WaitingMillis)*time.Millisecond + estimator.Scale(b.placedWaitingRead, b.speed.Factor(now))
 }
 
 // uncached returns the number of the call's prompt tokens that are not cached
@@ -274,6 +277,7 @@
 	if e != OutcomeSuccess {
 		return
 	}
+	took = b.atUsualSpeed(now, took)
 	if b.callTime == 0 {
 		b.callTime = took
 		return
--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -51,6 +51,9 @@
 	Backlog  time.Duration
 	Read     time.Duration
 	Load     time.Duration
+	// PrefillRate is the learnt prefill rate at the usual speed, in tokens per second; 0 if the
+	// assumed one holds.
+	PrefillRate float64
 	// Running is the estimated number of calls running there.
 	Running int
 	// Age is the age of the companion's last report; negative if there is none.
@@ -68,6 +71,7 @@
 	pendingRead   time.Duration
 	startedAt     time.Time
 	firstByteSeen bool
+	sample        rateSample
 }
 
 // Outcome is the result of a call at a backend server.
--- a/internal/coordination/placer/cost.go
+++ b/internal/coordination/placer/cost.go
@@ -1,9 +1,6 @@
 package placer
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 const (
 	// runningCallCost is the cost of each running call. A running call slows down every
@@ -51,7 +48,7 @@
 	if otherDomain {
 		cost += s.PromptDistance
 	}
-	read := b.readTime(c, s)
+	_, read := o.readTimes(now, c, b, s)
 	load := b.adapterWait(engines.adapter, c.Version, s)
 	if load > 0 {
 		cost += time.Duration(engines.places[b.index])*affinityStepCost + engines.storeCost(c, b)
@@ -85,7 +82,7 @@
 		return backlog
 	}
 	longer, shorter := max(load, backlog), min(load, backlog)
-	return longer + time.Duration(float64(shorter)*overlappingWaitShare) + b.waitingRead()
+	return longer + time.Duration(float64(shorter)*overlappingWaitShare) + b.waitingRead(now)
 }
 
 // tokenPairTime is the time that each prompt token adds to the reading of each later
@@ -95,12 +92,12 @@
 // ReadTime returns the time to read the last fresh of a prompt's tokens at the given
 // rate, in tokens per second.
 func ReadTime(fresh, tokens int, rate float64) time.Duration {
-	pairs := float64(fresh) * (float64(tokens) - float64(fresh)/2)
-	return time.Duration(float64(fresh)/rate*float64(time.Second) + pairs*tokenPairTime)
+	return time.Duration(float64(fresh)/rate*float64(time.Second) + tokenPairs(fresh, tokens)*tokenPairTime)
 }
 
-func (b *backend) readTime(c *Call, s *Settings) time.Duration {
-	return ReadTime(b.uncached(c), c.Tokens, s.PrefillRate)
+// tokenPairs returns the number of pairs of a token to read and an earlier one.
+func tokenPairs(fresh, tokens int) float64 {
+	return float64(fresh) * (float64(tokens) - float64(fresh)/2)
 }
 
 // maxLoadAge is the age up to which a load reported by a backend server is used.
@@ -114,7 +111,7 @@
 	if now.Sub(b.loadAt) < maxLoadAge {
 		calls = max(calls, b.load)
 	}
-	duration := cmp.Or(b.callTime, s.CallTime)
+	duration := b.expectedCallTime(now, s)
 	places := max(1, b.member.Spec.Slots)
 	return duration + time.Duration(float64(calls)/float64(places)*float64(duration)) +
 		time.Duration(o.random.Int64N(int64(time.Millisecond)))
--- a/internal/coordination/placer/limit.go
+++ b/internal/coordination/placer/limit.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/juju/errors"
@@ -198,14 +197,14 @@
 		return true
 	}
 	limit := b.limits.limit()
-	return b.limits.wait(now) <= limit.LongestWait(c.Slack-o.duration(b, s), c.MaxWait)
+	return b.limits.wait(now) <= limit.LongestWait(c.Slack-o.duration(now, b, s), c.MaxWait)
 }
 
 // duration returns the expected duration of a call to a plain service, and 0 for an engine,
 // whose calls are due when their stream starts.
-func (o *pool) duration(b *backend, s *Settings) time.Duration {
+func (o *pool) duration(now time.Time, b *backend, s *Settings) time.Duration {
 	if o.engine != nil {
 		return 0
 	}
-	return cmp.Or(b.callTime, s.CallTime)
+	return b.expectedCallTime(now, s)
 }
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -160,7 +160,9 @@
 	case best == nil:
 		return errors.Trace(ErrNoBackend)
 	}
+	fresh := best.uncached(c)
 	o.record(now, c, best, choice, &p.settings)
+	o.sampleRate(now, c, fresh, choice)
 	return nil
 }
 
@@ -223,19 +225,21 @@
 		choice.Age = now.Sub(b.reportedAt)
 	}
 	known := o.knows(b, s)
-	choice.Duration = o.duration(b, s)
+	choice.Duration = o.duration(now, b, s)
 	choice.NamedLimit, choice.Limit, choice.Turn = b.limits.named, b.limits.limit(), b.limits.wait(now)
 	if o.engine != nil {
 		choice.Backlog, choice.Load = b.backlog(now), b.adapterWait(o.lastSurvey.adapter, c.Version, s)
 		if !known && o.lastSurvey.adapter != "" {
 			choice.Load = s.ColdLoad
 		}
-		choice.Read = b.readTime(c, s)
-		choice.pendingRead = choice.Read
+		choice.pendingRead, choice.Read = o.readTimes(now, c, b, s)
+		if rate, learnt := o.learntRate.Learnt(s.PrefillRate); learnt {
+			choice.PrefillRate = rate
+		}
 		if choice.Load > 0 || c.Model != "" && !b.hasModel(c.Model) {
-			b.placedWaitingRead += choice.Read
+			b.placedWaitingRead += choice.pendingRead
 		} else {
-			b.placedRead += choice.Read
+			b.placedRead += choice.pendingRead
 		}
 		for _, hash := range c.Parts {
 			b.cached[hash] = struct{}{}
@@ -282,7 +286,7 @@
 
 // RecordFirstByte records that the first byte of the answer has arrived, which means
 // that the prompt has been read. Repeated calls have no effect.
-func (p *Placer) RecordFirstByte(_ time.Time, choice *Choice) {
+func (p *Placer) RecordFirstByte(now time.Time, choice *Choice) {
 	o := choice.pool
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -290,6 +294,7 @@
 		return
 	}
 	choice.firstByteSeen = true
+	o.learnRate(now, choice)
 	choice.backend.placedRead = max(0, choice.backend.placedRead-choice.pendingRead)
 	choice.backend.placedWaitingRead = max(0, choice.backend.placedWaitingRead-choice.pendingRead)
 }
--- a/internal/coordination/placer/pool.go
+++ b/internal/coordination/placer/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/estimator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/throttler"
 	"marigoldpoint.example/marigoldpoint/internal/state/hasher"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -29,6 +30,8 @@
 	// attached reports whether the pool has received all changes of its members so far.
 	attached   bool
 	lastSurvey survey
+	// learntRate is the prefill rate of the service's engines as observed.
+	learntRate estimator.PrefillRate
 	// notices holds what backend servers have asked of this entry, by incarnation.
 	notices map[string]*notice
 }
--- a/internal/coordination/placer/unknown.go
+++ b/internal/coordination/placer/unknown.go
@@ -15,7 +15,7 @@
 // unknownCost returns the cost of a call at an engine whose state the entry does not follow.
 // The caller holds o.mu.
 func (o *pool) unknownCost(c *Call, b *backend, engines *survey, s *Settings) time.Duration {
-	cost := ReadTime(c.Tokens, c.Tokens, s.PrefillRate) + unknownStateCost
+	cost := ReadTime(c.Tokens, c.Tokens, o.prefillRate(s)) + unknownStateCost
 	if b.tier > 0 {
 		cost += s.PromptDistance
 	}
--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -35,6 +35,15 @@
 	// wait here much longer than ExpectedMillis before its prompt is processed.
 	Movable        bool
 	ExpectedMillis int64
+	// ExpectedReadMillis is the time in milliseconds that the entry expects the prefill of the
+	// prompt to take; 0 means unspecified. PrefillRate is the prefill rate at the usual speed, in
+	// tokens per second, that the entry has learnt; 0 means none.
+	ExpectedReadMillis int64   `json:",omitempty"`
+	PrefillRate        float64 `json:",omitempty"`
+	// MovableWhenSlowed means that the request may be sent to another backend server if the
+	// machine is slowed and the prefill would therefore take much longer than
+	// ExpectedReadMillis.
+	MovableWhenSlowed bool `json:",omitempty"`
 	// Urgency ranges from 0, the most urgent, to 9. It orders requests that wait for their
 	// turn under a limit of requests.
 	Urgency int
--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -44,6 +44,8 @@
 	// MethodLimitState carries the state of an engine's limit of requests to an entry
 	// (package placer).
 	MethodLimitState Method = "Entry.LimitState"
+	// MethodSpeedState carries the speed of an engine's machine to an entry (package placer).
+	MethodSpeedState Method = "Entry.SpeedState"
 
 	// MethodReplicate carries messages of the replicated log between control
 	// hosts (package replicator).
--- a/internal/protocol/messenger/refusal.go
+++ b/internal/protocol/messenger/refusal.go
@@ -65,6 +65,9 @@
 	// RetryAfterMillis is the time in milliseconds to wait before the next attempt; 0
 	// means that it is not known.
 	RetryAfterMillis int64
+	// SlowdownPercent is the slowdown factor of the backend server's machine in percent with
+	// ReasonMisled, if the request is refused because the machine is slowed; else 0.
+	SlowdownPercent int `json:",omitempty"`
 	// Leader is the address of the leader with ReasonNotLeader, or empty if unknown.
 	Leader string
 }
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/estimator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
@@ -99,6 +100,9 @@
 	if refusal := a.checkExpectedWait(m, now); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := a.checkExpectedPrefill(m, now); refusal != nil {
+		return nil, refusal
+	}
 	adm := &admission{msg: m, conn: conn, done: make(chan struct{}), started: now}
 	a.admissions[m.Request] = adm
 	a.markChanged()
@@ -132,9 +136,9 @@
 	if !exceeded {
 		return nil
 	}
-	a.metrics.sentBack.Inc()
 	r := messenger.NewRefusal(messenger.ReasonMisled, "the request would wait much longer than expected")
 	r.RetryAfterMillis = wait.Milliseconds()
+	a.recordReturn(&m, returnWait, wait, a.expectPrefill(&m, now), now)
 	return r
 }
 
@@ -235,11 +239,7 @@
 	adm.admitted, adm.grantedAt = true, now
 	delete(a.blocked, adm.msg.Request)
 	uncached := a.cache.prefill(adm.msg, adm.version)
-	prefill := placer.ReadTime(uncached, adm.msg.Tokens, a.settings.PrefillRate)
-	if a.prefillEnd.Before(now) {
-		a.prefillEnd = now
-	}
-	a.prefillEnd = a.prefillEnd.Add(prefill)
+	a.prefills.Add(now, placer.ReadTime(uncached, adm.msg.Tokens, a.prefillRate(&adm.msg)), a.speed.Factor(now))
 	a.markChanged()
 	close(adm.done)
 }
@@ -290,7 +290,8 @@
 // backlogMillis returns the expected time to prefill the prompts admitted so far, in
 // milliseconds. The caller holds mu.
 func (a *Attendant) backlogMillis() int {
-	return int(max(0, a.prefillEnd.Sub(a.settings.Now())).Milliseconds())
+	now := a.settings.Now()
+	return int(a.prefills.Left(now, a.speed.Factor(now)).Milliseconds())
 }
 
 // waitingMillis returns the expected time to prefill the prompts of the waiting requests,
@@ -299,10 +300,10 @@
 	var prefill time.Duration
 	for _, adm := range a.admissions {
 		if !adm.admitted {
-			prefill += placer.ReadTime(a.cache.uncachedTokens(adm.msg, adm.version), adm.msg.Tokens, a.settings.PrefillRate)
+			prefill += placer.ReadTime(a.cache.uncachedTokens(adm.msg, adm.version), adm.msg.Tokens, a.prefillRate(&adm.msg))
 		}
 	}
-	return int(prefill.Milliseconds())
+	return int(estimator.Scale(prefill, a.speed.Factor(a.settings.Now())).Milliseconds())
 }
 
 func loadRefusal(f loader.FailAction) *messenger.Refusal {
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/continuer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/estimator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
@@ -76,9 +77,13 @@
 	// are those that have not been handed to the subscriber groups yet.
 	evicted      []string
 	newlyEvicted []string
-	// prefillEnd is when the prompts admitted so far are expected to be prefilled.
-	prefillEnd time.Time
-	closed     bool
+	// prefills is the prefill of the prompts admitted so far.
+	prefills estimator.Backlog
+	// speed is what is known of the speed of the engine's machine. speedReports means that the
+	// engine has reported it, also in an earlier incarnation.
+	speed        estimator.Speed
+	speedReports bool
+	closed       bool
 }
 
 // cacheMemoryShare is the part of the engine's memory that is assumed to hold cached prompt
@@ -108,6 +113,7 @@
 	a.metrics = newMetrics(s.Registerer)
 	a.root, a.cancel = context.WithCancel(context.Background())
 	a.spawn(a.observe)
+	a.spawn(a.observeSpeed)
 	a.spawn(func() { a.publish(a.localEntries) })
 	a.spawn(func() { a.publish(a.remoteEntries) })
 	return a
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -49,6 +49,25 @@
 	failure        string
 	// limit is what reports say about the limit of requests.
 	limit regulator.Notice
+	// slowdown is the factor that the health path answers, 0 for none, and polls the number of its
+	// requests.
+	slowdown float64
+	polls    int
+}
+
+func (e *engine) Slowdown(context.Context, string) (float64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.polls++
+	return e.slowdown, nil
+}
+
+// slow sets the factor that the health path answers, and returns the number of polls so far.
+func (e *engine) slow(factor float64) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slowdown = factor
+	return e.polls
 }
 
 func (e *engine) setLimit(n regulator.Notice) {
@@ -193,7 +212,7 @@
 	t.Helper()
 	f := &fixture{t: t, engine: e, registry: prometheus.NewRegistry()}
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
-		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
+		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", HealthPath: "/health", Engine: &tracker.Engine{
 			Slots: 64, MemoryTokens: 1000, MaxAdapters: slots, Models: []tracker.Model{{Name: model}},
 		}}}}
 		err := r.Compile()
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -13,6 +13,8 @@
 	refused  prometheus.Counter
 	sentBack prometheus.Counter
 	limit    prometheus.Gauge
+	slowdown prometheus.Gauge
+	returned *prometheus.CounterVec
 	// originsRefused counts origins that the store rejected.
 	originsRefused prometheus.Counter
 }
@@ -40,9 +42,16 @@
 	m.originsRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marigoldpoint_attendant_origins_refused_total", Help: "Software versions of streams that were not recorded, since they were malformed or there was no room.",
 	})
+	m.slowdown = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marigoldpoint_attendant_slowdown", Help: "Slowdown factor that the engine's machine reported last, 1 is the usual speed, or -1.",
+	})
+	m.returned = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_attendant_returned_total", Help: "Requests that were returned to their entry, by reason: wait, prefill, slowed.",
+	}, []string{"reason"})
+	m.slowdown.Set(-1)
 	m.setLimit(regulator.Limit{})
 	if r != nil {
-		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused)
+		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused, m.slowdown, m.returned)
 	}
 	return m
 }
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -122,6 +122,7 @@
 		a.settings.Log.Warn().Str("Incarnation", a.incarnation).Msg("engine restarted")
 		a.cache.clear()
 		a.forgetLimit()
+		a.forgetSpeed()
 		a.evicted = nil
 		a.localEntries.requireFull()
 		a.remoteEntries.requireFull()
--- a/internal/transport/attendant/publish.go
+++ b/internal/transport/attendant/publish.go
@@ -38,6 +38,7 @@
 		for _, conn := range entries {
 			_ = conn.Notify(a.root, messenger.MethodLimitState, state)
 		}
+		a.publishSpeed(group)
 	}
 }
 
--- a/internal/transport/attendant/settings.go
+++ b/internal/transport/attendant/settings.go
@@ -17,6 +17,12 @@
 	// DefaultObserveInterval is the time between two polls of an engine without an order in
 	// progress. Such a poll only serves to detect a restart.
 	DefaultObserveInterval = 250 * time.Millisecond
+	// DefaultSpeedInterval is the time between two polls of the slowdown factor while requests run
+	// or wait, a quarter of a usual slow period; a poll costs the engine a health check.
+	DefaultSpeedInterval = 150 * time.Millisecond
+	// DefaultSpeedProbeInterval is the time between two such polls of an engine that has never
+	// reported a factor.
+	DefaultSpeedProbeInterval = 10 * time.Second
 	// DefaultPublishInterval is the shortest time between two states published to entries:
 	// a third of a load, so that the entries' view of a slot is seldom outdated.
 	DefaultPublishInterval = 80 * time.Millisecond
@@ -51,6 +57,9 @@
 	Report(ctx context.Context) (Report, error)
 	// Order sends an order. An error means that its outcome is unknown.
 	Order(ctx context.Context, o Order) (Reply, error)
+	// Slowdown requests the health path, and returns the slowdown factor of the engine's machine
+	// in the answer; 0 if there is none.
+	Slowdown(ctx context.Context, healthPath string) (float64, error)
 }
 
 // Settings are the options of an Attendant. Engine, View and Random are required; the zero
@@ -65,6 +74,9 @@
 
 	ObserveInterval time.Duration
 	PublishInterval time.Duration
+	// SpeedInterval and SpeedProbeInterval are the intervals of the polls of the slowdown factor.
+	SpeedInterval      time.Duration
+	SpeedProbeInterval time.Duration
 	// PrefillRate is in tokens per second.
 	PrefillRate      float64
 	SlotWaitTimeout  time.Duration
@@ -84,6 +96,8 @@
 func (s Settings) withDefaults() Settings {
 	s.ObserveInterval = cmp.Or(s.ObserveInterval, DefaultObserveInterval)
 	s.PublishInterval = cmp.Or(s.PublishInterval, DefaultPublishInterval)
+	s.SpeedInterval = cmp.Or(s.SpeedInterval, DefaultSpeedInterval)
+	s.SpeedProbeInterval = cmp.Or(s.SpeedProbeInterval, DefaultSpeedProbeInterval)
 	s.PrefillRate = cmp.Or(s.PrefillRate, DefaultPrefillRate)
 	s.SlotWaitTimeout = cmp.Or(s.SlotWaitTimeout, DefaultSlotWaitTimeout)
 	s.HalfLife = cmp.Or(s.HalfLife, DefaultHalfLife)
--- a/internal/transport/attendant/subscribergroup.go
+++ b/internal/transport/attendant/subscribergroup.go
@@ -30,6 +30,8 @@
 	newlyCached  []uint32
 	// limits holds the last state of the engine's limit that each connection has got.
 	limits map[*messenger.Conn]publishedLimit
+	// speeds holds what each connection has got of the speed of the engine's machine.
+	speeds map[*messenger.Conn]publishedSpeed
 }
 
 // publishedLimit is a state of the engine's limit, published at the time at. The zero value
@@ -73,13 +75,17 @@
 }
 
 func newSubscriberGroup() *subscriberGroup {
-	return &subscriberGroup{full: true, conns: make(map[*messenger.Conn]bool), slots: make(map[string]placer.AdapterState), limits: make(map[*messenger.Conn]publishedLimit)}
+	return &subscriberGroup{
+		full: true, conns: make(map[*messenger.Conn]bool), slots: make(map[string]placer.AdapterState), limits: make(map[*messenger.Conn]publishedLimit),
+		speeds: make(map[*messenger.Conn]publishedSpeed),
+	}
 }
 
 // add subscribes an entry; it gets the full state first.
 func (g *subscriberGroup) add(conn *messenger.Conn) {
 	g.conns[conn] = false
 	delete(g.limits, conn)
+	delete(g.speeds, conn)
 	g.changed = true
 }
 
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -87,6 +87,8 @@
 	// Calls is the number of calls in progress at the backend server; a negative value
 	// means unspecified.
 	Calls int
+	// Slowdown is the slowdown factor of the backend server's machine; 0 means unspecified.
+	Slowdown float64
 	// KeepAlive is how long the connection may stay idle; 0 means unspecified.
 	KeepAlive time.Duration
 	// Limit is what the answer says about the backend server's limit of requests.
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -69,6 +69,8 @@
 
 func (translator) Head(_ int, h http.Header) relayer.Head {
 	head := relayer.Head{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != "", OtherIncarnation: h.Get("Not-Run") == "elsewhere", Signed: h.Get("Signed") != "", Calls: -1}
+	// A missing factor is 0.
+	head.Slowdown, _ = strconv.ParseFloat(h.Get("Slowdown"), 64)
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		head.Limit = regulator.Notice{Kind: regulator.NoticeLimited, Rate: rate}
 	} else if head.Signed {
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -164,6 +164,10 @@
 		return false
 	}
 	j.avoid = nil
+	if j.returns > 0 {
+		// There is no other backend server that could be faster.
+		j.returns = maxReturns
+	}
 	return true
 }
 
@@ -302,7 +306,7 @@
 		j.counted = true
 		return admitted, release, nil
 	case errors.As(err, &refusal) && refusal.Reason == messenger.ReasonMisled:
-		j.redirected = true
+		j.recordReturn(refusal)
 		r.settings.Placer.CorrectWait(r.settings.Now(), &j.choice, refusal.RetryAfter())
 		return messenger.Admitted{}, nil, err
 	case errors.As(err, &refusal):
@@ -332,9 +336,10 @@
 		Model: j.call.Model, Adapter: j.call.Adapter,
 		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
 		SlackMillis: max(0, j.slack().Milliseconds()),
-		Movable:     !j.redirected && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
+		Movable:     j.returns == 0 && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
 		Urgency: placer.Urgency(j.priority(), j.slack()), Resumed: j.answer.begun(), Limit: j.namedLimit(j.relayer.settings.Now()),
 	}
+	j.expectPrefill(&params)
 	if params.Adapter != "" {
 		params.Version = j.relayer.settings.View().Newest(params.Model + "/" + params.Adapter)
 	}
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -30,6 +30,7 @@
 	if head.Calls >= 0 {
 		r.settings.Placer.ReportLoad(r.settings.Now(), &j.choice, head.Calls)
 	}
+	j.recordSlowdown(head)
 	if head.NotRun {
 		if head.OtherIncarnation {
 			// The incarnation that was meant did not receive the call.
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -69,9 +69,9 @@
 	// lastEvent is the id of the last complete event that was forwarded.
 	lastEvent string
 	choice    placer.Choice
-	// redirected means that a companion has sent the call elsewhere, which is allowed
-	// once.
-	redirected bool
+	// returns is the number of times that a companion has returned the call because it
+	// would take much longer there than expected; at most maxReturns.
+	returns int
 	// retryReserved means that the next attempt is reserved in the retry budget.
 	retryReserved bool
 	waited        time.Duration
