--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -486,6 +486,36 @@
 		Expect(choice.Name).To(Equal("b1"), "the wait is known for the next call")
 	})
 
+	// Guards against a long prompt that is prefilled on a slowed machine though others are idle,
+	// and against one that is returned again and again, or to the engine that returned it.
+	It("that is slowed returns the call, twice at most, and gets no second one", func() {
+		e := newEntry(streamed, engine, newBackend(stream), newBackend(stream), newBackend(stream))
+		var seen []messenger.Admit
+		e.admit = func(m messenger.Admit) (messenger.Admitted, error) {
+			if seen = append(seen, m); m.MovableWhenSlowed {
+				return messenger.Admitted{}, &messenger.Refusal{Reason: messenger.ReasonMisled, SlowdownPercent: 250}
+			}
+			return messenger.Admitted{Version: m.Version}, nil
+		}
+		Expect(read(e.call(ctx, map[string]string{"Model": "m/a1"}))).To(HaveSuffix("id: 2\ndata: x\n\n"))
+		incarnations := map[string]bool{}
+		for i, m := range seen {
+			incarnations[m.Incarnation] = true
+			Expect([]bool{m.Movable, m.MovableWhenSlowed, m.ExpectedReadMillis > 0}).To(Equal([]bool{i == 0, i < 2, true}))
+		}
+		Expect(incarnations).To(HaveLen(3))
+		factor, _, _ := e.placer.Slowdown(time.Now(), "s", "b"+seen[1].Incarnation[len("i-"):])
+		Expect(factor).To(BeNumerically(">", 1), "the refusal contains the factor")
+	})
+
+	// Guards against an entry that ignores what answers say of the speed of their servers.
+	It("is known by the slowdown factor of its answers", func() {
+		e := newEntry(runOnce, nil, newBackend(text("200", "Slowdown: 2.5\r\n", "")))
+		e.call(ctx, nil)
+		_, _, age := e.placer.Slowdown(time.Now(), "s", "b0")
+		Expect(age).To(BeNumerically(">=", 0))
+	})
+
 	It("that is refused moves the call to others, and finally refuses it", func() {
 		b := newBackend(answersWell)
 		e := newEntry(streamed, engine, b)
