attendant: a prompt part that a waiting request will prefill counts as cached

A call whose entry expected the part to be cached by an earlier call would have been returned during the load that both wait for; the test fails without it.

--- a/internal/transport/attendant/speed.go
+++ b/internal/transport/attendant/speed.go
@@ -96,12 +96,31 @@
 	if m.Adapter != "" {
 		version = max(m.Version, a.settings.View().Newest(adapterName(m.Model, m.Adapter)))
 	}
-	p := prefill{uncached: a.cache.uncachedTokens(*m, version)}
+	p := prefill{uncached: min(a.cache.uncachedTokens(*m, version), a.tokensAfterWaiting(m, version))}
 	p.usual = placer.ReadTime(p.uncached, m.Tokens, a.prefillRate(m))
 	p.now = estimator.Scale(p.usual, a.speed.Factor(now))
 	return p
 }
 
+// tokensAfterWaiting returns the number of the prompt's tokens that follow the parts that it shares
+// with a request that waits for the same adapter: those are prefilled before it. Without this, a
+// call whose entry expects a part to be cached by an earlier call would be returned during the load
+// that both wait for. The caller holds mu.
+func (a *Attendant) tokensAfterWaiting(m *messenger.Admit, version uint64) int {
+	fewest := m.Tokens
+	for _, adm := range a.admissions {
+		if adm.admitted || adm.msg.Model != m.Model || adm.msg.Adapter != m.Adapter || adm.version != version {
+			continue
+		}
+		tokens := m.Tokens
+		for i := 0; i < min(len(m.Parts), len(adm.msg.Parts)) && m.Parts[i].ID == adm.msg.Parts[i].ID; i++ {
+			tokens -= m.Parts[i].Tokens
+		}
+		fewest = min(fewest, max(0, tokens))
+	}
+	return fewest
+}
+
 const (
 	// minLongPrefill is the time at factor 1 from which a prefill is long. While it runs, the
 	// streams of the engine get no events; a shorter one delays them little at any factor.
--- a/internal/transport/attendant/speed_test.go
+++ b/internal/transport/attendant/speed_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
@@ -59,6 +60,16 @@
 				t.Errorf("%s: published %v", c.request, percent)
 			}
 		}
+		// Both wait for a load; the second one's entry expects the part to be cached.
+		part := messenger.Part{ID: 7, Tokens: 9000}
+		e.slow(1)
+		advance(5 * time.Second)
+		f.admitPrompt("first", "a2", 1, part)
+		synctest.Wait()
+		second := messenger.Admit{Request: "second", Adapter: "a2", Parts: []messenger.Part{part}, Tokens: 9100, ExpectedMillis: 1000, ExpectedReadMillis: 10, Movable: true}
+		if err := f.admitNow(second); err != nil {
+			t.Errorf("returned although the part is prefilled by a waiting request: %v", err)
+		}
 		e.slow(0)
 		e.restart("i-2")
 		f.announce("i-2", storer.MemberStateServing)
