--- a/internal/coordination/placer/explain.go
+++ b/internal/coordination/placer/explain.go
@@ -114,6 +114,7 @@
 	return &pool{
 		backends: copyList(o.backends), order: copyList(o.order), used: copyList(o.used), local: o.local,
 		engine: o.engine, random: rand.New(&source), source: &source, attached: o.attached, notices: o.notices,
+		learntRate: o.learntRate,
 		compared: make(map[*backend]Terms, len(o.backends)),
 	}
 }
--- a/internal/coordination/placer/unknown.go
+++ b/internal/coordination/placer/unknown.go
@@ -15,7 +15,7 @@
 // unknownTerms returns the terms of the cost of a call at an engine whose state the entry does
 // not follow. The caller holds o.mu.
 func (o *pool) unknownTerms(c *Call, b *backend, engines *survey, s *Settings) Terms {
-	t := Terms{Read: ReadTime(c.Tokens, c.Tokens, s.PrefillRate), Unknown: unknownStateCost}
+	t := Terms{Read: ReadTime(c.Tokens, c.Tokens, o.prefillRate(s)), Unknown: unknownStateCost}
 	if b.tier > 0 {
 		t.Distance = s.PromptDistance
 	}
--- a/internal/transport/attendant/publish_test.go
+++ b/internal/transport/attendant/publish_test.go
@@ -23,6 +23,8 @@
 	mu     sync.Mutex
 	states []placer.EngineState
 	limits []placer.LimitState
+	// speeds are the slowdown factors received, in percent.
+	speeds []int
 }
 
 func (f *fixture) watchLocal() *stateListener {
@@ -41,6 +43,14 @@
 		if method == messenger.MethodLimitState {
 			return nil, l.addLimit(params)
 		}
+		if method == messenger.MethodSpeedState {
+			var s placer.SpeedState
+			err := messenger.Decode(params, &s)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.speeds = append(l.speeds, s.Percent)
+			return nil, err
+		}
 		var s placer.EngineState
 		if err := messenger.Decode(params, &s); err != nil {
 			f.t.Error(err)
