--- a/internal/coordination/placer/explain.go
+++ b/internal/coordination/placer/explain.go
@@ -115,7 +115,7 @@
 		backends: copyList(o.backends), order: copyList(o.order), used: copyList(o.used), local: o.local,
 		engine: o.engine, random: rand.New(&source), source: &source, attached: o.attached, notices: o.notices,
 		learntRate: o.learntRate,
-		compared: make(map[*backend]Terms, len(o.backends)),
+		compared:   make(map[*backend]Terms, len(o.backends)),
 	}
 }
 
