--- a/internal/coordination/loader/plan.go
+++ b/internal/coordination/loader/plan.go
@@ -13,6 +13,7 @@
 		if v == nil {
 			break
 		}
+		t.countOutOfOrder(now, v)
 		t.setPermit(v, true)
 		t.charge(v)
 		t.permitsRequested++
@@ -37,10 +38,16 @@
 
 // nextPending returns the next version to request a permit for, or nil.
 func (t *Table) nextPending(now time.Time) *version {
+	return t.firstPending(now, t.permitsRequested%oldestFirstInterval == 0)
+}
+
+// firstPending returns the pending version that goes first, with the longest waits first if
+// byAge is set; nil if there is none.
+func (t *Table) firstPending(now time.Time, byAge bool) *version {
 	f := t.fairness(now)
 	var best *version
 	for _, v := range t.waiting {
-		if v.pending(now) && t.competingLoads(v) < t.maxPermits && t.hasSlotFor(v, f) && (best == nil || t.loadsBefore(now, v, best)) {
+		if v.pending(now) && t.competingLoads(v) < t.maxPermits && t.hasSlotFor(v, f) && (best == nil || t.loadsBefore(now, v, best, byAge)) {
 			best = v
 		}
 	}
@@ -53,23 +60,28 @@
 
 // loadsBefore orders pending versions: first by workspace, the one with the fewest
 // loads for its share first; then by the number of requests that can still be served in
-// time; then by total waiting time.
+// time; then, if requests are ranked, by rank and slack; then by total waiting time.
 //
 // After a loss of power, demand exceeds the rate of the store for some seconds. In
 // order of arrival each load would serve requests that are already late, and make the
 // next ones late as well. The longest waits go first at a fixed interval, so that late
 // requests are served eventually.
-func (t *Table) loadsBefore(now time.Time, a, b *version) bool {
+func (t *Table) loadsBefore(now time.Time, a, b *version, byAge bool) bool {
 	if t.settings.Policy == PolicyDemand {
 		x, y := t.startTag(a), t.startTag(b)
 		if x != y {
 			return x < y
 		}
-		if t.permitsRequested%oldestFirstInterval != 0 {
+		if !byAge {
 			if m, n := a.servableInTime(now, t.settings), b.servableInTime(now, t.settings); m != n {
 				return m > n
 			}
 		}
+		if t.ranked() {
+			if c := t.compareRanked(now, a, b, byAge); c != 0 {
+				return c < 0
+			}
+		}
 		x, y = waitWeight(now, a), waitWeight(now, b)
 		if x != y {
 			return x > y
--- a/internal/coordination/loader/table.go
+++ b/internal/coordination/loader/table.go
@@ -46,6 +46,9 @@
 	Regrets uint64
 	// Prefetches counts the loads that no request waited for when they were ordered.
 	Prefetches uint64
+	// OutOfOrder counts the permits that went to the longest wait ahead of requests that
+	// precede it by rank.
+	OutOfOrder uint64
 }
 
 // Want is a request that needs a version.
@@ -58,6 +61,10 @@
 	Source  string
 	// Due is the time by which the request needs its version; zero means none.
 	Due time.Time
+	// Rank is the priority rank, 0 first. Loads follow the ranks while a request waits that
+	// has Ranked set.
+	Rank   int
+	Ranked bool
 }
 
 // Residency is the state of one version in the table.
@@ -179,7 +186,7 @@
 			Request: w.Request, Version: v.name, RetryAfter: v.retryAt.Sub(now), Cause: "load failed before",
 		}}
 	}
-	v.waiters[w.Request] = waiter{since: now, due: w.Due}
+	v.waiters[w.Request] = waiter{since: now, due: w.Due, rank: w.Rank, ranked: w.Ranked}
 	t.updateIndex(v)
 	t.holders[w.Request] = v
 	return t.plan(now, t.withdraw(v, nil))
--- a/internal/coordination/loader/version.go
+++ b/internal/coordination/loader/version.go
@@ -74,6 +74,9 @@
 	since time.Time
 	// due is the time by which the request needs the version; zero means none.
 	due time.Time
+	// rank is the priority rank, 0 first, and ranked means that loads follow the ranks.
+	rank   int
+	ranked bool
 }
 
 // pinned reports whether a request may be using the version.
