attendant: rationed requests wait by rank and are refused once they would wait too long

Where the entry asks for it, the companion orders loads and turns by rank, and refuses a request with ReasonOverloaded and the expected end of the shortage when its expected wait and prefill exceed the time left, before a load is ordered for it. Waits follow from its position and from observed times of loads and slots; a companion without observations refuses nothing. Requests of earlier entries are served as before.

--- a/internal/coordination/placer/urgency.go
+++ b/internal/coordination/placer/urgency.go
@@ -16,6 +16,10 @@
 	ampleSlack = 600 * time.Millisecond
 )
 
+// Rank returns the rank that an urgency was computed from, as far as it is preserved: ranks
+// from 3 on have a common one.
+func Rank(urgency int) int { return urgency / urgencyStep }
+
 // Urgency returns the urgency of a call, from 0 (served first) to 9. It depends on the
 // rank of the call's route, with 0 the highest, and on its slack: the time remaining
 // until the target after the call's own prompt has been read.
--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -43,6 +43,12 @@
 	Resumed bool `json:",omitempty"`
 	// Limit is the limit that the backend server named to the sender; nil if it named none.
 	Limit *Limit `json:",omitempty"`
+	// DeadlineMillis is the time left until the request's deadline, in milliseconds; 0 means
+	// that it is not known, as with entries of earlier versions.
+	DeadlineMillis int64 `json:",omitempty"`
+	// Ration means that requests wait by rank, and that this one is refused with
+	// ReasonOverloaded as soon as it would wait until after its deadline.
+	Ration bool `json:",omitempty"`
 }
 
 // Limit reports what a backend server's answer to a request said about its limit of
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -28,6 +28,12 @@
 	started  time.Time
 	// grantedAt is when the request was admitted.
 	grantedAt time.Time
+	// arrival increases with each request, and rationed means that the request waits by rank
+	// and is refused as soon as it would wait until after its deadline.
+	arrival  uint64
+	rationed bool
+	// expected is the expectation for which a rationed request was refused.
+	expected *expectation
 }
 
 // earlyReleaseRetention is how long a release that arrived before its admission is kept.
@@ -66,7 +72,7 @@
 		adm.refused = messenger.NewRefusal(messenger.ReasonDeadline, "the adapter was not ready in time")
 	}
 	a.metrics.refused.Inc()
-	a.settings.Log.Info().Str("Request", adm.msg.Request).Str("Version", adm.name).Dur("Waited", waited).
+	adm.expected.addTo(a.settings.Log.Info()).Str("Request", adm.msg.Request).Str("Version", adm.name).Dur("Waited", waited).
 		Str("Reason", adm.refused.Detail).Int("Guests", len(a.admissions)).Msg("not admitted")
 	return nil, adm.refused
 }
@@ -100,14 +106,21 @@
 		return nil, refusal
 	}
 	adm := &admission{msg: m, conn: conn, done: make(chan struct{}), started: now}
+	a.enroll(adm)
 	a.admissions[m.Request] = adm
 	a.markChanged()
+	if m.Adapter != "" {
+		adm.version = max(m.Version, a.settings.View().Newest(adapterName(m.Model, m.Adapter)))
+		adm.name = versionName(m.Model, m.Adapter, adm.version)
+	}
+	// A request that is refused must not cause a load.
+	if a.refuseOverloaded(now); adm.refused != nil {
+		return adm, nil
+	}
 	if m.Adapter == "" {
 		a.blocked[m.Request] = adm
 		a.admitReady(now)
 	} else {
-		adm.version = max(m.Version, a.settings.View().Newest(adapterName(m.Model, m.Adapter)))
-		adm.name = versionName(m.Model, m.Adapter, adm.version)
 		a.requestSlot(adm, now)
 	}
 	a.refuseHopeless(now)
@@ -162,7 +175,8 @@
 	adm.inTable = true
 	a.apply(a.table.Want(now, loader.Want{
 		Request: adm.msg.Request, Workspace: adm.msg.Model, Share: 1, Version: adm.name, Source: adm.name,
-		Due: adm.started.Add(time.Duration(adm.msg.SlackMillis) * time.Millisecond),
+		Due:  adm.started.Add(time.Duration(adm.msg.SlackMillis) * time.Millisecond),
+		Rank: adm.rank(), Ranked: adm.rationed,
 	}))
 	a.admitReady(now)
 }
@@ -234,6 +248,7 @@
 func (a *Attendant) grant(adm *admission, now time.Time) {
 	adm.admitted, adm.grantedAt = true, now
 	delete(a.blocked, adm.msg.Request)
+	a.shortage.recordGrant(adm, now)
 	uncached := a.cache.prefill(adm.msg, adm.version)
 	prefill := placer.ReadTime(uncached, adm.msg.Tokens, a.settings.PrefillRate)
 	if a.prefillEnd.Before(now) {
@@ -282,8 +297,11 @@
 	a.markChanged()
 	if adm.inTable {
 		now := a.settings.Now()
-		a.apply(a.table.Release(now, adm.msg.Request))
+		actions := a.table.Release(now, adm.msg.Request)
+		a.recordRelease(adm, now)
+		a.apply(actions)
 		a.admitReady(now)
+		a.refuseOverloaded(now)
 	}
 }
 
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -78,7 +78,9 @@
 	newlyEvicted []string
 	// prefillEnd is when the prompts admitted so far are expected to be prefilled.
 	prefillEnd time.Time
-	closed     bool
+	// shortage is what is known of waits for slots and loads.
+	shortage shortage
+	closed   bool
 }
 
 // cacheMemoryShare is the part of the engine's memory that is assumed to hold cached prompt
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -47,6 +47,8 @@
 	lostOrderDelay time.Duration
 	orders         []attendant.Order
 	failure        string
+	// stalled means that loads don't end, as while the weight store stalls.
+	stalled bool
 	// limit is what reports say about the limit of requests.
 	limit regulator.Notice
 }
@@ -130,6 +132,9 @@
 		if e.pending[o.Adapter] = o.Version; e.empty || len(e.held)+len(e.pending) > slots {
 			e.failure = fmt.Sprintf("ordered to hold %v and %v", e.held, e.pending)
 		}
+		if e.stalled {
+			break
+		}
 		after(func() {
 			delete(e.pending, o.Adapter)
 			e.held[o.Adapter] = o.Version
@@ -191,7 +196,7 @@
 // deployment.
 func newFixtureWithoutDeployment(t *testing.T, e *engine) *fixture {
 	t.Helper()
-	f := &fixture{t: t, engine: e, registry: prometheus.NewRegistry()}
+	f := &fixture{t: t, engine: e}
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", Engine: &tracker.Engine{
 			Slots: 64, MemoryTokens: 1000, MaxAdapters: slots, Models: []tracker.Model{{Name: model}},
@@ -199,9 +204,7 @@
 		err := r.Compile()
 		return r, err
 	}})
-	f.attendant = attendant.NewAttendant(attendant.Settings{
-		Name: backendName, FailureDomain: failureDomain, Engine: e, View: f.tracker.View, Registerer: f.registry, Random: rand.New(rand.NewPCG(1, 2)),
-	})
+	f.startCompanion()
 	network, other := net.Pipe()
 	f.network = other
 	go func() {
@@ -217,6 +220,22 @@
 	return f
 }
 
+// startCompanion starts a companion that knows nothing of previous ones.
+func (f *fixture) startCompanion() {
+	f.registry = prometheus.NewRegistry()
+	f.attendant = attendant.NewAttendant(attendant.Settings{
+		Name: backendName, FailureDomain: failureDomain, Engine: f.engine, View: f.tracker.View, Registerer: f.registry, Random: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+// restartCompanion ends the companion and starts another.
+func (f *fixture) restartCompanion() {
+	if err := f.attendant.Close(); err != nil {
+		f.t.Error(err)
+	}
+	f.startCompanion()
+}
+
 func (f *fixture) apply(kind storer.Kind, name string, spec storer.Spec) {
 	f.revision++
 	r := storer.Resource{Kind: kind, Metadata: storer.Metadata{Name: name, Revision: f.revision}, Spec: spec}
--- a/internal/transport/attendant/limit.go
+++ b/internal/transport/attendant/limit.go
@@ -106,6 +106,10 @@
 // admitInTurn admits waiting requests as far as the engine's limit allows. A request whose
 // version is not loaded yet does not hold up the others. The caller holds mu.
 func (a *Attendant) admitInTurn(now time.Time) {
+	if a.rationing() {
+		a.admitByRank(now)
+		return
+	}
 	waiting := false
 	for _, w := range a.waiters() {
 		if a.regulator.Wait(now, 0) > 0 {
@@ -145,7 +149,7 @@
 	if !a.regulator.Limit().Named {
 		return
 	}
-	for _, refused := range a.regulator.Hopeless(now, a.waiters()) {
+	for _, refused := range a.regulator.Hopeless(now, a.turnOrder(now)) {
 		r := messenger.NewRefusal(messenger.ReasonLimited, "the engine's limit of requests leaves no turn in time")
 		r.RetryAfterMillis = refused.Wait.Milliseconds()
 		if adm := a.admissions[refused.ID]; adm != nil {
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -15,6 +15,12 @@
 	limit    prometheus.Gauge
 	// originsRefused counts origins that the store rejected.
 	originsRefused prometheus.Counter
+	// overloaded counts requests refused while they would wait until after their deadline, by
+	// what they wait for; waiting is the number of waiting requests by rank, and outOfOrder
+	// counts grants by age ahead of a higher rank.
+	overloaded *prometheus.CounterVec
+	waiting    *prometheus.GaugeVec
+	outOfOrder prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -40,8 +46,10 @@
 	m.originsRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marigoldpoint_attendant_origins_refused_total", Help: "Software versions of streams that were not recorded, since they were malformed or there was no room.",
 	})
+	m.addRationing()
 	m.setLimit(regulator.Limit{})
 	if r != nil {
+		r.MustRegister(m.overloaded, m.waiting, m.outOfOrder)
 		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused)
 	}
 	return m
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -81,6 +81,8 @@
 	a.applyReport(now, r, member, known, sequence)
 	a.recordReportedLimit(sentAt, now, r.Limit)
 	a.admitReady(now)
+	a.shortage.reportedAt = now
+	a.refuseOverloaded(now)
 	for request, at := range a.earlyReleases {
 		if now.Sub(at) > earlyReleaseRetention {
 			delete(a.earlyReleases, request)
@@ -122,6 +124,7 @@
 		a.settings.Log.Warn().Str("Incarnation", a.incarnation).Msg("engine restarted")
 		a.cache.clear()
 		a.forgetLimit()
+		a.shortage.forget()
 		a.evicted = nil
 		a.localEntries.requireFull()
 		a.remoteEntries.requireFull()
--- a/internal/transport/attendant/ordering.go
+++ b/internal/transport/attendant/ordering.go
@@ -57,6 +57,7 @@
 	now := a.settings.Now()
 	a.apply(event(now))
 	a.admitReady(now)
+	a.refuseOverloaded(now)
 	a.markChanged()
 }
 
@@ -81,6 +82,7 @@
 	}
 	a.applyEvent(func(now time.Time) []loader.Action {
 		if outcome == loader.OutcomeDone {
+			a.shortage.times.RecordLoad(took)
 			a.updateLoadLimit(now, accepted)
 		}
 		return a.table.Loaded(now, l.Version, l.Fence, outcome, cause)
--- a/internal/transport/attendant/settings.go
+++ b/internal/transport/attendant/settings.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/rationer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -72,6 +73,9 @@
 	OrderTimeout     time.Duration
 	LoadPollInterval time.Duration
 	LoadTimeout      time.Duration
+	// Rationing is whether requests wait by rank and are refused as soon as they would wait
+	// until after their deadline: with ModeAuto those whose entry asks for it.
+	Rationing rationer.Mode
 
 	Registerer prometheus.Registerer
 	Log        zerolog.Logger
