relayer: calls are refused at once when no answer is expected in time

The entry asks companions to ration, tries one more engine when one refuses, and answers 503 with Retry-After after two refusals, or when all engines with fresh reports (or application servers) would answer after the deadline. Never while one has a free slot, the adapter or no fresh report, when the call may have run, or when its answer has begun. Setting rationing of the platform's file: off, on, auto (where answers tell a slowdown); without it messages and answers are as before.

--- a/internal/coordination/placer/pool.go
+++ b/internal/coordination/placer/pool.go
@@ -29,6 +29,8 @@
 	// attached reports whether the pool has received all changes of its members so far.
 	attached   bool
 	lastSurvey survey
+	// slowdownTold means that a backend server of the service has told how fast it is.
+	slowdownTold bool
 	// notices holds what backend servers have asked of this entry, by incarnation.
 	notices map[string]*notice
 }
--- a/internal/coordination/rationer/rationer_test.go
+++ b/internal/coordination/rationer/rationer_test.go
@@ -218,3 +218,15 @@
 		Expect(t.Hold()).To(Equal(time.Second))
 	})
 })
+
+var _ = Describe("The mode", func() {
+	It("applies by its name, and auto where it is told", func() {
+		for name, want := range map[string][2]bool{"": {false, true}, "auto": {false, true}, "off": {}, "on": {true, true}} {
+			m, err := rationer.ParseMode(name)
+			Expect(err).NotTo(HaveOccurred())
+			Expect([2]bool{m.Applies(false), m.Applies(true)}).To(Equal(want), name)
+		}
+		_, err := rationer.ParseMode("maybe")
+		Expect(err).To(MatchError(ContainSubstring("maybe")))
+	})
+})
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -96,6 +96,9 @@
 	Rest time.Duration
 	// Leaving means that the backend server leaves, and wants no new requests.
 	Leaving bool
+	// Slowdown is how long work takes at the backend server now, as a multiple of the usual
+	// time; 0 means unspecified.
+	Slowdown float64
 }
 
 // Translator implements the protocol of callers and backend servers.
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -74,6 +74,9 @@
 	} else if head.Signed {
 		head.Limit = regulator.Notice{Kind: regulator.NoticeUnlimited}
 	}
+	if slowdown, err := strconv.ParseFloat(h.Get("Slowdown"), 64); err == nil {
+		head.Slowdown = slowdown
+	}
 	return head
 }
 
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -34,6 +34,8 @@
 	rests                 *prometheus.CounterVec
 	quotas                *prometheus.CounterVec
 	workspaces            workspaceLabels
+	// overloaded counts the calls refused at once while capacity is short.
+	overloaded *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -91,7 +93,11 @@
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
+	m.overloaded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_overload_refused_total", Help: "Calls refused at once since no answer is expected before their deadline, by service and reason.",
+	}, []string{labelService, "reason"})
 	if r != nil {
+		r.MustRegister(m.overloaded)
 		r.MustRegister(m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
--- a/internal/transport/relayer/notice.go
+++ b/internal/transport/relayer/notice.go
@@ -18,6 +18,9 @@
 	if head.OtherIncarnation {
 		return
 	}
+	if head.Slowdown > 0 {
+		r.settings.Placer.TellSlowdown(&j.choice)
+	}
 	if head.Leaving && r.settings.Placer.RecordLeaving(r.settings.Now(), &j.choice) {
 		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Incarnation", j.choice.Incarnation).
 			Msg("backend server says that it leaves")
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -86,6 +86,9 @@
 	// directory caches the directory of the companions in the current view.
 	directory atomic.Pointer[directory]
 
+	// held counts the calls that wait until backend servers are below their limit.
+	held heldCalls
+
 	attemptsMu sync.Mutex
 	// attempts holds the attempts in progress by engine name; guarded by attemptsMu.
 	attempts map[string]map[*attempt]struct{}
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -65,6 +65,9 @@
 			j.refuseQuarantined(whole)
 			return
 		}
+		if j.refuseOverloaded() {
+			return
+		}
 		err := j.choose()
 		if try >= maxServersPerCall && err == nil {
 			j.release(placer.OutcomeCanceled)
@@ -81,6 +84,10 @@
 			}
 			continue
 		}
+		if errors.Is(err, errTriedAll) && j.overloadRefusals >= maxOverloadRefusals {
+			j.answerOverloaded(overloadRefused, placer.Outlook{})
+			return
+		}
 		if err != nil {
 			if !j.holdForRetry(err) {
 				j.answerExhausted(err.Error())
@@ -158,7 +165,7 @@
 		return false
 	}
 	if errors.Is(cause, placer.ErrBusy) {
-		return pauser.Pause(j.ctx, busyPause)
+		return j.awaitBusy()
 	}
 	if j.sent > 0 || j.mayHaveRun || !pauser.Pause(j.ctx, holdPause) {
 		return false
@@ -310,6 +317,7 @@
 			j.limitRefusals++
 			r.settings.Placer.PostponeTurn(r.settings.Now(), &j.choice, refusal.RetryAfter())
 		}
+		j.recordOverload(refusal)
 		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Reason", refusal.Detail).
 			Dur("Waited", r.settings.Now().Sub(began)).Msg("not admitted")
 		return messenger.Admitted{}, nil, err
@@ -335,6 +343,9 @@
 		Movable:     !j.redirected && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
 		Urgency: placer.Urgency(j.priority(), j.slack()), Resumed: j.answer.begun(), Limit: j.namedLimit(j.relayer.settings.Now()),
 	}
+	if j.rationed() {
+		params.Ration, params.DeadlineMillis = true, max(1, j.deadline.Sub(j.relayer.settings.Now()).Milliseconds())
+	}
 	if params.Adapter != "" {
 		params.Version = j.relayer.settings.View().Newest(params.Model + "/" + params.Adapter)
 	}
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -103,6 +103,11 @@
 	// limitRefusals is the number of backend servers that had no turn for the call under
 	// their limit.
 	limitRefusals int
+	// overloadRefusals is the number of companions that refused the call since it would wait
+	// until after its deadline, and shortageEnd the earliest end of the shortage that they
+	// expect.
+	overloadRefusals int
+	shortageEnd      time.Duration
 	// bytesBeforeAttempt is the number of bytes sent to the caller before the current
 	// attempt.
 	bytesBeforeAttempt int64
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -11,6 +11,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/rationer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/watcher"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
@@ -102,6 +103,10 @@
 	RetryWindow   time.Duration
 	RetryAfter    time.Duration
 	WatchInterval time.Duration
+	// Rationing is whether companions are asked to ration, and calls that no backend server
+	// is expected to answer in time are refused at once: with ModeAuto those to services
+	// whose backend servers tell how fast they are.
+	Rationing rationer.Mode
 	// Silence configures when a companion, and thus the host that it shares with its
 	// engine, counts as silent. The limit must exceed twice the heartbeat interval.
 	Silence watcher.Settings
