--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -193,7 +193,7 @@
 		if err := messenger.Decode(params, &m); err != nil {
 			return nil, err
 		}
-		a.handleLimit(m) //nolint:contextcheck // Orders outlive the request that led to them.
+		a.handleLimit(m)
 		return nil, nil
 	case messenger.MethodRecordOrigin:
 		var m messenger.RecordOrigin
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -93,12 +93,9 @@
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
-	m.overloaded = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "marigoldpoint_relayer_overload_refused_total", Help: "Calls refused at once since no answer is expected before their deadline, by service and reason.",
-	}, []string{labelService, "reason"})
+	m.overloaded = newOverloaded()
 	if r != nil {
-		r.MustRegister(m.overloaded)
-		r.MustRegister(m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
+		r.MustRegister(m.overloaded, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
 	return m
--- a/internal/transport/relayer/rationing.go
+++ b/internal/transport/relayer/rationing.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/rationer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
@@ -83,7 +85,8 @@
 		return
 	}
 	end := outlook.Wait
-	if j.overloadRefusals > 0 && (outlook.Servers == 0 || j.shortageEnd < end) {
+	if j.overloadRefusals > 0 {
+		// Companions know the queues, while the entry assumes the wait for a slot.
 		end = j.shortageEnd
 	}
 	after := rationer.RetryAfter(end, r.draw())
@@ -101,6 +104,13 @@
 	return pauser.Pause(j.ctx, busyPause)
 }
 
+// newOverloaded returns the counter of the calls refused at once while capacity is short.
+func newOverloaded() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_overload_refused_total", Help: "Calls refused at once since no answer is expected before their deadline, by service and reason.",
+	}, []string{labelService, "reason"})
+}
+
 // heldCalls counts the calls that are held, by service. It is safe for concurrent use.
 type heldCalls struct {
 	mu sync.Mutex
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -73,27 +73,13 @@
 			j.release(placer.OutcomeCanceled)
 			err = errTriedAll
 		}
-		if errors.Is(err, placer.ErrLimited) {
-			j.refuseLimited()
-			return
-		}
-		if errors.Is(err, placer.ErrResting) {
-			if !j.awaitRest() {
-				j.refuseResting()
-				return
-			}
-			continue
-		}
-		if errors.Is(err, errTriedAll) && j.overloadRefusals >= maxOverloadRefusals {
-			j.answerOverloaded(overloadRefused, placer.Outlook{})
-			return
-		}
 		if err != nil {
-			if !j.holdForRetry(err) {
-				j.answerExhausted(err.Error())
+			if !j.awaitServer(err) {
 				return
 			}
-			try = 0
+			if !errors.Is(err, placer.ErrResting) {
+				try = 0
+			}
 			continue
 		}
 		if !j.allowAttempt() {
@@ -108,6 +94,29 @@
 	}
 }
 
+// awaitServer waits after no backend server could be chosen, and reports whether the call is to
+// be offered again. If not, the call has been answered.
+func (j *job) awaitServer(err error) bool {
+	switch {
+	case errors.Is(err, placer.ErrLimited):
+		j.refuseLimited()
+		return false
+	case errors.Is(err, placer.ErrResting):
+		if !j.awaitRest() {
+			j.refuseResting()
+			return false
+		}
+		return true
+	case errors.Is(err, errTriedAll) && j.overloadRefusals >= maxOverloadRefusals:
+		j.answerOverloaded(overloadRefused, placer.Outlook{})
+		return false
+	case !j.holdForRetry(err):
+		j.answerExhausted(err.Error())
+		return false
+	}
+	return true
+}
+
 // handleResult handles the verdict of one attempt, and reports whether another attempt
 // is to be made. If not, the call has been answered.
 func (j *job) handleResult(v verdict) bool {
