attendant: slots that are closed for waiting requests are expected to be free in time

Adapters in steady demand keep their slots for many seconds while nobody else waits; from that observed time a request was refused that an eviction served in time (test fails before). The time is now bounded by the time after which a slot is closed and the mean duration of a request.

--- a/internal/coordination/rationer/times.go
+++ b/internal/coordination/rationer/times.go
@@ -8,7 +8,7 @@
 
 // Times are the smoothed observed times of one backend server. The zero value is ready for
 // use.
-type Times struct{ load, hold time.Duration }
+type Times struct{ load, hold, use time.Duration }
 
 // RecordLoad records the duration of a load that has succeeded.
 func (t *Times) RecordLoad(d time.Duration) { t.load = smooth(t.load, d) }
@@ -16,6 +16,9 @@
 // RecordHold records for how long requests have used a slot without a pause.
 func (t *Times) RecordHold(d time.Duration) { t.hold = smooth(t.hold, d) }
 
+// RecordUse records the duration of a request.
+func (t *Times) RecordUse(d time.Duration) { t.use = smooth(t.use, d) }
+
 // Load returns the mean duration of a load, or assumed if none was observed.
 func (t *Times) Load(assumed time.Duration) time.Duration {
 	if t.load == 0 {
@@ -24,8 +27,12 @@
 	return t.load
 }
 
-// Hold returns the mean time for which requests use a slot, or 0 if none was observed.
-func (t *Times) Hold() time.Duration { return t.hold }
+// Hold returns the mean time for which requests use a slot, or 0 if none was observed. Where
+// requests wait, a slot takes no new ones after closeAfter, so that it is used for no longer
+// than that and a request.
+func (t *Times) Hold(closeAfter time.Duration) time.Duration {
+	return min(t.hold, closeAfter+t.use)
+}
 
 func smooth(mean, d time.Duration) time.Duration {
 	d = max(d, 1)
--- a/internal/transport/attendant/rationing.go
+++ b/internal/transport/attendant/rationing.go
@@ -54,6 +54,9 @@
 // recordRelease records for how long the slot of a version was used, if the request was the
 // last to use it. The caller holds mu.
 func (a *Attendant) recordRelease(adm *admission, now time.Time) {
+	if adm.admitted {
+		a.shortage.times.RecordUse(now.Sub(adm.grantedAt))
+	}
 	since, used := a.shortage.usedSince[adm.name]
 	if used && adm.admitted && a.table.Pins(adm.name) == 0 {
 		delete(a.shortage.usedSince, adm.name)
@@ -226,7 +229,7 @@
 func (a *Attendant) shortageState(now time.Time) rationer.State {
 	s := rationer.State{
 		Load: a.shortage.times.Load(assumedLoadTime), Parallel: a.pacer.Limit(now),
-		Slots: a.table.Slots(), Free: a.table.FreeSlots(), Hold: a.shortage.times.Hold(),
+		Slots: a.table.Slots(), Free: a.table.FreeSlots(), Hold: a.shortage.times.Hold(a.settings.SlotWaitTimeout),
 		Backlog: max(0, a.prefillEnd.Sub(now)),
 	}
 	for _, l := range a.table.Loads(now) {
--- a/internal/transport/attendant/rationing_test.go
+++ b/internal/transport/attendant/rationing_test.go
@@ -124,6 +124,31 @@
 	})
 }
 
+// TestRefusesNothingThatAnEvictionServes guards against requests that are refused because
+// slots were used for long while nobody waited for them: a slot whose adapter always has
+// requests is closed once others wait.
+func TestRefusesNothingThatAnEvictionServes(t *testing.T) {
+	withEngine(t, func(f *fixture, _ *engine) {
+		// overlap makes requests of half a second each use both slots without a pause.
+		overlap := func(name string, rounds int) {
+			for round := range rounds {
+				for i := range slots {
+					request := fmt.Sprint(name, round, "-", i)
+					f.admit(request, fmt.Sprint("u", i), 1)
+					time.AfterFunc(500*time.Millisecond, func() { f.release(request) })
+				}
+				advance(250 * time.Millisecond)
+			}
+		}
+		overlap("before", 120)
+		advance(time.Second)
+		overlap("again", 8)
+		rationed := f.ration("rationed", "a1", 4*time.Second, 0)
+		overlap("still", 14)
+		rationed.mustBeAdmitted(t, 1)
+	})
+}
+
 // TestTwoEntriesWantLastSlot guards against two entries with old state that both get the last
 // free slot, or both get nothing.
 func TestTwoEntriesWantLastSlot(t *testing.T) {
