--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -83,7 +83,9 @@
 	// engine has reported it, also in an earlier incarnation.
 	speed        estimator.Speed
 	speedReports bool
-	closed       bool
+	// shortage is what is known of waits for slots and loads.
+	shortage shortage
+	closed   bool
 }
 
 // cacheMemoryShare is the part of the engine's memory that is assumed to hold cached prompt
@@ -197,7 +199,7 @@
 		if err := messenger.Decode(params, &m); err != nil {
 			return nil, err
 		}
-		a.handleLimit(m) //nolint:contextcheck // Orders outlive the request that led to them.
+		a.handleLimit(m)
 		return nil, nil
 	case messenger.MethodRecordOrigin:
 		var m messenger.RecordOrigin
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -17,6 +17,12 @@
 	returned *prometheus.CounterVec
 	// originsRefused counts origins that the store rejected.
 	originsRefused prometheus.Counter
+	// overloaded counts requests refused while they would wait until after their deadline, by
+	// what they wait for; waiting is the number of waiting requests by rank, and outOfOrder
+	// counts grants by age ahead of a higher rank.
+	overloaded *prometheus.CounterVec
+	waiting    *prometheus.GaugeVec
+	outOfOrder prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -42,6 +48,7 @@
 	m.originsRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "marigoldpoint_attendant_origins_refused_total", Help: "Software versions of streams that were not recorded, since they were malformed or there was no room.",
 	})
+	m.addRationing()
 	m.slowdown = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "marigoldpoint_attendant_slowdown", Help: "Slowdown factor that the engine's machine reported last, 1 is the usual speed, or -1.",
 	})
@@ -51,6 +58,7 @@
 	m.slowdown.Set(-1)
 	m.setLimit(regulator.Limit{})
 	if r != nil {
+		r.MustRegister(m.overloaded, m.waiting, m.outOfOrder)
 		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused, m.slowdown, m.returned)
 	}
 	return m
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -65,28 +65,21 @@
 			j.refuseQuarantined(whole)
 			return
 		}
+		if j.refuseOverloaded() {
+			return
+		}
 		err := j.choose()
 		if try >= maxServersPerCall && err == nil {
 			j.release(placer.OutcomeCanceled)
 			err = errTriedAll
 		}
-		if errors.Is(err, placer.ErrLimited) {
-			j.refuseLimited()
-			return
-		}
-		if errors.Is(err, placer.ErrResting) {
-			if !j.awaitRest() {
-				j.refuseResting()
-				return
-			}
-			continue
-		}
 		if err != nil {
-			if !j.holdForRetry(err) {
-				j.answerExhausted(err.Error())
+			if !j.awaitServer(err) {
 				return
 			}
-			try = 0
+			if !errors.Is(err, placer.ErrResting) {
+				try = 0
+			}
 			continue
 		}
 		if !j.allowAttempt() {
@@ -101,6 +94,29 @@
 	}
 }
 
+// awaitServer waits after no backend server could be chosen, and reports whether the call is to
+// be offered again. If not, the call has been answered.
+func (j *job) awaitServer(err error) bool {
+	switch {
+	case errors.Is(err, placer.ErrLimited):
+		j.refuseLimited()
+		return false
+	case errors.Is(err, placer.ErrResting):
+		if !j.awaitRest() {
+			j.refuseResting()
+			return false
+		}
+		return true
+	case errors.Is(err, errTriedAll) && j.overloadRefusals >= maxOverloadRefusals:
+		j.answerOverloaded(overloadRefused, placer.Outlook{})
+		return false
+	case !j.holdForRetry(err):
+		j.answerExhausted(err.Error())
+		return false
+	}
+	return true
+}
+
 // handleResult handles the verdict of one attempt, and reports whether another attempt
 // is to be made. If not, the call has been answered.
 func (j *job) handleResult(v verdict) bool {
@@ -158,7 +174,7 @@
 		return false
 	}
 	if errors.Is(cause, placer.ErrBusy) {
-		return pauser.Pause(j.ctx, busyPause)
+		return j.awaitBusy()
 	}
 	if j.sent > 0 || j.mayHaveRun || !pauser.Pause(j.ctx, holdPause) {
 		return false
@@ -314,6 +330,7 @@
 			j.limitRefusals++
 			r.settings.Placer.PostponeTurn(r.settings.Now(), &j.choice, refusal.RetryAfter())
 		}
+		j.recordOverload(refusal)
 		r.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Reason", refusal.Detail).
 			Dur("Waited", r.settings.Now().Sub(began)).Msg("not admitted")
 		return messenger.Admitted{}, nil, err
@@ -340,6 +357,9 @@
 		Urgency: placer.Urgency(j.priority(), j.slack()), Resumed: j.answer.begun(), Limit: j.namedLimit(j.relayer.settings.Now()),
 	}
 	j.expectPrefill(&params)
+	if j.rationed() {
+		params.Ration, params.DeadlineMillis = true, max(1, j.deadline.Sub(j.relayer.settings.Now()).Milliseconds())
+	}
 	if params.Adapter != "" {
 		params.Version = j.relayer.settings.View().Newest(params.Model + "/" + params.Adapter)
 	}
