attendant: long prompts wait while the engine's machine is slowed

A request that is ready now waits until the machine is no longer slowed, at most for the time that its own prefill would take longer.

--- a/internal/coordination/estimator/speed.go
+++ b/internal/coordination/estimator/speed.go
@@ -9,9 +9,9 @@
 	// decayTime is the time constant with which a reported factor loses its weight against the
 	// usual one. Slow periods of the observed machines last some 600 ms.
 	decayTime = 400 * time.Millisecond
-	// ReportLife is how long a factor counts in full whose source reports each change: three polls
-	// of a companion.
-	ReportLife = 450 * time.Millisecond
+	// ReportLife is how long a factor counts in full whose source reports each change: a poll
+	// interval of companions, and the time for the report to arrive.
+	ReportLife = 500 * time.Millisecond
 	// forgetTime is the time constant with which the usual factor approaches 1 while nothing is
 	// reported. A slow server gets few requests, and without requests reports nothing: it must
 	// become eligible again.
@@ -104,6 +104,13 @@
 	return factor > usual && Differs(factor, usual)
 }
 
+// Postpones reports whether a prefill that takes work at factor 1, and has been postponed for
+// the given time, waits on because the machine is slowed: as long as it would take longer now than
+// usually. So it ends at most that much later than if it had started at once.
+func (s *Speed) Postpones(now time.Time, work, postponed time.Duration) bool {
+	return s.Slowed(now) && postponed < Scale(work, s.Factor(now))-Scale(work, s.Usual(now))
+}
+
 // Age returns the age of the last report; it is negative if there was none.
 func (s *Speed) Age(now time.Time) time.Duration {
 	if !s.Reported() {
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -29,6 +29,8 @@
 	started  time.Time
 	// grantedAt is when the request was admitted.
 	grantedAt time.Time
+	// postponement is set if the prefill is or was postponed while the machine was slowed.
+	postponement postponement
 	// arrival increases with each request, and rationed means that the request waits by rank
 	// and is refused as soon as it would wait until after its deadline.
 	arrival  uint64
@@ -208,7 +210,7 @@
 		a.admitInTurn(now)
 	} else {
 		for _, adm := range a.admissions {
-			if a.pin(adm) {
+			if !a.postpones(adm, now) && a.pin(adm) {
 				a.grant(adm, now)
 			}
 		}
@@ -253,6 +255,7 @@
 	adm.admitted, adm.grantedAt = true, now
 	delete(a.blocked, adm.msg.Request)
 	a.shortage.recordGrant(adm, now)
+	a.recordPostponement(adm, now)
 	uncached := a.cache.prefill(adm.msg, adm.version)
 	a.prefills.Add(now, placer.ReadTime(uncached, adm.msg.Tokens, a.prefillRate(&adm.msg)), a.speed.Factor(now))
 	a.markChanged()
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -27,6 +27,8 @@
 	tasks      sync.WaitGroup
 	// wakeup starts a poll of the engine at once.
 	wakeup chan struct{}
+	// speedWakeup starts a poll of the slowdown factor at once.
+	speedWakeup chan struct{}
 
 	// orderMu is held while an order is sent: each order is based on the engine's sequence
 	// after the previous one.
@@ -83,6 +85,8 @@
 	// engine has reported it, also in an earlier incarnation.
 	speed        estimator.Speed
 	speedReports bool
+	// speedPolledAt is when the last poll of the factor ended, whether or not it succeeded.
+	speedPolledAt time.Time
 	// shortage is what is known of waits for slots and loads.
 	shortage shortage
 	closed   bool
@@ -103,6 +107,7 @@
 		settings:      s,
 		generation:    uint64(s.Now().UnixMilli()),
 		wakeup:        make(chan struct{}, 1),
+		speedWakeup:   make(chan struct{}, 1),
 		admissions:    make(map[string]*admission),
 		blocked:       make(map[string]*admission),
 		earlyReleases: make(map[string]time.Time),
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -15,6 +15,8 @@
 	limit    prometheus.Gauge
 	slowdown prometheus.Gauge
 	returned *prometheus.CounterVec
+	// postponed is the time for which prefills waited for a slowed machine.
+	postponed prometheus.Histogram
 	// originsRefused counts origins that the store rejected.
 	originsRefused prometheus.Counter
 	// overloaded counts requests refused while they would wait until after their deadline, by
@@ -55,11 +57,15 @@
 	m.returned = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_attendant_returned_total", Help: "Requests that were returned to their entry, by reason: wait, prefill, slowed.",
 	}, []string{"reason"})
+	m.postponed = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "marigoldpoint_attendant_postponed_seconds", Help: "Time for which the prefill of long prompts waited while the engine's machine was slowed.",
+		Buckets: prometheus.ExponentialBuckets(0.025, 2, 7),
+	})
 	m.slowdown.Set(-1)
 	m.setLimit(regulator.Limit{})
 	if r != nil {
 		r.MustRegister(m.overloaded, m.waiting, m.outOfOrder)
-		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused, m.slowdown, m.returned)
+		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused, m.slowdown, m.returned, m.postponed)
 	}
 	return m
 }
--- a/internal/transport/attendant/settings.go
+++ b/internal/transport/attendant/settings.go
@@ -20,7 +20,7 @@
 	DefaultObserveInterval = 250 * time.Millisecond
 	// DefaultSpeedInterval is the time between two polls of the slowdown factor while requests run
 	// or wait, a quarter of a usual slow period; a poll costs the engine a health check.
-	DefaultSpeedInterval = 150 * time.Millisecond
+	DefaultSpeedInterval = 450 * time.Millisecond
 	// DefaultSpeedProbeInterval is the time between two such polls of an engine that has never
 	// reported a factor.
 	DefaultSpeedProbeInterval = 10 * time.Second
--- a/internal/transport/attendant/speed.go
+++ b/internal/transport/attendant/speed.go
@@ -14,22 +14,27 @@
 // observeSpeed polls the slowdown factor of the engine's machine until Close.
 func (a *Attendant) observeSpeed() {
 	var nextProbe time.Time
-	for a.pause(a.settings.SpeedInterval) {
+	for a.awaitSpeedPoll() {
 		path, incarnation, probe := a.speedPoll()
-		if !strings.HasPrefix(path, "/") || probe && a.settings.Now().Before(nextProbe) {
-			continue
-		}
-		nextProbe = a.settings.Now().Add(a.settings.SpeedProbeInterval)
-		ctx, cancel := context.WithTimeout(a.root, a.settings.OrderTimeout)
-		sentAt := a.settings.Now()
-		factor, err := a.settings.Engine.Slowdown(ctx, path)
-		cancel()
-		if err != nil {
-			a.settings.Log.Debug().Err(err).Msg("polling the slowdown factor failed")
-			continue
+		if strings.HasPrefix(path, "/") && !(probe && a.settings.Now().Before(nextProbe)) {
+			nextProbe = a.settings.Now().Add(a.settings.SpeedProbeInterval)
+			a.pollSpeed(path, incarnation)
 		}
-		a.recordSlowdown(sentAt, incarnation, factor)
+		a.admitPostponed()
+	}
+}
+
+// pollSpeed polls the slowdown factor once.
+func (a *Attendant) pollSpeed(path, incarnation string) {
+	ctx, cancel := context.WithTimeout(a.root, a.settings.OrderTimeout)
+	defer cancel()
+	sentAt := a.settings.Now()
+	factor, err := a.settings.Engine.Slowdown(ctx, path)
+	if err != nil {
+		a.settings.Log.Debug().Err(err).Msg("polling the slowdown factor failed")
+		return
 	}
+	a.recordSlowdown(sentAt, incarnation, factor)
 }
 
 // speedPoll returns the path of a poll of the slowdown factor, or "" if none is due, and the engine's
