placer: weighs cached prompt parts by their probability, and plans fetches

Engines were taken to have cached all parts that they had prefilled recently. Where backend servers report a slowdown factor, the saving is weighed by the probability that the parts are still there. Entries with the same old state spread further copies of a prefix. Other services are served as before.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -37,6 +37,10 @@
 	pendingAdapters map[string]AdapterState
 	recent          map[string]struct{}
 	cached          map[uint32]struct{}
+	// prompts is the companion's report on the engine's cache, and plan what the engine has
+	// cached of the call that is being placed.
+	prompts promptReport
+	plan    promptPlan
 	// placedRead is the reading time of prompts placed here since the last report that
 	// do not wait for an adapter or a model; placedWaitingRead is that of the prompts
 	// that do.
@@ -79,6 +83,7 @@
 	clear(b.pendingAdapters)
 	clear(b.recent)
 	clear(b.cached)
+	b.prompts = promptReport{}
 }
 
 // accepts reports whether a backend server of a plain service may receive the call now.
@@ -102,6 +107,10 @@
 	if s.Whole {
 		// A state of the limit follows if there is one.
 		b.limits.reported = regulator.Limit{}
+		if s.Life != b.state.Life {
+			// Another process counts the parts from now on.
+			b.prompts = promptReport{}
+		}
 		clear(b.adapters)
 		clear(b.recent)
 		clear(b.cached)
@@ -194,6 +203,9 @@
 // uncached returns the number of the call's prompt tokens that are not cached
 // there.
 func (b *backend) uncached(c *Call) int {
+	if b.plan.call == c {
+		return b.plan.uncached
+	}
 	uncached := c.Tokens
 	for i, hash := range c.Parts {
 		if _, ok := b.cached[hash]; !ok {
--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -55,6 +55,8 @@
 	Running int
 	// Age is the age of the companion's last report; negative if there is none.
 	Age time.Duration
+	// Prompt is what the choice expects of the prompt's cached parts.
+	Prompt PromptChoice
 	// Duration is the expected duration of a call to a plain service.
 	Duration time.Duration
 	// Limit is the backend server's limit of requests, and Turn the expected time until the
--- a/internal/coordination/placer/cost.go
+++ b/internal/coordination/placer/cost.go
@@ -52,6 +52,7 @@
 		cost += s.PromptDistance
 	}
 	read := b.readTime(c, s)
+	cost += b.promptCost(c, read, engines, s)
 	load := b.adapterWait(engines.adapter, c.Version, s)
 	if load > 0 {
 		cost += time.Duration(engines.places[b.index])*affinityStepCost + engines.storeCost(c, b)
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -170,7 +170,7 @@
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.survey(c, &p.settings)
+	o.planPrompts(now, c, o.survey(c, &p.settings), &p.settings)
 	best := o.find(name)
 	if best == nil || best.member.Spec.State != storer.MemberStateServing || !best.hasSoftware(c) || o.declines(now, best) {
 		return errors.Trace(ErrNoBackend)
@@ -200,6 +200,7 @@
 // entry knows; nil if there is none. The caller holds o.mu.
 func (o *pool) best(now time.Time, c *Call, s *Settings, eligible func(*backend) bool) (best *backend, least time.Duration) {
 	engines := o.survey(c, s)
+	o.planPrompts(now, c, engines, s)
 	for _, b := range engines.candidates {
 		if b.member.Spec.State != storer.MemberStateServing || !eligible(b) {
 			continue
@@ -237,6 +238,7 @@
 		} else {
 			b.placedRead += choice.Read
 		}
+		choice.Prompt = o.placePrompt(now, c, b, choice.Load+choice.Backlog, s)
 		for _, hash := range c.Parts {
 			b.cached[hash] = struct{}{}
 		}
--- a/internal/coordination/placer/pool.go
+++ b/internal/coordination/placer/pool.go
@@ -29,6 +29,8 @@
 	// attached reports whether the pool has received all changes of its members so far.
 	attached   bool
 	lastSurvey survey
+	// paced means that a backend server has reported its slowdown factor.
+	paced bool
 	// notices holds what backend servers have asked of this entry, by incarnation.
 	notices map[string]*notice
 }
--- a/internal/coordination/placer/settings.go
+++ b/internal/coordination/placer/settings.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math/rand/v2"
 	"time"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
 )
 
 // Defaults of Settings. The load times are those of the deployed engines.
@@ -56,6 +58,8 @@
 	CallTime       time.Duration
 	Suspicion      time.Duration
 	SuspicionMax   time.Duration
+	// PromptCache specifies how cached prompt parts affect the choice of an engine.
+	PromptCache cacher.Mode
 	// Random is used to break ties. It is required.
 	Random *rand.Rand
 }
--- a/internal/state/tracker/routing.go
+++ b/internal/state/tracker/routing.go
@@ -89,7 +89,12 @@
 	// MaxAdapters is the maximum number of resident adapters, including those that
 	// are being loaded.
 	MaxAdapters int
-	Models      []Model
+	// KVTokenBytes is the size of the KV cache of one token in bytes, and LinkMbps the
+	// bandwidth in megabits per second at which engines fetch it from each other; 0 means
+	// unknown.
+	KVTokenBytes float64
+	LinkMbps     float64
+	Models       []Model
 }
 
 // Service is a set of equivalent backend servers.
