attendant: reports to entries how long prompt parts stay cached

The model of the memory follows kvUsed and kvTotal. A notification of its own carries the margins, since an added field in EngineState would break decoding on hosts of the earlier version. A movable request whose entry has told its prefill time is returned when it would wait longer than that.

--- a/internal/protocol/messenger/admission.go
+++ b/internal/protocol/messenger/admission.go
@@ -35,6 +35,9 @@
 	// wait here much longer than ExpectedMillis before its prompt is processed.
 	Movable        bool
 	ExpectedMillis int64
+	// MaxExcessMillis is the wait in excess of ExpectedMillis from which the request is
+	// better prefilled elsewhere; 0 means the companion's own bound.
+	MaxExcessMillis int64 `json:",omitempty"`
 	// Urgency ranges from 0, the most urgent, to 9. It orders requests that wait for their
 	// turn under a limit of requests.
 	Urgency int
--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -44,6 +44,9 @@
 	// MethodLimitState carries the state of an engine's limit of requests to an entry
 	// (package placer).
 	MethodLimitState Method = "Entry.LimitState"
+	// MethodCacheState carries what an engine has cached of prompts to an entry (package
+	// placer).
+	MethodCacheState Method = "Entry.CacheState"
 
 	// MethodReplicate carries messages of the replicated log between control
 	// hosts (package replicator).
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
@@ -26,6 +27,8 @@
 	admitted bool
 	refused  *messenger.Refusal
 	started  time.Time
+	// prompt is the memory that the prompt takes once it is admitted.
+	prompt cacher.Use
 	// grantedAt is when the request was admitted.
 	grantedAt time.Time
 }
@@ -119,7 +122,7 @@
 // caller holds mu.
 func (a *Attendant) checkExpectedWait(m messenger.Admit, now time.Time) *messenger.Refusal {
 	turn := a.turn(m, now)
-	if !m.Movable || m.Adapter == "" && turn == 0 {
+	if !m.Movable || m.Adapter == "" && turn == 0 && m.MaxExcessMillis == 0 {
 		return nil
 	}
 	name, version := "", uint64(0)
@@ -129,6 +132,9 @@
 	}
 	state := a.fullState()
 	wait, exceeded := placer.CheckExpectedWait(&state, name, version, turn, time.Duration(m.ExpectedMillis)*time.Millisecond)
+	if m.MaxExcessMillis > 0 {
+		exceeded = exceedsPrefill(m, wait)
+	}
 	if !exceeded {
 		return nil
 	}
@@ -234,6 +240,7 @@
 func (a *Attendant) grant(adm *admission, now time.Time) {
 	adm.admitted, adm.grantedAt = true, now
 	delete(a.blocked, adm.msg.Request)
+	a.beginPrompt(adm)
 	uncached := a.cache.prefill(adm.msg, adm.version)
 	prefill := placer.ReadTime(uncached, adm.msg.Tokens, a.settings.PrefillRate)
 	if a.prefillEnd.Before(now) {
@@ -279,6 +286,9 @@
 func (a *Attendant) remove(adm *admission) {
 	delete(a.admissions, adm.msg.Request)
 	delete(a.blocked, adm.msg.Request)
+	if adm.admitted {
+		a.memory.End(adm.prompt)
+	}
 	a.markChanged()
 	if adm.inTable {
 		now := a.settings.Now()
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/continuer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
@@ -72,6 +73,9 @@
 	// in others.
 	localEntries, remoteEntries *subscriberGroup
 	cache                       *promptCache
+	// memory models the engine's memory for prompts as it reports it; cache is the model that
+	// does not depend on reports.
+	memory *cacher.Cache
 	// evicted lists the adapters that have left their slots, the latest last; newlyEvicted
 	// are those that have not been handed to the subscriber groups yet.
 	evicted      []string
@@ -103,6 +107,7 @@
 		localEntries:  newSubscriberGroup(),
 		remoteEntries: newSubscriberGroup(),
 		cache:         newPromptCache(0),
+		memory:        cacher.NewCache(),
 		origins:       continuer.NewStore(continuer.Settings{}),
 	}
 	a.metrics = newMetrics(s.Registerer)
--- a/internal/transport/attendant/engine.go
+++ b/internal/transport/attendant/engine.go
@@ -40,6 +40,9 @@
 	OnDisk []string
 	// Running and Queued count requests.
 	Running, Queued int
+	// MemoryUsed and MemoryTotal are the tokens of the memory for prompts and answers that
+	// can't be evicted now, and in total; 0 if not reported.
+	MemoryUsed, MemoryTotal int
 	// Limit is what the engine said about its limit of requests.
 	Limit regulator.Notice
 }
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -58,6 +58,7 @@
 	if a.table != nil {
 		sequence = a.table.Sequence()
 	}
+	held := a.memory.Snapshot()
 	a.mu.Unlock()
 	sentAt := a.settings.Now()
 	r, err := a.fetchReport()
@@ -79,6 +80,7 @@
 		a.refuseWaiting()
 	}
 	a.applyReport(now, r, member, known, sequence)
+	a.applyMemory(r, held)
 	a.recordReportedLimit(sentAt, now, r.Limit)
 	a.admitReady(now)
 	for request, at := range a.earlyReleases {
@@ -121,6 +123,7 @@
 	case restarted:
 		a.settings.Log.Warn().Str("Incarnation", a.incarnation).Msg("engine restarted")
 		a.cache.clear()
+		a.clearCache()
 		a.forgetLimit()
 		a.evicted = nil
 		a.localEntries.requireFull()
--- a/internal/transport/attendant/publish.go
+++ b/internal/transport/attendant/publish.go
@@ -34,6 +34,7 @@
 				_ = conn.Notify(a.root, messenger.MethodState, params)
 			}
 		}
+		a.publishCache(group)
 		state, entries := a.limitUpdate(group)
 		for _, conn := range entries {
 			_ = conn.Notify(a.root, messenger.MethodLimitState, state)
--- a/internal/transport/attendant/subscribergroup.go
+++ b/internal/transport/attendant/subscribergroup.go
@@ -30,6 +30,7 @@
 	newlyCached  []uint32
 	// limits holds the last state of the engine's limit that each connection has got.
 	limits map[*messenger.Conn]publishedLimit
+	cache  publishedCache
 }
 
 // publishedLimit is a state of the engine's limit, published at the time at. The zero value
@@ -80,6 +81,7 @@
 func (g *subscriberGroup) add(conn *messenger.Conn) {
 	g.conns[conn] = false
 	delete(g.limits, conn)
+	delete(g.cache.synced, conn)
 	g.changed = true
 }
 
