--- a/internal/state/configurer/entry.go
+++ b/internal/state/configurer/entry.go
@@ -76,6 +76,10 @@
 	// Policy is the policy for the choice of a backend server; PolicyMarigold by
 	// default.
 	Policy Policy
+
+	// PromptCache specifies how cached beginnings of prompts affect the choice of a
+	// backend server; PromptCacheAuto by default.
+	PromptCache PromptCache
 }
 
 func (e EntrySettings) withDefaults() EntrySettings {
@@ -109,6 +113,7 @@
 	checkRange(c, "Entry.BatchWeight", e.BatchWeight, 0.001, 1000)
 	checkRange(c, "Entry.TargetFill", e.TargetFill, 0.01, 1)
 	checkEnum(c, "Entry.Policy", e.Policy, PolicyConsistentHash)
+	checkEnum(c, "Entry.PromptCache", e.PromptCache, PromptCacheWeighed)
 	if stop.GracePeriod < e.RequestTimeout {
 		c.addProblem("Stop.GracePeriod", "%v is shorter than Entry.RequestTimeout, %v, so that a planned stop cuts requests off", stop.GracePeriod, e.RequestTimeout)
 	}
--- a/internal/state/configurer/enums.go
+++ b/internal/state/configurer/enums.go
@@ -10,6 +10,7 @@
 //go:generate stringer -type=Role -trimprefix=Role
 //go:generate stringer -type=BackendKind -trimprefix=BackendKind
 //go:generate stringer -type=Policy -trimprefix=Policy
+//go:generate stringer -type=PromptCache -trimprefix=PromptCache
 //go:generate stringer -type=LogLevel -trimprefix=LogLevel
 //go:generate stringer -type=LogFormat -trimprefix=LogFormat
 
@@ -52,6 +53,23 @@
 	PolicyConsistentHash
 )
 
+// PromptCache specifies how cached beginnings of prompts affect the choice of a backend server.
+type PromptCache int
+
+// The values of PromptCache. PromptCacheAuto is the zero value, since it is the default.
+const (
+	// PromptCacheAuto is PromptCacheWeighed where backend servers report a slowdown factor,
+	// else PromptCacheAffinity.
+	PromptCacheAuto PromptCache = iota
+	// PromptCacheOff ignores what is cached.
+	PromptCacheOff
+	// PromptCacheAffinity counts what was prefilled recently as cached.
+	PromptCacheAffinity
+	// PromptCacheWeighed weighs what is cached by the probability that it still is, where
+	// backend servers report their memory, else as PromptCacheAffinity.
+	PromptCacheWeighed
+)
+
 // LogLevel is the lowest severity that is logged.
 type LogLevel int
 
@@ -98,6 +116,16 @@
 	return unmarshalEnum(k, BackendKindService, text)
 }
 
+// MarshalText returns the name of p.
+func (p PromptCache) MarshalText() ([]byte, error) {
+	return marshalEnum(p, PromptCacheWeighed)
+}
+
+// UnmarshalText sets p to the value with the name in text.
+func (p *PromptCache) UnmarshalText(text []byte) error {
+	return unmarshalEnum(p, PromptCacheWeighed, text)
+}
+
 // MarshalText returns the name of p.
 func (p Policy) MarshalText() ([]byte, error) {
 	return marshalEnum(p, PolicyConsistentHash)
--- a/internal/state/configurer/parse_test.go
+++ b/internal/state/configurer/parse_test.go
@@ -175,6 +175,7 @@
 		s.Entry.MaxBodyBytes = configurer.Size(rapid.Int64Range(1<<10, 1<<30).Draw(t, "MaxBodyBytes"))
 		s.Entry.MaxHeaderBytes = configurer.KiB * configurer.Size(rapid.IntRange(1, 1<<14).Draw(t, "KiB"))
 		s.Entry.Policy = configurer.Policy(rapid.IntRange(0, 3).Draw(t, "Policy"))
+		s.Entry.PromptCache = configurer.PromptCache(rapid.IntRange(0, 3).Draw(t, "PromptCache"))
 		s.Log.Level = configurer.LogLevel(rapid.IntRange(0, 3).Draw(t, "Level"))
 		s.Log.Format = configurer.LogFormat(rapid.IntRange(0, 1).Draw(t, "Format"))
 		written := struct {
--- a/internal/transport/gatekeeper/completion.go
+++ b/internal/transport/gatekeeper/completion.go
@@ -6,6 +6,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/router"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/translator"
+	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -46,6 +47,9 @@
 	}
 	// A generation may run again as long as the caller received no part of it, unless
 	// the caller limits it to one run by a key.
+	if x.entry.settings.Entry.PromptCache == configurer.PromptCacheOff {
+		c.Prefix = 0
+	}
 	q := &request{
 		exchange:   x,
 		deadline:   deadline,
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -68,6 +68,9 @@
 	// ResumeFrom names the copy of the request's KV cache to resume from; empty means
 	// that the request starts anew.
 	ResumeFrom string
+	// FetchFrom is the address of the backend server from which cached parts of the prompt
+	// are fetched; empty means none.
+	FetchFrom string
 	// LastEvent is the id of the last event that the caller received; empty means that
 	// the caller's own header is forwarded.
 	LastEvent string
@@ -87,6 +90,9 @@
 	// Calls is the number of calls in progress at the backend server; a negative value
 	// means unspecified.
 	Calls int
+	// Slowdown is how many times as long work takes at the backend server now as usual; 0
+	// means not told.
+	Slowdown float64
 	// KeepAlive is how long the connection may stay idle; 0 means unspecified.
 	KeepAlive time.Duration
 	// Limit is what the answer says about the backend server's limit of requests.
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -34,10 +34,12 @@
 	rests                 *prometheus.CounterVec
 	quotas                *prometheus.CounterVec
 	workspaces            workspaceLabels
+	prompts               promptMetrics
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
+		prompts: newPromptMetrics(r),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -182,6 +182,8 @@
 		return nil, r.applyState(conn, params)
 	case messenger.MethodLimitState:
 		return nil, r.applyLimitState(conn, params)
+	case messenger.MethodCacheState:
+		return nil, r.applyCacheState(conn, params)
 	default:
 		return nil, messenger.NewRefusal(messenger.ReasonUnsupported, string(method))
 	}
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -200,6 +200,7 @@
 	current, ctx, end := r.trackAttempt(j)
 	defer end()
 	j.counted = false
+	j.recordPromptChoice()
 	if j.service.Engine != nil {
 		admitted, release, err := j.admit(ctx)
 		switch {
@@ -236,6 +237,7 @@
 		return verdictRejected
 	}
 	a.Backup = j.chooseBackup()
+	a.FetchFrom = j.fetchFrom()
 	a.TimeLeft = j.deadline.Sub(r.settings.Now())
 	if !r.settings.Placer.Accepts(r.settings.Now(), &j.choice) || !j.commitRetry() {
 		// The backend server may have asked for rest, or begun to leave, while the request
@@ -302,7 +304,7 @@
 		j.counted = true
 		return admitted, release, nil
 	case errors.As(err, &refusal) && refusal.Reason == messenger.ReasonMisled:
-		j.redirected = true
+		j.redirects++
 		r.settings.Placer.CorrectWait(r.settings.Now(), &j.choice, refusal.RetryAfter())
 		return messenger.Admitted{}, nil, err
 	case errors.As(err, &refusal):
@@ -332,7 +334,7 @@
 		Model: j.call.Model, Adapter: j.call.Adapter,
 		Parts: j.call.Parts, Tokens: j.call.PromptTokens, WaitMillis: wait.Milliseconds(),
 		SlackMillis: max(0, j.slack().Milliseconds()),
-		Movable:     !j.redirected && j.resumeFrom == "", ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
+		Movable:     j.redirects < j.choice.Prompt.MaxRedirects() && j.resumeFrom == "", MaxExcessMillis: j.choice.Prompt.ExcessAfter(j.redirects).Milliseconds(), ExpectedMillis: (j.choice.Load + j.choice.Backlog + j.choice.Turn).Milliseconds(),
 		Urgency: placer.Urgency(j.priority(), j.slack()), Resumed: j.answer.begun(), Limit: j.namedLimit(j.relayer.settings.Now()),
 	}
 	if params.Adapter != "" {
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -30,6 +30,9 @@
 	if head.Calls >= 0 {
 		r.settings.Placer.ReportLoad(r.settings.Now(), &j.choice, head.Calls)
 	}
+	if head.Slowdown > 0 {
+		r.settings.Placer.RecordSlowdown(&j.choice)
+	}
 	if head.NotRun {
 		if head.OtherIncarnation {
 			// The incarnation that was meant did not receive the call.
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -69,9 +69,8 @@
 	// lastEvent is the id of the last complete event that was forwarded.
 	lastEvent string
 	choice    placer.Choice
-	// redirected means that a companion has sent the call elsewhere, which is allowed
-	// once.
-	redirected bool
+	// redirects is the number of companions that have sent the call elsewhere.
+	redirects int
 	// retryReserved means that the next attempt is reserved in the retry budget.
 	retryReserved bool
 	waited        time.Duration
@@ -270,6 +269,7 @@
 	j.addFraming(e)
 	j.addSoftware(e)
 	j.addStateAge(e)
+	j.addPrompt(e)
 	e.Str("Request", j.call.ID).Str("Outcome", outcome).Int("Status", status).Str("Reason", reason).
 		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
