--- a/internal/coordination/cacher/estimate.go
+++ b/internal/coordination/cacher/estimate.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// Withdraw undoes Place for a call that was not run.
+func (e *Estimate) Withdraw(parts []uint32, prefilled int) {
+	e.placedTokens = max(0, e.placedTokens-int64(prefilled))
+	for _, hash := range parts {
+		delete(e.placed, hash)
+	}
+}
+
 // Demand is what is prefilled at an engine before a call, apart from calls that the entry has
 // placed since the last update.
 type Demand struct {
--- a/internal/coordination/cacher/publication.go
+++ b/internal/coordination/cacher/publication.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	// MaxWholeParts is the number of parts in a whole update, and MaxChangedParts that in a
-	// delta, which bounds an update to some 200 bytes. The parts that are reused are among
-	// the most recently used.
-	MaxWholeParts   = 40
+	// MaxWholeParts is the number of parts in a whole update. The parts that are reused are
+	// among the most recently used.
+	MaxWholeParts = 40
+	// MaxChangedParts is the number of parts in a delta, which bounds what the reports take
+	// of an entry's link.
 	MaxChangedParts = 12
 	// tolerance is the error of a margin, in tokens, up to which it is not published again.
 	tolerance = 1500
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -266,6 +266,9 @@
 	b := choice.backend
 	b.ownCalls--
 	b.placedCalls = max(0, b.placedCalls-1)
+	if e == OutcomeNotRun || e == OutcomeUnreachable {
+		b.prompts.estimate.Withdraw(choice.Prompt.parts, choice.Prompt.prefilled)
+	}
 	b.recordOutcome(now, e, now.Sub(choice.startedAt), &p.settings)
 	if e == OutcomeSuccess && b.loadAt.IsZero() {
 		// A server that does not report its load has capacity until it rejects a call.
--- a/internal/coordination/placer/prompt.go
+++ b/internal/coordination/placer/prompt.go
@@ -28,7 +28,10 @@
 	// prefilled elsewhere; 0 means unspecified. See ExcessAfter.
 	MaxExcess time.Duration
 
-	source string
+	// parts and prefilled are what was counted at the chosen engine.
+	parts     []uint32
+	prefilled int
+	source    string
 	// sourceIncarnation is that of the engine source.
 	sourceIncarnation string
 }
@@ -72,6 +75,8 @@
 	// call is the call that the plan is for; nil means none.
 	call     *Call
 	uncached int
+	// weighed means that expected, source and transfer apply.
+	weighed  bool
 	expected cacher.Expected
 	// source is the engine to fetch from, nil for none, and transfer the time until the fetch
 	// has ended.
@@ -107,7 +112,7 @@
 		case mode == cacher.ModeAffinity || !b.prompts.estimate.Told():
 			b.plan = promptPlan{}
 		default:
-			b.plan = promptPlan{call: c, expected: b.expectPrompt(now, c, engines.adapter, b.promptDemand(now, c, engines, s))}
+			b.plan = promptPlan{call: c, weighed: true, expected: b.expectPrompt(now, c, engines.adapter, b.promptDemand(now, c, engines, s))}
 			b.plan.uncached = max(0, c.Tokens-int(math.Round(b.plan.expected.Tokens)))
 		}
 	}
@@ -217,7 +222,7 @@
 // spreads the copies of a prefix over engines. It is 0 unless the prompt's cached parts are
 // weighed.
 func (b *backend) promptCost(c *Call, read time.Duration, engines *survey, s *Settings) time.Duration {
-	if b.plan.call != c || !b.prompts.estimate.Told() || len(c.Parts) == 0 {
+	if b.plan.call != c || !b.plan.weighed || len(c.Parts) == 0 {
 		return 0
 	}
 	cost := b.plan.transfer
@@ -235,7 +240,7 @@
 	if r.SavedTokens = max(0, c.Tokens-uncached); r.SavedTokens > 0 {
 		r.Cached, r.Probability = r.SavedTokens, 1
 	}
-	if b.plan.call != c || r.Mode != cacher.ModeWeighed {
+	if b.plan.call != c || !b.plan.weighed {
 		return r
 	}
 	r.Cached, r.Probability = b.plan.expected.Known, b.plan.expected.Probability
@@ -250,6 +255,7 @@
 		source.prompts.transferUntil, b.prompts.transferUntil = until, until
 	}
 	b.prompts.estimate.Place(now, c.prompt(), uncached, wait)
+	r.parts, r.prefilled = c.Parts, uncached
 	return r
 }
 
--- a/internal/coordination/placer/prompt_test.go
+++ b/internal/coordination/placer/prompt_test.go
@@ -132,6 +132,19 @@
 		Expect(d.cachedAt(start, 1).Cached).To(BeZero())
 	})
 
+	// Guards against calls sent to an engine for a prefix that no call there has prefilled.
+	It("counts the parts of a placed call, unless the call was not run", func() {
+		d := newWeighed(1, weighed)
+		first := d.choose(start, prefixCall())
+		Expect(first.Prompt.Cached).To(BeZero())
+		second := d.choose(start, prefixCall())
+		Expect(second.Prompt.Cached).To(BeNumerically(">=", sharedTokens))
+		d.placer.Finish(start, &second, placer.OutcomeNotRun)
+		d.placer.Finish(start, &first, placer.OutcomeNotRun)
+		third := d.choose(start, prefixCall())
+		Expect(third.Prompt.Cached).To(BeZero())
+	})
+
 	It("lets an idle engine fetch the beginning from a busy one", func() {
 		d := newWeighed(2, weighed)
 		d.report(start, 0, placer.EngineState{Adapters: held("a1"), BacklogMillis: 900})
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -49,6 +49,8 @@
 	failure        string
 	// limit is what reports say about the limit of requests.
 	limit regulator.Notice
+	// memoryUsed and memoryTotal are the reported memory.
+	memoryUsed, memoryTotal int
 }
 
 func (e *engine) setLimit(n regulator.Notice) {
@@ -64,7 +66,7 @@
 func (e *engine) Report(context.Context) (attendant.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := attendant.Report{Sequence: e.sequence, Born: e.started, Busy: e.busy, OnDisk: e.disk, Limit: e.limit}
+	r := attendant.Report{Sequence: e.sequence, Born: e.started, Busy: e.busy, OnDisk: e.disk, Limit: e.limit, MemoryUsed: e.memoryUsed, MemoryTotal: e.memoryTotal}
 	if !e.empty {
 		m := attendant.HeldModel{Name: model, Version: 1}
 		for name, version := range e.held {
--- a/internal/transport/attendant/publish_test.go
+++ b/internal/transport/attendant/publish_test.go
@@ -23,6 +23,7 @@
 	mu     sync.Mutex
 	states []placer.EngineState
 	limits []placer.LimitState
+	caches []placer.CacheState
 }
 
 func (f *fixture) watchLocal() *stateListener {
@@ -41,6 +42,9 @@
 		if method == messenger.MethodLimitState {
 			return nil, l.addLimit(params)
 		}
+		if method == messenger.MethodCacheState {
+			return nil, l.addCache(params)
+		}
 		var s placer.EngineState
 		if err := messenger.Decode(params, &s); err != nil {
 			f.t.Error(err)
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -60,6 +60,7 @@
 	h.Set("Expect-Life", a.Incarnation)
 	h.Set("Backup", a.Backup)
 	h.Set("From", a.ResumeFrom)
+	h.Set("Fetch", a.FetchFrom)
 	h.Set("Version", strconv.FormatUint(a.Version, 10))
 	if a.LastEvent != "" {
 		h.Set("After", a.LastEvent)
