--- a/internal/coordination/cacher/estimate.go
+++ b/internal/coordination/cacher/estimate.go
@@ -106,7 +106,8 @@
 	if e.placed == nil {
 		e.placed = make(map[uint32]placement)
 	}
-	for _, hash := range p.Parts {
+	// The last part is the call's own.
+	for _, hash := range p.Parts[:max(0, len(p.Parts)-1)] {
 		if len(e.placed) < maxPlaced {
 			e.placed[hash] = placement{position: e.added + e.placedTokens, until: now.Add(wait + placedLife)}
 		}
--- a/internal/coordination/placer/prompt.go
+++ b/internal/coordination/placer/prompt.go
@@ -28,6 +28,8 @@
 	// prefilled elsewhere; 0 means unspecified. See ExcessAfter.
 	MaxExcess time.Duration
 
+	// lateExcess replaces MaxExcess after some redirects if it is longer.
+	lateExcess time.Duration
 	// parts and prefilled are what was counted at the chosen engine.
 	parts     []uint32
 	prefilled int
@@ -43,11 +45,14 @@
 	// maxWeighedRedirects is that of a call whose prompt is weighed. With 2, some
 	// calls of a burst ended up behind queues that were longer than two prompts.
 	maxWeighedRedirects = 4
-	// firstRedirects is the number of redirects after which a longer excess is accepted, by
-	// lateExcessFactor: the engines nearby are then full, and a call that may not move any
-	// more would join any queue.
-	firstRedirects   = 2
-	lateExcessFactor = 1.75
+	// maxWaitFactor bounds the wait at which a call stays, as a multiple of the time to
+	// prefill its whole prompt. It is below 2, the longest wait that a burst of calls of one
+	// prefix may cause.
+	maxWaitFactor = 1.75
+	// firstRedirects is the number of redirects after which a call stays up to that bound:
+	// the engines nearby are then full, and a call that may not move any more would join any
+	// queue.
+	firstRedirects = 2
 	// minExcess is the usual age of a report, by which the expected wait of short prompts is
 	// wrong anyway.
 	minExcess = 100 * time.Millisecond
@@ -67,7 +72,7 @@
 	if redirects < firstRedirects {
 		return p.MaxExcess
 	}
-	return time.Duration(lateExcessFactor * float64(p.MaxExcess))
+	return max(p.MaxExcess, p.lateExcess)
 }
 
 // promptPlan is what an engine is expected to have cached of a call's prompt.
@@ -246,7 +251,8 @@
 	r.Cached, r.Probability = b.plan.expected.Known, b.plan.expected.Probability
 	read, elsewhere := ReadTime(uncached, c.Tokens, s.PrefillRate), ReadTime(c.Tokens, c.Tokens, s.PrefillRate)
 	if len(c.Parts) > 0 {
-		r.MaxExcess = max(read, elsewhere-read, minExcess)
+		r.lateExcess = time.Duration(maxWaitFactor*float64(elsewhere)) - wait
+		r.MaxExcess = max(minExcess, min(r.lateExcess, max(read, elsewhere-read)))
 	}
 	if source := b.plan.source; source != nil {
 		r.FetchFrom = source.member.Spec.Address
--- a/internal/coordination/placer/prompt_test.go
+++ b/internal/coordination/placer/prompt_test.go
@@ -64,9 +64,13 @@
 	}
 }
 
+// ownParts counts the calls; the last part of each prompt is its own.
+var ownParts uint64
+
 func prefixCall() *placer.Call {
 	c := adapterCall("a1", promptTokens)
-	c.Parts, c.PartTokens = []uint32{prefix, placer.PartHash(model, "a1", 1, prefix, 8)}, []int{sharedTokens, promptTokens - sharedTokens}
+	ownParts++
+	c.Parts, c.PartTokens = []uint32{prefix, placer.PartHash(model, "a1", 1, prefix, 100+ownParts)}, []int{sharedTokens, promptTokens - sharedTokens}
 	return c
 }
 
@@ -138,7 +142,7 @@
 		first := d.choose(start, prefixCall())
 		Expect(first.Prompt.Cached).To(BeZero())
 		second := d.choose(start, prefixCall())
-		Expect(second.Prompt.Cached).To(BeNumerically(">=", sharedTokens))
+		Expect(second.Prompt.Cached).To(Equal(sharedTokens))
 		d.placer.Finish(start, &second, placer.OutcomeNotRun)
 		d.placer.Finish(start, &first, placer.OutcomeNotRun)
 		third := d.choose(start, prefixCall())
