bucketer: Retry-After follows what all entries refused

Entries report the units that they refused and expect back, by the time of their return; the leader sums them over all entries and answers the sum. Retry-After is the time until the bucket holds the call after them; callers whose time left is less than three times that aren't expected. Before, an entry guessed the others' refusals by its share.

Workspaces are reported for 10 s after their last call: with slow links, calls of rare callers waited for a report in vain.

--- a/internal/coordination/bucketer/ledger.go
+++ b/internal/coordination/bucketer/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -12,6 +13,10 @@
 	// idleAfter is the time without a report after which a full bucket is dropped, since a new one
 	// would be full too, and a control host's entries are no longer counted.
 	idleAfter = 10 * time.Second
+	// silentAfter is the time without a report of a workspace in use after which its entry counts as
+	// silent: two intervals of reports. silentSearchInterval is the time between two searches.
+	silentAfter          = 500 * time.Millisecond
+	silentSearchInterval = 100 * time.Millisecond
 	// sweepInterval is the time between two sweeps for idle buckets.
 	sweepInterval = time.Second
 	// startupPeriod is the time after the creation of a ledger in which the lowest level that an
@@ -30,11 +35,13 @@
 	// counted holds the totals counted for each entry, by workspace.
 	counted map[string]*countedEntry
 	sweptAt time.Time
+	// searchedAt is the time of the last search for silent entries.
+	searchedAt time.Time
 }
 
 // countedEntry holds the totals counted for one entry.
 type countedEntry struct {
-	totals map[string]countedTotal
+	totals map[string]*countedTotal
 	at     time.Time
 }
 
@@ -45,6 +52,12 @@
 	report uint64
 	total  float64
 	at     time.Time
+	// rate is the rate that the entry admits. share is its part of the rate of all entries, and level
+	// the level that was reported to it, at the time at.
+	rate         rate
+	share, level float64
+	// retries holds the retries that the report expected. The bucket's sum includes them.
+	retries retries
 }
 
 // hostEntries is the last number of entries reported by a control host.
@@ -62,6 +75,10 @@
 	// spent is the number of units reported since the ledger was created.
 	spent float64
 	rate  rate
+	// retries is the sum of the retries that entries expect.
+	retries retries
+	// silent holds the totals of entries that had not reported for silentAfter at the last sweep.
+	silent []*countedTotal
 }
 
 // NewLedger returns the ledger of a leader elected at now. number must be higher than that of the
@@ -88,6 +105,7 @@
 // Report counts what entries have admitted, and returns the levels of their workspaces.
 func (l *Ledger) Report(now time.Time, b Batch) []Level {
 	l.sweep(now)
+	l.findSilent(now)
 	l.hosts[b.Host] = hostEntries{entries: b.Entries, at: now}
 	at := make(map[string]int)
 	var levels []Level
@@ -110,22 +128,36 @@
 // this ledger, these are the units that no leader has acknowledged. A suspended control host
 // passes on reports that are older than those already counted; their totals are lower, and would
 // count as refunds that a full bucket loses.
-func (l *Ledger) count(now time.Time, r *Report, u *Use) float64 {
+//
+// It also replaces the entry's part of all, the retries that entries expect. Those of a previous
+// account of the entry remain until they are due.
+func (l *Ledger) count(now time.Time, r *Report, u *Use, all *retries) float64 {
 	e := l.counted[r.Entry]
 	if e == nil {
-		e = &countedEntry{totals: make(map[string]countedTotal)}
+		e = &countedEntry{totals: make(map[string]*countedTotal)}
 		l.counted[r.Entry] = e
 	}
-	before, known := e.totals[u.Workspace]
-	if known && before.account == u.Account && r.Number > 0 && r.Number <= before.report {
+	t := e.totals[u.Workspace]
+	if t == nil {
+		t = &countedTotal{}
+		e.totals[u.Workspace] = t
+	}
+	before := *t
+	same := !before.at.IsZero() && before.account == u.Account
+	if same && r.Number > 0 && r.Number <= before.report {
 		return 0
 	}
 	e.at = now
-	e.totals[u.Workspace] = countedTotal{account: u.Account, report: r.Number, total: u.Total, at: now}
-	if !known || before.account != u.Account {
-		return u.Spent
+	*t = countedTotal{account: u.Account, report: r.Number, total: u.Total, at: now, retries: decode(now, u.Retries)}
+	all.advance(now)
+	all.merge(&t.retries, 1)
+	spent := u.Spent
+	if same {
+		all.merge(&before.retries, -1)
+		spent, t.rate = u.Total-before.total, before.rate
 	}
-	return u.Total - before.total
+	t.rate.add(now, spent)
+	return spent
 }
 
 func (l *Ledger) applyUse(now time.Time, r *Report, u *Use) Level {
@@ -154,11 +186,62 @@
 	}
 	b.fill(now, maxLevel)
 	b.level = b.limit.replace(u.Limit, b.level)
-	spent := l.count(now, r, u)
+	spent := l.count(now, r, u, &b.retries)
 	b.level -= spent
 	b.spent += spent
 	b.rate.add(now, spent)
-	return Level{Workspace: u.Workspace, Tokens: math.Round(min(b.level, b.limit.Burst)), Rate: math.Round(b.rate.at(now))}
+	tokens := math.Round(min(b.level, b.limit.Burst) - b.reserved(now))
+	if t := l.counted[r.Entry].totals[u.Workspace]; t.at.Equal(now) {
+		t.level = tokens
+		if all := b.rate.at(now); all > 0 {
+			t.share = min(1, max(0, t.rate.at(now))/all)
+		}
+	}
+	return Level{Workspace: u.Workspace, Tokens: tokens, Rate: math.Round(b.rate.at(now)), Retries: b.retries.encode(now)}
+}
+
+// ExpectedRetries returns the units of refused calls that are expected to be retried, for each
+// workspace that has any.
+func (l *Ledger) ExpectedRetries(now time.Time) map[string]float64 {
+	expected := make(map[string]float64)
+	for name, b := range l.buckets {
+		if units := b.retries.total(now); units >= 1 {
+			expected[name] = math.Round(units)
+		}
+	}
+	return expected
+}
+
+// reserved returns the units that entries which don't report may have admitted since: their share of
+// the level that they know, and of the units added until they stop using it. An entry that is cut off
+// and the others would else admit the same units. What the entry has admitted replaces this with its
+// next report.
+func (b *bucket) reserved(now time.Time) float64 {
+	sum := 0.0
+	for _, t := range b.silent {
+		if age := now.Sub(t.at); age >= silentAfter {
+			sum += t.share * (max(0, t.level) + b.limit.Rate*min(age, maxLevelAge).Seconds())
+		}
+	}
+	return sum
+}
+
+// findSilent finds the entries that have stopped to report.
+func (l *Ledger) findSilent(now time.Time) {
+	if now.Sub(l.searchedAt) < silentSearchInterval {
+		return
+	}
+	l.searchedAt = now
+	for _, b := range l.buckets {
+		b.silent = b.silent[:0]
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.counted)) {
+		for workspace, t := range l.counted[name].totals {
+			if b := l.buckets[workspace]; b != nil && t.share > 0 && now.Sub(t.at) >= silentAfter {
+				b.silent = append(b.silent, t)
+			}
+		}
+	}
 }
 
 // fill adds the units accrued until now, up to maxLevel.
@@ -175,7 +258,7 @@
 	}
 	l.sweptAt = now
 	maps.DeleteFunc(l.counted, func(_ string, e *countedEntry) bool {
-		maps.DeleteFunc(e.totals, func(_ string, t countedTotal) bool { return now.Sub(t.at) > idleAfter })
+		maps.DeleteFunc(e.totals, func(_ string, t *countedTotal) bool { return now.Sub(t.at) > idleAfter })
 		return now.Sub(e.at) > idleAfter
 	})
 	maps.DeleteFunc(l.hosts, func(_ string, h hostEntries) bool { return now.Sub(h.at) > idleAfter })
--- a/internal/coordination/bucketer/property_test.go
+++ b/internal/coordination/bucketer/property_test.go
@@ -41,7 +41,7 @@
 				a.ReportFailed()
 			default:
 				cost := rapid.Float64Range(0, 50).Draw(t, "cost")
-				d := a.Spend(now, "w", limit, cost)
+				d := a.Spend(now, "w", limit, cost, 0)
 				if !d.Admitted {
 					if !d.Unknown && d.RetryAfter <= 0 {
 						t.Fatalf("refused without RetryAfter: %+v", d)
@@ -88,7 +88,7 @@
 			report()
 			for range rapid.IntRange(0, 6).Draw(t, "calls") {
 				i := rapid.IntRange(0, 2).Draw(t, "entry")
-				if entries[i].Spend(now, "w", limit, 40).Admitted {
+				if entries[i].Spend(now, "w", limit, 40, 0).Admitted {
 					total += 40
 				}
 			}
@@ -125,12 +125,12 @@
 	limit := bucketer.Limit{Rate: 1, Burst: 100, Number: 1}
 	ledger := bucketer.NewLedger(now.Add(-time.Hour), 1)
 	a := bucketer.NewAccounts(rand.New(rand.NewPCG(1, 2)))
-	a.Spend(now, "w", limit, 10)
+	a.Spend(now, "w", limit, 10, 0)
 	answer := func() []bucketer.Level { return ledger.Report(now, batch("a", a.Collect(now))) }
 	a.ApplyAnswer(now, bucketer.Answer{Ledger: 1, Entries: 1, Levels: answer()})
 	before := answer()[0].Tokens
 	a.ReportFailed()
-	a.Spend(now, "w", limit, 10)
+	a.Spend(now, "w", limit, 10, 0)
 	for range 5 {
 		answer()
 		a.ReportFailed()
@@ -148,7 +148,7 @@
 	limit := bucketer.Limit{Rate: 1000, Burst: 1000, Number: 1}
 	ledger := bucketer.NewLedger(now.Add(-time.Hour), 1)
 	a := bucketer.NewAccounts(rand.New(rand.NewPCG(1, 2)))
-	a.Spend(now, "w", limit, 0)
+	a.Spend(now, "w", limit, 0, 0)
 	delayed := a.Collect(now)
 	level := func(r bucketer.Report) float64 {
 		levels := ledger.Report(now, batch("a", r))
@@ -158,14 +158,14 @@
 	level(delayed)
 	for range 20 {
 		now = now.Add(200 * time.Millisecond)
-		if !a.Spend(now, "w", limit, 100).Admitted {
+		if !a.Spend(now, "w", limit, 100, 0).Admitted {
 			t.Fatal("refused below the quota")
 		}
 		level(a.Collect(now))
 	}
 	ledger.Report(now, batch("a", delayed))
 	now = now.Add(200 * time.Millisecond)
-	a.Spend(now, "w", limit, 100)
+	a.Spend(now, "w", limit, 100, 0)
 	if got := level(a.Collect(now)); got != 900 {
 		t.Errorf("level %v, want 900", got)
 	}
@@ -199,10 +199,10 @@
 	ledger := bucketer.NewLedger(now.Add(-time.Hour), 1)
 	a := bucketer.NewAccounts(rand.New(rand.NewPCG(1, 2)))
 	limit := bucketer.Limit{Rate: 1e12, Burst: 1e12, Number: 1}
-	a.Spend(now, "w", limit, 1)
+	a.Spend(now, "w", limit, 1, 0)
 	a.ApplyAnswer(now, bucketer.Answer{Ledger: ledger.Number(), Entries: 1, Levels: ledger.Report(now, batch("a", a.Collect(now)))})
 	for b.Loop() {
-		a.Spend(now, "w", limit, 1)
+		a.Spend(now, "w", limit, 1, 0)
 	}
 }
 
--- a/internal/coordination/bucketer/report.go
+++ b/internal/coordination/bucketer/report.go
@@ -16,6 +16,9 @@
 	Known bool    `json:"K,omitempty"`
 	// Ledger is the number of the ledger that Level is from.
 	Ledger uint64 `json:"G,omitempty"`
+	// Retries are the refused units that the entry expects to be retried, in each 250 ms after the
+	// report. They replace those of the previous report. Entries of earlier versions send none.
+	Retries []float64 `json:"R,omitempty"`
 }
 
 // Report reports to the leader what an entry has admitted.
@@ -42,6 +45,9 @@
 	Tokens float64 `json:"T"`
 	// Rate is the rate that all entries together admit, in units per second.
 	Rate float64 `json:"R,omitempty"`
+	// Retries is the sum of Use.Retries over all entries, in each 250 ms after the answer. Leaders
+	// of earlier versions send none.
+	Retries []float64 `json:"E,omitempty"`
 }
 
 // Answer is the answer to a Batch or a Report.
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -57,6 +57,8 @@
 	ledgerMu sync.Mutex
 	// ledger enforces the workspaces' quotas; guarded by ledgerMu.
 	ledger *bucketer.Ledger
+	// retrying holds the workspaces with expected retries at the last tick. Only run uses it.
+	retrying map[string]float64
 
 	scheduleMu sync.Mutex
 	// schedule schedules the requests to backend servers that limit requests and have no
@@ -168,6 +170,7 @@
 		d.reviewParts()
 		d.reviewSilentVoters()
 		d.grantPermits()
+		d.countExpectedRetries()
 	}
 }
 
--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -155,12 +155,12 @@
 		spent, began := 0, time.Now()
 		drain := func() {
 			for _, e := range entries {
-				if e.Spend("w", limit, 1).Admitted {
+				if e.Spend("w", limit, 1, 0).Admitted {
 					spent++
 				}
 			}
 		}
-		Expect(entries[0].Spend("w", limit, 1).Unknown).To(BeTrue())
+		Expect(entries[0].Spend("w", limit, 1, 0).Unknown).To(BeTrue())
 		Eventually(func() int { drain(); return spent }, eventuallyTimeout, "20ms").Should(BeNumerically(">=", 40))
 		Expect(g.kill(g.leader())).To(Succeed())
 		Eventually(g.leader, eventuallyTimeout).ShouldNot(Equal(-1))
--- a/internal/transport/controller/leadership.go
+++ b/internal/transport/controller/leadership.go
@@ -84,6 +84,7 @@
 	c.metrics.members.Set(0)
 	c.metrics.waiting.Set(0)
 	c.metrics.held.Set(0)
+	c.metrics.expectedRetries.Reset()
 }
 
 // proposeRetention sets the replicated retention to the one in the settings.
--- a/internal/transport/controller/metrics.go
+++ b/internal/transport/controller/metrics.go
@@ -19,6 +19,8 @@
 	held      prometheus.Gauge
 	leading   prometheus.Gauge
 	buckets   prometheus.Gauge
+	// expectedRetries is the number of refused units that are expected to be retried.
+	expectedRetries *prometheus.GaugeVec
 	// limitedServers is the number of backend servers in the leader's schedule.
 	limitedServers prometheus.Gauge
 	// reviewedParts counts the leader's decisions on parts of prompts.
@@ -59,11 +61,15 @@
 		leading:        gauge("leading", "1 while this host has a leader's duties."),
 		buckets:        gauge("quota_buckets", "Workspaces whose quota is in use, at the leader."),
 	}
+	m.expectedRetries = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "quota_expected_retries_units",
+		Help: "Units of calls over quota that are expected to be retried, by workspace, at the leader.",
+	}, []string{"workspace"})
 	m.reviewedParts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "reviewed_parts_total", Help: "Decisions of this leader on parts of prompts, by action.",
 	}, []string{"action"})
 	if r != nil {
-		r.MustRegister(m.reviewedParts)
+		r.MustRegister(m.reviewedParts, m.expectedRetries)
 		r.MustRegister(m.elections, m.refused, m.proposals, m.sync, m.sessions, m.revision, m.age, m.members,
 			m.expired, m.deltas, m.permits, m.waiting, m.held, m.leading, m.buckets, m.limitedServers)
 	}
--- a/internal/transport/controller/reports.go
+++ b/internal/transport/controller/reports.go
@@ -138,6 +138,23 @@
 	return a
 }
 
+// countExpectedRetries updates the metric of the retries that entries expect of refused calls.
+func (d *duties) countExpectedRetries() {
+	d.ledgerMu.Lock()
+	expected := d.ledger.ExpectedRetries(d.control.settings.Now())
+	d.ledgerMu.Unlock()
+	m := d.control.metrics.expectedRetries
+	for workspace := range d.retrying {
+		if _, is := expected[workspace]; !is {
+			m.DeleteLabelValues(workspace)
+		}
+	}
+	for workspace, units := range expected {
+		m.WithLabelValues(workspace).Set(units)
+	}
+	d.retrying = expected
+}
+
 // entryCount returns the number of entries connected here.
 func (c *Control) entryCount() int {
 	c.sessionsMu.Lock()
--- a/internal/transport/gatekeeper/fixture_test.go
+++ b/internal/transport/gatekeeper/fixture_test.go
@@ -105,7 +105,7 @@
 }
 
 // Spend returns the decision that the test has set.
-func (c *control) Spend(_ string, _ bucketer.Limit, cost float64) bucketer.Decision {
+func (c *control) Spend(_ string, _ bucketer.Limit, cost float64, _ time.Duration) bucketer.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.quota.Admitted {
--- a/internal/transport/gatekeeper/quota.go
+++ b/internal/transport/gatekeeper/quota.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithTimeout(q.r.Context(), quotaTimeout)
 	defer cancel()
 	for {
-		d := e.settings.Control.Spend(q.dispatch.Workspace, limit, cost)
+		d := e.settings.Control.Spend(q.dispatch.Workspace, limit, cost, q.deadline.Sub(e.settings.Now()))
 		switch {
 		case d.Admitted:
 			q.quotaCost = cost
--- a/internal/transport/gatekeeper/settings.go
+++ b/internal/transport/gatekeeper/settings.go
@@ -41,8 +41,9 @@
 	Propose(ctx context.Context, e storer.Envelope) (storer.Result, error)
 	// LeaseValid reports whether the configuration is known to be in force.
 	LeaseValid() bool
-	// Spend admits a call of a workspace with a quota, or refuses it.
-	Spend(workspace string, limit bucketer.Limit, cost float64) bucketer.Decision
+	// Spend admits a call of a workspace with a quota, or refuses it. left is the time left
+	// until the call's deadline.
+	Spend(workspace string, limit bucketer.Limit, cost float64, left time.Duration) bucketer.Decision
 	// Refund returns the cost of a call that did not run.
 	Refund(workspace string, cost float64)
 	// AwaitReport requests the remaining quotas from control at once, and reports
--- a/internal/transport/relayer/keys_test.go
+++ b/internal/transport/relayer/keys_test.go
@@ -66,7 +66,7 @@
 	return true
 }
 
-func (c *control) Spend(_ string, _ bucketer.Limit, cost float64) bucketer.Decision {
+func (c *control) Spend(_ string, _ bucketer.Limit, cost float64, _ time.Duration) bucketer.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.decision.Admitted {
--- a/internal/transport/relayer/quota.go
+++ b/internal/transport/relayer/quota.go
@@ -18,7 +18,8 @@
 	defer cancel()
 	limit := bucketer.Limit{Rate: j.workspace.Quota.Rate, Burst: j.workspace.Quota.Burst, Number: j.number}
 	for {
-		d := r.settings.Control.Spend(j.workspace.Name, limit, cost)
+		left := j.deadline.Sub(r.settings.Now())
+		d := r.settings.Control.Spend(j.workspace.Name, limit, cost, left)
 		switch {
 		case d.Admitted:
 			j.quotaCost = cost
@@ -28,7 +29,7 @@
 			r.metrics.quota(j.workspace.Name, quotaRefused, cost)
 			r.settings.Log.Info().Str("Request", j.call.ID).Str("Workspace", j.workspace.Name).Float64("Cost", cost).
 				Float64("Rate", j.workspace.Quota.Rate).Float64("Burst", j.workspace.Quota.Burst).Float64("Level", d.Level).
-				Dur("LevelAge", d.Age).Dur("RetryAfter", d.RetryAfter).Msg("over quota")
+				Dur("LevelAge", d.Age).Float64("Ahead", d.Ahead).Dur("TimeLeft", left).Dur("RetryAfter", d.RetryAfter).Msg("over quota")
 			return j.refuse(http.StatusTooManyRequests, "over quota", d.RetryAfter)
 		case !r.settings.Control.AwaitReport(ctx):
 			return j.refuse(http.StatusServiceUnavailable, "what is left of the quota is not known", r.settings.RetryAfter)
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -53,8 +53,9 @@
 	// AwaitReport sends a report at once and waits for the answer. It reports whether
 	// one arrived.
 	AwaitReport(ctx context.Context) bool
-	// Spend admits a call of a workspace with a quota, or refuses it.
-	Spend(workspace string, limit bucketer.Limit, cost float64) bucketer.Decision
+	// Spend admits a call of a workspace with a quota, or refuses it. left is the time left
+	// until the call's deadline.
+	Spend(workspace string, limit bucketer.Limit, cost float64, left time.Duration) bucketer.Decision
 	// Refund returns the cost of a call that did not run.
 	Refund(workspace string, cost float64)
 	// Reserve asks the leader to schedule a call to a backend server that limits requests.
--- a/internal/transport/subscriber/reports.go
+++ b/internal/transport/subscriber/reports.go
@@ -32,10 +32,7 @@
 	c.mu.Lock()
 	confirmation := c.confirmation
 	c.mu.Unlock()
-	select {
-	case c.reportNow <- struct{}{}:
-	default:
-	}
+	c.requestReport()
 	select {
 	case <-confirmation:
 		return true
@@ -45,11 +42,23 @@
 	return false
 }
 
-// Spend admits or refuses a call of a workspace with a quota. A limit without a number gets
-// the revision of the replica.
-func (c *Client) Spend(workspace string, limit bucketer.Limit, cost float64) bucketer.Decision {
+// Spend admits or refuses a call of a workspace with a quota, whose caller waits for at most
+// left. A limit without a number gets the revision of the replica.
+func (c *Client) Spend(workspace string, limit bucketer.Limit, cost float64, left time.Duration) bucketer.Decision {
 	limit.Number = cmp.Or(limit.Number, c.settings.Index.Revision())
-	return c.accounts.Spend(c.settings.Now(), workspace, limit, cost)
+	d := c.accounts.Spend(c.settings.Now(), workspace, limit, cost, left)
+	if d.ReportDue {
+		c.requestReport()
+	}
+	return d
+}
+
+// requestReport makes reportLoop send a report at once.
+func (c *Client) requestReport() {
+	select {
+	case c.reportNow <- struct{}{}:
+	default:
+	}
 }
 
 // Refund refunds the cost of a call that was admitted but not run.
@@ -109,7 +118,7 @@
 		c.settings.Log.Debug().Err(err).Msg("report failed")
 		return
 	}
-	c.accounts.ApplyAnswer(at, a)
+	c.accounts.ApplyAnswer(c.settings.Now(), a)
 	c.metrics.reports.Inc()
 	held := c.settings.Index.Revision()
 	c.mu.Lock()
--- a/internal/transport/subscriber/reports_test.go
+++ b/internal/transport/subscriber/reports_test.go
@@ -158,9 +158,9 @@
 func TestQuotaUseIsReportedAgainAfterFailure(t *testing.T) {
 	withClient(t, func(g *WithT, h *host, c *Client, _ *tracker.Tracker) {
 		limit := bucketer.Limit{Rate: 1, Burst: 50, Number: 1}
-		g.Expect(c.Spend("w", limit, 10).Unknown).To(BeTrue())
+		g.Expect(c.Spend("w", limit, 10, 0).Unknown).To(BeTrue())
 		<-time.After(time.Second)
-		g.Expect(c.Spend("w", limit, 10).Admitted).To(BeTrue())
+		g.Expect(c.Spend("w", limit, 10, 0).Admitted).To(BeTrue())
 		_ = h.connection().Close()
 		<-time.After(3 * time.Second)
 		h.mu.Lock()
