--- a/internal/coordination/bucketer/accounts.go
+++ b/internal/coordination/bucketer/accounts.go
@@ -22,6 +22,9 @@
 	// toleratedCalls is the number of calls, each of the largest recent cost, by which an entry may
 	// exceed its usual rate before the excess is taken for growth.
 	toleratedCalls = 1
+	// minShare is the smallest share of a workspace's calls that an entry assumes to have, as a part
+	// of an equal share.
+	minShare = 0.5
 	// minReportInterval is the minimum time between two reports that ReportDue asks for.
 	minReportInterval = 50 * time.Millisecond
 	// minRetryAfter is the minimum RetryAfter; with a shorter one callers would only add load.
@@ -237,14 +240,14 @@
 	return len(a.accounts)
 }
 
-// share is the estimated part of a workspace's calls that arrive at this entry, at least an equal
-// part for each entry.
+// share is the estimated part of a workspace's calls that arrive at this entry, at least half of an
+// equal part for each entry. With a whole one, the shares of unevenly used entries add up to too much.
 func (c *account) share(entries int) float64 {
-	even := 1 / float64(entries)
+	least := minShare / float64(entries)
 	if c.totalRate <= 0 {
-		return even
+		return least
 	}
-	return min(1, max(even, c.ownRateAtLevel/c.totalRate))
+	return min(1, max(least, c.ownRateAtLevel/c.totalRate))
 }
 
 // refilledLevel returns the reported level plus the units added since, not limited by the burst. It
