--- a/internal/coordination/estimator/speed.go
+++ b/internal/coordination/estimator/speed.go
@@ -104,11 +104,15 @@
 	return factor > usual && Differs(factor, usual)
 }
 
-// Postpones reports whether a prefill that takes work at factor 1, and has been postponed for
-// the given time, waits on because the machine is slowed: as long as it would take longer now than
-// usually. So it ends at most that much later than if it had started at once.
-func (s *Speed) Postpones(now time.Time, work, postponed time.Duration) bool {
-	return s.Slowed(now) && postponed < Scale(work, s.Factor(now))-Scale(work, s.Usual(now))
+// maxPostponement bounds the wait of a prefill for a slowed machine: a slow period of the observed
+// machines. At factor f a prefill that waits for the end of the period ends later than one that
+// starts at once by 1/f of the wait, 120 ms in the mean at 2.5.
+const maxPostponement = 600 * time.Millisecond
+
+// Postpones reports whether a prefill that has been postponed for the given time waits on because
+// the machine is slowed.
+func (s *Speed) Postpones(now time.Time, postponed time.Duration) bool {
+	return s.Slowed(now) && postponed < maxPostponement
 }
 
 // Age returns the age of the last report; it is negative if there was none.
--- a/internal/transport/attendant/postponing.go
+++ b/internal/transport/attendant/postponing.go
@@ -28,8 +28,8 @@
 
 // postpones reports whether a request that is ready waits until the engine's machine is no longer
 // slowed. While a long prompt is prefilled on a slowed machine, the streams of the engine get no
-// events for longer than their routes allow; the prefill itself would take longer by as much as
-// it is postponed at most. The caller holds mu.
+// events for longer than their routes allow, while the prefill itself gains little by starting at
+// once. The caller holds mu.
 func (a *Attendant) postpones(adm *admission, now time.Time) bool {
 	if !a.speedReports || !adm.waits() || !a.ready(adm) || !a.runsOthers() {
 		return false
@@ -47,7 +47,7 @@
 	}
 	p.factor = a.speed.Factor(now)
 	half := time.Duration(adm.msg.WaitMillis) * time.Millisecond / 2
-	if !a.speed.Postpones(now, work, now.Sub(p.since)) || now.Sub(adm.started) >= half {
+	if !a.speed.Postpones(now, now.Sub(p.since)) || now.Sub(adm.started) >= half {
 		return false
 	}
 	p.postponed = true
