relayer, platform: a rationed stream is refused when its first event would come after its caller has left

Callers abandon a stream without an event after 2 s, 4 times its target or 8 times its longest pause, long before the timeout of 12 s of the short class. The spec fails without it.

--- a/internal/state/tracker/routing.go
+++ b/internal/state/tracker/routing.go
@@ -47,6 +47,9 @@
 	Target time.Duration
 	// MaxEventGap is the target for the maximum time between two events of a stream.
 	MaxEventGap time.Duration
+	// FirstEventTimeout is the time after which callers abandon a stream without any event; 0
+	// means that it is not known.
+	FirstEventTimeout time.Duration
 	// Priority is the priority of the calls; 0 is served first.
 	Priority int
 	// MaxAttempts limits the number of backend servers to which one call is sent.
--- a/internal/transport/relayer/rationing.go
+++ b/internal/transport/relayer/rationing.go
@@ -35,6 +35,16 @@
 		!j.answer.begun() && j.resumeFrom == ""
 }
 
+// timeLeft returns the time in which an answer is still of use: until the deadline or, for a
+// rationed stream without an event, until its caller abandons it.
+func (j *job) timeLeft(now time.Time) time.Duration {
+	left := j.deadline.Sub(now)
+	if j.route.Stream && j.route.FirstEventTimeout > 0 && j.rationed() {
+		left = min(left, j.arrived.Add(j.route.FirstEventTimeout).Sub(now))
+	}
+	return left
+}
+
 // recordOverload records a companion's refusal of a call that would wait until after its
 // deadline.
 func (j *job) recordOverload(r *messenger.Refusal) {
@@ -58,7 +68,7 @@
 	r := j.relayer
 	now := r.settings.Now()
 	outlook := r.settings.Placer.LeastWait(now, j.placerCall())
-	left := j.deadline.Sub(now)
+	left := j.timeLeft(now)
 	if outlook.OwnCalls > 0 && j.service.Engine == nil {
 		// Calls that this entry holds go before this one in the mean.
 		held := time.Duration(float64(r.held.count(j.service.Name)) / float64(outlook.OwnCalls) * float64(outlook.Duration))
@@ -93,7 +103,7 @@
 	r.metrics.overloaded.WithLabelValues(j.service.Name, reason).Inc()
 	r.settings.Log.Info().Str("Request", j.call.ID).Str("Service", j.service.Name).Str("Cause", reason).Int("Priority", j.priority()).
 		Int("Refusals", j.overloadRefusals).Strs("Refused", j.avoid).Int("Servers", outlook.Servers).Dur("Least", outlook.Least).
-		Dur("Left", j.deadline.Sub(r.settings.Now())).Dur("ReportAge", outlook.Age).Dur("ShortageEnd", end).Dur("RetryAfter", after).Msg("refused at once")
+		Dur("Left", j.timeLeft(r.settings.Now())).Dur("ReportAge", outlook.Age).Dur("ShortageEnd", end).Dur("RetryAfter", after).Msg("refused at once")
 	_ = j.refuse(http.StatusServiceUnavailable, overloadText, after)
 }
 
--- a/internal/transport/relayer/rationing_test.go
+++ b/internal/transport/relayer/rationing_test.go
@@ -122,6 +122,18 @@
 		Expect(e.call(ctx, withAdapter).StatusCode).To(Equal(http.StatusOK), "one has a free slot")
 	})
 
+	// Guards against streams that are held until their caller leaves: callers abandon a stream
+	// without an event long before the timeout of its route.
+	It("a stream whose first event all engines would send after its caller has left is refused without asking", func() {
+		route := runOnce
+		route.Stream, route.FirstEventTimeout = true, 3*time.Second
+		e := newRationed(route, answers(2)...)
+		reportFull(e, "b0", 2, 3200*time.Millisecond, 2)
+		reportFull(e, "b1", 2, 3200*time.Millisecond, 2)
+		Expect(e.call(ctx, withAdapter).StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(admitted(e)).To(BeEmpty())
+	})
+
 	// Guards against a 503, which promises that a call has not run, for one that may have.
 	It("a call that may have run is not refused as not run", func() {
 		backends := append(answers(2), newBackend(hangUp))
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -299,7 +299,7 @@
 	if !ok {
 		return messenger.Admitted{}, nil, errors.New("the backend server has left")
 	}
-	wait := min(r.settings.AdmitTimeout, j.deadline.Sub(began))
+	wait := min(r.settings.AdmitTimeout, j.timeLeft(began))
 	params := j.admission(wait)
 	ctx, cancel := context.WithTimeout(attempt, wait+admitMargin)
 	defer cancel()
@@ -361,7 +361,7 @@
 	}
 	j.expectPrefill(&params)
 	if j.rationed() {
-		params.Ration, params.DeadlineMillis = true, max(1, j.deadline.Sub(j.relayer.settings.Now()).Milliseconds())
+		params.Ration, params.DeadlineMillis = true, max(1, j.timeLeft(j.relayer.settings.Now()).Milliseconds())
 	}
 	if params.Adapter != "" {
 		params.Version = j.relayer.settings.View().Newest(params.Model + "/" + params.Adapter)
