storer, suspecter, relayer, gatekeeper: late ends don't undo an operator's release

Cause: an entry reports the end of an incarnation up to seconds after it. A release removed the suspect from the replicated state, so that a report of an earlier end made the request a suspect again (the second lift got 200 where 404 is due).

Reports tell the revision that the entry knew when it sent the request. Ends that were counted before the release, or whose run was sent without knowledge of it, don't count. An entry drops its own record of an end once its view is at the revision at which control processed the report. Answers clear suspects as before, and three further ends quarantine a released request again.

--- a/internal/coordination/suspecter/suspecter_test.go
+++ b/internal/coordination/suspecter/suspecter_test.go
@@ -122,13 +122,53 @@
 			table.Ended(start, ended(incarnation, "x"))
 			c.apply(ended(incarnation, "x"))
 		}
-		table.Sync(c.tracker.View())
+		table.Sync(c.tracker.View(), c.tracker.Revision())
 		c.apply(storer.ClearSuspects{Names: []string{identifier.Identify(request("x")).String()}})
-		table.Sync(c.tracker.View())
+		table.Sync(c.tracker.View(), c.tracker.Revision())
 		Expect(quarantined("x")).To(BeFalse())
 		Expect(table.SuspectAt(c.tracker.View(), request("x").Place())).To(BeFalse())
 	})
 
+	It("is served by an entry whose view skips the revision of its release", func() {
+		// Guards against an entry that refuses a released request for ten minutes by its own
+		// record: another entry's report made the request a suspect again, and the entry's
+		// next view showed only that.
+		var last storer.Result
+		for incarnation := range uint64(3) {
+			table.Ended(start, ended(incarnation, "x"))
+			last = c.apply(ended(incarnation, "x"))
+			table.Reported(ended(incarnation, "x"), last.Revision)
+		}
+		table.Sync(c.tracker.View(), last.Revision-1)
+		Expect(quarantined("x")).To(BeTrue())
+		c.apply(storer.ClearSuspects{Names: []string{identifier.Identify(request("x")).String()}, Released: true})
+		c.apply(ended(9, "x"))
+		table.Sync(c.tracker.View(), c.tracker.Revision())
+		Expect(quarantined("x")).To(BeFalse())
+
+		By("removing at once what was reported late, and isn't counted")
+		table.Ended(start, ended(1, "x"))
+		late := c.apply(ended(1, "x"))
+		Expect(late.Verdict).To(Equal(storer.VerdictStale))
+		c.apply(ended(10, "x"))
+		table.Sync(c.tracker.View(), c.tracker.Revision())
+		Expect(quarantined("x")).To(BeTrue())
+		table.Reported(ended(1, "x"), late.Revision)
+		Expect(quarantined("x")).To(BeFalse())
+	})
+
+	It("stays quarantined by an entry's own record until the replicated state shows the ends", func() {
+		for incarnation := range uint64(3) {
+			table.Ended(start, ended(incarnation, "x"))
+			table.Reported(ended(incarnation, "x"), 9)
+		}
+		table.Reported(ended(0, "x"), 0)
+		table.Sync(c.tracker.View(), 8)
+		Expect(quarantined("x")).To(BeTrue())
+		table.Sync(c.tracker.View(), 9)
+		Expect(quarantined("x")).To(BeFalse())
+	})
+
 	It("needs six ends if its answer had started each time", func() {
 		// Requests that have long been answering are the majority of those in progress
 		// when a server ends. A request that crashes servers midway is still found.
@@ -227,7 +267,7 @@
 				table.Ended(start, e)
 			}
 			c.apply(e)
-			table.Sync(c.tracker.View())
+			table.Sync(c.tracker.View(), c.tracker.Revision())
 			if since++; since < storer.QuarantineThreshold {
 				if _, is := table.Quarantine(c.tracker.View(), start, id); is {
 					t.Fatalf("quarantined after %d ends since its last answer", since)
@@ -237,7 +277,7 @@
 				if table.RecordAnswer(c.tracker.View(), id) {
 					c.apply(storer.ClearSuspects{Names: []string{id.String()}})
 				}
-				table.Sync(c.tracker.View())
+				table.Sync(c.tracker.View(), c.tracker.Revision())
 				since = 0
 			}
 		}
--- a/internal/coordination/suspecter/table.go
+++ b/internal/coordination/suspecter/table.go
@@ -1,6 +1,8 @@
 package suspecter
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,8 @@
 	// observed requests by Place; guarded by mu.
 	observed map[identifier.Identity]observed
 	places   map[uint64]int
+	// synced is the latest revision of Sync; guarded by mu.
+	synced uint64
 	// observedCount is the size of observed.
 	observedCount atomic.Int64
 }
@@ -52,6 +56,9 @@
 	last time.Time
 	// replicated reports that the replicated state has since included the request.
 	replicated bool
+	// reported holds, by Life, the revisions by which the replicated state reflects the ends
+	// that were reported. The map is never modified.
+	reported map[uint64]uint64
 }
 
 // NewTable returns an empty table.
@@ -101,21 +108,56 @@
 	}
 }
 
-// Sync updates the table from the replicated state. Requests that were removed there,
-// because they were answered or an operator lifted the quarantine, are removed here,
-// too.
-func (t *Table) Sync(k SuspectList) {
+// Reported records that control has processed a report, whether or not it counted the end,
+// and that the replicated state reflects it from the given revision on. A revision of 0 means
+// unknown and is ignored: control hosts of an earlier version don't tell it for an end that
+// they didn't count.
+func (t *Table) Reported(c storer.CountEnds, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, request := range c.Requests {
+		id, err := identifier.ParseIdentity(request.Name)
+		o, ok := t.observed[id]
+		if err != nil || !ok || revision == 0 {
+			continue
+		}
+		reported := map[uint64]uint64{c.Life: revision}
+		maps.Copy(reported, o.reported)
+		o.reported = reported
+		t.replace(id, o)
+	}
+}
+
+// replace updates the record of a request without the ends that the replicated state reflects,
+// and removes it if there are no others. The caller holds mu.
+func (t *Table) replace(id identifier.Identity, o observed) {
+	o.spec.Lives = slices.DeleteFunc(slices.Clone(o.spec.Lives), func(l storer.IncarnationEnd) bool {
+		at, ok := o.reported[l.Life]
+		return ok && at <= t.synced
+	})
+	if len(o.spec.Lives) == 0 {
+		t.remove(id)
+		return
+	}
+	t.observed[id] = o
+}
+
+// Sync updates the table from the replicated state at the given revision. Ends that it
+// reflects are removed here: it may have released the request since and counted a further end,
+// which a view that skips revisions doesn't show. Requests that were removed there, because
+// they were answered or an operator lifted the quarantine, are removed here, too.
+func (t *Table) Sync(k SuspectList, revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.synced = revision
 	for id, o := range t.observed {
 		_, known := k.Suspect(id)
-		switch {
-		case known:
-			o.replicated = true
-			t.observed[id] = o
-		case o.replicated:
+		if o.replicated && !known {
 			t.remove(id)
+			continue
 		}
+		o.replicated = known
+		t.replace(id, o)
 	}
 }
 
--- a/internal/standin/modeler/model.go
+++ b/internal/standin/modeler/model.go
@@ -187,7 +187,7 @@
 	}
 	for _, e := range m.entries {
 		e.setView(m.view)
-		e.suspects.Sync(m.view)
+		e.suspects.Sync(m.view, m.view.Revision)
 	}
 }
 
--- a/internal/state/storer/aging.go
+++ b/internal/state/storer/aging.go
@@ -58,6 +58,7 @@
 	s.claims.expire(s.retention, s.retention.ClaimAge, s.applied, s.now, s.removeExpiredClaim)
 	s.retired.expire(s.retention, s.retention.VersionNameAge, s.applied, s.now, s.removeExpiredRetired)
 	s.departures.expire(s.retention, departureAge, s.applied, s.now, s.removeExpiredDeparture)
+	s.releases.expire(s.retention, releaseAge, s.applied, s.now, s.removeExpiredRelease)
 }
 
 func (s *Store) removeExpiredRecord(e expiryEntry) bool {
--- a/internal/state/storer/fuzz_test.go
+++ b/internal/state/storer/fuzz_test.go
@@ -21,6 +21,7 @@
 		SetRetention{Retention: Retention{MaxRecords: 1}},
 		countEnd(1, false),
 		ClearSuspects{Names: []string{suspectName}},
+		ClearSuspects{Names: []string{suspectName}, Released: true},
 		ReviewSuspects{Suspects: []SuspectRevision{{Name: suspectName, Revision: 1}}},
 	} {
 		data, err := Encode(Envelope{Time: 1, IdempotencyKey: "k", Command: c})
--- a/internal/state/storer/resources.go
+++ b/internal/state/storer/resources.go
@@ -177,6 +177,9 @@
 		}
 		s.recordRetiredVersion(index, p, old)
 	}
+	if k.Kind == KindSuspect {
+		s.recordRelease(index, p, old)
+	}
 	s.updateHashes(p, k, nil)
 	p.remove(k.Kind, k.Name)
 	s.publish(index, Change{Revision: index, Resource: old, Deleted: true})
--- a/internal/state/storer/result.go
+++ b/internal/state/storer/result.go
@@ -37,7 +37,7 @@
 	Verdict Verdict `cbor:"1,keyasint,omitempty"`
 	Reason  string  `cbor:"2,keyasint,omitempty"`
 	// Revision is the resource's revision after the command; on a conflict, its
-	// current revision.
+	// current revision. After a command on suspects or parts, the revision of the state.
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 	// Resource is the resource after the command, if the command concerns an
 	// existing one; after a deletion, its last content.
--- a/internal/state/storer/shard.go
+++ b/internal/state/storer/shard.go
@@ -39,6 +39,8 @@
 	// departures holds the incarnations of backend servers that have left, ended or expired, by
 	// incarnation.
 	departures map[string]departure
+	// releases holds the suspects that an operator has released, by name.
+	releases map[string]release
 }
 
 // record is the first result of a change with an idempotency key.
@@ -70,6 +72,7 @@
 		retired:    map[string]retiredVersion{},
 		superseded: map[string][]string{},
 		departures: map[string]departure{},
+		releases:   map[string]release{},
 	}
 }
 
@@ -126,7 +129,7 @@
 
 // empty reports whether the space contains nothing, so that it can be dropped.
 func (p *space) empty() bool {
-	return !p.inUse() && len(p.resources[KindWorkspace])+len(p.claims)+len(p.records)+len(p.retired)+len(p.superseded)+len(p.departures) == 0
+	return !p.inUse() && len(p.resources[KindWorkspace])+len(p.claims)+len(p.records)+len(p.retired)+len(p.superseded)+len(p.departures)+len(p.releases) == 0
 }
 
 // appendResources appends the resources of a kind, sorted by name.
--- a/internal/state/storer/snapshot.go
+++ b/internal/state/storer/snapshot.go
@@ -33,6 +33,7 @@
 	Superseded int       `cbor:"12,keyasint"`
 	Changes    int       `cbor:"13,keyasint"`
 	Departures int       `cbor:"14,keyasint,omitempty"`
+	Releases   int       `cbor:"15,keyasint,omitempty"`
 }
 
 // supersededMember lists the replaced incarnations of a member name.
@@ -52,6 +53,7 @@
 	superseded []supersededMember
 	changes    []Change
 	departures []departure
+	releases   []release
 }
 
 // Snapshot writes the state to w. Stores that applied the same commands write the
@@ -83,6 +85,7 @@
 		encodeAll(e, c.superseded),
 		encodeAll(e, c.changes),
 		encodeAll(e, c.departures),
+		encodeAll(e, c.releases),
 	); err != nil {
 		return errors.Annotate(err, "write snapshot")
 	}
@@ -163,6 +166,9 @@
 		for _, d := range p.departures {
 			c.departures = append(c.departures, d)
 		}
+		for _, r := range p.releases {
+			c.releases = append(c.releases, r)
+		}
 	}
 }
 
@@ -177,7 +183,10 @@
 	slices.SortFunc(c.departures, func(a, b departure) int {
 		return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	c.header.Departures = len(c.departures)
+	slices.SortFunc(c.releases, func(a, b release) int {
+		return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Name, b.Name))
+	})
+	c.header.Departures, c.header.Releases = len(c.departures), len(c.releases)
 	c.header.Resources, c.header.Claims, c.header.Records = len(c.resources), len(c.claims), len(c.records)
 	c.header.Retired, c.header.Superseded, c.header.Changes = len(c.retired), len(c.superseded), len(c.changes)
 }
@@ -217,6 +226,7 @@
 		decodeInto(d, c.header.Superseded, &c.superseded),
 		decodeInto(d, c.header.Changes, &c.changes),
 		decodeInto(d, c.header.Departures, &c.departures),
+		decodeInto(d, c.header.Releases, &c.releases),
 	)
 }
 
@@ -251,6 +261,10 @@
 		s.shard("").space("").departures[d.Incarnation] = d
 		s.departures.add(expiryEntry{key: d.Incarnation, index: d.Index, time: d.Time})
 	}
+	for _, r := range c.releases {
+		s.shard("").space("").releases[r.Name] = r
+		s.releases.add(expiryEntry{key: r.Name, index: r.Index, time: r.Time})
+	}
 }
 
 func (a *expiryQueue) add(e expiryEntry) {
@@ -271,7 +285,8 @@
 	}
 	s.applied, s.now = c.header.Applied, c.header.Now
 	s.retention, s.hashes = fresh.retention, fresh.hashes
-	s.claims, s.records, s.retired, s.departures = fresh.claims, fresh.records, fresh.retired, fresh.departures
+	s.claims, s.records, s.retired = fresh.claims, fresh.records, fresh.retired
+	s.departures, s.releases = fresh.departures, fresh.releases
 	s.history.replace(c.changes, c.header.Floor)
 	s.revision.Store(c.header.Revision)
 	for i := range s.shards {
--- a/internal/state/storer/store.go
+++ b/internal/state/storer/store.go
@@ -29,9 +29,9 @@
 	// hashes maps the hash of every caller's key, over all workspaces, to its
 	// resource: a bearer key must identify exactly one workspace.
 	hashes map[[hashLength]byte]Key
-	// claims, records, retired and departures count and order the items that
-	// expire.
-	claims, records, retired, departures expiryQueue
+	// claims, records, retired, departures and releases count and order the items
+	// that expire.
+	claims, records, retired, departures, releases expiryQueue
 
 	// shards hold the state; each has its own lock. A command writes to one
 	// shard, and publishes its revision while it holds that shard's lock: a
--- a/internal/state/storer/suspects.go
+++ b/internal/state/storer/suspects.go
@@ -99,6 +99,10 @@
 	Name       string `cbor:"1,keyasint"`
 	Place      uint64 `cbor:"2,keyasint,omitempty"`
 	Progressed bool   `cbor:"3,keyasint,omitempty"`
+	// Known is the revision of the replicated state that the entry knew when it sent the
+	// request to the backend server. 0 means unknown: entries of an earlier version don't
+	// report it.
+	Known uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // CountEnds reports the end of an incarnation of a backend server and the requests that were
@@ -114,6 +118,9 @@
 // answered, which proves that they can be run, and those that an operator releases.
 type ClearSuspects struct {
 	Names []string `cbor:"1,keyasint,omitempty"`
+	// Released means that an operator releases the suspects: earlier ends that are
+	// reported later don't count.
+	Released bool `cbor:"2,keyasint,omitempty"`
 }
 
 // SuspectRevision identifies a suspect at one revision.
@@ -133,7 +140,7 @@
 func (ReviewSuspects) command() {}
 
 // countEnds records an end for the reported requests. It skips requests without a valid
-// identity.
+// identity, and those whose end an operator's release excludes.
 func (s *Store) countEnds(index uint64, c CountEnds) Result {
 	return s.changeSuspects(index, func(p *space) []Change {
 		var changes []Change
@@ -141,6 +148,9 @@
 			if _, err := identifier.ParseIdentity(request.Name); err != nil {
 				continue
 			}
+			if r, ok := p.releases[request.Name]; ok && r.excludes(c.Life, request) {
+				continue
+			}
 			old, exists := p.get(KindSuspect, request.Name)
 			spec := SuspectSpec{Service: c.Service, Place: request.Place}
 			if exists {
@@ -197,6 +207,9 @@
 		var changes []Change
 		for _, name := range c.Names {
 			if old, ok := p.get(KindSuspect, name); ok {
+				if c.Released {
+					s.recordRelease(index, p, old)
+				}
 				p.remove(KindSuspect, name)
 				changes = append(changes, Change{Revision: index, Resource: old, Deleted: true})
 			}
@@ -240,14 +253,15 @@
 }
 
 // changeSuspects applies change to the space of the suspects and publishes the changes that
-// it returns.
+// it returns. A view at the revision of the result, whatever its verdict, shows the effect of the
+// command and of all before it.
 func (s *Store) changeSuspects(index uint64, change func(p *space) []Change) Result {
 	h := s.shard("")
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changes := change(h.space(""))
 	if len(changes) == 0 {
-		return Result{Verdict: VerdictStale, Reason: "nothing new of these requests"}
+		return Result{Verdict: VerdictStale, Reason: "nothing new of these requests", Revision: s.revision.Load()}
 	}
 	s.publish(index, changes...)
 	return Result{Revision: index}
--- a/internal/transport/controller/suspects.go
+++ b/internal/transport/controller/suspects.go
@@ -29,7 +29,7 @@
 // LiftQuarantine removes the record of a request during which backend servers ended, so
 // that they receive the request again. The error is NotFound if there is no such record.
 func (c *Control) LiftQuarantine(ctx context.Context, identity string) error {
-	result, err := c.Propose(ctx, storer.Envelope{Command: storer.ClearSuspects{Names: []string{identity}}})
+	result, err := c.Propose(ctx, storer.Envelope{Command: storer.ClearSuspects{Names: []string{identity}, Released: true}})
 	switch {
 	case err != nil:
 		return err
--- a/internal/transport/gatekeeper/attempt.go
+++ b/internal/transport/gatekeeper/attempt.go
@@ -43,6 +43,8 @@
 	// firstByteAt is when the head of the answer arrived.
 	firstByteAt time.Time
 	end         *messenger.End
+	// knownRevision is the revision of the entry's replica when the attempt was sent.
+	knownRevision uint64
 }
 
 // acknowledgeBytes is the number of bytes after which they are acknowledged, so that
@@ -94,7 +96,7 @@
 	}
 	if end := a.end; end != nil {
 		e.reportLoad(a.backend, end.Load)
-		q.reportEnds(ctx, a.backend, end.EndedLives, a.assembler.Next() > 0)
+		q.reportEnds(ctx, a)
 		ending.Stall, ending.CachedTokens = millis(end.StallMillis), end.CachedTokens
 		e.metrics.stalls.WithLabelValues(q.dispatch.Workspace).Observe(ending.Stall.Seconds())
 		e.metrics.queueWaits.WithLabelValues(q.dispatch.Workspace).Observe(millis(end.QueueMillis).Seconds())
@@ -129,6 +131,7 @@
 	d.Attempt, d.Epoch, d.DeadlineMillis = a.id.attempt, epoch, a.timeLeft()
 	e.settings.Recorder.Record(a.event(recorder.KindDispatched, fmt.Sprintf("attempt %d, epoch %d", d.Attempt, d.Epoch)))
 	var accepted messenger.Accepted
+	a.knownRevision = e.settings.Index.Revision()
 	err = conn.Call(ctx, messenger.MethodDispatch, d, &accepted)
 	var refusal *messenger.Refusal
 	var broken *messenger.BrokenError
--- a/internal/transport/gatekeeper/settings.go
+++ b/internal/transport/gatekeeper/settings.go
@@ -32,6 +32,8 @@
 	Members() indexer.MemberView
 	Models(workspace string) []indexer.Model
 	Suspects() *blamer.List
+	// Revision returns the revision of the replica, which Suspects may be newer than.
+	Revision() uint64
 }
 
 // Control is the client of the control hosts, a *subscriber.Client.
--- a/internal/transport/gatekeeper/suspect.go
+++ b/internal/transport/gatekeeper/suspect.go
@@ -39,8 +39,10 @@
 	if !q.maySuspect() {
 		return nil
 	}
+	// The list is read after the revision, so that it is at least as new.
+	revision := e.settings.Index.Revision()
 	known := e.settings.Index.Suspects()
-	e.suspects.Sync(known)
+	e.suspects.Sync(known, revision)
 	whole, is := e.suspects.Quarantine(known, e.settings.Now(), identifier.Identify(q.identity()))
 	if !is {
 		return nil
@@ -51,17 +53,19 @@
 }
 
 // reportEnds records the incarnations of a backend server that ended while they ran the
-// request, and reports them to control, which adds up the reports of all entries.
-func (q *request) reportEnds(ctx context.Context, backend string, incarnations []string, progressed bool) {
-	if len(incarnations) == 0 {
+// attempt, and reports them to control, which adds up the reports of all entries.
+func (q *request) reportEnds(ctx context.Context, a *attempt) {
+	if len(a.end.EndedLives) == 0 {
 		return
 	}
 	of := q.identity()
-	requests := []storer.EndedRequest{{Name: identifier.Identify(of).String(), Place: of.Place(), Progressed: progressed}}
-	for _, incarnation := range incarnations {
-		c := storer.CountEnds{Service: q.call.Pool.Name, Life: suspecter.Life(backend, incarnation), Requests: requests}
+	requests := []storer.EndedRequest{{
+		Name: identifier.Identify(of).String(), Place: of.Place(), Progressed: a.assembler.Next() > 0, Known: a.knownRevision,
+	}}
+	for _, incarnation := range a.end.EndedLives {
+		c := storer.CountEnds{Service: q.call.Pool.Name, Life: suspecter.Life(a.backend, incarnation), Requests: requests}
 		q.entry.suspects.Ended(q.entry.settings.Now(), c)
-		q.propose(ctx, c)
+		q.propose(ctx, c, func(r storer.Result) { q.entry.suspects.Reported(c, r.Revision) })
 	}
 }
 
@@ -72,17 +76,20 @@
 		return
 	}
 	if id := identifier.Identify(q.identity()); q.entry.suspects.RecordAnswer(q.entry.settings.Index.Suspects(), id) {
-		q.propose(ctx, storer.ClearSuspects{Names: []string{id.String()}})
+		q.propose(ctx, storer.ClearSuspects{Names: []string{id.String()}}, func(storer.Result) {})
 	}
 }
 
-// propose submits a command in the background, and logs a failure.
-func (q *request) propose(ctx context.Context, c storer.Command) {
+// propose submits a command in the background. It passes the result to done, or logs a failure.
+func (q *request) propose(ctx context.Context, c storer.Command, done func(storer.Result)) {
 	e := q.entry
 	e.runDetached(ctx, proposeTimeout, func(ctx context.Context) {
-		if _, err := e.settings.Control.Propose(ctx, storer.Envelope{Command: c}); err != nil {
+		result, err := e.settings.Control.Propose(ctx, storer.Envelope{Command: c})
+		if err != nil {
 			// The entry's own record remains in effect locally.
 			e.settings.Log.Warn().Err(err).Str("Request", q.id).Msg("reporting a request's failures or answers to control failed")
+			return
 		}
+		done(result)
 	})
 }
--- a/internal/transport/relayer/loss.go
+++ b/internal/transport/relayer/loss.go
@@ -84,7 +84,9 @@
 // backend server if none is pending.
 func (r *Relayer) recordLoss(j *job) {
 	broke := brokenAttempt{
-		request:  storer.EndedRequest{Name: j.requestIdentity().String(), Place: j.placeHash(), Progressed: j.progressed()},
+		request: storer.EndedRequest{
+			Name: j.requestIdentity().String(), Place: j.placeHash(), Progressed: j.progressed(), Known: j.knownRevision,
+		},
 		identity: j.requestIdentity(), stage: j.stage(), parts: j.call.partIDs(), suspects: j.call.suspectParts(),
 	}
 	r.lossesMu.Lock()
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -151,7 +151,7 @@
 // ViewChanged applies a new view. It does not block.
 func (r *Relayer) ViewChanged(v *tracker.View) {
 	r.settings.Placer.SetView(v)
-	r.suspects.Sync(v)
+	r.suspects.Sync(v, v.Revision)
 	r.cancelPreviousIncarnations(v)
 	r.cancelQuarantined(v)
 	r.cancelBlocked(v)
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -70,7 +70,7 @@
 	j.sent++
 	j.reached++
 	j.bytesBeforeAttempt = j.answer.bytes
-	j.attemptAt = j.relayer.settings.Now()
+	j.attemptAt, j.knownRevision = j.relayer.settings.Now(), j.relayer.settings.View().Revision
 	j.answerBody, j.survived = nil, false
 	if j.choice.Limit.Named {
 		j.relayer.metrics.limited.WithLabelValues(j.service.Name).Inc()
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -100,6 +100,8 @@
 	// companion has admitted it, and has counted it under the engine's limit.
 	attemptAt time.Time
 	counted   bool
+	// knownRevision is the revision of the view when the current attempt was sent.
+	knownRevision uint64
 	// limitRefusals is the number of backend servers that had no turn for the call under
 	// their limit.
 	limitRefusals int
--- a/internal/transport/relayer/suspect.go
+++ b/internal/transport/relayer/suspect.go
@@ -70,20 +70,25 @@
 		c.Requests = append(c.Requests, a.request)
 	}
 	r.suspects.Ended(r.settings.Now(), c)
-	r.propose(c)
+	if result, ok := r.propose(c); ok {
+		r.suspects.Reported(c, result.Revision)
+	}
 }
 
-// propose submits a command to the replicated state, and logs a failure.
-func (r *Relayer) propose(c storer.Command) {
+// propose submits a command to the replicated state, and logs a failure. It returns false if
+// there is no result.
+func (r *Relayer) propose(c storer.Command) (storer.Result, bool) {
 	if r.settings.Submit == nil {
-		return
+		return storer.Result{}, false
 	}
 	ctx, cancel := context.WithTimeout(r.root, proposeTimeout)
 	defer cancel()
-	if _, err := r.settings.Submit(ctx, c); err != nil {
+	result, err := r.settings.Submit(ctx, c)
+	if err != nil {
 		// The entry's own record remains in effect locally.
 		r.settings.Log.Warn().Err(err).Msg("reporting a request's failures or answers to control failed")
 	}
+	return result, err == nil
 }
 
 // quarantined reports whether the request may not be sent to any backend server, and
--- a/internal/transport/relayer/suspect_test.go
+++ b/internal/transport/relayer/suspect_test.go
@@ -35,7 +35,10 @@
 		Eventually(e.crashes).Should(HaveLen(1))
 		end := e.crashes()[0]
 		Expect(end.Service).To(Equal("s"))
-		Expect(end.Requests).To(Equal([]storer.EndedRequest{{Name: identifier.Identify(sentRequest).String(), Place: sentRequest.Place()}}))
+		Expect(e.view).To(BeNumerically(">", 0))
+		Expect(end.Requests).To(Equal([]storer.EndedRequest{{
+			Name: identifier.Identify(sentRequest).String(), Place: sentRequest.Place(), Known: e.view,
+		}}))
 	})
 
 	It("is reported as progressed if part of its answer had arrived", func() {
