--- a/internal/transport/attendant/speed.go
+++ b/internal/transport/attendant/speed.go
@@ -16,7 +16,7 @@
 	var nextProbe time.Time
 	for a.awaitSpeedPoll() {
 		path, incarnation, probe := a.speedPoll()
-		if strings.HasPrefix(path, "/") && !(probe && a.settings.Now().Before(nextProbe)) {
+		if strings.HasPrefix(path, "/") && (!probe || !a.settings.Now().Before(nextProbe)) {
 			nextProbe = a.settings.Now().Add(a.settings.SpeedProbeInterval)
 			a.pollSpeed(path, incarnation)
 		}
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -41,7 +41,7 @@
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		prompts: newPromptMetrics(r),
+		prompts: newPromptMetrics(r), overloaded: newOverloaded(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
@@ -95,7 +95,6 @@
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
-	m.overloaded = newOverloaded()
 	if r != nil {
 		r.MustRegister(m.overloaded, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
