--- a/internal/transport/attendant/cachestate.go
+++ b/internal/transport/attendant/cachestate.go
@@ -83,13 +83,13 @@
 
 // cacheUpdates returns the reports on the cache that are due for a group: the changes for the
 // entries that have the last report, and the whole state for the others. Nothing is reported of
-// an engine that does not report its memory. A report is also sent if nothing has changed, since
+// an engine that does not report its memory, or whose prompts are not weighed. A report is also sent if nothing has changed, since
 // entries stop using an old one.
 func (a *Attendant) cacheUpdates(group *subscriberGroup) []cacheUpdate {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := &group.cache
-	if !a.memory.Known() || a.incarnation == "" || len(group.conns) == 0 {
+	if !a.memory.Known() || a.incarnation == "" || len(group.conns) == 0 || a.settings.PromptCache.Resolve(a.speedReports) != cacher.ModeWeighed {
 		return nil
 	}
 	var updates []cacheUpdate
--- a/internal/transport/attendant/cachestate_test.go
+++ b/internal/transport/attendant/cachestate_test.go
@@ -118,6 +118,28 @@
 	})
 }
 
+// TestNothingIsReportedWhereNotWeighed guards against reports that cost deployments whose entries do
+// not use them: those that are not under pressure and whose engines report no slowdown factor.
+func TestNothingIsReportedWhereNotWeighed(t *testing.T) {
+	withMemory(t, 0, 50_000, func(f *fixture, e *engine, _ *stateListener) {
+		f.promptCache = cacher.ModeAuto
+		f.restartCompanion()
+		advance(time.Second)
+		l := f.watchLocal()
+		defer l.close()
+		f.runLongPrompt("1", "a1", 7)
+		if _, count, _ := l.estimate(); count > 0 {
+			t.Errorf("%d reports", count)
+		}
+		e.slow(1)
+		f.admit("2", "a1", 1)
+		advance(15 * time.Second)
+		if _, count, _ := l.estimate(); count == 0 {
+			t.Error("no report where the engine reports a slowdown factor")
+		}
+	})
+}
+
 // TestRestartOfEngineClearsCache guards against prompts that are sent to an engine for parts that
 // its previous incarnation had cached.
 func TestRestartOfEngineClearsCache(t *testing.T) {
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
@@ -188,14 +189,16 @@
 
 // fixture is an attendant with an engine, and the connection of an entry.
 type fixture struct {
-	t         *testing.T
-	engine    *engine
-	attendant *attendant.Attendant
-	tracker   *tracker.Tracker
-	revision  uint64
-	conn      *messenger.Conn
-	network   net.Conn
-	registry  *prometheus.Registry
+	// promptCache is the mode of the companions that are started.
+	promptCache cacher.Mode
+	t           *testing.T
+	engine      *engine
+	attendant   *attendant.Attendant
+	tracker     *tracker.Tracker
+	revision    uint64
+	conn        *messenger.Conn
+	network     net.Conn
+	registry    *prometheus.Registry
 }
 
 const backendName = "10.0.0.1-80"
@@ -217,7 +220,7 @@
 // deployment.
 func newFixtureWithoutDeployment(t *testing.T, e *engine) *fixture {
 	t.Helper()
-	f := &fixture{t: t, engine: e}
+	f := &fixture{t: t, engine: e, promptCache: cacher.ModeWeighed}
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", HealthPath: "/health", Engine: &tracker.Engine{
 			Slots: 64, MemoryTokens: 1000, MaxAdapters: slots, Models: []tracker.Model{{Name: model}},
@@ -245,7 +248,7 @@
 func (f *fixture) startCompanion() {
 	f.registry = prometheus.NewRegistry()
 	f.attendant = attendant.NewAttendant(attendant.Settings{
-		Name: backendName, FailureDomain: failureDomain, Engine: f.engine, View: f.tracker.View, Registerer: f.registry, Random: rand.New(rand.NewPCG(1, 2)),
+		Name: backendName, FailureDomain: failureDomain, Engine: f.engine, View: f.tracker.View, Registerer: f.registry, PromptCache: f.promptCache, Random: rand.New(rand.NewPCG(1, 2)),
 	})
 }
 
--- a/internal/transport/attendant/settings.go
+++ b/internal/transport/attendant/settings.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/rationer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -85,6 +86,9 @@
 	OrderTimeout     time.Duration
 	LoadPollInterval time.Duration
 	LoadTimeout      time.Duration
+	// PromptCache is the mode of cached prompt parts; reports on the cache are sent only if they
+	// are weighed.
+	PromptCache cacher.Mode
 	// Rationing is whether requests wait by rank and are refused as soon as they would wait
 	// until after their deadline: with ModeAuto those whose entry asks for it.
 	Rationing rationer.Mode
