--- a/internal/coordination/cacher/estimate.go
+++ b/internal/coordination/cacher/estimate.go
@@ -29,8 +29,8 @@
 // Estimate is what an entry knows about the cache of one engine. The zero value means that
 // nothing is known.
 type Estimate struct {
-	// told means that the companion has published the cache since the engine's start.
-	told       bool
+	// published means that the companion has published the cache since the engine's start.
+	published  bool
 	receivedAt time.Time
 	room       int64
 	added      int64
@@ -50,8 +50,8 @@
 	until    time.Time
 }
 
-// Told reports whether the engine's companion publishes its cache.
-func (e *Estimate) Told() bool { return e.told }
+// Published reports whether the engine's companion publishes its cache.
+func (e *Estimate) Published() bool { return e.published }
 
 // Age returns the age of the last update; negative if there is none.
 func (e *Estimate) Age(now time.Time) time.Duration {
@@ -73,7 +73,7 @@
 		}
 		e.rate = rate
 	}
-	e.told, e.receivedAt, e.room, e.added, e.placedTokens = true, now, u.Room, u.Added, 0
+	e.published, e.receivedAt, e.room, e.added, e.placedTokens = true, now, u.Room, u.Added, 0
 	for _, p := range u.Parts {
 		delete(e.placed, p.Hash)
 		e.positions[p.Hash] = p.Added
@@ -84,7 +84,7 @@
 
 // Clear drops what is known, after a lost update or a restart. Whether the companion
 // publishes its cache is kept.
-func (e *Estimate) Clear() { *e = Estimate{told: e.told} }
+func (e *Estimate) Clear() { *e = Estimate{published: e.published} }
 
 // margin returns the margin of a part at the last update.
 func (e *Estimate) margin(position int64) int64 { return e.room - (e.added - position) }
@@ -99,7 +99,7 @@
 // Place counts a call placed at the engine, which prefills the given number of tokens after
 // wait.
 func (e *Estimate) Place(now time.Time, p Prompt, prefilled int, wait time.Duration) {
-	if !e.told {
+	if !e.published {
 		return
 	}
 	e.placedTokens += int64(prefilled)
--- a/internal/coordination/cacher/mode.go
+++ b/internal/coordination/cacher/mode.go
@@ -38,13 +38,13 @@
 	return ModeAuto, errors.NotValidf("%q, not auto, off, affinity or weighed", name)
 }
 
-// Resolve returns the mode in effect for a service. Paced means that its backend servers
+// Resolve returns the mode in effect for a service. SlowdownReported means that its backend servers
 // report a slowdown factor.
-func (m Mode) Resolve(paced bool) Mode {
+func (m Mode) Resolve(slowdownReported bool) Mode {
 	switch {
 	case m != ModeAuto:
 		return m
-	case paced:
+	case slowdownReported:
 		return ModeWeighed
 	default:
 		return ModeAffinity
--- a/internal/coordination/placer/outlook.go
+++ b/internal/coordination/placer/outlook.go
@@ -126,10 +126,10 @@
 	return wait + read, wait
 }
 
-// SlowdownTold reports whether a backend server of the service has reported its slowdown factor.
-func (p *Placer) SlowdownTold(service string) bool {
+// SlowdownReported reports whether a backend server of the service has reported its slowdown factor.
+func (p *Placer) SlowdownReported(service string) bool {
 	o := p.pool(service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.slowdownTold
+	return o.slowdownReported
 }
--- a/internal/coordination/placer/pool.go
+++ b/internal/coordination/placer/pool.go
@@ -34,8 +34,8 @@
 	lastSurvey survey
 	// learntRate is the prefill rate of the service's engines as observed.
 	learntRate estimator.PrefillRate
-	// slowdownTold means that a backend server of the service has reported its slowdown factor.
-	slowdownTold bool
+	// slowdownReported means that a backend server of the service has reported its slowdown factor.
+	slowdownReported bool
 	// notices holds what backend servers have asked of this entry, by incarnation.
 	notices map[string]*notice
 	// compared receives the terms of each cost that a choice compares; nil except in the copies
--- a/internal/coordination/placer/prompt.go
+++ b/internal/coordination/placer/prompt.go
@@ -105,7 +105,7 @@
 }
 
 // promptMode returns the mode in effect. The caller holds o.mu.
-func (o *pool) promptMode(s *Settings) cacher.Mode { return s.PromptCache.Resolve(o.slowdownTold) }
+func (o *pool) promptMode(s *Settings) cacher.Mode { return s.PromptCache.Resolve(o.slowdownReported) }
 
 // planPrompts computes for each candidate what it is expected to have cached of the call's
 // prompt, and whether it is to fetch parts from another one. The caller holds o.mu.
@@ -118,7 +118,7 @@
 		switch {
 		case mode == cacher.ModeOff:
 			b.plan = promptPlan{call: c, uncached: c.Tokens}
-		case mode == cacher.ModeAffinity || !b.prompts.estimate.Told():
+		case mode == cacher.ModeAffinity || !b.prompts.estimate.Published():
 			b.plan = promptPlan{}
 		default:
 			b.plan = promptPlan{call: c, weighed: true, expected: b.expectPrompt(now, c, engines.adapter, func() cacher.Demand {
--- a/internal/coordination/placer/prompt_test.go
+++ b/internal/coordination/placer/prompt_test.go
@@ -242,7 +242,7 @@
 		choice := auto.choose(now, prefixCall())
 		auto.placer.RecordSlowdown(now, &choice, 1)
 		if c := auto.choose(now, prefixCall()); c.Prompt.Mode != cacher.ModeWeighed {
-			t.Fatal("a slowdown factor was told")
+			t.Fatal("a slowdown factor was reported")
 		}
 	})
 }
--- a/internal/coordination/placer/speed.go
+++ b/internal/coordination/placer/speed.go
@@ -34,7 +34,7 @@
 	defer o.mu.Unlock()
 	if b := o.find(s.Name); b != nil && b.member.Spec.Incarnation == s.Incarnation {
 		s.Record(now, &b.speed)
-		o.slowdownTold = true
+		o.slowdownReported = true
 	}
 }
 
@@ -44,7 +44,7 @@
 	choice.pool.mu.Lock()
 	defer choice.pool.mu.Unlock()
 	choice.backend.speed.Record(now, factor, 0)
-	choice.pool.slowdownTold = true
+	choice.pool.slowdownReported = true
 }
 
 // Slowdown returns the expected slowdown factor of a backend server, its usual one, and the age of
--- a/internal/coordination/rationer/mode.go
+++ b/internal/coordination/rationer/mode.go
@@ -27,5 +27,5 @@
 	}
 }
 
-// Applies reports whether requests are rationed, where told is what ModeAuto depends on.
-func (m Mode) Applies(told bool) bool { return m == ModeOn || m == ModeAuto && told }
+// Applies reports whether requests are rationed, where condition is what ModeAuto depends on.
+func (m Mode) Applies(condition bool) bool { return m == ModeOn || m == ModeAuto && condition }
--- a/internal/coordination/rationer/rationer_test.go
+++ b/internal/coordination/rationer/rationer_test.go
@@ -152,7 +152,7 @@
 		Expect(o.Requests[1].Wait).To(Equal(time.Second))
 	})
 
-	It("never refuse a request whose deadline isn't told", func() {
+	It("never refuse a request whose deadline isn't known", func() {
 		requests := queue(50, 0)
 		for i := range requests {
 			requests[i].Deadline = time.Time{}
--- a/internal/transport/attendant/cachestate.go
+++ b/internal/transport/attendant/cachestate.go
@@ -141,7 +141,7 @@
 }
 
 // exceedsPrefill reports whether a request would wait longer here than it takes to prefill its
-// prompt elsewhere, by what its entry has told.
+// prompt elsewhere, by what its entry expects.
 func exceedsPrefill(m messenger.Admit, wait time.Duration) bool {
 	return wait.Milliseconds() >= m.ExpectedMillis+m.MaxExcessMillis
 }
--- a/internal/transport/attendant/rationing_test.go
+++ b/internal/transport/attendant/rationing_test.go
@@ -181,7 +181,7 @@
 			go func(a *admission) {
 				<-a.done
 				if a.err == nil {
-					time.Sleep(100 * time.Millisecond)
+					<-time.After(100 * time.Millisecond)
 					f.release(name)
 				}
 			}(requests[rank][len(requests[rank])-1])
--- a/internal/transport/relayer/rationing.go
+++ b/internal/transport/relayer/rationing.go
@@ -31,7 +31,7 @@
 // rationed reports whether the call is rationed. A resumed call isn't: its answer has begun.
 func (j *job) rationed() bool {
 	s := &j.relayer.settings
-	return s.Rationing.Applies(s.Rationing == rationer.ModeAuto && s.Placer.SlowdownTold(j.service.Name)) &&
+	return s.Rationing.Applies(s.Rationing == rationer.ModeAuto && s.Placer.SlowdownReported(j.service.Name)) &&
 		!j.answer.begun() && j.resumeFrom == ""
 }
 
