attendant: entries are notified of a machine's speed from a ratio of 1.3

Between 1.1 and the mean of a machine that is slowed at times, an entry's expectation aged towards that mean and was corrected every 600 ms.

--- a/internal/transport/attendant/speed.go
+++ b/internal/transport/attendant/speed.go
@@ -177,6 +177,11 @@
 	e.Msg("returned to the entry")
 }
 
+// notifyRatio is the ratio of the current factor and the one that an entry expects from which it is
+// notified. A machine at its usual speed differs from its own mean by up to a quarter: with 1.1,
+// entries were told every 600 ms that nothing had changed.
+const notifyRatio = 1.3
+
 // publishedSpeed is what an entry knows by this companion's reports.
 type publishedSpeed struct {
 	incarnation string
@@ -190,11 +195,12 @@
 	if p.incarnation != incarnation {
 		return true
 	}
-	return now.Sub(p.at) >= interval && estimator.Differs(factor, p.speed.Factor(now))
+	known := p.speed.Factor(now)
+	return now.Sub(p.at) >= interval && max(factor, known) >= notifyRatio*min(factor, known)
 }
 
 // publishSpeed notifies the entries of a group of the speed of the engine's machine if what they
-// expect by the last notification differs from it by a tenth or more.
+// expect by the last notification differs from it by notifyRatio.
 func (a *Attendant) publishSpeed(group *subscriberGroup) {
 	state, entries := a.speedUpdate(group)
 	for _, conn := range entries {
