attendant: one function for the prefill time of a waiting request

The same expression stood in three places. No behaviour changes; tests of attendant and guarder, and its linter, pass.

--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -331,7 +331,7 @@
 	var prefill time.Duration
 	for _, adm := range a.admissions {
 		if !adm.admitted {
-			prefill += placer.ReadTime(a.cache.uncachedTokens(adm.msg, adm.version), adm.msg.Tokens, a.prefillRate(&adm.msg))
+			prefill += a.usualPrefill(adm)
 		}
 	}
 	return int(estimator.Scale(prefill, a.speed.Factor(a.settings.Now())).Milliseconds())
--- a/internal/transport/attendant/postponing.go
+++ b/internal/transport/attendant/postponing.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/estimator"
-	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 )
 
 const (
@@ -34,7 +33,7 @@
 	if !a.speedReports || !adm.waits() || !a.ready(adm) || !a.runsOthers() {
 		return false
 	}
-	work := placer.ReadTime(a.cache.uncachedTokens(adm.msg, adm.version), adm.msg.Tokens, a.prefillRate(&adm.msg))
+	work := a.usualPrefill(adm)
 	if work < minLongPrefill {
 		return false
 	}
--- a/internal/transport/attendant/rationing.go
+++ b/internal/transport/attendant/rationing.go
@@ -99,7 +99,7 @@
 	w := waiter(&adm.msg, adm.started)
 	r := rationer.Request{
 		ID: adm.msg.Request, Arrival: adm.arrival, Rank: adm.rank(), Due: w.Due,
-		Prefill: estimator.Scale(placer.ReadTime(a.cache.uncachedTokens(adm.msg, adm.version), adm.msg.Tokens, a.prefillRate(&adm.msg)), a.speed.Factor(now)),
+		Prefill: estimator.Scale(a.usualPrefill(adm), a.speed.Factor(now)),
 	}
 	if adm.rationed && adm.msg.DeadlineMillis > 0 {
 		r.Deadline = adm.started.Add(time.Duration(adm.msg.DeadlineMillis) * time.Millisecond)
--- a/internal/transport/attendant/speed.go
+++ b/internal/transport/attendant/speed.go
@@ -86,6 +86,12 @@
 	return estimator.BoundRate(m.PrefillRate, a.settings.PrefillRate)
 }
 
+// usualPrefill returns the time to prefill a waiting request's prompt at the usual speed. The caller
+// holds mu.
+func (a *Attendant) usualPrefill(adm *admission) time.Duration {
+	return placer.ReadTime(a.cache.uncachedTokens(adm.msg, adm.version), adm.msg.Tokens, a.prefillRate(&adm.msg))
+}
+
 // prefill is the expected prefill of a request's prompt.
 type prefill struct {
 	// uncached is the number of its tokens that are not cached.
