gatekeeper: the end marker of a stream waits for the outcome

Cause: the engine's last event was forwarded when it arrived. The companion reports the outcome after it; an entry that is killed in between has sent a complete stream without one. Where the outcome then was not Completed, the caller got [DONE] followed by an error event.

Fix: the event is withheld, however it is split, and written together with the outcome and the trailer. A broken attempt drops it.

--- a/internal/transport/gatekeeper/answer.go
+++ b/internal/transport/gatekeeper/answer.go
@@ -33,6 +33,8 @@
 	// callerGone means that a write to the caller failed. The caller may have left, or still
 	// read the part that was sent.
 	callerGone bool
+	// end withholds the end of an event stream.
+	end endEventFilter
 }
 
 // maxBufferedBytes is the size up to which an answer is buffered until it is complete.
@@ -56,6 +58,11 @@
 		}
 		data, a.buffered = a.buffered, nil
 	}
+	if a.isEventStream() {
+		if data = a.end.pass(data); len(data) == 0 {
+			return nil
+		}
+	}
 	if !a.headerSent {
 		a.sendHeader(false)
 	}
@@ -129,15 +136,18 @@
 // finish sends the rest of an answer that is complete.
 func (a *answer) finish(end *messenger.End) error {
 	q := a.request
-	if !a.headerSent {
+	if !a.headerSent && len(a.end.withheld) == 0 {
 		a.setWaitHeaders(end)
 		a.sendHeader(true)
 		return a.send(a.buffered)
 	}
+	if !a.headerSent {
+		a.sendHeader(false)
+	}
 	a.setWaitHeaders(end)
 	q.w.Header().Set(translator.HeaderOutcome, messenger.OutcomeCompleted.String())
 	if a.isEventStream() {
-		return a.send(fmt.Appendf(nil, ": %s %s\n\n", translator.HeaderOutcome, messenger.OutcomeCompleted))
+		return a.send(fmt.Appendf(a.end.withheld, ": %s %s\n\n", translator.HeaderOutcome, messenger.OutcomeCompleted))
 	}
 	return nil
 }
--- a/internal/transport/gatekeeper/cut_test.go
+++ b/internal/transport/gatekeeper/cut_test.go
@@ -162,6 +162,54 @@
 	)
 })
 
+var _ = Describe("The event that ends an engine's stream", func() {
+	const done = "data: [DONE]\n\n"
+
+	// Guards against a complete stream without its outcome, as the caller received it from an entry
+	// that was killed before the companion had reported the outcome.
+	It("is not sent before the outcome is known", func() {
+		c := newCompanion("engine-1")
+		c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+			p := streamedAnswer(d.Request, d.Attempt, "one")
+			last := p[len(p)-1]
+			last.End = nil
+			send(conn, p[0], last, cutEnd(d, int(last.Offset)+len(last.Data)))
+			return nil
+		}
+		got := newDeployment(c).entry(nil).chat(streamBody)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.outcome()).To(Equal("Unknown"))
+		Expect(got.body).To(MatchRegexp(`(?s)one.*\n\nevent: error\n`))
+		Expect(got.body).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	// Guards against bytes that are lost or reordered where the event is split between pieces, or
+	// where a text looks like its start.
+	DescribeTable("is forwarded with its outcome however the stream is split",
+		func(size int, stream string) {
+			c := newCompanion("engine-1")
+			c.dispatch = func(conn *messenger.Conn, d messenger.Dispatch) error {
+				head := streamedAnswer(d.Request, d.Attempt, "one")[0].Head
+				for offset := 0; offset < len(stream); offset += size {
+					send(conn, messenger.Piece{Request: d.Request, Attempt: d.Attempt, Offset: int64(offset), Head: head, Data: []byte(stream[offset:min(len(stream), offset+size)])})
+				}
+				send(conn, messenger.Piece{Request: d.Request, Attempt: d.Attempt, Offset: int64(len(stream)), Head: head, End: completed(version)})
+				return nil
+			}
+			got, body, err := newDeployment(c).entry(nil).callOnSocket("HTTP/1.1", "", http.MethodPost, "/v1/chat/completions", streamBody).read()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(stream + ": Marigoldpoint-Outcome Completed\n\n"))
+			Expect(got.Trailer.Get("Marigoldpoint-Outcome")).To(Equal("Completed"))
+		},
+		Entry("at once", 1000, "data: {}\n\n"+done),
+		Entry("by byte", 1, "data: {}\n\n"+done),
+		Entry("in threes", 3, "data: {}\n\ndata: [1]\n\n"+done),
+		Entry("with nothing before it", 1000, done),
+		Entry("with the event in a text", 7, "data: {\"text\":\"data: [DONE]\"}\n\n"+done),
+		Entry("with bytes after it", 5, done+": comment\n\n"),
+	)
+})
+
 // failingWriter fails to flush an answer after the given number of bytes, like the connection
 // of a caller that does not read in time.
 type failingWriter struct {
