placer: term Separation for long prompts beside short streams

The penalty is waived where the call would otherwise miss its target. The penalty for a further copy of an adapter counts copies in the call's own group. Explain runs the update of the set on its copy; it now also copies whether a slowdown was reported, without which it weighed cached prompts differently from the choice. TestPropertyExplain covers separated calls.

--- a/internal/coordination/placer/backend.go
+++ b/internal/coordination/placer/backend.go
@@ -55,6 +55,10 @@
 	load   int
 	loadAt time.Time
 	limits limits
+	// designated means that the engine is designated for long prompts, and longHarm is the certainty
+	// with which a stream there is interrupted by them.
+	designated bool
+	longHarm   float64
 	// speed is what is known of the machine's speed.
 	speed estimator.Speed
 	// throttle limits this entry's calls to a backend server of a plain service.
--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -31,6 +31,8 @@
 	AvoidLimited bool
 	// Late reports that the call can only meet its target if it is served immediately.
 	Late bool
+	// Mixed means that the call is not separated by the length of its prompt.
+	Mixed bool
 	// Avoid lists backend servers that must not be chosen.
 	Avoid []string
 }
@@ -60,6 +62,8 @@
 	Age time.Duration
 	// Prompt is what the choice expects of the prompt's cached parts.
 	Prompt PromptChoice
+	// Group is the group by the length of the prompt.
+	Group GroupChoice
 	// Duration is the expected duration of a call to a plain service.
 	Duration time.Duration
 	// Limit is the backend server's limit of requests, and Turn the expected time until the
--- a/internal/coordination/placer/cost.go
+++ b/internal/coordination/placer/cost.go
@@ -49,6 +49,8 @@
 	// Affinity and Store are the penalties for a load of the adapter at this engine instead of
 	// another one.
 	Affinity, Store time.Duration
+	// Separation is the penalty for long prefills beside streams of calls with short prompts.
+	Separation time.Duration
 	// Running is the penalty for running calls, Streams that for delaying their streams, and
 	// FullBatch that for a full batch.
 	Running, Streams, FullBatch time.Duration
@@ -61,7 +63,7 @@
 
 // Cost returns the sum of the terms.
 func (t *Terms) Cost() time.Duration {
-	return t.Failures + t.Turn + t.Distance + t.Read + t.Wait + t.Prompt + t.Affinity + t.Store +
+	return t.Failures + t.Turn + t.Distance + t.Read + t.Wait + t.Prompt + t.Affinity + t.Store + t.Separation +
 		t.Running + t.Streams + t.FullBatch + t.Unknown + t.Duration + t.Queue + t.Tie
 }
 
@@ -81,7 +83,8 @@
 	if otherDomain {
 		t.Distance = s.PromptDistance
 	}
-	_, t.Read = o.readTimes(now, c, b, s)
+	usual, read := o.readTimes(now, c, b, s)
+	t.Read, t.Separation = read, engines.group.cost(b, usual, read)
 	load := b.adapterWait(engines.adapter, c.Version, s)
 	t.Prompt = b.promptCost(c, t.Read, load)
 	if load > 0 {
@@ -161,7 +164,13 @@
 		return 0
 	}
 	copies, pins := s.copies, s.pins
-	if own, has := b.findCopy(s.adapter, c.Version); has {
+	if s.group.active {
+		// A copy in the other group is of no use to the call.
+		if copies, pins = s.designatedCopies, s.designatedPins; !s.group.long {
+			copies, pins = s.copies-copies, s.pins-pins
+		}
+	}
+	if own, has := b.findCopy(s.adapter, c.Version); has && (!s.group.active || s.group.own(b)) {
 		copies--
 		pins -= own
 	}
--- a/internal/coordination/placer/explain.go
+++ b/internal/coordination/placer/explain.go
@@ -77,6 +77,7 @@
 	known.mu.Lock()
 	defer known.mu.Unlock()
 	o := known.copy()
+	o.updateSeparation(now, c.Service, &p.settings)
 	e.Engines = o.engine != nil
 	chosen, err := o.choose(now, c, &p.settings)
 	if e.Err = errors.Cause(err); chosen != nil {
@@ -114,8 +115,8 @@
 	return &pool{
 		backends: copyList(o.backends), order: copyList(o.order), used: copyList(o.used), local: o.local,
 		engine: o.engine, random: rand.New(&source), source: &source, attached: o.attached, notices: o.notices,
-		learntRate: o.learntRate,
-		compared:   make(map[*backend]Terms, len(o.backends)),
+		learntRate: o.learntRate, slowdownReported: o.slowdownReported, separation: o.separation.copy(),
+		compared: make(map[*backend]Terms, len(o.backends)),
 	}
 }
 
--- a/internal/coordination/placer/explain_test.go
+++ b/internal/coordination/placer/explain_test.go
@@ -15,6 +15,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/separator"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -37,7 +38,7 @@
 	w.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{
 			{Name: engines, Engine: &tracker.Engine{Slots: 4, MaxAdapters: 2, Models: []tracker.Model{{Name: model}}}}, {Name: plainService},
-		}}
+		}, Routes: []tracker.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Stream: true, MaxEventGap: 400 * time.Millisecond, Shares: []tracker.Share{{Service: engines, Weight: 1}}}}}
 		err := r.Compile()
 		return r, err
 	}})
@@ -49,8 +50,9 @@
 	if err := w.tracker.Reset(resources, w.revision); err != nil {
 		t.Fatal(err)
 	}
+	mode := rapid.SampledFrom([]separator.Mode{separator.ModeMixed, separator.ModeSeparate, separator.ModeSeparate}).Draw(t, "long prompts")
 	for i := range w.placers {
-		w.placers[i] = placer.NewPlacer(placer.Settings{Node: "n", FailureDomain: "d0", MinFollowed: 2, Random: rand.New(rand.NewPCG(1, 2))})
+		w.placers[i] = placer.NewPlacer(placer.Settings{LongPrompts: mode, Node: "n", FailureDomain: "d0", MinFollowed: 2, Random: rand.New(rand.NewPCG(1, 2))})
 		w.placers[i].SetView(w.tracker.View())
 	}
 	return w
@@ -74,7 +76,7 @@
 func (w *twins) step(t *rapid.T) {
 	i := rapid.IntRange(0, 8).Draw(t, "server")
 	name, amount := fleetName(i), rapid.IntRange(0, 2000).Draw(t, "amount")
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
 	case 0:
 		r := w.member(i, amount%2, storer.MemberState(amount/2%2))
 		w.revision++
@@ -106,7 +108,10 @@
 				p.Unuse(w.service, name)
 			}
 		})
-	case 7:
+	case 7, 8:
+		s := placer.LongPromptState{Name: name, Incarnation: fmt.Sprint(i, ".0"), SharePercent: amount % 101}
+		w.each(func(p *placer.Placer, _ *[]*placer.Choice) { p.ReportLongPrompts(w.now, w.service, s) })
+	case 9:
 		w.now = w.now.Add(time.Duration(amount) * time.Millisecond)
 	default:
 		w.proceed(t, amount)
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -55,6 +55,7 @@
 		} else {
 			o.reset(s, v.Members(s.Name), &p.settings)
 		}
+		o.configureSeparation(s.Name, v.Routing)
 		o.mu.Unlock()
 	}
 }
@@ -128,6 +129,7 @@
 	o := p.pool(c.Service)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.updateSeparation(now, c.Service, &p.settings)
 	best, err := o.choose(now, c, &p.settings)
 	if err != nil {
 		return errors.Trace(err)
@@ -206,6 +208,9 @@
 func (o *pool) best(now time.Time, c *Call, s *Settings, eligible func(*backend) bool) (best *backend, least time.Duration) {
 	engines := o.survey(c, s)
 	o.planPrompts(now, c, engines, s)
+	engines.group = o.group(c, engines, s)
+	var timely timelyChoice
+	bestInTime := false
 	for _, b := range engines.candidates {
 		if b.member.Spec.State != storer.MemberStateServing || !eligible(b) {
 			continue
@@ -214,9 +219,17 @@
 		if o.compared != nil {
 			o.compared[b] = t
 		}
-		if cost := t.Cost(); best == nil || cost < least {
-			best, least = b, cost
+		cost, inTime := t.Cost(), engines.group.active && c.inTime(&t)
+		if inTime {
+			timely.add(b, cost-t.Separation)
 		}
+		if best == nil || cost < least {
+			best, least, bestInTime = b, cost, inTime
+		}
+	}
+	if engines.group.active && !bestInTime && timely.backend != nil && timely.cost < least {
+		o.waiveSeparation(c)
+		return timely.backend, timely.cost
 	}
 	return best, least
 }
@@ -248,6 +261,7 @@
 		} else {
 			b.placedRead += choice.pendingRead
 		}
+		choice.Group = o.groupChoice(b)
 		choice.Prompt = o.placePrompt(now, c, b, choice.Load+choice.Backlog, s)
 		for _, hash := range c.Parts {
 			b.cached[hash] = struct{}{}
--- a/internal/coordination/placer/pool.go
+++ b/internal/coordination/placer/pool.go
@@ -36,6 +36,8 @@
 	learntRate estimator.PrefillRate
 	// slowdownReported means that a backend server of the service has reported its slowdown factor.
 	slowdownReported bool
+	// separation holds the engines designated for long prompts.
+	separation separation
 	// notices holds what backend servers have asked of this entry, by incarnation.
 	notices map[string]*notice
 	// compared receives the terms of each cost that a choice compares; nil except in the copies
@@ -87,10 +89,14 @@
 		if b.member.Spec.Slots != m.Spec.Slots {
 			b.throttle = throttler.NewThrottler(m.Spec.Slots)
 		}
+		if b.member.Spec.State != m.Spec.State {
+			o.separation.membersChanged = true
+		}
 		b.member = *m
 		return
 	}
 	o.remove(m.Name)
+	o.separation.membersChanged = true
 	b = newBackend(*m)
 	if m.Spec.FailureDomain != s.FailureDomain {
 		b.tier = 1
@@ -110,6 +116,7 @@
 	if !found {
 		return
 	}
+	o.separation.membersChanged = true
 	b := o.backends[i]
 	o.backends = slices.Delete(o.backends, i, i+1)
 	if i, found = slices.BinarySearchFunc(o.order, b, preferred); found {
--- a/internal/coordination/placer/settings.go
+++ b/internal/coordination/placer/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/separator"
 )
 
 // Defaults of Settings. The load times are those of the deployed engines.
@@ -60,6 +61,8 @@
 	SuspicionMax   time.Duration
 	// PromptCache specifies how cached prompt parts affect the choice of an engine.
 	PromptCache cacher.Mode
+	// LongPrompts specifies whether calls with long prompts are separated from others.
+	LongPrompts separator.Mode
 	// Random is used to break ties. It is required.
 	Random *rand.Rand
 }
--- a/internal/coordination/placer/survey.go
+++ b/internal/coordination/placer/survey.go
@@ -20,6 +20,10 @@
 	// copies is the number of engines that have the adapter in a slot or in memory, and
 	// pins the number of requests using it there.
 	copies, pins int
+	// designatedCopies and designatedPins are those of them at engines designated for long prompts.
+	designatedCopies, designatedPins int
+	// group is the group of the call.
+	group grouping
 	// candidates are the backend servers that the entry knows.
 	candidates []*backend
 	// ranks lists the engines by decreasing affinity to the adapter; places maps an
@@ -39,6 +43,7 @@
 	s := &o.lastSurvey
 	s.candidates = o.candidates(s.candidates[:0], settings)
 	s.adapter, s.copies, s.pins = "", 0, 0
+	s.designatedCopies, s.designatedPins, s.group = 0, 0, grouping{}
 	if o.engine == nil || c.Adapter == "" {
 		return s
 	}
@@ -55,6 +60,10 @@
 		if pins, has := b.findCopy(s.adapter, c.Version); has {
 			s.copies++
 			s.pins += pins
+			if b.designated {
+				s.designatedCopies++
+				s.designatedPins += pins
+			}
 		}
 	}
 	slices.SortFunc(s.ranks, func(x, y rank) int { return cmp.Compare(y.affinity, x.affinity) })
--- a/internal/coordination/placer/unknown.go
+++ b/internal/coordination/placer/unknown.go
@@ -106,6 +106,7 @@
 		b.forget()
 	}
 	o.used = append(o.used, b)
+	o.separation.membersChanged = true
 	return true
 }
 
@@ -119,6 +120,7 @@
 			continue
 		}
 		o.used = append(o.used[:i], o.used[i+1:]...)
+		o.separation.membersChanged = true
 		if !o.follows(b, &p.settings) {
 			b.forget()
 		}
