--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -46,6 +46,9 @@
 	MethodLimitState Method = "Entry.LimitState"
 	// MethodSpeedState carries the speed of an engine's machine to an entry (package placer).
 	MethodSpeedState Method = "Entry.SpeedState"
+	// MethodLongPromptState carries the share of time that an engine spends on long prefills to an
+	// entry (package placer).
+	MethodLongPromptState Method = "Entry.LongPromptState"
 	// MethodCacheState carries what an engine has cached of prompts to an entry (package
 	// placer).
 	MethodCacheState Method = "Entry.CacheState"
--- a/internal/protocol/messenger/stream.go
+++ b/internal/protocol/messenger/stream.go
@@ -35,7 +35,7 @@
 // four times and its bytes would grow by a third.
 func sentAsNotice(m Method) bool {
 	switch m {
-	case MethodPiece, MethodAcknowledge, MethodHeartbeat, MethodPace, MethodReplicate, MethodState, MethodLimitState, MethodSpeedState, MethodCacheState, MethodRecordOrigin:
+	case MethodPiece, MethodAcknowledge, MethodHeartbeat, MethodPace, MethodReplicate, MethodState, MethodLimitState, MethodSpeedState, MethodCacheState, MethodLongPromptState, MethodRecordOrigin:
 		return true
 	default:
 		return false
--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -264,7 +264,9 @@
 	a.recordPostponement(adm, now)
 	a.beginPrompt(adm)
 	uncached := a.cache.prefill(adm.msg, adm.version)
-	a.prefills.Add(now, placer.ReadTime(uncached, adm.msg.Tokens, a.prefillRate(&adm.msg)), a.speed.Factor(now))
+	usual := placer.ReadTime(uncached, adm.msg.Tokens, a.prefillRate(&adm.msg))
+	a.prefills.Add(now, usual, a.speed.Factor(now))
+	a.recordLongPrompt(now, usual)
 	a.markChanged()
 	close(adm.done)
 }
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -91,6 +91,7 @@
 	speedReports bool
 	// speedPolledAt is when the last poll of the factor ended, whether or not it succeeded.
 	speedPolledAt time.Time
+	longPrompts   longPrompts
 	// shortage is what is known of waits for slots and loads.
 	shortage shortage
 	closed   bool
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -14,7 +14,9 @@
 	sentBack prometheus.Counter
 	limit    prometheus.Gauge
 	slowdown prometheus.Gauge
-	returned *prometheus.CounterVec
+	// longPrompts is the share of time spent on long prefills.
+	longPrompts prometheus.Gauge
+	returned    *prometheus.CounterVec
 	// postponed is the time for which prefills waited for a slowed machine.
 	postponed prometheus.Histogram
 	// originsRefused counts origins that the store rejected.
@@ -61,11 +63,14 @@
 		Name: "marigoldpoint_attendant_postponed_seconds", Help: "Time for which the prefill of long prompts waited while the engine's machine was slowed.",
 		Buckets: prometheus.ExponentialBuckets(0.025, 2, 7),
 	})
+	m.longPrompts = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "marigoldpoint_attendant_long_prefill_share", Help: "Share of time that the engine spends on long prefills, where entries separate long prompts.",
+	})
 	m.slowdown.Set(-1)
 	m.setLimit(regulator.Limit{})
 	if r != nil {
 		r.MustRegister(m.overloaded, m.waiting, m.outOfOrder)
-		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused, m.slowdown, m.returned, m.postponed)
+		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused, m.slowdown, m.returned, m.postponed, m.longPrompts)
 	}
 	return m
 }
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -10,6 +10,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/pacer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/separator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
@@ -128,6 +129,7 @@
 		a.clearCache()
 		a.forgetLimit()
 		a.forgetSpeed()
+		a.longPrompts.share = separator.Share{}
 		a.shortage.forget()
 		a.evicted = nil
 		a.localEntries.requireFull()
--- a/internal/transport/attendant/publish.go
+++ b/internal/transport/attendant/publish.go
@@ -40,6 +40,7 @@
 			_ = conn.Notify(a.root, messenger.MethodLimitState, state)
 		}
 		a.publishSpeed(group)
+		a.publishLongPrompts(group)
 	}
 }
 
--- a/internal/transport/attendant/settings.go
+++ b/internal/transport/attendant/settings.go
@@ -11,6 +11,7 @@
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/rationer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/separator"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
 
@@ -89,6 +90,9 @@
 	// PromptCache is the mode of cached prompt parts; reports on the cache are sent only if they
 	// are weighed.
 	PromptCache cacher.Mode
+	// LongPrompts is whether entries separate long prompts from others; the share of long prefills
+	// is reported only then.
+	LongPrompts separator.Mode
 	// Rationing is whether requests wait by rank and are refused as soon as they would wait
 	// until after their deadline: with ModeAuto those whose entry asks for it.
 	Rationing rationer.Mode
--- a/internal/transport/attendant/subscribergroup.go
+++ b/internal/transport/attendant/subscribergroup.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/separator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 )
 
@@ -32,7 +33,9 @@
 	limits map[*messenger.Conn]publishedLimit
 	// speeds holds what each connection has got of the speed of the engine's machine.
 	speeds map[*messenger.Conn]publishedSpeed
-	cache  publishedCache
+	// longPrompts holds the last report of the share of long prefills to each connection.
+	longPrompts map[*messenger.Conn]separator.Reported
+	cache       publishedCache
 }
 
 // publishedLimit is a state of the engine's limit, published at the time at. The zero value
@@ -78,7 +81,7 @@
 func newSubscriberGroup() *subscriberGroup {
 	return &subscriberGroup{
 		full: true, conns: make(map[*messenger.Conn]bool), slots: make(map[string]placer.AdapterState), limits: make(map[*messenger.Conn]publishedLimit),
-		speeds: make(map[*messenger.Conn]publishedSpeed),
+		speeds: make(map[*messenger.Conn]publishedSpeed), longPrompts: make(map[*messenger.Conn]separator.Reported),
 	}
 }
 
@@ -87,6 +90,7 @@
 	g.conns[conn] = false
 	delete(g.limits, conn)
 	delete(g.speeds, conn)
+	delete(g.longPrompts, conn)
 	delete(g.cache.synced, conn)
 	g.changed = true
 }
--- a/internal/transport/sealer/authorize.go
+++ b/internal/transport/sealer/authorize.go
@@ -51,7 +51,7 @@
 		messenger.MethodAdmit, messenger.MethodRelease, messenger.MethodLimit, messenger.MethodWatch,
 		messenger.MethodRecordOrigin, messenger.MethodFindOrigin:
 		return entries
-	case messenger.MethodPiece, messenger.MethodState, messenger.MethodLimitState, messenger.MethodSpeedState, messenger.MethodCacheState, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
+	case messenger.MethodPiece, messenger.MethodState, messenger.MethodLimitState, messenger.MethodSpeedState, messenger.MethodCacheState, messenger.MethodLongPromptState, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
 		return companions
 	case messenger.MethodRequestPermit, messenger.MethodFinishPermit:
 		// A control host forwards these to the leader.
