relayer, platform: setting longPrompts, metrics and log lines of the separation

The entry applies the companions' reports, counts choices by group, and logs each change of the number of designated engines with its inputs. A call that was refused for lack of capacity, or whose stream has begun, is not separated.

--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -37,11 +37,12 @@
 	// overloaded counts the calls refused at once while capacity is short.
 	overloaded *prometheus.CounterVec
 	prompts    promptMetrics
+	separation separationMetrics
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		prompts: newPromptMetrics(r), overloaded: newOverloaded(),
+		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -192,6 +192,8 @@
 		return nil, r.applyLimitState(conn, params)
 	case messenger.MethodSpeedState:
 		return nil, r.applySpeedState(conn, params)
+	case messenger.MethodLongPromptState:
+		return nil, r.applyLongPromptState(conn, params)
 	case messenger.MethodCacheState:
 		return nil, r.applyCacheState(conn, params)
 	default:
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -200,6 +200,7 @@
 		c.Late = j.route.Target > 0 && j.relayer.settings.Now().Sub(j.arrived) > j.route.Target/2
 		return c
 	}
+	c.Mixed = j.mixed()
 	c.Model, c.Adapter, c.Tokens = j.call.Model, j.call.Adapter, j.call.PromptTokens
 	if c.Adapter != "" {
 		c.Version = j.relayer.settings.View().Newest(c.Model + "/" + c.Adapter)
@@ -221,6 +222,7 @@
 	defer end()
 	j.counted = false
 	j.recordPromptChoice()
+	j.recordGroup()
 	if j.service.Engine != nil {
 		admitted, release, err := j.admit(ctx)
 		switch {
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -289,6 +289,7 @@
 	j.addSoftware(e)
 	j.addStateAge(e)
 	j.addPrompt(e)
+	j.addGroup(e)
 	e.Str("Request", j.call.ID).Str("Outcome", outcome).Int("Status", status).Str("Reason", reason).
 		Str("Route", name).Str("Service", service).Str("Workspace", j.workspaceName()).Str("Adapter", j.call.Adapter).
 		Str("Backend", j.choice.Name).Int("Sent", j.sent).Strs("Tried", j.avoid).Dur("Took", took).Dur("Waited", j.waited).Dur("First", first).
--- a/internal/transport/relayer/watch.go
+++ b/internal/transport/relayer/watch.go
@@ -29,6 +29,7 @@
 func (r *Relayer) watchCompanions() {
 	ticker := time.NewTicker(r.settings.WatchInterval)
 	defer ticker.Stop()
+	logged := make(map[string]loggedSeparation)
 	for {
 		select {
 		case <-r.root.Done():
@@ -36,9 +37,11 @@
 		case <-ticker.C:
 		case <-r.poll:
 		}
-		if r.settings.View().Routing == nil {
+		routing := r.settings.View().Routing
+		if routing == nil {
 			continue
 		}
+		r.recordSeparation(routing, logged)
 		r.endUnused()
 		wanted := make(map[string]tracker.Member)
 		r.settings.Placer.EachKnown(func(m tracker.Member) { wanted[m.Name] = m })
