--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -22,9 +22,11 @@
 
 // deployment is a placer with a set of engines and the reports they send.
 type deployment struct {
-	placer   *placer.Placer
-	members  []tracker.Member
-	service  tracker.Service
+	placer  *placer.Placer
+	members []tracker.Member
+	service tracker.Service
+	// gap is the limit of event gaps of the route to the service; 0 means that there is no route.
+	gap      time.Duration
 	sequence uint64
 	revision uint64
 }
@@ -33,8 +35,12 @@
 
 // newDeploymentAt returns a deployment whose entry is in the given failure domain.
 func newDeploymentAt(domain string, count int) *deployment {
+	return newDeploymentWith(placer.Settings{FailureDomain: domain, Random: rand.New(rand.NewPCG(1, 2))}, count)
+}
+
+func newDeploymentWith(s placer.Settings, count int) *deployment {
 	d := &deployment{
-		placer:  placer.NewPlacer(placer.Settings{FailureDomain: domain, Random: rand.New(rand.NewPCG(1, 2))}),
+		placer:  placer.NewPlacer(s),
 		service: tracker.Service{Name: engines, Engine: &tracker.Engine{Slots: 64, MaxAdapters: 8, Models: []tracker.Model{{Name: model}}}},
 	}
 	for i := range count {
@@ -52,6 +58,9 @@
 	GinkgoHelper()
 	t := tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{d.service}}
+		if d.gap > 0 {
+			r.Routes = []tracker.Route{{Host: "h", Prefix: "/", Timeout: time.Minute, Stream: true, MaxEventGap: d.gap, Shares: []tracker.Share{{Service: engines, Weight: 1}}}}
+		}
 		err := r.Compile()
 		return r, err
 	}})
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -224,7 +224,9 @@
 	f.tracker = tracker.NewTracker(tracker.Settings{Decode: func([]byte) (*tracker.Routing, error) {
 		r := &tracker.Routing{Number: 1, Services: []tracker.Service{{Name: "s", HealthPath: "/health", Engine: &tracker.Engine{
 			Slots: 64, MemoryTokens: 1000, MaxAdapters: slots, Models: []tracker.Model{{Name: model}},
-		}}}}
+		}}}, Routes: []tracker.Route{{
+			Name: "r", Host: "h", Prefix: "/", Timeout: time.Minute, Stream: true, MaxEventGap: 400 * time.Millisecond, Shares: []tracker.Share{{Service: "s", Weight: 1}},
+		}}}
 		err := r.Compile()
 		return r, err
 	}})
--- a/internal/transport/attendant/publish_test.go
+++ b/internal/transport/attendant/publish_test.go
@@ -26,6 +26,8 @@
 	// speeds are the slowdown factors received, in percent.
 	speeds []int
 	caches []placer.CacheState
+	// shares are the shares of long prefills received, in percent.
+	shares []int
 }
 
 func (f *fixture) watchLocal() *stateListener {
@@ -52,6 +54,14 @@
 			l.speeds = append(l.speeds, s.Percent)
 			return nil, err
 		}
+		if method == messenger.MethodLongPromptState {
+			var s placer.LongPromptState
+			err := messenger.Decode(params, &s)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.shares = append(l.shares, s.SharePercent)
+			return nil, err
+		}
 		if method == messenger.MethodCacheState {
 			return nil, l.addCache(params)
 		}
