--- a/internal/coordination/placer/choose_benchmark_test.go
+++ b/internal/coordination/placer/choose_benchmark_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/separator"
 )
 
 const (
@@ -51,3 +52,29 @@
 		})
 	}
 }
+
+// BenchmarkChooseSeparated measures the choice of an engine for short and long prompts, mixed and
+// separated.
+func BenchmarkChooseSeparated(b *testing.B) {
+	for _, mode := range []separator.Mode{separator.ModeMixed, separator.ModeSeparate} {
+		for _, tokens := range []int{shortTokens, longTokens} {
+			b.Run(fmt.Sprint(mode, "/", tokens, "-of-50"), func(b *testing.B) {
+				RegisterTestingT(b)
+				d, now := newSeparated(mode, "a", 50), start
+				for i, m := range d.members {
+					d.report(now, i, placer.EngineState{Running: 3, Adapters: held("a1")})
+					d.placer.ReportLongPrompts(now, engines, placer.LongPromptState{Name: m.Name, Incarnation: m.Spec.Incarnation, SharePercent: 20})
+				}
+				c := adapterCall("a1", tokens)
+				b.ReportAllocs()
+				for b.Loop() {
+					var choice placer.Choice
+					if err := d.placer.Choose(now, c, &choice); err != nil {
+						b.Fatal(err)
+					}
+					d.placer.Finish(now, &choice, placer.OutcomeSuccess)
+				}
+			})
+		}
+	}
+}
