--- a/internal/coordination/placer/separation.go
+++ b/internal/coordination/placer/separation.go
@@ -22,6 +22,12 @@
 	// expectedStreams is the number of streams that begin at an engine, on average, between the
 	// report by which it is chosen and the prefill.
 	expectedStreams = 0.5
+	// ownGroupCost is the cost of a long call at a designated engine with many streams, which it
+	// interrupts as well. It is below the time of a load from the store, since those streams meet other
+	// long prefills, too.
+	ownGroupCost = 200 * time.Millisecond
+	// ownGroupStreams is the number of streams at which half of ownGroupCost applies.
+	ownGroupStreams = 2.0
 	// longHarmShare is the share of time spent on long prefills at which a stream of a few seconds
 	// is interrupted by at least one of them in two of three cases.
 	longHarmShare = 0.1
@@ -151,21 +157,24 @@
 	return g
 }
 
-// cost returns the cost of a call at an engine of the other group. Usual is the time to prefill its
-// prompt there at the usual speed, and expected at the current one. A short call whose prompt is long
-// at an engine that has not cached it costs the same there as a long one.
+// cost returns the cost of the call at an engine for event gaps of streams. Usual is the time to prefill
+// its prompt there at the usual speed, and expected at the current one. A short call whose prompt is
+// long at an engine that has not cached it costs the same there as a long one.
 func (g *grouping) cost(b *backend, usual, expected time.Duration) time.Duration {
 	switch {
 	case !g.active, g.waived:
 		return 0
 	case b.designated && !g.long:
 		return time.Duration(b.longHarm * float64(separationCost))
-	case !b.designated && g.limits.IsLong(usual):
-		prefill := min(1, float64(expected)/(certainShare*float64(g.limits.Gap)))
-		streams := float64(b.runningCalls()) + expectedStreams
-		return time.Duration(prefill * streams / (streams + expectedStreams) * float64(separationCost))
+	case !g.limits.IsLong(usual):
+		return 0
+	}
+	prefill, streams := min(1, float64(expected)/(certainShare*float64(g.limits.Gap))), float64(b.runningCalls())
+	if b.designated {
+		return time.Duration(prefill * streams / (streams + ownGroupStreams) * float64(ownGroupCost))
 	}
-	return 0
+	streams += expectedStreams
+	return time.Duration(prefill * streams / (streams + expectedStreams) * float64(separationCost))
 }
 
 // own reports whether an engine belongs to the call's group.
--- a/internal/coordination/placer/separation_test.go
+++ b/internal/coordination/placer/separation_test.go
@@ -92,6 +92,16 @@
 		Expect(d.place(c)).To(Equal(placer.GroupChoice{Separated: true, Long: true, Designated: 2}))
 	})
 
+	// Guards against long prompts that all interrupt the streams of the same designated engine.
+	It("with long prompts go to the designated engine with fewer streams", func() {
+		d := newSeparatedSix(separator.ModeSeparate)
+		for i := range d.members {
+			d.report(start, i, placer.EngineState{Running: 3, BacklogMillis: 20})
+		}
+		d.report(start, d.long[1], placer.EngineState{BacklogMillis: 60})
+		Expect(d.choose(start, adapterCall("", longTokens)).Name).To(Equal(d.members[d.long[1]].Name))
+	})
+
 	// Guards against a prompt that counts as long although an engine has cached most of it.
 	It("are long by what is cached where most is cached", func() {
 		d := newSeparatedSix(separator.ModeSeparate)
