separator, placer: a designated engine spends 0.3 of its time on long prefills; harm by their square

Cause: at half of their time, designated engines made long prompts wait for each other, and prefills of 150 ms caused loads from the store.

--- a/internal/coordination/placer/separation.go
+++ b/internal/coordination/placer/separation.go
@@ -17,8 +17,9 @@
 	separationCost = 500 * time.Millisecond
 	// certainShare is the share of the limit of event gaps from which a prefill is certain to exceed
 	// it. Between two events an engine prefills up to eight chunks of 46 ms at the usual speed, and
-	// its machine's speed changes within the age of a report.
-	certainShare = 0.6
+	// its machine's speed changes within the age of a report. The harm grows with the square of a
+	// shorter prefill, so that one of 150 ms doesn't cause a load from the store.
+	certainShare = 0.75
 	// expectedStreams is the number of streams that begin at an engine, on average, between the
 	// report by which it is chosen and the prefill.
 	expectedStreams = 0.5
@@ -169,7 +170,7 @@
 	case !g.limits.IsLong(usual):
 		return 0
 	}
-	prefill, streams := min(1, float64(expected)/(certainShare*float64(g.limits.Gap))), float64(b.runningCalls())
+	prefill, streams := min(1, math.Pow(float64(expected)/(certainShare*float64(g.limits.Gap)), 2)), float64(b.runningCalls())
 	if b.designated {
 		return time.Duration(prefill * streams / (streams + ownGroupStreams) * float64(ownGroupCost))
 	}
--- a/internal/coordination/separator/set.go
+++ b/internal/coordination/separator/set.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// sharePerEngine is the share of time that a designated engine is to spend on long prefills.
-	sharePerEngine = 0.5
+	// sharePerEngine is the share of time that a designated engine is to spend on long prefills. At
+	// half of its time, long prompts wait for each other, and miss their targets.
+	sharePerEngine = 0.3
 	// maxShare is the largest share of the serving engines that is designated.
 	maxShare = 0.5
 	// decreaseInterval is the shortest time between a change of the number of designated engines
