--- a/cmd/marigoldpoint/main_test.go
+++ b/cmd/marigoldpoint/main_test.go
@@ -28,6 +28,7 @@
 		{[]string{"demo", "--bogus"}, exitUsage, "^marigoldpoint demo: .*bogus\n$"},
 		{[]string{"demo", "--policy", "Bogus"}, exitUsage, "Bogus"},
 		{[]string{"serve", "--settings", wrong}, exitUsage, "wrong.jsonc:1:.*Nodes"},
+		{[]string{"serve", "--settings", filepath.Join("..", "..", "examples", "peachtree", "entry-a.jsonc"), "--listen", "127.0.0.1:1=127.0.0.1:2"}, exitUsage, "127.0.0.1:1.*not valid"},
 		{[]string{"settings", "check", wrong}, exitUsage, "wrong.jsonc:1:.*Nodes"},
 		{[]string{"resource"}, exitUsage, "Usage"},
 		{[]string{"model", "--pattern", "Bogus"}, exitUsage, "Bogus.*PowerLoss"},
--- a/cmd/marigoldpoint/serve.go
+++ b/cmd/marigoldpoint/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	stderrors "errors"
 	"io"
+	"net"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -19,7 +21,8 @@
 
 // serveCommand runs the roles listed in a settings file.
 type serveCommand struct {
-	Settings string `arg:"required" placeholder:"FILE" help:"settings file"`
+	Settings string            `arg:"required" placeholder:"FILE" help:"settings file"`
+	Listen   map[string]string `placeholder:"IP:PORT=IP:PORT" help:"for each address that the settings name, the one to listen at in its place, such as behind a proxy"`
 }
 
 func (c *serveCommand) run(ctx context.Context, out io.Writer) error {
@@ -27,10 +30,13 @@
 	if err != nil {
 		return usageError{err}
 	}
+	if err := c.checkListen(s); err != nil {
+		return usageError{err}
+	}
 	log := newLog(s, out)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	p, err := starter.NewProcess(starter.Settings{Configuration: s, Registry: registry, Log: log}) //nolint:contextcheck // A signal begins a graceful stop, it does not cancel the process.
+	p, err := starter.NewProcess(starter.Settings{Configuration: s, Registry: registry, Log: log, Listen: c.listen}) //nolint:contextcheck // A signal begins a graceful stop, it does not cancel the process.
 	if err != nil {
 		return err
 	}
@@ -44,6 +50,26 @@
 	}
 }
 
+// checkListen checks that Listen replaces addresses of the settings. A misspelt one would have no
+// effect, and the process would listen at the proxy's address.
+func (c *serveCommand) checkListen(s configurer.Settings) error {
+	known := []string{s.Control.Listen, s.Entry.Listen, s.Companion.Listen, s.Operators.Listen}
+	for address := range c.Listen {
+		if !slices.Contains(known, address) {
+			return errors.NotValidf("--listen: no listener of the settings has the address %q, it", address)
+		}
+	}
+	return nil
+}
+
+// listen opens a listener for an address of the settings.
+func (c *serveCommand) listen(address string) (net.Listener, error) {
+	if other, ok := c.Listen[address]; ok {
+		address = other
+	}
+	return net.Listen("tcp", address)
+}
+
 // stopProcess stops the process gracefully. A second signal closes it at once.
 func stopProcess(p *starter.Process, log zerolog.Logger) error {
 	signalCtx, restore := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
