--- a/cmd/marigoldpoint/soak.go
+++ b/cmd/marigoldpoint/soak.go
@@ -22,6 +22,7 @@
 	Services  int           `default:"2" help:"backend servers of the plain service, each with a companion"`
 	Adapters  int           `default:"80" help:"adapters"`
 	Duration  time.Duration `default:"15s" help:"time in which processes are disturbed"`
+	Links     bool          `help:"also disturb the connections between processes: delays, resets, cuts in one direction, silence"`
 	TimeScale float64       `arg:"--time-scale" default:"0.1" help:"seconds that a second of the workload takes"`
 	RateScale float64       `arg:"--rate-scale" default:"0.4" help:"factor of the number of calls"`
 	Seed      uint64        `default:"1" help:"seed of the first soak"`
@@ -43,7 +44,7 @@
 	}
 	s := soaker.Settings{
 		Program: program, Workload: w.WithAdapters(c.Adapters), Entries: c.Entries, Engines: c.Engines, Services: c.Services,
-		Duration: c.Duration, TimeScale: c.TimeScale, RateScale: c.RateScale, Out: out,
+		Duration: c.Duration, Links: c.Links, TimeScale: c.TimeScale, RateScale: c.RateScale, Out: out,
 	}
 	broken := 0
 	for s.Seed = c.Seed; s.Seed < c.Seed+c.Seeds; s.Seed++ {
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -39,13 +39,17 @@
 	// nodes are the settings of all processes, entries first.
 	nodes     []configurer.Settings
 	processes []*process
+	// listens holds the option of serve that has a process listen behind its proxy, and proxies
+	// the proxies, both by the name of the process; empty without link faults.
+	listens map[string][]string
+	proxies map[string]*proxy
 	// reserved holds the listeners that keep the addresses of processes free until they start.
 	reserved []net.Listener
 }
 
 // newDeployment starts a deployment. On an error it closes what was started.
 func newDeployment(s Settings, f *findings) (*deployment, error) {
-	d := &deployment{settings: s, findings: f}
+	d := &deployment{settings: s, findings: f, listens: make(map[string][]string), proxies: make(map[string]*proxy)}
 	if err := d.start(); err != nil {
 		d.close()
 		return nil, errors.Trace(err)
@@ -76,7 +80,8 @@
 		if err := os.WriteFile(path, text, 0o600); err != nil {
 			return errors.Trace(err)
 		}
-		p, err := newProcess(n.Node, []string{d.settings.Program, "serve", "--settings", path}, filepath.Join(d.settings.Folder, n.Node+".log"), d.findings)
+		arguments := append([]string{d.settings.Program, "serve", "--settings", path}, d.listens[n.Node]...)
+		p, err := newProcess(n.Node, arguments, filepath.Join(d.settings.Folder, n.Node+".log"), d.findings)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -89,7 +94,7 @@
 func (d *deployment) configure(store string) error {
 	var hosts []configurer.ControlHost
 	for i := range d.settings.Entries {
-		address, err := d.reserve()
+		address, err := d.reservePeers(nodeName("entry", i))
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -100,7 +105,11 @@
 		n.DataFolder = filepath.Join(d.settings.Folder, n.Node)
 		n.Control.Group, n.Control.Listen, n.Control.Bootstrap = group, hosts[i].Address, i == 0
 		n.Control.StoreRate = loadRate / d.settings.TimeScale
-		if err := d.add(&n, &n.Entry.Listen); err != nil {
+		var err error
+		if n.Entry.Listen, err = d.reserve(); err != nil {
+			return errors.Trace(err)
+		}
+		if err := d.add(&n); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -117,7 +126,7 @@
 		n := d.node("engine", i, hosts, configurer.RoleCompanion)
 		n.Companion.Kind, n.Companion.EngineAddress, n.Companion.ChecksFencing = configurer.BackendKindEngine, address, true
 		n.Companion.BaseModel = d.settings.Workload.BaseModel
-		if err := d.add(&n, &n.Companion.Listen); err != nil {
+		if err := d.addCompanion(&n); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -130,7 +139,7 @@
 		}
 		n := d.node("service", i, hosts, configurer.RoleCompanion)
 		n.Companion.Kind, n.Companion.ServiceAddress, n.Companion.ServiceName = configurer.BackendKindService, address, d.settings.Workload.Service.Name
-		if err := d.add(&n, &n.Companion.Listen); err != nil {
+		if err := d.addCompanion(&n); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -139,9 +148,11 @@
 
 func (d *deployment) domain(i int) string { return fmt.Sprintf("domain-%d", i%d.settings.Entries+1) }
 
+func nodeName(kind string, i int) string { return fmt.Sprintf("%s-%d", kind, i+1) }
+
 func (d *deployment) node(kind string, i int, hosts []configurer.ControlHost, roles ...configurer.Role) configurer.Settings {
 	n := configurer.Settings{
-		Node: fmt.Sprintf("%s-%d", kind, i+1), Region: region, FailureDomain: d.domain(i), Roles: roles, ControlHosts: hosts,
+		Node: nodeName(kind, i), Region: region, FailureDomain: d.domain(i), Roles: roles, ControlHosts: hosts,
 		Stop: configurer.StopSettings{BalancerDelay: configurer.Duration(200 * time.Millisecond)},
 	}
 	if n.HasRole(configurer.RoleCompanion) {
@@ -150,12 +161,18 @@
 	return n
 }
 
-// add reserves the addresses of a process, of which listen is one, and adds it.
-func (d *deployment) add(n *configurer.Settings, listen *string) error {
+// addCompanion reserves the address of a companion for entries and adds it.
+func (d *deployment) addCompanion(n *configurer.Settings) error {
 	var err error
-	if *listen, err = d.reserve(); err != nil {
+	if n.Companion.Listen, err = d.reservePeers(n.Node); err != nil {
 		return errors.Trace(err)
 	}
+	return d.add(n)
+}
+
+// add reserves the operators' address of a process and adds it.
+func (d *deployment) add(n *configurer.Settings) error {
+	var err error
 	if n.Operators.Listen, err = d.reserve(); err != nil {
 		return errors.Trace(err)
 	}
@@ -163,8 +180,9 @@
 	return nil
 }
 
+// reserve returns an address for a listener of a process.
 func (d *deployment) reserve() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(loopback(os.Getpid()), "0"))
 	if err != nil {
 		return "", errors.Trace(err)
 	}
@@ -172,6 +190,23 @@
 	return l.Addr().String(), nil
 }
 
+// reservePeers returns the address at which other processes reach a process. With link faults it is
+// that of the process's proxy.
+func (d *deployment) reservePeers(name string) (string, error) {
+	own, err := d.reserve()
+	if err != nil || !d.settings.Links {
+		return own, errors.Trace(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	public := l.Addr().String()
+	d.proxies[name] = newProxy(l, own)
+	d.listens[name] = []string{"--listen", public + "=" + own}
+	return public, nil
+}
+
 // names returns the names of all processes.
 func (d *deployment) names() []string {
 	var names []string
@@ -226,6 +261,9 @@
 	for _, p := range d.processes {
 		p.kill()
 	}
+	for _, p := range d.proxies {
+		p.close()
+	}
 	for _, l := range d.reserved {
 		_ = l.Close()
 	}
--- a/internal/standin/soaker/settings.go
+++ b/internal/standin/soaker/settings.go
@@ -19,6 +19,8 @@
 	Services int
 	// Duration is the time in which processes are disturbed.
 	Duration time.Duration
+	// Links adds link faults.
+	Links bool
 	// TimeScale is the duration of one second of the workload, in seconds.
 	TimeScale float64
 	// RateScale multiplies the call rate.
--- a/internal/standin/soaker/soak.go
+++ b/internal/standin/soaker/soak.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,6 +20,7 @@
 type Report struct {
 	Seed   uint64
 	Events []Event
+	Links  []LinkEvent
 	// Starts is the number of incarnations of all processes, and Changes the number of accepted
 	// changes of the configuration.
 	Starts  int
@@ -65,7 +65,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	r := &Report{Seed: s.Seed, Events: Schedule(rand.New(rand.NewPCG(s.Seed, 17)), d.names(), s.Duration)}
+	r := &Report{Seed: s.Seed}
+	r.Events, r.Links = Draw(s.Seed, d.names(), s.Duration, s.Links)
 	changer := newChanger(d.operators(), f)
 	changing, stopChanging := context.WithCancel(ctx)
 	defer stopChanging()
@@ -73,7 +74,7 @@
 	var loadErr error
 	work.Go(func() { r.Load, loadErr = load.Run(ctx) })
 	work.Go(func() { changer.run(changing) })
-	d.disturb(ctx, s, r.Events)
+	d.disturb(ctx, Merge(r.Events, r.Links))
 	stopChanging()
 	work.Wait()
 	if loadErr != nil {
@@ -89,31 +90,10 @@
 	return r, nil
 }
 
-// disturb carries out the events, and returns when the last one has ended.
-func (d *deployment) disturb(ctx context.Context, s Settings, events []Event) {
-	began := time.Now()
-	var ends sync.WaitGroup
-	defer ends.Wait()
-	for _, e := range events {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Until(began.Add(e.At))):
-		}
-		fmt.Fprintf(s.Out, "%8.3f s  %-6v %-10s %v\n", e.At.Seconds(), e.Action, e.Process, e.Length.Round(time.Millisecond))
-		if end := d.process(e.Process).disturb(e); end != nil {
-			ends.Go(func() {
-				time.Sleep(e.Length)
-				end()
-			})
-		}
-	}
-}
-
 // WriteText writes the figures and the broken promises.
 func (r *Report) WriteText(out io.Writer) error {
 	w := bufio.NewWriter(out)
-	fmt.Fprintf(w, "seed %d: %d disturbances, %d starts, %d changes accepted\n", r.Seed, len(r.Events), r.Starts, r.Changes)
+	fmt.Fprintf(w, "seed %d: %d disturbances, %d link faults, %d starts, %d changes accepted\n", r.Seed, len(r.Events), len(r.Links), r.Starts, r.Changes)
 	if r.Load != nil {
 		n := r.Load.All.Endings
 		fmt.Fprintf(w, "  calls %d: completed %d, not run %d, unknown %d, cut %d, unanswered %d\n", n.Calls, n.Completed, n.NotRun, n.Unknown, n.Cut, n.Unanswered)
