--- a/internal/standin/soaker/changer.go
+++ b/internal/standin/soaker/changer.go
@@ -98,15 +98,22 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	changed := false
+	// lost is the last list of missing changes that a host has answered. The call at the end of ctx
+	// has none.
+	var lost []string
 	for next := 0; next < len(c.operators); {
 		changed = changed || c.change(ctx, c.operators[next])
 		missing, err := c.missing(ctx, c.operators[next])
+		if err == nil {
+			lost = missing
+		}
 		switch {
 		case changed && err == nil && len(missing) == 0:
 			next++
+			lost = nil
 			continue
 		case ctx.Err() != nil:
-			return errors.Errorf("%s: a change was accepted: %v; accepted changes that are missing: %v; %v", c.operators[next], changed, missing, err)
+			return errors.Errorf("%s: a change was accepted: %v; accepted changes that were missing last: %v; %v", c.operators[next], changed, lost, err)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/standin/soaker/deployment.go
+++ b/internal/standin/soaker/deployment.go
@@ -27,6 +27,9 @@
 	slots    = 4
 	maxBatch = 16
 	loadRate = 8
+	// linkedServiceTime is the duration of a call to a plain service with link faults. Calls that
+	// take no time are hardly ever in progress when a fault begins.
+	linkedServiceTime = 500 * time.Millisecond
 )
 
 // deployment is a deployment of separate processes with stand-ins for its backend servers.
@@ -131,7 +134,11 @@
 		}
 	}
 	for i := range d.settings.Services {
-		service := responder.NewService(responder.Settings{Name: d.settings.Workload.Service.Name})
+		settings := responder.Settings{Name: d.settings.Workload.Service.Name}
+		if d.settings.Links {
+			settings.Delay = linkedServiceTime
+		}
+		service := responder.NewService(settings)
 		d.services = append(d.services, service)
 		address, err := service.Listen("127.0.0.1:0")
 		if err != nil {
