relayer: an answer of a call that may have run never claims that it did not

A backend server's own 408, 421, 429 or 503 without the word that the call did not run was forwarded. Callers take these statuses for calls that did not run and repeat them, line activations and ledger transfers too. Such an answer is now sent as 502, without Retry-After and with its body.

--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -182,8 +182,8 @@
 		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
 	}
 	conn.Finish(response, head.KeepAlive)
-	header := j.relayer.settings.Translator.AnswerHeader(response.Header)
-	j.failed = &wholeAnswer{status: response.StatusCode, header: header, body: body}
+	failed := j.mayHaveRunAnswer(response, body)
+	j.failed = &failed
 	j.count(endFailed)
 	if head.Signed {
 		j.recordSurvival()
@@ -207,8 +207,7 @@
 	j.recordSurvival()
 	j.clearSuspect()
 	j.release(placer.OutcomeSuccess)
-	header := j.relayer.settings.Translator.AnswerHeader(response.Header)
-	j.sendWhole(outcomeAnswered, wholeAnswer{status: response.StatusCode, header: header, body: body}, "")
+	j.sendWhole(outcomeAnswered, j.mayHaveRunAnswer(response, body), "")
 	return verdictAnswered
 }
 
