relayer, listener: what an entry buffers for slow callers is bounded and counted

A caller that didn't read its answer kept its call, the request's body and the answer for ever: a write to it had no deadline, nor had reading its request.

With buffers bounded (the contract pressure, the setting, or for services that report a slowdown) bodies and whole answers are limited in total, answers also per call. A longer answer is forwarded as it arrives. Callers must have sent their request and read their answer at the deadline. The buffers of connections are limited where the mode is known at the start.

--- /dev/null
+++ b/internal/coordination/allotter/allotter.go
@@ -0,0 +1,92 @@
+package allotter
+
+import "sync/atomic"
+
+//go:generate stringer -type=Kind -trimprefix=Kind
+
+// Kind is what buffered bytes belong to. The names of the values are written to metrics.
+type Kind int
+
+// The kinds.
+const (
+	// KindRequest are the bodies of requests, which are kept for retries until the call ends.
+	KindRequest Kind = iota
+	// KindAnswer are answers that are read completely before they are forwarded.
+	KindAnswer
+	kinds
+)
+
+// Defaults of Settings.
+const (
+	DefaultTotal = 32 << 20
+	// DefaultAnswer fits the answers of plain services, so that only unusual ones are forwarded
+	// before they are complete.
+	DefaultAnswer = 1 << 20
+)
+
+// answerShare is the share of the total up to which answers are buffered. An answer without room
+// is forwarded as it arrives, while a request without room must be refused.
+const answerShare = 0.5
+
+// Settings are the limits in bytes. The zero value of a field means its default.
+type Settings struct {
+	// Total is the limit for all calls.
+	Total int64
+	// Answer is the limit for the answers to one call.
+	Answer int64
+}
+
+// Allotter counts the buffered bytes of a process. It is safe for concurrent use.
+type Allotter struct {
+	settings Settings
+	held     [kinds]atomic.Int64
+}
+
+// NewAllotter returns an allotter with nothing held.
+func NewAllotter(s Settings) *Allotter {
+	if s.Total <= 0 {
+		s.Total = DefaultTotal
+	}
+	if s.Answer <= 0 {
+		s.Answer = DefaultAnswer
+	}
+	return &Allotter{settings: s}
+}
+
+// Held returns the number of bytes held of a kind.
+func (a *Allotter) Held(k Kind) int64 { return a.held[k].Load() }
+
+// Holding is what one call holds. It is not safe for concurrent use.
+type Holding struct {
+	allotter *Allotter
+	bounded  bool
+	held     [kinds]int64
+}
+
+// NewHolding returns a holding of nothing, which must be released when the call ends. Without
+// bounded, Add only counts.
+func (a *Allotter) NewHolding(bounded bool) *Holding { return &Holding{allotter: a, bounded: bounded} }
+
+// Add counts n bytes that the call has buffered. It returns false if they exceed a limit, so that no
+// more may be buffered.
+func (h *Holding) Add(k Kind, n int64) bool {
+	a := h.allotter
+	h.held[k] += n
+	a.held[k].Add(n)
+	if !h.bounded {
+		return true
+	}
+	total := a.Held(KindRequest) + a.Held(KindAnswer)
+	if k == KindAnswer {
+		return h.held[k] <= a.settings.Answer && float64(total) <= answerShare*float64(a.settings.Total)
+	}
+	return total <= a.settings.Total
+}
+
+// Release ends the holding.
+func (h *Holding) Release() {
+	for k := range kinds {
+		h.allotter.held[k].Add(-h.held[k])
+		h.held[k] = 0
+	}
+}
--- /dev/null
+++ b/internal/coordination/allotter/doc.go
@@ -0,0 +1,3 @@
+// Package allotter limits the bytes that a process buffers for callers and backend servers. It
+// counts them in all modes.
+package allotter
--- a/internal/protocol/exchanger/pool.go
+++ b/internal/protocol/exchanger/pool.go
@@ -39,6 +39,9 @@
 	IdleLimit   time.Duration
 	IdleMargin  time.Duration
 	UserTimeout time.Duration
+	// SocketBuffer is the size of the send and the receive buffer of each TCP connection in
+	// bytes, of which the operating system may use twice as much; 0 means that it chooses.
+	SocketBuffer int
 	// Now returns the current time with a monotonic reading; nil means time.Now.
 	Now func() time.Time
 	// Dial opens a connection; nil means Dialer(UserTimeout).
@@ -73,6 +76,12 @@
 	return &Pool{settings: s, idle: make(map[string][]*Conn), open: make(map[string]int)}
 }
 
+// socketBuffers is implemented by TCP connections.
+type socketBuffers interface {
+	SetReadBuffer(bytes int) error
+	SetWriteBuffer(bytes int) error
+}
+
 // Dialer returns a function that opens TCP connections with the given TCP_USER_TIMEOUT.
 // The operating system closes such a connection when sent bytes, or keep-alive probes
 // while it is idle, stay unacknowledged for that time.
@@ -147,6 +156,11 @@
 	if err != nil {
 		return nil, errors.Annotatef(ErrNotSent, "%v", err)
 	}
+	if buffered, ok := network.(socketBuffers); ok && p.settings.SocketBuffer > 0 {
+		// A connection that has ended already fails when it is used.
+		_ = buffered.SetReadBuffer(p.settings.SocketBuffer)
+		_ = buffered.SetWriteBuffer(p.settings.SocketBuffer)
+	}
 	c := &Conn{pool: p, network: network, reader: bufio.NewReaderSize(network, bufferBytes)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/transport/listener/http.go
+++ b/internal/transport/listener/http.go
@@ -23,6 +23,9 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout limits the time between two requests of a connection; 0 means no limit.
 	IdleTimeout time.Duration
+	// SocketBuffer is the size of the send and the receive buffer of each TCP connection in
+	// bytes, of which the operating system may use twice as much; 0 means that it chooses.
+	SocketBuffer int
 	// Admission limits the connections that a TCP listener accepts; nil means no limit.
 	Admission Admission
 }
@@ -59,7 +62,7 @@
 	}
 	go func() {
 		defer close(h.done)
-		if err := h.server.Serve(gracefulListener{network}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := h.server.Serve(gracefulListener{network, limits.SocketBuffer}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.Error().Err(err).Str("Address", network.Addr().String()).Msg("HTTP server failed")
 		}
 	}()
--- a/internal/transport/listener/kept.go
+++ b/internal/transport/listener/kept.go
@@ -3,8 +3,11 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // gracefulConn is a connection of an HTTP server that can be ended between two requests.
@@ -18,6 +21,8 @@
 	net.Conn
 	// accepted is when the connection was accepted.
 	accepted time.Time
+	// limited reports whether the buffers of the connection are limited.
+	limited bool
 
 	mu sync.Mutex
 	// active reports whether the server is processing a request; guarded by mu, as all
@@ -32,6 +37,9 @@
 	// unfinished reports whether an answer is in progress that the end of the connection may
 	// complete.
 	unfinished bool
+	// stuck reports whether a write to a connection with limited buffers has exceeded its
+	// deadline.
+	stuck bool
 }
 
 // NetConn returns the underlying connection.
@@ -80,6 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered = false
+	c.stuck = c.stuck || c.limited && errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
@@ -103,12 +112,13 @@
 
 // Close closes the connection. It resets it while an answer is in progress that an orderly
 // end would complete: the server closes connections whose handler panicked or whose write
-// failed, and all of them when it is closed.
+// failed, and all of them when it is closed. With limited buffers, it also resets a connection whose
+// peer doesn't read: otherwise the operating system would keep the unread bytes for minutes.
 func (c *gracefulConn) Close() error {
 	c.mu.Lock()
-	unfinished := c.unfinished
+	reset := c.unfinished || c.stuck
 	c.mu.Unlock()
-	if unfinished {
+	if reset {
 		resetOnClose(c.Conn)
 	}
 	return c.Conn.Close()
@@ -134,7 +144,11 @@
 }
 
 // gracefulListener returns accepted connections as gracefulConns.
-type gracefulListener struct{ net.Listener }
+type gracefulListener struct {
+	net.Listener
+	// socketBuffer is Limits.SocketBuffer.
+	socketBuffer int
+}
 
 // Accept waits for a connection.
 func (l gracefulListener) Accept() (net.Conn, error) {
@@ -142,5 +156,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &gracefulConn{Conn: c, accepted: time.Now()}, nil
+	tcp, ok := c.(*net.TCPConn)
+	limited := ok && l.socketBuffer > 0
+	if limited {
+		// A connection that has ended already fails when it is read.
+		_ = tcp.SetReadBuffer(l.socketBuffer)
+		_ = tcp.SetWriteBuffer(l.socketBuffer)
+	}
+	return &gracefulConn{Conn: c, accepted: time.Now(), limited: limited}, nil
 }
--- a/internal/transport/relayer/answer.go
+++ b/internal/transport/relayer/answer.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -18,6 +19,9 @@
 	status int
 	// bytes is the number of bytes of the body that were sent.
 	bytes int64
+	// timeLeft returns the time until the call's deadline, after which the caller may not read
+	// the answer any more; nil means that there is no limit.
+	timeLeft func() time.Duration
 	// finished means that the answer is complete.
 	finished bool
 }
@@ -35,6 +39,10 @@
 		return
 	}
 	a.status = status
+	if a.timeLeft != nil {
+		// A caller without a connection, as in a test, has no deadline.
+		_ = http.NewResponseController(a.writer).SetWriteDeadline(time.Now().Add(max(0, a.timeLeft()) + writeGrace))
+	}
 	maps.Copy(a.writer.Header(), header)
 	a.writer.WriteHeader(status)
 }
--- /dev/null
+++ b/internal/transport/relayer/buffering.go
@@ -0,0 +1,203 @@
+package relayer
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
+	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
+)
+
+const (
+	// writeGrace is the time after a call's deadline in which its answer may still be written,
+	// so that a refusal at the deadline arrives.
+	writeGrace = 500 * time.Millisecond
+	// forwardBuffer is the size of one read of an answer that is forwarded as it arrives, in bytes.
+	forwardBuffer = 16 << 10
+	// maxFailureAnswer replaces a failure that exceeds the limits of buffered bytes.
+	maxFailureAnswer = "the backend server failed, and its answer was too long to be kept\n"
+)
+
+// errNoRoom means that the bytes read exceed the limits of what may be buffered.
+const errNoRoom = errors.ConstError("no room to buffer more")
+
+// Parts of a call in which a caller was too slow, as written to metrics.
+const (
+	slowRequest = "request"
+	slowAnswer  = "answer"
+)
+
+// buffers counts what the calls in progress buffer, and the callers that are too slow.
+type buffers struct {
+	*allotter.Allotter
+	// full counts the requests that were refused, and the answers that were forwarded before
+	// they were complete, for want of room.
+	full *prometheus.CounterVec
+	slow *prometheus.CounterVec
+}
+
+func newBuffers(r prometheus.Registerer, total int64) *buffers {
+	b := &buffers{
+		Allotter: allotter.NewAllotter(allotter.Settings{Total: total}),
+		full: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldpoint_relayer_buffer_full_total", Help: "Requests that were refused, and answers that were forwarded before they were complete, since the limit of buffered bytes was reached.",
+		}, []string{"kind"}),
+		slow: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigoldpoint_relayer_slow_callers_total", Help: "Calls ended at their deadline since their caller had not sent its request or not read its answer.",
+		}, []string{"part"}),
+	}
+	if r == nil {
+		return b
+	}
+	r.MustRegister(b.full, b.slow)
+	for _, k := range []allotter.Kind{allotter.KindRequest, allotter.KindAnswer} {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "marigoldpoint_relayer_buffered_bytes", Help: "Bytes buffered for calls in progress.",
+			ConstLabels: prometheus.Labels{"kind": k.String()},
+		}, func() float64 { return float64(b.Held(k)) }))
+	}
+	return b
+}
+
+// boundBuffers decides whether the call's buffers are limited. Its service must be known.
+func (j *job) boundBuffers() {
+	s := &j.relayer.settings
+	j.bounded = s.Buffers.Bounds(s.Buffers == allotter.ModeAuto && s.Placer.SlowdownReported(j.service.Name))
+	j.holding = j.relayer.buffers.NewHolding(j.bounded)
+	if j.bounded {
+		j.answer.timeLeft = func() time.Duration { return j.deadline.Sub(s.Now()) }
+	}
+}
+
+// releaseBuffers ends the count of what the call has buffered.
+func (j *job) releaseBuffers() {
+	if j.holding != nil {
+		j.holding.Release()
+	}
+}
+
+// holdingReader counts what is read as held, and fails with errNoRoom once a limit is exceeded.
+type holdingReader struct {
+	io.Reader
+	holding *allotter.Holding
+	kind    allotter.Kind
+}
+
+// Read reads and counts. It returns the bytes that were read also with errNoRoom. The last bytes of
+// an answer are taken in any case, those of a request are not: small bodies arrive in one read.
+func (h holdingReader) Read(p []byte) (int, error) {
+	n, err := h.Reader.Read(p)
+	if n > 0 && !h.holding.Add(h.kind, int64(n)) && (err == nil || errors.Is(err, io.EOF) && h.kind == allotter.KindRequest) {
+		err = errNoRoom
+	}
+	return n, err
+}
+
+// readBody reads the caller's request. It answers requests that can't be read, and returns
+// errAnswered for them.
+func (j *job) readBody(limit int64) error {
+	if j.request.ContentLength > limit {
+		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+	}
+	control := http.NewResponseController(j.answer.writer)
+	// A caller without a connection, as in a test, has no deadline.
+	timed := j.bounded && j.request.ContentLength != 0 && control.SetReadDeadline(time.Now().Add(j.deadline.Sub(j.relayer.settings.Now()))) == nil
+	var err error
+	j.body, err = io.ReadAll(holdingReader{Reader: http.MaxBytesReader(j.answer.writer, j.request.Body, limit), holding: j.holding, kind: allotter.KindRequest})
+	if timed && err == nil {
+		// The deadline would end the connection while the call runs.
+		err = control.SetReadDeadline(time.Time{})
+	}
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
+	case errors.Is(err, errNoRoom):
+		j.relayer.buffers.full.WithLabelValues(allotter.KindRequest.String()).Inc()
+		j.answer.writer.Header().Set("Connection", "close")
+		return j.refuse(http.StatusServiceUnavailable, "the entry buffers too much to take the body", j.relayer.settings.RetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		j.relayer.buffers.slow.WithLabelValues(slowRequest).Inc()
+		j.answer.writer.Header().Set("Connection", "close")
+		return j.refuse(http.StatusRequestTimeout, "the body did not arrive before the deadline", 0)
+	default:
+		// The caller broke off, or sent a malformed body.
+		return j.refuse(http.StatusBadRequest, err.Error(), 0)
+	}
+}
+
+// readAnswer reads an answer as far as it may be buffered. It returns errNoRoom, and what was read,
+// if more may follow.
+func (j *job) readAnswer(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(holdingReader{Reader: response.Body, holding: j.holding, kind: allotter.KindAnswer})
+	if errors.Is(err, errNoRoom) {
+		j.relayer.buffers.full.WithLabelValues(allotter.KindAnswer.String()).Inc()
+	}
+	return body, err
+}
+
+// forward sends an answer that may not be buffered, beginning with what was read of it. From then on
+// the caller's reading limits how fast the backend server may send, and the call can't be retried.
+func (j *job) forward(conn *exchanger.Conn, response *http.Response, head Head, read []byte) verdict {
+	w := j.mayHaveRunAnswer(response, read)
+	if response.ContentLength >= 0 {
+		w.header.Set("Content-Length", response.Header.Get("Content-Length"))
+	}
+	j.current.markStarted()
+	j.answer.begin(w.status, w.header)
+	part, buffer := w.body, make([]byte, forwardBuffer)
+	for {
+		if err := j.answer.write(part); err != nil {
+			return j.unsent(conn, err)
+		}
+		n, err := response.Body.Read(buffer)
+		if part = buffer[:n]; errors.Is(err, io.EOF) {
+			if err := j.answer.write(part); err != nil {
+				return j.unsent(conn, err)
+			}
+			break
+		}
+		if err != nil {
+			conn.Abort()
+			j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
+			j.log(outcomeBroken, j.answer.status, err.Error())
+			return verdictAnswered
+		}
+	}
+	conn.Finish(response, head.KeepAlive)
+	j.count(endAnswered)
+	j.recordSurvival()
+	j.clearSuspect()
+	j.release(placer.OutcomeSuccess)
+	j.answer.finish()
+	j.log(outcomeAnswered, w.status, "")
+	return verdictAnswered
+}
+
+// unsent ends an attempt whose answer could not be written to the caller.
+func (j *job) unsent(conn *exchanger.Conn, err error) verdict {
+	conn.Abort()
+	j.count(endGivenUp)
+	j.release(placer.OutcomeCanceled)
+	j.logUnsent(err)
+	return verdictAnswered
+}
+
+// logUnsent logs a call whose answer could not be written: its caller has left, or did not read until
+// the deadline.
+func (j *job) logUnsent(err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		j.logLeft()
+		return
+	}
+	j.relayer.buffers.slow.WithLabelValues(slowAnswer).Inc()
+	j.log(outcomeBroken, j.answer.status, "the caller did not read its answer before the deadline")
+}
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -229,6 +229,12 @@
 
 // newEntryWith returns an entry whose placer has the given settings.
 func newEntryWith(placing placer.Settings, route tracker.Route, engine *tracker.Engine, backends ...*backend) *entry {
+	GinkgoHelper()
+	return newEntryChanged(func(*relayer.Settings) {}, placing, route, engine, backends...)
+}
+
+// newEntryChanged returns an entry whose settings were changed.
+func newEntryChanged(change func(*relayer.Settings), placing placer.Settings, route tracker.Route, engine *tracker.Engine, backends ...*backend) *entry {
 	GinkgoHelper()
 	e := &entry{
 		admit: func(m messenger.Admit) (messenger.Admitted, error) {
@@ -264,7 +270,7 @@
 	companions := dialer.NewPool(dialer.Settings{
 		Random: rand.New(rand.NewPCG(3, 4)), Dial: e.dial, Messenger: messenger.Settings{QuietInterval: quietInterval},
 	})
-	e.relayer = relayer.NewRelayer(relayer.Settings{
+	settings := relayer.Settings{
 		Translator: translator{}, View: func() *tracker.View { return e.tracker.View() }, Trusted: func() bool { return !e.untrusted.Load() }, Pool: pool, Companions: companions,
 		Placer: e.placer,
 		CompanionAddress: func(m tracker.Member) string {
@@ -274,7 +280,9 @@
 		},
 		Random: random, Log: zerolog.New(e.log), Submit: e.propose, Control: &e.control, KeyLease: keyLease,
 		Now: func() time.Time { return time.Now().Add(time.Duration(e.clockOffset.Load())) },
-	})
+	}
+	change(&settings)
+	e.relayer = relayer.NewRelayer(settings)
 	e.server = httptest.NewServer(e.relayer)
 	DeferCleanup(func() {
 		e.server.CloseClientConnections()
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -22,6 +22,7 @@
 	settings Settings
 	metrics  *metrics
 	budget   *budget
+	buffers  *buffers
 	root     context.Context
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -100,6 +101,7 @@
 	r := &Relayer{
 		settings: s,
 		metrics:  newMetrics(s.Registerer),
+		buffers:  newBuffers(s.Registerer, s.BufferBytes),
 		budget:   newBudget(s.Now(), s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Entries, s.FirstStart),
 		poll:     make(chan struct{}, 1),
 		random:   s.Random,
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -176,13 +176,18 @@
 // keepFailure reads the answer of a backend server that failed. It goes to the caller
 // if no other answer does.
 func (j *job) keepFailure(conn *exchanger.Conn, response *http.Response, head Head) verdict {
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
+	body, err := j.readAnswer(response)
+	failed := j.mayHaveRunAnswer(response, body)
+	switch {
+	case errors.Is(err, errNoRoom):
+		conn.Abort()
+		failed = wholeAnswer{status: http.StatusBadGateway, header: http.Header{"Content-Type": {"text/plain"}}, body: []byte(maxFailureAnswer)}
+	case err != nil:
 		conn.Abort()
 		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
+	default:
+		conn.Finish(response, head.KeepAlive)
 	}
-	conn.Finish(response, head.KeepAlive)
-	failed := j.mayHaveRunAnswer(response, body)
 	j.failed = &failed
 	j.count(endFailed)
 	if head.Signed {
@@ -197,7 +202,10 @@
 // answerWhole reads the complete answer before it forwards any of it: a partial answer
 // can then be retried, and is never taken for a complete one.
 func (j *job) answerWhole(conn *exchanger.Conn, response *http.Response, head Head) verdict {
-	body, err := io.ReadAll(response.Body)
+	body, err := j.readAnswer(response)
+	if errors.Is(err, errNoRoom) && !j.answer.begun() {
+		return j.forward(conn, response, head, body)
+	}
 	if err != nil {
 		conn.Abort()
 		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
@@ -219,7 +227,7 @@
 	case errors.Is(err, errBegun):
 		j.log(outcomeBroken, j.answer.status, reason)
 	case err != nil:
-		j.logLeft()
+		j.logUnsent(err)
 	default:
 		j.log(outcome, w.status, reason)
 	}
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
@@ -37,7 +37,10 @@
 	rejection *rejection
 	service   *tracker.Service
 	body      []byte
-	arrived   time.Time
+	// holding counts what the call buffers, and bounded means that it is limited.
+	holding *allotter.Holding
+	bounded bool
+	arrived time.Time
 	// deadline is the earlier of the caller's deadline and the end of the route's
 	// timeout.
 	deadline time.Time
@@ -131,6 +134,7 @@
 	j := &job{relayer: r, answer: answer{writer: w, request: request}, request: request, arrived: r.settings.Now(), ctx: request.Context()}
 	defer j.refundQuota()
 	defer j.cancelRetry()
+	defer j.releaseBuffers()
 	j.serve() //nolint:contextcheck // The job holds its context, and releases its admission even if the caller has left.
 	j.answer.end()
 }
@@ -178,21 +182,13 @@
 		return j.refuse(http.StatusServiceUnavailable, "stopping", retryElsewhereDelay)
 	}
 	j.setDeadline()
+	j.boundBuffers()
 	if err := j.charge(); err != nil {
 		return err
 	}
 	limit := cmp.Or(routing.Limits.BodyBytes, DefaultBodyBytes)
-	if j.request.ContentLength > limit {
-		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-	}
-	j.body, err = io.ReadAll(http.MaxBytesReader(j.answer.writer, j.request.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-	case err != nil:
-		// The caller broke off, or sent a malformed body.
-		return j.refuse(http.StatusBadRequest, err.Error(), 0)
+	if err := j.readBody(limit); err != nil {
+		return err
 	}
 	r.budget.call(r.settings.Now(), j.service.Name)
 	return nil
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/bucketer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/rationer"
@@ -108,6 +109,12 @@
 	// is expected to answer in time are refused at once: with ModeAuto those to services
 	// whose backend servers tell how fast they are.
 	Rationing rationer.Mode
+	// Buffers is whether what calls buffer is limited, and callers must have sent their request
+	// and read their answer at the deadline: with ModeAuto for services whose backend servers
+	// tell how fast they are. BufferBytes is the limit for all calls; 0 means
+	// allotter.DefaultTotal.
+	Buffers     allotter.Mode
+	BufferBytes int64
 	// Silence configures when a companion, and thus the host that it shares with its
 	// engine, counts as silent. The limit must exceed twice the heartbeat interval.
 	Silence watcher.Settings
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -48,11 +48,7 @@
 				j.recordEvent(r.settings.Now())
 				r.settings.Placer.RecordFirstByte(r.settings.Now(), &j.choice)
 				if err := j.answer.write(piece); err != nil {
-					conn.Abort()
-					j.count(endGivenUp)
-					j.release(placer.OutcomeCanceled)
-					j.logLeft()
-					return verdictAnswered
+					return j.unsent(conn, err)
 				}
 			}
 		}
