attendant: waiting requests follow newer versions, and no replaced version is loaded

A request that waited for a slot kept the version of its arrival. Once a slot was free, that version was loaded, although a newer one had been named meanwhile, and a request that waited for its turn under a limit of requests could begin at it 6 s after it was replaced.

Requests without a slot now move to the newest version when it becomes known, those whose version is loaded or being loaded after 2 s. The newest version is checked right before a load is ordered.

--- a/internal/transport/attendant/admission.go
+++ b/internal/transport/attendant/admission.go
@@ -28,6 +28,9 @@
 	admitted bool
 	refused  *messenger.Refusal
 	started  time.Time
+	// replacedAt is when a newer version than that of a waiting request became known; zero means
+	// that there is none.
+	replacedAt time.Time
 	// prompt is the memory that the prompt takes once it is admitted.
 	prompt cacher.Use
 	// grantedAt is when the request was admitted.
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -138,8 +138,9 @@
 	return a.table != nil && a.reachable
 }
 
-// ViewChanged starts a poll of the engine if requests can't be admitted yet, or if the view
-// names another incarnation of the engine. It does not block. After a restart of all
+// ViewChanged moves waiting requests to newer versions. It starts a poll of the engine if
+// requests can't be admitted yet, or if the view names another incarnation of the engine. It
+// does not block. After a restart of all
 // processes, requests arrive as soon as control has published the deployment; without this
 // call they would be refused until the next poll, and orders would name the previous
 // incarnation.
@@ -147,6 +148,7 @@
 	member, known := a.settings.View().Member(a.settings.Name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.followVersions(a.settings.Now())
 	if a.table == nil || !a.reachable || known && member.Spec.Incarnation != a.incarnation {
 		a.wake()
 	}
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -46,8 +46,11 @@
 	// lostOrderDelay.
 	lostOrders     int
 	lostOrderDelay time.Duration
-	orders         []attendant.Order
-	failure        string
+	// lostAtOnce means that the connection of a lost answer is reset at once. Otherwise the sender
+	// waits for its timeout, under a lock for which no other order can wait on synthetic time.
+	lostAtOnce bool
+	orders     []attendant.Order
+	failure    string
 	// stalled means that loads don't end, as while the weight store stalls.
 	stalled bool
 	// limit is what reports say about the limit of requests.
@@ -58,6 +61,8 @@
 	// requests.
 	slowdown float64
 	polls    int
+	// onOrder is called with each order that is sent; nil means nothing.
+	onOrder func(attendant.Order)
 }
 
 func (e *engine) Slowdown(context.Context, string) (float64, error) {
@@ -105,6 +110,9 @@
 func (e *engine) Order(ctx context.Context, o attendant.Order) (attendant.Reply, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.onOrder != nil {
+		e.onOrder(o)
+	}
 	if e.lostOrders > 0 {
 		e.lostOrders--
 		time.AfterFunc(e.lostOrderDelay, func() {
@@ -112,6 +120,9 @@
 			defer e.mu.Unlock()
 			e.execute(o)
 		})
+		if e.lostAtOnce {
+			return 0, errors.New("connection reset")
+		}
 		e.mu.Unlock()
 		<-ctx.Done()
 		e.mu.Lock()
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -82,6 +82,7 @@
 	a.applyReport(now, r, member, known, sequence)
 	a.applyMemory(r, held)
 	a.recordReportedLimit(sentAt, now, r.Limit)
+	a.followVersions(now)
 	a.admitReady(now)
 	a.shortage.reportedAt = now
 	a.refuseOverloaded(now)
--- a/internal/transport/attendant/ordering.go
+++ b/internal/transport/attendant/ordering.go
@@ -67,6 +67,10 @@
 	began := a.settings.Now()
 	model, adapter, version := splitVersion(l.Version)
 	err := a.order(Order{Kind: OrderLoad, Model: model, Adapter: adapter, Version: version})
+	if errors.Is(err, errReplaced) {
+		a.giveUpReplaced(l)
+		return
+	}
 	accepted := a.settings.Now()
 	if err == nil {
 		err = a.awaitAdapter(l.Version, accepted)
@@ -224,7 +228,7 @@
 	var last error
 	began := a.settings.Now()
 	for attempts := 0; attempts < maxOrderAttempts; {
-		done, tried, err := a.orderOnce(o)
+		done, tried, err := a.orderOnce(o, attempts == 0)
 		if done {
 			return err
 		}
@@ -246,8 +250,9 @@
 
 // orderOnce checks whether the order is needed and possible, and sends it. Done reports
 // that no further attempt is needed, and sent that this attempt counts against
-// maxOrderAttempts.
-func (a *Attendant) orderOnce(o Order) (done, sent bool, err error) {
+// maxOrderAttempts. First means that the order can't have been sent before: one that may have
+// been is completed also for a version that was replaced meanwhile.
+func (a *Attendant) orderOnce(o Order, first bool) (done, sent bool, err error) {
 	a.orderMu.Lock()
 	defer a.orderMu.Unlock()
 	r, err := a.fetchReport()
@@ -256,6 +261,8 @@
 		return false, true, err
 	case r.satisfied(o):
 		return true, false, nil
+	case first && a.replaced(o):
+		return true, false, errReplaced
 	case o.Kind == OrderLoad && o.Adapter != "" && !r.hasModel(o.Model):
 		return false, false, errors.New("the engine does not hold the model")
 	case o.Kind == OrderLoad && o.Adapter != "" && len(r.slots()) >= a.slotCount():
