relayer: a signed answer keeps its status

The platform's callers check status, body and signature together, so that only unsigned answers 408, 421, 429 and 503 of calls that may have run become 502.

--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -147,7 +147,7 @@
 // forward sends an answer that may not be buffered, beginning with what was read of it. From then on
 // the caller's reading limits how fast the backend server may send, and the call can't be retried.
 func (j *job) forward(conn *exchanger.Conn, response *http.Response, head Head, read []byte) verdict {
-	w := j.mayHaveRunAnswer(response, read)
+	w := j.mayHaveRunAnswer(response, head, read)
 	if response.ContentLength >= 0 {
 		w.header.Set("Content-Length", response.Header.Get("Content-Length"))
 	}
--- a/internal/transport/relayer/failure.go
+++ b/internal/transport/relayer/failure.go
@@ -13,10 +13,11 @@
 
 // mayHaveRunAnswer returns a backend server's answer to a call that may have run, as it is sent to
 // the caller. A status that claims that it did not run becomes 502 without a Retry-After: callers
-// repeat such calls, also those that may run only once.
-func (j *job) mayHaveRunAnswer(response *http.Response, body []byte) wholeAnswer {
+// repeat such calls, also those that may run only once. A signed answer is never changed, since its
+// caller checks it.
+func (j *job) mayHaveRunAnswer(response *http.Response, head Head, body []byte) wholeAnswer {
 	w := wholeAnswer{status: response.StatusCode, header: j.relayer.settings.Translator.AnswerHeader(response.Header), body: body}
-	if claimsNotRun(w.status) {
+	if !head.Signed && claimsNotRun(w.status) {
 		w.status = http.StatusBadGateway
 		w.header.Del("Retry-After")
 	}
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -177,7 +177,7 @@
 // if no other answer does.
 func (j *job) keepFailure(conn *exchanger.Conn, response *http.Response, head Head) verdict {
 	body, err := j.readAnswer(response)
-	failed := j.mayHaveRunAnswer(response, body)
+	failed := j.mayHaveRunAnswer(response, head, body)
 	switch {
 	case errors.Is(err, errNoRoom):
 		conn.Abort()
@@ -215,7 +215,7 @@
 	j.recordSurvival()
 	j.clearSuspect()
 	j.release(placer.OutcomeSuccess)
-	j.sendWhole(outcomeAnswered, j.mayHaveRunAnswer(response, body), "")
+	j.sendWhole(outcomeAnswered, j.mayHaveRunAnswer(response, head, body), "")
 	return verdictAnswered
 }
 
