--- a/internal/coordination/placer/separation.go
+++ b/internal/coordination/placer/separation.go
@@ -84,7 +84,7 @@
 
 // separates reports whether calls to the service are separated. The caller holds o.mu.
 func (o *pool) separates(s *Settings) bool {
-	return o.engine != nil && o.separation.limits.Long > 0 && s.LongPrompts.Separates(o.slowdownReported)
+	return o.engine != nil && o.separation.limits.Long > 0 && s.LongPrompts == separator.ModeSeparate
 }
 
 // updateSeparation brings the designated engines up to date. The caller holds o.mu.
--- a/internal/coordination/separator/mode_string.go
+++ b/internal/coordination/separator/mode_string.go
@@ -8,14 +8,13 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[ModeAuto-0]
-	_ = x[ModeMixed-1]
-	_ = x[ModeSeparate-2]
+	_ = x[ModeMixed-0]
+	_ = x[ModeSeparate-1]
 }
 
-const _Mode_name = "AutoMixedSeparate"
+const _Mode_name = "MixedSeparate"
 
-var _Mode_index = [...]uint8{0, 4, 9, 17}
+var _Mode_index = [...]uint8{0, 5, 13}
 
 func (i Mode) String() string {
 	idx := int(i) - 0
--- a/internal/transport/attendant/longprompts.go
+++ b/internal/transport/attendant/longprompts.go
@@ -62,7 +62,7 @@
 	defer a.mu.Unlock()
 	now := a.settings.Now()
 	s := placer.LongPromptState{Name: a.settings.Name, Incarnation: a.incarnation, SharePercent: a.longPrompts.share.Percent(now)}
-	if a.incarnation == "" || !a.settings.LongPrompts.Separates(a.speedReports) {
+	if a.incarnation == "" || a.settings.LongPrompts != separator.ModeSeparate {
 		return s, nil
 	}
 	a.metrics.longPrompts.Set(a.longPrompts.share.At(now))
