--- a/internal/transport/attendant/kinds_string.go
+++ b/internal/transport/attendant/kinds_string.go
@@ -23,7 +23,6 @@
 	}
 	return _OrderKind_name[_OrderKind_index[idx]:_OrderKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
