--- a/review/_lab/case2.go
+++ b/review/_lab/case2.go
@@ -31,14 +31,14 @@
 // doubleRun checks TWICE: a request does not go on at another worker while the worker before still
 // works on it 400 ms later.
 func doubleRun(l *lab, trouble bool) (bool, error) {
-	fronts, sides := []int{11, 12}, []int{21, 22, 23, 24, 25}
+	fronts, sides := []int{11, 12}, []int{21, 22, 23, 24, 25, 26, 27, 28, 29, 30}
 	var losing atomic.Bool
 	var engines []*engineWorker
 	backups := &sync.Map{}
 	for i, host := range sides {
 		loses := float64(i) < lostShare*float64(len(sides))
 		w, err := l.newEngineWorker(host, fmt.Sprintf("i-engine%d", i), "consulente", backups, func(events int) (int, bool) {
-			return events / 2, loses && losing.Load() && rand.Float64() < lostRate
+			return events / 4, loses && losing.Load() && rand.Float64() < lostRate
 		})
 		if err != nil {
 			return false, err
@@ -51,15 +51,7 @@
 	err := l.configure(1, []any{map[string]any{
 		"name": "r-explain", "hostname": "ficu95.example", "pathPrefix": "/pufi791/", "kind": "streaming", "timeoutMs": 15000,
 		"targetLatencyMs": 1000, "priority": 1, "service": "consulente", "maxAttempts": 1, "sticky": true, "resumable": false, "targetGapMs": 400,
-	}}, []any{map[string]any{
-		"name": "consulente", "healthPath": "/health", "maxConns": 360, "protocol": "h1", "tls": false,
-		"engine": map[string]any{
-			"slots": 64, "kvCapacity": 232000, "kvTokenBytes": 327680, "linkMbps": 1100000.0, "moves": true, "backups": true, "stride": 4,
-			"maxCount": 12, "hostMb": 120000.0, "diskMb": 370000.0, "pinMs": 4000.0, "holdMs": 2000.0, "handle_s": 5.0,
-			"models":    []any{map[string]any{"name": modelName, "weightsMb": 34300.0, "loadS": 1.0, "adapters": 3000, "adapterMb": 40.0, "warmS": 0.28, "diskS": 0.4}},
-			"weightsMb": 35300.0, "adapterSlots": 8, "loadsPerS": 2.8,
-		},
-	}})
+	}}, []any{engineService()})
 	if err != nil {
 		return false, err
 	}
--- a/review/_lab/engine.go
+++ b/review/_lab/engine.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// holds reports whether the worker holds an adapter, of the version that the request expects.
+func (w *engineWorker) holds(adapter, version string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.adapters, func(a string) bool {
+		name, held, _ := strings.Cut(a, "@")
+		return name == adapter && (version == "" || version == held)
+	})
+}
+
 func (w *engineWorker) report(out http.ResponseWriter) {
 	models := w.models()
 	w.mu.Lock()
@@ -137,6 +147,11 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if _, adapter, named := strings.Cut(r.Header.Get(headerModel), "/"); named && !w.holds(adapter, r.Header.Get(headerVersion)) {
+		out.Header().Set(headerAttempt, id)
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	_, tokens, _ := strings.Cut(r.Header.Get(headerTokens), ",")
 	n, _ := strconv.Atoi(tokens)
 	events := max(1, n/4)
--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -44,6 +44,7 @@
 	record    *os.File
 	began     time.Time
 	processes []*process
+	closed    bool
 	seeds     []string
 	// restarted means that the processes that start now don't start with the whole system.
 	restarted bool
@@ -112,11 +113,16 @@
 	l.closers = append(l.closers, f)
 }
 
-// close ends all processes and stand-ins.
+// close ends all processes and stand-ins. Only the first call has an effect.
 func (l *lab) close() {
 	l.mu.Lock()
 	processes, closers := l.processes, l.closers
+	closed := l.closed
+	l.closed = true
 	l.mu.Unlock()
+	if closed {
+		return
+	}
 	for _, f := range closers {
 		f()
 	}
--- a/review/_lab/plain.go
+++ b/review/_lab/plain.go
@@ -25,6 +25,7 @@
 	headerBackup    = "X-Marigoldpoint-Kv-Backup"
 	headerFrom      = "Kv-From"
 	headerLastEvent = "Last-Event-Id"
+	headerVersion   = "X-Marigoldpoint-Expect-Version"
 	headerInstance  = "X-Marigoldpoint-Instance-Id"
 )
 
