--- a/review/_lab/case2.go
+++ b/review/_lab/case2.go
@@ -148,3 +148,16 @@
 	}
 	return lost, twice
 }
+
+// engineService returns a service of model workers as configurations describe it.
+func engineService() map[string]any {
+	return map[string]any{
+		"name": "consulente", "healthPath": "/health", "maxConns": 360, "protocol": "h1", "tls": false,
+		"engine": map[string]any{
+			"slots": 64, "kvCapacity": 232000, "kvTokenBytes": 327680, "linkMbps": 1100000.0, "moves": true, "backups": true, "stride": 4,
+			"maxCount": 12, "hostMb": 120000.0, "diskMb": 370000.0, "pinMs": 4000.0, "holdMs": 2000.0, "handle_s": 5.0,
+			"models":    []any{map[string]any{"name": modelName, "weightsMb": 34300.0, "loadS": 1.0, "adapters": 3000, "adapterMb": 40.0, "warmS": 0.28, "diskS": 0.4}},
+			"weightsMb": 35300.0, "adapterSlots": 8, "loadsPerS": 2.8,
+		},
+	}
+}
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -23,14 +23,13 @@
 	exitNotRun = 2
 )
 
-// cases are the cases by their numbers; 4 to 7 are told in REPORT.md only. Each returns whether the rule was broken.
+// cases are the cases by their numbers; 4 to 6 are told in REPORT.md only. Each returns whether the rule was broken.
 var cases = map[int]func(l *lab, trouble bool) (bool, error){
 	1: notRunRepeated,
 	2: doubleRun,
 	4: unsignedSuccess,
 	5: noFormation,
 	6: shortStream,
-	7: adapterOutage,
 }
 
 func main() { os.Exit(run()) }
