relayer: an interrupted run is known to have ended before its request resumes

Cause: an entry took the end of a connection for the end of the run, and resumed the request from the copy of its KV cache at once. The record shows 1 ms between the reset by the engine and the second run, with the same id and no other request to the engine; a reset by the entry and a retry of the caller are thereby ruled out.

Fix: the entry first asks the engine, on a new connection, to stop the run and to move its KV cache. It resumes only on evidence: the run is stopped or absent, another incarnation answers or is known, or no process listens at the address. Otherwise the stream breaks for its caller. A resumed attempt whose connection ends before its answer goes through the same check; it was resumed again without one. The evidence is logged and counted.

Why this works: each accepted answer excludes that the run goes on; an answer on a new connection can't be a late one to an earlier request, and all else (errors, truncated or endless answers, time-outs) is no evidence.

The spec "of a lost engine resumes from the copy" played a crash by a mere reset, which is the fault; it now closes the listener too, and asserts the same.

--- a/internal/protocol/exchanger/pool.go
+++ b/internal/protocol/exchanger/pool.go
@@ -148,13 +148,13 @@
 	}
 }
 
-// Open opens a new connection. Its error matches ErrNotSent.
+// Open opens a new connection. Its error matches ErrNotSent and wraps the error of the dial.
 func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	defer cancel()
 	network, err := p.settings.Dial(ctx, address)
 	if err != nil {
-		return nil, errors.Annotatef(ErrNotSent, "%v", err)
+		return nil, errors.WithType(err, ErrNotSent)
 	}
 	if buffered, ok := network.(socketBuffers); ok && p.settings.SocketBuffer > 0 {
 		// A connection that has ended already fails when it is used.
--- a/internal/state/tracker/routing.go
+++ b/internal/state/tracker/routing.go
@@ -97,7 +97,9 @@
 	// unknown.
 	KVTokenBytes float64
 	LinkMbps     float64
-	Models       []Model
+	// Moves means that an engine can stop a run and copy its KV cache to another engine.
+	Moves  bool
+	Models []Model
 }
 
 // Service is a set of equivalent backend servers.
--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -48,16 +48,45 @@
 // assumed to exist: engines send new state several times a second.
 const backupReadyDelay = 400 * time.Millisecond
 
-// resume reports whether the request can resume from the copy of its KV cache, and if
-// so makes the next attempt do so.
-//
-// A second engine that has no copy refuses the request, unless that engine is lost at
-// the same moment: then it would not be known whether the request had started again. A
-// request is therefore resumed only if its copy must have arrived.
-func (j *job) resume() bool {
-	if j.backup.Name == "" || !j.answer.begun() || j.relayer.settings.Now().Sub(j.firstEventAt) < backupReadyDelay {
+// continueStream decides how a call continues of whose answer a part was forwarded: from the
+// copy of its KV cache, with a new run on a resumable route, or not at all. It reports whether
+// another attempt is to be made. If not, the answer has been broken off.
+func (j *job) continueStream(v verdict) bool {
+	j.resumeFrom = ""
+	if v == verdictUnknown {
+		j.resumeFrom = j.locateCopy()
+	}
+	switch {
+	case j.resumeFrom != "":
+		return true
+	case !j.route.Resumable:
+		j.answerExhausted("the stream broke")
 		return false
 	}
-	j.resumeFrom = j.backup.Address + "/" + j.call.ID
+	j.avoid = append(j.avoid, j.choice.Name)
 	return true
 }
+
+// locateCopy returns the name of the copy of the KV cache from which the call resumes; empty
+// means none.
+//
+// A second engine that has no copy refuses the request, unless that engine is lost at the same
+// moment: then it would not be known whether the request had started again. A copy is therefore
+// used only if it must have arrived, and, since the call may run only once, only if its run at the
+// first engine is known to have ended.
+func (j *job) locateCopy() string {
+	if j.backup.Name == "" {
+		return ""
+	}
+	arrived := j.relayer.settings.Now().Sub(j.firstEventAt) >= backupReadyDelay
+	end, handle := j.endRun()
+	switch {
+	case end == RunEndUnknown:
+		return ""
+	case handle != "":
+		return j.choice.Address + "/" + handle
+	case arrived:
+		return j.backup.Address + "/" + j.call.ID
+	}
+	return ""
+}
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 )
@@ -113,4 +114,8 @@
 	Head(status int, h http.Header) Head
 	// AnswerHeader returns the header of the answer to the caller.
 	AnswerHeader(h http.Header) http.Header
+	// StopRequest returns the request to an engine that stops a run, and StopReply parses its
+	// answer.
+	StopRequest(s StopRun) *http.Request
+	StopReply(a exchanger.Answer) StopReply
 }
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -101,6 +101,8 @@
 	script func(c net.Conn, r *http.Request)
 	// software is the software version that is announced; empty means none.
 	software string
+	// stop answers requests to stop a run; nil means that there are none.
+	stop func(c net.Conn, r *http.Request)
 	// disconnected receives a value when a connection ends.
 	disconnected chan struct{}
 }
@@ -137,6 +139,10 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
+		if r.URL.Path == stopPath {
+			b.stop(conn, r)
+			continue
+		}
 		b.runs.Add(1)
 		b.script(conn, r)
 	}
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -20,6 +20,7 @@
 	failures    *prometheus.CounterVec
 	attempts    *prometheus.CounterVec
 	losses      *prometheus.CounterVec
+	runEnds     *prometheus.CounterVec
 	quarantined *prometheus.CounterVec
 	// blocked counts the calls refused since a part of their prompt is blocked.
 	blocked    *prometheus.CounterVec
@@ -42,7 +43,7 @@
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(),
+		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
@@ -97,12 +98,18 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.overloaded, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
+		r.MustRegister(m.overloaded, m.runEnds, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
 	return m
 }
 
+func newRunEnds() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_interrupted_runs_total", Help: "Runs with a copy of their KV cache whose connection ended, by service and the evidence that they had ended.",
+	}, []string{labelService, "end"})
+}
+
 func (m *metrics) observeCall(outcome string, status int, duration time.Duration) {
 	m.calls.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
 	m.duration.Observe(duration.Seconds())
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -342,23 +342,26 @@
 		// when the engine crashes, the stream must resume from the copy of its KV
 		// cache.
 		lost := make(chan struct{})
-		script := func(c net.Conn, r *http.Request) {
-			if r.Header.Get("Id") == "before" {
-				hangUp(c, r)
-				return
-			}
-			if r.Header.Get("From") == "" {
-				events(c, r, 1, 2)
-				<-lost
-				reset(c)
-				return
+		var a, b *backend
+		script := func(self **backend) func(net.Conn, *http.Request) {
+			return func(c net.Conn, r *http.Request) {
+				if r.Header.Get("Id") == "before" {
+					hangUp(c, r)
+					return
+				}
+				if r.Header.Get("From") == "" {
+					events(c, r, 1, 2)
+					<-lost
+					(*self).shutDown(c)
+					return
+				}
+				Expect(r.Header.Get("After")).To(Equal("2"))
+				Expect(r.Header.Get("From")).To(HaveSuffix("/1"))
+				events(c, r, 3, 3)
+				endStream(c)
 			}
-			Expect(r.Header.Get("After")).To(Equal("2"))
-			Expect(r.Header.Get("From")).To(HaveSuffix("/1"))
-			events(c, r, 3, 3)
-			endStream(c)
 		}
-		a, b := newBackend(script), newBackend(script)
+		a, b = newBackend(script(&a)), newBackend(script(&b))
 		e := newEntry(streamed, engine, a, b)
 		e.reportAll(a, b)
 		// Copies are kept only after a stream was lost.
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -137,8 +137,9 @@
 		}
 		j.resumeFrom = ""
 	case verdictUnknown, verdictFailed:
-		if j.mayHaveRun = true; v == verdictUnknown && j.resume() {
-			return true
+		j.mayHaveRun = true
+		if j.answer.begun() {
+			return j.continueStream(v)
 		}
 		if !j.repeatable() {
 			j.answerExhausted("the backend server gave no answer, or failed")
--- /dev/null
+++ b/internal/transport/relayer/runend.go
@@ -0,0 +1,103 @@
+package relayer
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
+)
+
+const (
+	// endRunTimeout limits the time to end an interrupted run, which its caller sees as a pause
+	// of the stream. Stopping a run includes the copy of its KV cache to another engine.
+	endRunTimeout = time.Second
+	// endRunPause is the wait before an engine is asked again that could not answer: the
+	// connections of a process that ends are closed a moment before its listener.
+	endRunPause = 20 * time.Millisecond
+)
+
+//go:generate stringer -type=RunEnd -trimprefix=RunEnd
+
+// RunEnd is the evidence that an interrupted run has ended. The names of the values are written
+// to metrics and logs.
+type RunEnd int
+
+const (
+	// RunEndUnknown means that there is none: the run may still be in progress.
+	RunEndUnknown RunEnd = iota
+	// RunEndReplaced means that another incarnation has taken the engine's place.
+	RunEndReplaced
+	// RunEndRefused means that no process listens at the engine's address.
+	RunEndRefused
+	// RunEndAbsent means that the engine has no such run.
+	RunEndAbsent
+	// RunEndStopped means that the engine has stopped the run.
+	RunEndStopped
+)
+
+// StopRun asks an engine to stop a run and to copy its KV cache to another engine.
+type StopRun struct {
+	// Address and Incarnation identify the engine, and Request the run.
+	Address     string
+	Incarnation string
+	Request     string
+	// Target is the address of the engine that receives the copy.
+	Target string
+}
+
+// StopReply is an engine's answer to StopRun.
+type StopReply struct {
+	End RunEnd
+	// Handle names the copy at the target; empty means that none was made.
+	Handle string
+	// Busy means that the engine can't stop the run yet.
+	Busy bool
+}
+
+// endRun makes sure that the run of the current attempt, whose connection has ended, has ended
+// too, and returns the evidence, and the handle of the copy of its KV cache at the backup if the
+// engine has made one.
+//
+// The end of a connection is no such evidence: it may have been reset on its way, and an engine
+// does not always drop the run of a connection that has ended.
+func (j *job) endRun() (end RunEnd, handle string) {
+	ctx, cancel := context.WithTimeout(j.ctx, endRunTimeout)
+	defer cancel()
+	began := j.relayer.settings.Now()
+	for {
+		reply, err := j.stopRun(ctx)
+		if reply.End != RunEndUnknown || err == nil && !reply.Busy || !pauser.Pause(ctx, endRunPause) {
+			j.relayer.metrics.runEnds.WithLabelValues(j.service.Name, reply.End.String()).Inc()
+			j.relayer.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Incarnation", j.choice.Incarnation).
+				Str("Backup", j.backup.Name).Stringer("End", reply.End).Dur("Took", j.relayer.settings.Now().Sub(began)).Msg("run interrupted")
+			return reply.End, reply.Handle
+		}
+	}
+}
+
+// stopRun asks the engine once to stop the run.
+func (j *job) stopRun(ctx context.Context) (StopReply, error) {
+	if m, ok := j.relayer.settings.View().Member(j.choice.Name); ok && m.Spec.Incarnation != j.choice.Incarnation {
+		return StopReply{End: RunEndReplaced}, nil
+	}
+	if !j.service.Engine.Moves {
+		listens, err := j.relayer.settings.Pool.IsListening(ctx, j.choice.Address)
+		if err == nil && !listens {
+			return StopReply{End: RunEndRefused}, nil
+		}
+		return StopReply{}, err
+	}
+	t := j.relayer.settings.Translator
+	request := t.StopRequest(StopRun{Address: j.choice.Address, Incarnation: j.choice.Incarnation, Request: j.call.ID, Target: j.backup.Address})
+	answer, err := j.relayer.settings.Pool.Query(ctx, j.choice.Address, request)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return StopReply{End: RunEndRefused}, nil
+	case err != nil:
+		return StopReply{}, err
+	}
+	return t.StopReply(answer), nil
+}
--- /dev/null
+++ b/internal/transport/relayer/runend_test.go
@@ -0,0 +1,196 @@
+package relayer_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+	"marigoldpoint.example/marigoldpoint/internal/transport/relayer"
+)
+
+const stopPath = "/stop"
+
+func (translator) StopRequest(s relayer.StopRun) *http.Request {
+	return &http.Request{
+		Method: http.MethodPost, Host: s.Address, URL: &url.URL{Opaque: stopPath}, ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Id": {s.Request}, "Expect-Life": {s.Incarnation}, "Target": {s.Target}},
+	}
+}
+
+func (translator) StopReply(a exchanger.Answer) relayer.StopReply {
+	end, handle, _ := strings.Cut(string(a.Body), " ")
+	switch end {
+	case "stopped":
+		return relayer.StopReply{End: relayer.RunEndStopped, Handle: handle}
+	case "absent":
+		return relayer.StopReply{End: relayer.RunEndAbsent}
+	case "replaced":
+		return relayer.StopReply{End: relayer.RunEndReplaced}
+	case "busy":
+		return relayer.StopReply{Busy: true}
+	}
+	return relayer.StopReply{}
+}
+
+// moving is an engine that can stop runs.
+var moving = &tracker.Engine{Slots: 8, MaxAdapters: 8, Models: []tracker.Model{{Name: "m"}}, Moves: true}
+
+// interruption is a stream that breaks after two events at one of two engines.
+type interruption struct {
+	entry   *entry
+	engines [2]*backend
+	// lose ends the connection of the stream.
+	lose func(b *backend, c net.Conn)
+	lost chan struct{}
+
+	mu sync.Mutex
+	// first is the index of the engine that began the stream, and from the names of the copies
+	// from which it was resumed. Both are guarded by mu.
+	first int
+	from  []string
+}
+
+// newInterruption returns an entry that keeps a copy of the KV cache of each stream.
+func newInterruption(service *tracker.Engine, lose func(b *backend, c net.Conn), stop ...func(c net.Conn, r *http.Request)) *interruption {
+	GinkgoHelper()
+	i := &interruption{lose: lose, lost: make(chan struct{})}
+	asked := 0
+	for n := range i.engines {
+		i.engines[n] = newBackend(func(c net.Conn, r *http.Request) { i.run(n, c, r) })
+		i.engines[n].stop = func(c net.Conn, r *http.Request) {
+			i.mu.Lock()
+			answer := stop[min(asked, len(stop)-1)]
+			asked++
+			i.mu.Unlock()
+			answer(c, r)
+		}
+	}
+	i.entry = newEntry(streamed, service, i.engines[:]...)
+	i.entry.reportAll(i.engines[:]...)
+	// Copies are kept only after a stream was lost.
+	before := i.entry.call(ctx, map[string]string{"Model": "m/a1", "Id": "before"})
+	Expect(before.StatusCode).To(Equal(http.StatusBadGateway))
+	return i
+}
+
+func (i *interruption) run(n int, c net.Conn, r *http.Request) {
+	switch from := r.Header.Get("From"); {
+	case r.Header.Get("Id") == "before":
+		_ = c.Close()
+	case from == "":
+		i.mu.Lock()
+		i.first = n
+		i.mu.Unlock()
+		events(c, r, 1, 2)
+		<-i.lost
+		i.lose(i.engines[n], c)
+	default:
+		i.mu.Lock()
+		i.from = append(i.from, from)
+		i.mu.Unlock()
+		events(c, r, 3, 3)
+		endStream(c)
+	}
+}
+
+// read reads the stream, and breaks its connection after the copy must have arrived.
+func (i *interruption) read() (string, error) {
+	GinkgoHelper()
+	answer := i.entry.call(ctx, map[string]string{"Model": "m/a1"})
+	begun := make([]byte, 2*len("id: 1\ndata: x\n\n"))
+	_, err := io.ReadFull(answer.Body, begun)
+	Expect(err).NotTo(HaveOccurred())
+	i.entry.clockOffset.Store(int64(time.Second))
+	close(i.lost)
+	rest, err := io.ReadAll(answer.Body)
+	return string(rest), err
+}
+
+// copies returns the names of the copy that the entry has requested and of one that the first engine
+// made when it was stopped.
+func (i *interruption) copies(handle string) (kept, made string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.engines[1-i.first].network.Addr().String() + "/1", i.engines[i.first].network.Addr().String() + "/" + handle
+}
+
+var _ = Describe("A stream whose connection to its engine is lost", func() {
+	loseAnswer := func(_ *backend, c net.Conn) { reset(c) }
+	crash := func(b *backend, c net.Conn) { b.shutDown(c) }
+	replies := func(body string) func(net.Conn, *http.Request) { return text("200", "", body) }
+	hangs := func(c net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, c) }
+
+	// Guards against a request that runs at two engines at the same time: the end of its
+	// connection was taken for the end of its run.
+	DescribeTable("is not resumed while its run may be in progress",
+		func(service *tracker.Engine, stop func(net.Conn, *http.Request)) {
+			i := newInterruption(service, loseAnswer, stop)
+			_, err := i.read()
+			Expect(err).To(HaveOccurred())
+			Expect(i.from).To(BeEmpty())
+		},
+		Entry("the engine can't stop runs", engine, nil),
+		Entry("the engine refuses to stop it", moving, replies("refused")),
+		Entry("the engine fails", moving, text("500", "", "failed")),
+		Entry("the answer is truncated", moving, func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nstopped 7")
+			_ = c.Close()
+		}),
+		Entry("the answer never ends", moving, func(c net.Conn, _ *http.Request) {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nstopped 7")
+			for err == nil {
+				_, err = io.WriteString(c, strings.Repeat("x", 4096))
+			}
+		}),
+		Entry("the engine does not answer", moving, hangs),
+	)
+
+	// Guards against a stream that may run only once and breaks although its run has ended.
+	DescribeTable("is resumed once its run has ended",
+		func(service *tracker.Engine, lose func(*backend, net.Conn), handle string, stops ...func(net.Conn, *http.Request)) {
+			i := newInterruption(service, lose, stops...)
+			rest, err := i.read()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+			kept, made := i.copies(handle)
+			if handle == "" {
+				made = kept
+			}
+			Expect(i.from).To(Equal([]string{made}))
+		},
+		Entry("the engine has crashed", moving, crash, ""),
+		Entry("an engine that can't stop runs has crashed", engine, crash, ""),
+		Entry("the engine stops it and copies its KV cache", moving, loseAnswer, "7", replies("stopped 7")),
+		Entry("the engine stops it and has no room for the copy", moving, loseAnswer, "", replies("stopped")),
+		Entry("the engine does not have it", moving, loseAnswer, "", replies("absent")),
+		Entry("another incarnation answers", moving, loseAnswer, "", replies("replaced")),
+		Entry("the engine is busy at first", moving, loseAnswer, "7", replies("busy"), replies("stopped 7")),
+		Entry("the connection is lost again at first", moving, loseAnswer, "7", hangUp, replies("stopped 7")),
+	)
+
+	It("is resumed if another incarnation is known", func() {
+		var i *interruption
+		i = newInterruption(moving, func(_ *backend, c net.Conn) {
+			i.mu.Lock()
+			first := i.first
+			i.mu.Unlock()
+			m := member(first, i.engines[first], storer.MemberStateServing)
+			m.Incarnation = "i-next"
+			i.entry.put(storer.KindMember, "b"+string(rune('0'+first)), m)
+			reset(c)
+		}, replies("refused"))
+		rest, err := i.read()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+	})
+})
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -57,7 +57,7 @@
 		}
 		if err != nil {
 			conn.Abort()
-			return j.streamBroke(err)
+			return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
 		}
 	}
 }
@@ -83,14 +83,3 @@
 	j.log(outcomeAnswered, response.StatusCode, "")
 	return verdictAnswered
 }
-
-// streamBroke handles a stream that broke. Once its first bytes were forwarded it can't
-// be replaced by another answer, unless it may be resumed.
-func (j *job) streamBroke(err error) verdict {
-	v := j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
-	if v == verdictUnknown && j.answer.begun() && !j.route.Resumable && !j.resume() {
-		j.log(outcomeBroken, j.answer.status, err.Error())
-		return verdictAnswered
-	}
-	return v
-}
