relayer, placer, platform: a KV cache is resumed only with the weights that made it

The engine for the copy of a KV cache was chosen by load, adapter and software, and a resumed request required no version of the weights.

Fix: MemberSpec.Weights; copies only at engines known to have the same version, used only if that engine is the same incarnation with the version by which the answer was begun. Without an adapter the resumed request names the version. An answer that states another version is not forwarded. Unknown equals nothing.

Why this works: within an incarnation the weights change only by an order for the model, which drops its KV caches; the answer's own statement covers what the membership does not know yet.

The new specs failed before: seven of seven of the relayer, with the checks of an interrupted run in place.

--- a/internal/coordination/placer/call.go
+++ b/internal/coordination/placer/call.go
@@ -45,6 +45,9 @@
 	// Software is the backend server's software version (storer.MemberSpec.SoftwareID).
 	Software string
 	Domain   string
+	// Weights is the version of the weights of the call's model at the backend server; 0 means
+	// unknown.
+	Weights uint64
 	// Away reports that the backend server is in another failure domain than the entry.
 	Away bool
 	// Expected is the expected time until the first byte; Backlog, Read and Load are
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -186,20 +186,23 @@
 	return nil
 }
 
-// Second selects another backend server that can take over a placed call if the first
-// one is lost, and reports whether there is one. The call is not counted there. Backend
-// servers that have the call's adapter are preferred, since they can resume it soonest.
+// Second selects another engine that can take over a placed call if the first one is lost,
+// and reports whether there is one. The call is not counted there. Only engines with the same
+// version of the model's weights can take it over. Those that have the call's adapter are
+// preferred, since they can resume it soonest.
 func (p *Placer) Second(now time.Time, c *Call, first, second *Choice) bool {
 	o := first.pool
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	best, _ := o.best(now, c, &p.settings, func(b *backend) bool {
-		return b != first.backend && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported() && !o.declines(now, b)
+		return b != first.backend && b.sharesWeights(first.backend, c.Model) && b.hasSoftware(c) && !slices.Contains(c.Avoid, b.member.Name) && !now.Before(b.suspectUntil) && b.reported() && !o.declines(now, b)
 	})
 	if best == nil {
 		return false
 	}
-	*second = Choice{Name: best.member.Name, Address: best.member.Spec.Address, Incarnation: best.member.Spec.Incarnation}
+	*second = Choice{
+		Name: best.member.Name, Address: best.member.Spec.Address, Incarnation: best.member.Spec.Incarnation, Weights: best.weights(c.Model),
+	}
 	return true
 }
 
@@ -239,7 +242,7 @@
 func (o *pool) record(now time.Time, c *Call, b *backend, choice *Choice, s *Settings) {
 	*choice = Choice{
 		Name: b.member.Name, Address: b.member.Spec.Address, Incarnation: b.member.Spec.Incarnation, Software: b.member.Spec.SoftwareID(),
-		Domain: b.member.Spec.FailureDomain, Away: b.member.Spec.FailureDomain != s.FailureDomain, Running: b.runningCalls(), Age: -1, backend: b, pool: o, startedAt: now,
+		Domain: b.member.Spec.FailureDomain, Weights: b.weights(c.Model), Away: b.member.Spec.FailureDomain != s.FailureDomain, Running: b.runningCalls(), Age: -1, backend: b, pool: o, startedAt: now,
 	}
 	if b.reported() {
 		choice.Age = now.Sub(b.reportedAt)
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -45,7 +45,7 @@
 	}
 	for i := range count {
 		d.members = append(d.members, tracker.Member{Name: fmt.Sprintf("e%02d", i), Spec: storer.MemberSpec{
-			Service: engines, Incarnation: fmt.Sprint("i-", i), Address: fmt.Sprint("10.0.0.", i, ":80"), BaseModel: model, Slots: 64,
+			Service: engines, Incarnation: fmt.Sprint("i-", i), Address: fmt.Sprint("10.0.0.", i, ":80"), BaseModel: model, Weights: 1, Slots: 64,
 			FailureDomain: []string{"a", "b", "c"}[i%3],
 		}})
 	}
--- a/internal/state/storer/resource.go
+++ b/internal/state/storer/resource.go
@@ -160,6 +160,9 @@
 	// Software is the version of the backend server's software, an opaque, unordered
 	// string; empty means unknown.
 	Software string `cbor:"16,keyasint,omitempty"`
+	// Weights is the version of the weights of BaseModel that the engine has loaded; 0 means
+	// unknown.
+	Weights uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // RoutingName is the resource name of the only routing configuration.
--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"time"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
@@ -78,6 +79,10 @@
 	if j.backup.Name == "" {
 		return ""
 	}
+	if !j.backupFits() {
+		j.relayer.metrics.misfits.WithLabelValues(j.service.Name).Inc()
+		return ""
+	}
 	arrived := j.relayer.settings.Now().Sub(j.firstEventAt) >= backupReadyDelay
 	end, handle := j.endRun()
 	switch {
@@ -90,3 +95,22 @@
 	}
 	return ""
 }
+
+// recordWeights records with which version of the model's weights the KV cache of a stream is
+// made that has begun, and reports whether the answer may be forwarded. The answer's own statement
+// is newer than what the entry knows of the engine.
+func (j *job) recordWeights(head Head) bool {
+	weights := cmp.Or(head.Weights, j.choice.Weights)
+	if j.resumeFrom != "" {
+		return weights == j.weights
+	}
+	j.weights = weights
+	return true
+}
+
+// backupFits reports whether the engine that keeps the copy is still the same incarnation and has
+// the weights with which the KV cache was made.
+func (j *job) backupFits() bool {
+	m, ok := j.relayer.settings.View().Member(j.backup.Name)
+	return ok && m.Spec.Incarnation == j.backup.Incarnation && m.Spec.Weights == j.weights && j.backup.Weights == j.weights
+}
--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -59,7 +59,8 @@
 	TimeLeft time.Duration
 	// Incarnation is the incarnation of the backend server that the call is meant for.
 	Incarnation string
-	// Version is the version of the adapter; 0 means none.
+	// Version is the version of the adapter or, without an adapter, that of the model's weights;
+	// 0 means any.
 	Version uint64
 	// Urgency ranges from 0, the most urgent, to 9; a negative value means none.
 	Urgency int
@@ -88,6 +89,9 @@
 	OtherIncarnation bool
 	// Signed means that the backend server ran the request and vouches for the answer.
 	Signed bool
+	// Weights is the version of the model's weights by which the answer was begun; 0 means
+	// unspecified.
+	Weights uint64
 	// Calls is the number of calls in progress at the backend server; a negative value
 	// means unspecified.
 	Calls int
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -79,6 +79,8 @@
 	head := relayer.Head{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != "", OtherIncarnation: h.Get("Not-Run") == "elsewhere", Signed: h.Get("Signed") != "", Calls: -1}
 	// A missing factor is 0.
 	head.Slowdown, _ = strconv.ParseFloat(h.Get("Slowdown"), 64)
+	// Missing weights are 0.
+	head.Weights, _ = strconv.ParseUint(h.Get("Weights"), 10, 64)
 	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		head.Limit = regulator.Notice{Kind: regulator.NoticeLimited, Rate: rate}
 	} else if head.Signed {
@@ -166,8 +168,11 @@
 const signed = "Signed: yes\r\n"
 
 // events starts a stream and writes the events from first to last.
-func events(c net.Conn, r *http.Request, first, last int) {
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n"+signed+"Transfer-Encoding: chunked\r\n\r\n")
+func events(c net.Conn, r *http.Request, first, last int) { eventsWith(c, r, "", first, last) }
+
+// eventsWith is like events, with further header fields.
+func eventsWith(c net.Conn, r *http.Request, header string, first, last int) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n"+signed+header+"Transfer-Encoding: chunked\r\n\r\n")
 	for i := first; i <= last; i++ {
 		e := "id: " + strconv.Itoa(i) + "\ndata: x\n\n"
 		_, _ = io.WriteString(c, strconv.FormatInt(int64(len(e)), 16)+"\r\n"+e+"\r\n")
@@ -391,7 +396,7 @@
 
 func member(i int, b *backend, state storer.MemberState) storer.MemberSpec {
 	return storer.MemberSpec{
-		Service: "s", Address: b.network.Addr().String(), Incarnation: "i-" + strconv.Itoa(i), State: state, Slots: 8, BaseModel: "m", Software: b.software,
+		Service: "s", Address: b.network.Addr().String(), Incarnation: "i-" + strconv.Itoa(i), State: state, Slots: 8, BaseModel: "m", Weights: 1, Software: b.software,
 	}
 }
 
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -21,6 +21,7 @@
 	attempts    *prometheus.CounterVec
 	losses      *prometheus.CounterVec
 	runEnds     *prometheus.CounterVec
+	misfits     *prometheus.CounterVec
 	quarantined *prometheus.CounterVec
 	// blocked counts the calls refused since a part of their prompt is blocked.
 	blocked    *prometheus.CounterVec
@@ -43,7 +44,7 @@
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(),
+		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(), misfits: newMisfits(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
@@ -98,7 +99,7 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.overloaded, m.runEnds, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
+		r.MustRegister(m.overloaded, m.runEnds, m.misfits, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
 	return m
@@ -110,6 +111,12 @@
 	}, []string{labelService, "end"})
 }
 
+func newMisfits() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_unusable_copies_total", Help: "Copies of KV caches that could not be used since their engine had restarted or had other weights, by service.",
+	}, []string{labelService})
+}
+
 func (m *metrics) observeCall(outcome string, status int, duration time.Duration) {
 	m.calls.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
 	m.duration.Observe(duration.Seconds())
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -240,7 +240,12 @@
 			j.release(placer.OutcomeNotRun)
 			return verdictNotRun
 		}
-		if a.Version = admitted.Version; j.call.Adapter == "" {
+		a.Version = admitted.Version
+		switch {
+		case j.call.Adapter != "":
+		case j.resumeFrom != "":
+			a.Version = j.weights
+		default:
 			a.Version = 0
 		}
 		a.Urgency = placer.Urgency(j.priority(), j.slack())
--- a/internal/transport/relayer/runend_test.go
+++ b/internal/transport/relayer/runend_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -52,19 +53,29 @@
 	// lose ends the connection of the stream.
 	lose func(b *backend, c net.Conn)
 	lost chan struct{}
+	// model is the model that the stream needs, with its adapter.
+	model string
+	// header holds further header fields of the answers of the first and the second engine.
+	header [2]string
 
 	mu sync.Mutex
 	// first is the index of the engine that began the stream, and from the names of the copies
 	// from which it was resumed. Both are guarded by mu.
 	first int
 	from  []string
+	// versions are the versions that the attempts required; guarded by mu.
+	versions []string
 }
 
-// newInterruption returns an entry that keeps a copy of the KV cache of each stream.
+// newInterruption returns an entry that keeps a copy of the KV cache of each stream. The engines
+// answer the requests to stop a run with stop, in order; the last one is used for all further ones.
 func newInterruption(service *tracker.Engine, lose func(b *backend, c net.Conn), stop ...func(c net.Conn, r *http.Request)) *interruption {
 	GinkgoHelper()
-	i := &interruption{lose: lose, lost: make(chan struct{})}
+	i := &interruption{lose: lose, lost: make(chan struct{}), model: "m/a1"}
 	asked := 0
+	if len(stop) == 0 {
+		stop = append(stop, text("500", "", "failed"))
+	}
 	for n := range i.engines {
 		i.engines[n] = newBackend(func(c net.Conn, r *http.Request) { i.run(n, c, r) })
 		i.engines[n].stop = func(c net.Conn, r *http.Request) {
@@ -84,6 +95,11 @@
 }
 
 func (i *interruption) run(n int, c net.Conn, r *http.Request) {
+	if r.Header.Get("Id") != "before" {
+		i.mu.Lock()
+		i.versions = append(i.versions, r.Header.Get("Version"))
+		i.mu.Unlock()
+	}
 	switch from := r.Header.Get("From"); {
 	case r.Header.Get("Id") == "before":
 		_ = c.Close()
@@ -91,22 +107,37 @@
 		i.mu.Lock()
 		i.first = n
 		i.mu.Unlock()
-		events(c, r, 1, 2)
+		eventsWith(c, r, i.header[0], 1, 2)
 		<-i.lost
 		i.lose(i.engines[n], c)
 	default:
 		i.mu.Lock()
 		i.from = append(i.from, from)
 		i.mu.Unlock()
-		events(c, r, 3, 3)
+		eventsWith(c, r, i.header[1], 3, 3)
 		endStream(c)
 	}
 }
 
+// setMember changes the announcement of an engine.
+func (i *interruption) setMember(n int, change func(*storer.MemberSpec)) {
+	GinkgoHelper()
+	m := member(n, i.engines[n], storer.MemberStateServing)
+	change(&m)
+	i.entry.put(storer.KindMember, "b"+strconv.Itoa(n), m)
+}
+
+// firstEngine returns the index of the engine that began the stream.
+func (i *interruption) firstEngine() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.first
+}
+
 // read reads the stream, and breaks its connection after the copy must have arrived.
 func (i *interruption) read() (string, error) {
 	GinkgoHelper()
-	answer := i.entry.call(ctx, map[string]string{"Model": "m/a1"})
+	answer := i.entry.call(ctx, map[string]string{"Model": i.model})
 	begun := make([]byte, 2*len("id: 1\ndata: x\n\n"))
 	_, err := io.ReadFull(answer.Body, begun)
 	Expect(err).NotTo(HaveOccurred())
@@ -181,12 +212,7 @@
 	It("is resumed if another incarnation is known", func() {
 		var i *interruption
 		i = newInterruption(moving, func(_ *backend, c net.Conn) {
-			i.mu.Lock()
-			first := i.first
-			i.mu.Unlock()
-			m := member(first, i.engines[first], storer.MemberStateServing)
-			m.Incarnation = "i-next"
-			i.entry.put(storer.KindMember, "b"+string(rune('0'+first)), m)
+			i.setMember(i.firstEngine(), func(m *storer.MemberSpec) { m.Incarnation = "i-next" })
 			reset(c)
 		}, replies("refused"))
 		rest, err := i.read()
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -69,6 +69,9 @@
 	// copy.
 	backup     placer.Choice
 	resumeFrom string
+	// weights is the version of the model's weights with which the stream's KV cache is made; 0
+	// means unknown.
+	weights uint64
 	// lastEvent is the id of the last complete event that was forwarded.
 	lastEvent string
 	choice    placer.Choice
@@ -319,13 +322,17 @@
 	}
 }
 
-// addSoftware adds the software version of the backend server chosen last to a log line. For a
+// addSoftware adds the versions of the software and of the model's weights of the backend server
+// chosen last to a log line, as far as they are known. For a
 // stream that the caller resumes, it adds the attempt that began the stream, the last event,
 // the required software version and the source of the origin.
 func (j *job) addSoftware(e *zerolog.Event) {
 	if j.choice.Software != "" {
 		e.Str("Software", j.choice.Software)
 	}
+	if j.choice.Weights > 0 {
+		e.Uint64("Weights", j.choice.Weights)
+	}
 	if j.route != nil && j.resumesStream() {
 		e.Str("Resumes", j.call.Resumes).Str("LastEvent", j.call.LastEvent).Str("RequiredSoftware", j.software).Str("OriginSource", string(j.originSource))
 	}
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -21,6 +21,10 @@
 func (j *job) stream(conn *exchanger.Conn, response *http.Response, head Head, current *attempt) verdict {
 	r := j.relayer
 	current.markStarted()
+	if !j.recordWeights(head) {
+		conn.Abort()
+		return j.unanswered(errors.Annotate(exchanger.ErrSent, "resumed with other weights"))
+	}
 	var events splitter.Events
 	body := exchanger.BodyOf(response)
 	splits := j.route.Resumable || j.backup.Name != ""
--- /dev/null
+++ b/internal/transport/relayer/weights_test.go
@@ -0,0 +1,58 @@
+package relayer_test
+
+import (
+	"net"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/storer"
+)
+
+var _ = Describe("A stream of an engine that has crashed", func() {
+	// Guards against a stream whose KV cache was made with one version of the model's weights and
+	// is used with another.
+	DescribeTable("is not resumed with other weights",
+		func(before, after func(i *interruption), first, second string) {
+			var i *interruption
+			i = newInterruption(moving, func(b *backend, c net.Conn) {
+				after(i)
+				b.shutDown(c)
+			})
+			i.header = [2]string{first, second}
+			before(i)
+			rest, err := i.read()
+			Expect(err).To(HaveOccurred())
+			Expect(rest).To(BeEmpty())
+			if second == "" {
+				Expect(i.from).To(BeEmpty())
+			}
+		},
+		Entry("other engines have another version", func(i *interruption) {
+			i.setMember(1, func(m *storer.MemberSpec) { m.Weights = 2 })
+		}, func(*interruption) {}, "", ""),
+		Entry("the versions are not known", func(i *interruption) {
+			for n := range i.engines {
+				i.setMember(n, func(m *storer.MemberSpec) { m.Weights = 0 })
+			}
+		}, func(*interruption) {}, "", ""),
+		Entry("the second engine has changed its weights", func(*interruption) {}, func(i *interruption) {
+			i.setMember(1-i.firstEngine(), func(m *storer.MemberSpec) { m.Weights = 2 })
+		}, "", ""),
+		Entry("the second engine has restarted", func(*interruption) {}, func(i *interruption) {
+			i.setMember(1-i.firstEngine(), func(m *storer.MemberSpec) { m.Incarnation = "i-next" })
+		}, "", ""),
+		Entry("the answer was begun with another version than announced", func(*interruption) {}, func(*interruption) {}, "Weights: 2\r\n", ""),
+		Entry("the answer is continued with another version than announced", func(*interruption) {}, func(*interruption) {}, "Weights: 1\r\n", "Weights: 2\r\n"),
+	)
+
+	It("is resumed with the same weights, and requires them without an adapter", func() {
+		i := newInterruption(moving, func(b *backend, c net.Conn) { b.shutDown(c) })
+		i.header = [2]string{"Weights: 1\r\n", "Weights: 1\r\n"}
+		i.model = "m"
+		rest, err := i.read()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+		Expect(i.versions).To(Equal([]string{"0", "1"}))
+	})
+})
