relayer: a request resumes only with the version of the adapter that made its KV cache

What callers would see: the second part of a stream made with a newer version of its adapter than its KV cache, as one whole answer.

Cause: the attempt that resumes is admitted like a new one, so that its companion makes the newest version ready and the request names that version.

Fix: the version of the first attempt is recorded. A copy is not used if a newer version is known, and an admission with another version is not sent.

The three entries of the new spec failed before.

--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -108,9 +108,23 @@
 	return true
 }
 
+// recordAdapter records with which version of the adapter the request was admitted, and reports
+// whether it may be sent: a request that resumes needs the version with which its KV cache was made.
+func (j *job) recordAdapter(version uint64) bool {
+	if j.resumeFrom != "" {
+		return version == j.adapterVersion
+	}
+	j.adapterVersion = version
+	return true
+}
+
 // backupFits reports whether the engine that keeps the copy is still the same incarnation and has
-// the weights with which the KV cache was made.
+// the weights with which the KV cache was made, and whether no newer version of the adapter is
+// known, which the engine would load instead.
 func (j *job) backupFits() bool {
+	if j.call.Adapter != "" && j.relayer.settings.View().Newest(j.call.Model+"/"+j.call.Adapter) > j.adapterVersion {
+		return false
+	}
 	m, ok := j.relayer.settings.View().Member(j.backup.Name)
 	return ok && m.Spec.Incarnation == j.backup.Incarnation && m.Spec.Weights == j.weights && j.backup.Weights == j.weights
 }
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -113,7 +113,7 @@
 
 func newMisfits() *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "marigoldpoint_relayer_unusable_copies_total", Help: "Copies of KV caches that could not be used since their engine had restarted or had other weights, by service.",
+		Name: "marigoldpoint_relayer_unusable_copies_total", Help: "Copies of KV caches that could not be used since their engine had restarted or had other weights, or the adapter a newer version, by service.",
 	}, []string{labelService})
 }
 
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -240,6 +240,10 @@
 			j.release(placer.OutcomeNotRun)
 			return verdictNotRun
 		}
+		if !j.recordAdapter(admitted.Version) {
+			j.release(placer.OutcomeNotRun)
+			return verdictNotRun
+		}
 		a.Version = admitted.Version
 		switch {
 		case j.call.Adapter != "":
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -70,8 +70,8 @@
 	backup     placer.Choice
 	resumeFrom string
 	// weights is the version of the model's weights with which the stream's KV cache is made; 0
-	// means unknown.
-	weights uint64
+	// means unknown. adapterVersion is that of the adapter; 0 means none.
+	weights, adapterVersion uint64
 	// lastEvent is the id of the last complete event that was forwarded.
 	lastEvent string
 	choice    placer.Choice
--- a/internal/transport/relayer/weights_test.go
+++ b/internal/transport/relayer/weights_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -46,6 +47,35 @@
 		Entry("the answer is continued with another version than announced", func(*interruption) {}, func(*interruption) {}, "Weights: 1\r\n", "Weights: 2\r\n"),
 	)
 
+	// Guards against a stream whose KV cache was made with one version of its adapter and is used
+	// with another.
+	DescribeTable("is not resumed with another version of its adapter",
+		func(name func(i *interruption), admitted uint64) {
+			var i *interruption
+			i = newInterruption(moving, func(b *backend, c net.Conn) {
+				name(i)
+				b.shutDown(c)
+			})
+			i.entry.mu.Lock()
+			i.entry.admit = func(m messenger.Admit) (messenger.Admitted, error) {
+				if m.Resumed {
+					return messenger.Admitted{Version: admitted}, nil
+				}
+				return messenger.Admitted{Version: 1}, nil
+			}
+			i.entry.mu.Unlock()
+			rest, err := i.read()
+			Expect(err).To(HaveOccurred())
+			Expect(rest).To(BeEmpty())
+			Expect(i.from).To(BeEmpty())
+		},
+		Entry("that the entry knows", func(i *interruption) {
+			i.entry.put(storer.KindNewest, "m/a1", storer.NewestSpec{Version: 2})
+		}, uint64(2)),
+		Entry("that only the companion knows", func(*interruption) {}, uint64(2)),
+		Entry("that only the first companion knew", func(*interruption) {}, uint64(0)),
+	)
+
 	It("is resumed with the same weights, and requires them without an adapter", func() {
 		i := newInterruption(moving, func(b *backend, c net.Conn) { b.shutDown(c) })
 		i.header = [2]string{"Weights: 1\r\n", "Weights: 1\r\n"}
