placer: engines fetch cached prompt parts only from engines with the same weights

What callers would see: an answer made from parts of the prompt that other weights had read.

Cause: sources were chosen by what they have cached for the model, adapter and adapter version; the version of the model's weights was not considered.

Fix: both engines must be known to have the same version, when the call is placed and again after its admission.

Four entries of the specs failed before. "drops a fetch whose source has gone" is now an entry of a table, unchanged.

--- a/internal/coordination/placer/prompt.go
+++ b/internal/coordination/placer/prompt.go
@@ -214,7 +214,7 @@
 	best := whole
 	for _, source := range sources {
 		beyond := float64(source.expected.Sure) - own
-		if source.backend == b || beyond <= 0 {
+		if source.backend == b || beyond <= 0 || !source.backend.sharesWeights(b, c.Model) {
 			continue
 		}
 		transfer := link.Transfer(int(math.Ceil(beyond)), source.backend.member.Spec.FailureDomain != b.member.Spec.FailureDomain)
@@ -278,8 +278,8 @@
 }
 
 // FetchFrom returns the address from which the chosen engine is to fetch parts of the prompt,
-// empty if from none. The engine there may have ended, begun to leave or fallen silent while
-// the call waited for admission.
+// empty if from none. The engine there may have ended, begun to leave, fallen silent or loaded
+// other weights while the call waited for admission.
 func (p *Placer) FetchFrom(now time.Time, choice *Choice) string {
 	if choice.Prompt.FetchFrom == "" {
 		return ""
@@ -288,7 +288,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	b := o.find(choice.Prompt.source)
-	if b == nil || b.member.Spec.Incarnation != choice.Prompt.sourceIncarnation || !o.canServeFetch(now, b) {
+	if b == nil || b.member.Spec.Incarnation != choice.Prompt.sourceIncarnation || !o.canServeFetch(now, b) ||
+		b.member.Spec.Weights != choice.Weights || choice.backend.member.Spec.Weights != choice.Weights {
 		return ""
 	}
 	return choice.Prompt.FetchFrom
--- a/internal/coordination/placer/prompt_test.go
+++ b/internal/coordination/placer/prompt_test.go
@@ -177,6 +177,14 @@
 		}),
 		Entry("that rests", func(d *deployment) { d.placer.RecordRest(start, d.named("e00"), time.Second) }),
 		Entry("that leaves", func(d *deployment) { d.placer.RecordLeaving(start, d.named("e00")) }),
+		Entry("with another version of the weights", func(d *deployment) {
+			d.members[0].Spec.Weights = 2
+			d.publish()
+		}),
+		Entry("whose weights are not known", func(d *deployment) {
+			d.members[0].Spec.Weights, d.members[1].Spec.Weights = 0, 0
+			d.publish()
+		}),
 		Entry("that is about to evict the beginning", func(d *deployment) { d.reportCache(start, 0, 1000) }),
 		Entry("whose report is old", func(d *deployment) {
 			d.report(start.Add(-cacher.MaxSourceAge), 0, placer.EngineState{Adapters: held("a1"), BacklogMillis: 1400})
@@ -192,17 +200,22 @@
 		}),
 	)
 
-	// Guards against a fetch from an engine that has ended while the call waited for its adapter.
-	It("drops a fetch whose source has gone", func() {
+	// Guards against a fetch from an engine that has ended, or of parts made with other weights, after
+	// the call waited for its adapter.
+	DescribeTable("drops a fetch whose source", func(change func(d *deployment)) {
 		d := newWeighed(2, weighed)
 		d.report(start, 0, placer.EngineState{Adapters: held("a1"), BacklogMillis: 900})
 		d.reportCache(start, 0, ampleMargin)
 		choice := d.choose(start, prefixCall())
 		Expect(choice.Prompt.FetchFrom).NotTo(BeEmpty())
-		d.members = d.members[1:]
+		change(d)
 		d.publish()
 		Expect(d.placer.FetchFrom(start, &choice)).To(BeEmpty())
-	})
+	},
+		Entry("has gone", func(d *deployment) { d.members = d.members[1:] }),
+		Entry("has loaded other weights", func(d *deployment) { d.members[0].Spec.Weights = 2 }),
+		Entry("keeps its weights while the chosen engine changes them", func(d *deployment) { d.members[1].Spec.Weights = 2 }),
+	)
 })
 
 // named returns a choice of the named engine.
