relayer, platform: an answer belongs to the request whose id it bears

Cause: an answer without an id was accepted for any pending request. A faulty server sent such bytes late after a complete answer, and the entry took "not executed", or a plain 200, for the answer that was due.

Fix: an answer without the id of the request is skipped like that of another request, with all that its head says, and counted. Weighed against giving up the connection with the outcome unknown: the due answer follows, so that reading on serves the caller at once.

--- a/internal/transport/relayer/call.go
+++ b/internal/transport/relayer/call.go
@@ -80,7 +80,8 @@
 
 // Head holds the metadata from an answer's header.
 type Head struct {
-	// Request is the id of the request that is answered; empty means unspecified.
+	// Request is the id of the request that is answered; empty means that the answer belongs to
+	// no request.
 	Request string
 	// NotRun means that the backend server did not run the request.
 	NotRun bool
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -13,16 +13,18 @@
 
 // metrics are the Prometheus metrics of a relayer.
 type metrics struct {
-	calls       *prometheus.CounterVec
-	duration    prometheus.Histogram
-	firstEvent  prometheus.Histogram
-	longestGap  prometheus.Histogram
-	failures    *prometheus.CounterVec
-	attempts    *prometheus.CounterVec
-	losses      *prometheus.CounterVec
-	runEnds     *prometheus.CounterVec
-	misfits     *prometheus.CounterVec
-	quarantined *prometheus.CounterVec
+	calls      *prometheus.CounterVec
+	duration   prometheus.Histogram
+	firstEvent prometheus.Histogram
+	longestGap prometheus.Histogram
+	failures   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	losses     *prometheus.CounterVec
+	runEnds    *prometheus.CounterVec
+	misfits    *prometheus.CounterVec
+	// unidentified counts the answers of backend servers without the id of a request.
+	unidentified *prometheus.CounterVec
+	quarantined  *prometheus.CounterVec
 	// blocked counts the calls refused since a part of their prompt is blocked.
 	blocked    *prometheus.CounterVec
 	unattended prometheus.Counter
@@ -44,7 +46,7 @@
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(), misfits: newMisfits(),
+		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(), misfits: newMisfits(), unidentified: newUnidentified(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
@@ -99,7 +101,7 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.overloaded, m.runEnds, m.misfits, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
+		r.MustRegister(m.overloaded, m.runEnds, m.misfits, m.unidentified, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
 	return m
@@ -117,6 +119,12 @@
 	}, []string{labelService})
 }
 
+func newUnidentified() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_unidentified_answers_total", Help: "Answers of backend servers that do not name the request they answer and are ignored, by service.",
+	}, []string{labelService})
+}
+
 func (m *metrics) observeCall(outcome string, status int, duration time.Duration) {
 	m.calls.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
 	m.duration.Observe(duration.Seconds())
--- a/internal/transport/relayer/once_test.go
+++ b/internal/transport/relayer/once_test.go
@@ -44,6 +44,7 @@
 var behaviours = []string{
 	"refuses", "is another", "answers", "answers", "resets", "closes", "truncates", "garbage", "answers twice",
 	"adds bytes", "fails", "fails signed", "interim", "late refusal of another", "hangs",
+	"late refusal without an id", "late success without an id", "only a refusal without an id",
 }
 
 // take returns the behaviour of the backend server that gets the call, and counts its run.
@@ -106,6 +107,12 @@
 		text = "HTTP/1.1 100 Continue\r\n\r\n" + whole
 	case "late refusal of another":
 		text = answer("503", "Not-Run: 1\r\n", "another", "") + whole
+	case "late refusal without an id":
+		text = answer("400", "Not-Run: 1\r\n", "", "") + whole
+	case "late success without an id":
+		text = answer("200", "", "", "surplus") + whole
+	case "only a refusal without an id":
+		ends, text = true, answer("503", "Not-Run: 1\r\n", "", "")
 	case "hangs":
 		_, _ = io.Copy(io.Discard, c)
 		return
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/cacher"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
@@ -50,6 +51,32 @@
 }
 
 var _ = Describe("A call", func() {
+	// Guards against a call that runs twice, or is answered as not run although it runs, or with a
+	// success that its backend server did not sign: additional bytes on its connection, which belong
+	// to no request, were taken for its answer.
+	DescribeTable("is not answered by bytes that name no request",
+		func(route tracker.Route, additional string) {
+			script := func(c net.Conn, r *http.Request) {
+				_, _ = io.WriteString(c, additional)
+				answersWell(c, r)
+			}
+			a, b := newBackend(script), newBackend(script)
+			e := newEntry(route, nil, a, b)
+			answer := e.call(ctx, nil)
+			Expect(answer.StatusCode).To(Equal(http.StatusOK))
+			Expect(answer.Header.Get("Signed")).To(Equal("yes"))
+			Expect(read(answer)).To(Equal("answer"))
+			Expect(runs(a, b)).To(Equal(1))
+			Expect(e.log).To(gbytes.Say("answer without an id"))
+		},
+		Entry("a refusal, one attempt", tracker.Route{MaxAttempts: 1}, "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("a refusal, two attempts", tracker.Route{MaxAttempts: 2}, "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("that of another incarnation", tracker.Route{MaxAttempts: 2}, "HTTP/1.1 421 x\r\nNot-Run: elsewhere\r\nContent-Length: 0\r\n\r\n"),
+		Entry("a success", tracker.Route{MaxAttempts: 1}, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nOK\n"),
+		Entry("a failure", tracker.Route{MaxAttempts: 2}, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"),
+		Entry("a success in chunks", tracker.Route{MaxAttempts: 1}, "HTTP/1.1 200 OK\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"),
+	)
+
 	It("reaches its backend server unchanged, as does the answer its caller", func() {
 		got := make(chan *http.Request, 1)
 		b := newBackend(func(c net.Conn, r *http.Request) {
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -77,10 +77,7 @@
 	}
 	conn, response, err := j.relayer.settings.Pool.Exchange(ctx, j.choice.Address,
 		func() *http.Request { return j.outgoing(a) },
-		func(h http.Header) bool {
-			id := t.Head(0, h).Request
-			return id == "" || id == j.call.ID
-		})
+		func(h http.Header) bool { return j.accepts(t.Head(0, h).Request) })
 	if errors.Is(err, exchanger.ErrNotSent) {
 		j.sent--
 		j.reached--
@@ -88,6 +85,18 @@
 	return conn, response, err
 }
 
+// accepts reports whether an answer with the given id of a request is the answer to this attempt.
+// Backend servers echo the id, so that one without an id belongs to no request: it says nothing of
+// whether this one ran. The answer that is due may still follow it.
+func (j *job) accepts(id string) bool {
+	if id == "" {
+		j.relayer.metrics.unidentified.WithLabelValues(j.service.Name).Inc()
+		j.relayer.settings.Log.Info().Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Incarnation", j.choice.Incarnation).
+			Msg("answer without an id")
+	}
+	return id == j.call.ID
+}
+
 // countFraming counts the answer to an attempt by its framing and by whether it ended inside
 // an event.
 func (j *job) countFraming() {
