exchanger, relayer, allotter: what is read of a backend server's answer is bounded

What callers would see: an entry that ends by its memory, and calls that wait until their deadline for an answer that can't come.

Cause: http.ReadResponse sets no limit to a head; the bodies of failures, refusals and of other requests' answers were read without one, and an event of a stream was buffered until it was complete.

Fix: a head has 64 KiB at most, a skipped body 1 MiB, a refusal's 64 KiB, an event 256 KiB, and answers that are long or state no length are always limited.

--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -83,6 +83,14 @@
 	return total <= a.settings.Total
 }
 
+// Take adds what another holding of the same allotter holds, which then holds nothing.
+func (h *Holding) Take(other *Holding) {
+	for k := range kinds {
+		h.held[k] += other.held[k]
+		other.held[k] = 0
+	}
+}
+
 // Release ends the holding.
 func (h *Holding) Release() {
 	for k := range kinds {
--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -31,14 +31,24 @@
 	// maxMismatchedAnswers is the maximum number of answers to other requests that one
 	// exchange skips.
 	maxMismatchedAnswers = 2
+	// maxHeadBytes bounds the head of an answer, and maxSkippedBytes the body of one that is
+	// skipped: a faulty server may send bytes without end.
+	maxHeadBytes    = 64 << 10
+	maxSkippedBytes = 1 << 20
 )
 
+// errTooLong means that an answer exceeds maxHeadBytes or maxSkippedBytes.
+const errTooLong = errors.ConstError("the answer is too long")
+
 // Conn is a connection to one backend server. Except for Abort, it must be used by one
 // goroutine at a time.
 type Conn struct {
 	pool    *Pool
 	network net.Conn
 	reader  *bufio.Reader
+	// limited means that at most left further bytes may be read.
+	limited bool
+	left    int
 	// requests is the number of requests sent.
 	requests int
 	// idleSince is the time at which the last answer ended, and idleLimit the time
@@ -62,6 +72,19 @@
 	return n, err
 }
 
+// Read reads from the network. It returns errTooLong once the limit is reached.
+func (c *Conn) Read(p []byte) (int, error) {
+	if !c.limited {
+		return c.network.Read(p)
+	}
+	if c.left <= 0 {
+		return 0, errors.Trace(errTooLong)
+	}
+	n, err := c.network.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.requests > 0 }
 
@@ -144,7 +167,10 @@
 	}
 	// A backend server may answer and close the connection before it has read the
 	// complete request, so the answer is read even if sending has failed.
+	c.limited = true
+	defer func() { c.limited = false }()
 	for range maxMismatchedAnswers + 1 {
+		c.left = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			c.Abort()
@@ -161,6 +187,7 @@
 		if accept(response.Header) {
 			return response, nil
 		}
+		c.left = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			break
 		}
--- a/internal/protocol/exchanger/pool.go
+++ b/internal/protocol/exchanger/pool.go
@@ -161,7 +161,8 @@
 		_ = buffered.SetReadBuffer(p.settings.SocketBuffer)
 		_ = buffered.SetWriteBuffer(p.settings.SocketBuffer)
 	}
-	c := &Conn{pool: p, network: network, reader: bufio.NewReaderSize(network, bufferBytes)}
+	c := &Conn{pool: p, network: network}
+	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open[address]++
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -135,9 +135,15 @@
 }
 
 // readAnswer reads an answer as far as it may be buffered. It returns errNoRoom, and what was read,
-// if more may follow.
+// if more may follow. An answer that is long, or does not state its length, is limited in any case,
+// since it may have no end.
 func (j *job) readAnswer(response *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(holdingReader{Reader: response.Body, holding: j.holding, kind: allotter.KindAnswer})
+	holding := j.holding
+	if n := response.ContentLength; !j.bounded && (n < 0 || n > allotter.DefaultAnswer) {
+		holding = j.relayer.buffers.NewHolding(true)
+		defer j.holding.Take(holding)
+	}
+	body, err := io.ReadAll(holdingReader{Reader: response.Body, holding: holding, kind: allotter.KindAnswer})
 	if errors.Is(err, errNoRoom) {
 		j.relayer.buffers.full.WithLabelValues(allotter.KindAnswer.String()).Inc()
 	}
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -213,6 +213,8 @@
 	// resetCountdown is decremented by each write to a backend server; the connection
 	// of the write that brings it to 0 is reset before any byte is sent.
 	resetCountdown atomic.Int64
+	// readFromBackends counts the bytes read from backend servers.
+	readFromBackends atomic.Int64
 	// sent records the bytes sent to companions.
 	sent *gbytes.Buffer
 	// log records the relayer's log.
@@ -491,6 +493,12 @@
 	return s.TCPConn.Write(p)
 }
 
+func (s resettable) Read(p []byte) (int, error) {
+	n, err := s.TCPConn.Read(p)
+	s.entry.readFromBackends.Add(int64(n))
+	return n, err
+}
+
 // recorded is a connection that records the bytes written.
 type recorded struct {
 	net.Conn
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -173,9 +173,14 @@
 	e.Msg(what)
 }
 
-// discard reads an answer that is not needed, so that the connection can be reused.
+// maxDiscardedBytes is the length up to which an answer that is not needed is read. Opening another
+// connection costs less than reading a longer one.
+const maxDiscardedBytes = 64 << 10
+
+// discard reads an answer that is not needed, so that the connection can be reused, or closes the
+// connection if the answer is too long.
 func (j *job) discard(conn *exchanger.Conn, response *http.Response, head Head) {
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	if _, err := io.CopyN(io.Discard, response.Body, maxDiscardedBytes+1); !errors.Is(err, io.EOF) {
 		conn.Abort()
 		return
 	}
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -13,13 +13,20 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/splitter"
 )
 
-// streamBuffer is the size of one read of a stream, in bytes. Events are far smaller.
-const streamBuffer = 4 << 10
+const (
+	// streamBuffer is the size of one read of a stream, in bytes. Events are far smaller.
+	streamBuffer = 4 << 10
+	// maxEventBytes bounds an event of a stream whose events are buffered until they are
+	// complete: a faulty engine may send bytes without end.
+	maxEventBytes = 256 << 10
+)
+
+// errEventTooLong means that an event exceeds maxEventBytes.
+const errEventTooLong = errors.ConstError("an event is too long")
 
 // stream forwards a stream as it arrives. Of a stream that may be resumed only complete
 // events are forwarded, so that another backend server can continue after the last one.
 func (j *job) stream(conn *exchanger.Conn, response *http.Response, head Head, current *attempt) verdict {
-	r := j.relayer
 	current.markStarted()
 	if !j.recordWeights(head) {
 		conn.Abort()
@@ -35,25 +42,17 @@
 	for {
 		n, err := body.Read(buffer)
 		j.recordProgress()
-		if n > 0 {
-			piece := buffer[:n]
-			if splits {
-				piece = events.Push(piece)
-				j.lastEvent = cmp.Or(events.ID(), j.lastEvent)
+		piece := buffer[:n]
+		if splits && n > 0 {
+			piece = events.Push(piece)
+			j.lastEvent = cmp.Or(events.ID(), j.lastEvent)
+			if events.Unfinished() > maxEventBytes {
+				err = errors.Trace(errEventTooLong)
 			}
-			if len(piece) > 0 {
-				if !j.answer.begun() {
-					j.software = j.choice.Software
-					j.recordOrigin()
-					j.answer.begin(response.StatusCode, r.settings.Translator.AnswerHeader(response.Header))
-					j.firstEventAt = r.settings.Now()
-					r.metrics.firstEvent.Observe(j.firstEventAt.Sub(j.arrived).Seconds())
-				}
-				j.recordEvent(r.settings.Now())
-				r.settings.Placer.RecordFirstByte(r.settings.Now(), &j.choice)
-				if err := j.answer.write(piece); err != nil {
-					return j.unsent(conn, err)
-				}
+		}
+		if len(piece) > 0 {
+			if err := j.forwardPiece(response, piece); err != nil {
+				return j.unsent(conn, err)
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -66,6 +65,21 @@
 	}
 }
 
+// forwardPiece forwards a piece of a stream, after the header if it is the first one.
+func (j *job) forwardPiece(response *http.Response, piece []byte) error {
+	s := &j.relayer.settings
+	if !j.answer.begun() {
+		j.software = j.choice.Software
+		j.recordOrigin()
+		j.answer.begin(response.StatusCode, s.Translator.AnswerHeader(response.Header))
+		j.firstEventAt = s.Now()
+		j.relayer.metrics.firstEvent.Observe(j.firstEventAt.Sub(j.arrived).Seconds())
+	}
+	j.recordEvent(s.Now())
+	s.Placer.RecordFirstByte(s.Now(), &j.choice)
+	return j.answer.write(piece)
+}
+
 // recordEvent records that a part of the stream is forwarded.
 func (j *job) recordEvent(now time.Time) {
 	if !j.lastEventAt.IsZero() {
