replicator, controller, platform: a founder that restarts takes part again

Cause: the platform sets bootstrap only at the first start. The restarted host waited to be added, and the others waited for it to form the group.

Fix: a founder records that on its disk, and takes part again after a restart. A host without such a record takes part only if a majority of the bootstrap list do by themselves and belong to no group. A change is acknowledged only by a majority that has recorded its group, so that such a majority excludes an earlier group with anything in it; new hosts at all seeds, or wiped disks of a majority, form none.

--- a/internal/coordination/replicator/admitter.go
+++ b/internal/coordination/replicator/admitter.go
@@ -51,10 +51,16 @@
 	return errors.Trace(r.store.SaveIdentity(r.identity))
 }
 
+// isFounder reports whether this host takes part in forming the group by itself: it starts with the
+// whole group, or has done so on this disk with the same bootstrap list.
+func (r *replica) isFounder() bool {
+	return !r.settings.Rejoin || r.identity.Founding != 0 && r.identity.Founding == digestMembers(r.settings.Bootstrap)
+}
+
 // answerFoundRequest replies whether this host is new and has the same bootstrap list.
 func (r *replica) answerFoundRequest(m Message) {
 	fresh := r.identity.Formation == 0 && digestMembers(r.settings.Bootstrap) == m.Digest
-	r.emit([]Message{{Kind: FoundReply, To: m.From, Digest: m.Digest, Rejected: !fresh}})
+	r.emit([]Message{{Kind: FoundReply, To: m.From, Digest: m.Digest, Rejected: !fresh, Founder: r.isFounder()}})
 }
 
 // handleFoundReply counts a reply to a FoundRequest, and forms the group once all hosts of the
--- a/internal/coordination/replicator/founder.go
+++ b/internal/coordination/replicator/founder.go
@@ -18,10 +18,13 @@
 	incarnations  map[HostID]uint64
 	refusedBy     HostID
 	nextRequestAt time.Duration
+	// founders holds the hosts that take part by themselves. See Settings.Rejoin.
+	founders map[HostID]struct{}
 }
 
-// newBootstrapper returns nil if this host does not form a group.
-func newBootstrapper(s Settings, incarnation uint64) *bootstrapper {
+// newBootstrapper returns nil if this host does not form a group. The parameter founder reports
+// whether it takes part by itself.
+func newBootstrapper(s Settings, incarnation uint64, founder bool) *bootstrapper {
 	for _, m := range s.Bootstrap {
 		if m.ID < s.Self.ID {
 			return nil
@@ -30,10 +33,14 @@
 	if len(s.Bootstrap) == 0 {
 		return nil
 	}
-	return &bootstrapper{
+	b := &bootstrapper{
 		self: s.Self.ID, members: s.Bootstrap, digest: digestMembers(s.Bootstrap),
-		incarnations: map[HostID]uint64{s.Self.ID: incarnation},
+		incarnations: map[HostID]uint64{s.Self.ID: incarnation}, founders: make(map[HostID]struct{}),
 	}
+	if founder {
+		b.founders[s.Self.ID] = struct{}{}
+	}
+	return b
 }
 
 // digestMembers returns a hash of a bootstrap list that does not depend on its order.
@@ -74,12 +81,16 @@
 		return
 	}
 	b.incarnations[m.From] = m.FromIncarnation
+	if m.Founder {
+		b.founders[m.From] = struct{}{}
+	}
 }
 
-// initialConfiguration returns the first configuration, and false until all hosts have agreed.
+// initialConfiguration returns the first configuration, and false until all hosts have agreed, and a
+// majority of them take part by themselves.
 func (b *bootstrapper) initialConfiguration() (Configuration, bool) {
 	var c Configuration
-	if b.refusedBy != 0 {
+	if b.refusedBy != 0 || len(b.founders) <= len(b.members)/2 {
 		return c, false
 	}
 	for _, m := range b.members {
--- a/internal/coordination/replicator/message.go
+++ b/internal/coordination/replicator/message.go
@@ -77,6 +77,9 @@
 	QuorumAge time.Duration `json:",omitempty"`
 	// Digest is the hash of the bootstrap list.
 	Digest uint64 `json:",omitempty"`
+	// Founder is set in a FoundReply if the sender takes part in forming the group by itself. See
+	// Settings.Rejoin.
+	Founder bool `json:",omitempty"`
 	// Snapshot is the piece in a SnapshotRequest. In a SnapshotReply its Offset is the next one
 	// requested.
 	Snapshot *snapshotter.Piece `json:",omitempty"`
--- a/internal/coordination/replicator/replica.go
+++ b/internal/coordination/replicator/replica.go
@@ -95,7 +95,7 @@
 			return errors.Trace(err)
 		}
 		hard, entries = snapshotter.HardState{}, nil
-		r.bootstrapper = newBootstrapper(r.settings, r.identity.Incarnation)
+		r.bootstrapper = newBootstrapper(r.settings, r.identity.Incarnation, r.isFounder())
 	}
 	if entries, err = r.reconcileJournal(entries, snapshot); err != nil {
 		return err
@@ -131,6 +131,9 @@
 	r.identity = snapshotter.Identity{
 		Group: r.settings.Group, Host: uint64(r.settings.Self.ID), Incarnation: r.settings.Random.Uint64() | 1,
 	}
+	if !r.settings.Rejoin && len(r.settings.Bootstrap) > 0 {
+		r.identity.Founding = digestMembers(r.settings.Bootstrap)
+	}
 	return errors.Trace(r.store.SaveIdentity(r.identity))
 }
 
--- a/internal/coordination/replicator/settings.go
+++ b/internal/coordination/replicator/settings.go
@@ -68,6 +68,11 @@
 	// once all others have confirmed that they are new. After that, as long as one host keeps its
 	// disk, no second group can be formed.
 	Bootstrap []Member
+	// Rejoin means that the host may have restarted while the group was being formed. It then takes
+	// part with Bootstrap as before if its disk shows that it did; otherwise it does only if a
+	// majority of Bootstrap confirm that they do and belong to no group yet. A majority without a
+	// group has acknowledged nothing.
+	Rejoin bool
 	// Join makes the host wait until it is added to a group.
 	Join bool
 
@@ -173,6 +178,8 @@
 		return errors.Errorf("lease drift %s is not below the election timeout %s", s.LeaseDrift, s.ElectionTimeout)
 	case s.Join && len(s.Bootstrap) > 0:
 		return errors.New("a host can't both bootstrap and join")
+	case s.Rejoin && len(s.Bootstrap) == 0:
+		return errors.New("a host can't rejoin without a bootstrap list")
 	case len(s.Bootstrap) > 0 && !containsMember(s.Bootstrap, s.Self.ID):
 		return errors.Errorf("host %d is not in its bootstrap list", s.Self.ID)
 	}
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -48,6 +48,8 @@
 	disk    *disker.Disk
 	replica *replica
 	applier *applier
+	// rejoin is Settings.Rejoin.
+	rejoin bool
 	// offset is the sum of the jumps of the host's clock.
 	offset time.Duration
 	// startedAt is the time on the host's clock at its start.
@@ -111,7 +113,7 @@
 		Now: func() time.Time { return time.Time{} },
 	}.withDefaults()
 	if int(h.id) <= len(s.voters) {
-		settings.Bootstrap = s.voters
+		settings.Bootstrap, settings.Rejoin = s.voters, h.rejoin
 	}
 	r, err := openReplica(settings)
 	if err != nil {
--- a/internal/state/snapshotter/identity.go
+++ b/internal/state/snapshotter/identity.go
@@ -23,6 +23,8 @@
 	// Formation is the random number drawn when the group was formed, or 0 while
 	// the host belongs to no group. Once set it never changes.
 	Formation uint64
+	// Founding is the hash of the bootstrap list with which the host first started; 0 means none.
+	Founding uint64 `json:",omitempty"`
 	// Host is the number of the host from the settings.
 	Host uint64
 	// Incarnation is the random number drawn when the identity was written. It is
--- a/internal/transport/controller/settings.go
+++ b/internal/transport/controller/settings.go
@@ -70,6 +70,9 @@
 	// Hosts are the configured control hosts, used to reach hosts that are not members
 	// yet.
 	Hosts []configurer.ControlHost
+	// Rejoin means that this host may have restarted while Hosts formed the group. See
+	// replicator.Settings.
+	Rejoin bool
 	// Control holds the settings of the role. Zero fields mean their defaults.
 	Control configurer.ControlSettings
 	// DataFolder is the folder of all durable state.
@@ -140,7 +143,9 @@
 		Now:               s.Now,
 		Log:               s.Log,
 	}
-	if s.Control.Join || !s.Control.Bootstrap && s.hasLowestID() {
+	if s.Rejoin {
+		rs.Join, rs.Rejoin = false, true
+	} else if s.Control.Join || !s.Control.Bootstrap && s.hasLowestID() {
 		// The host with the lowest ID forms the group. Without Bootstrap it waits, so
 		// that hosts that have all lost their disks do not form a new group on their own.
 		return rs
