relayer: an answer without a length is broken if its backend server crashed with it

Cause: the operating system closes the connections of a crashed process like those of a complete answer.

Fix: at such an end the entry checks whether a process still listens at the address. If none does, or another incarnation is known, and the server had not announced that it leaves, the answer is broken; a stream with a copy resumes.

Why this works: the listener of a process ends with its connections. What is left is an end that the server makes while it goes on, and a process that crashes right after a complete answer, which callers see as broken.

--- a/internal/coordination/replicator/founding_test.go
+++ b/internal/coordination/replicator/founding_test.go
@@ -127,7 +127,7 @@
 			}
 			s.run(60, false)
 			Expect(s.leader() != nil).To(Equal(forms))
-			Expect(len(s.formations()) > 0).To(Equal(forms))
+			Expect(s.formations()).To(HaveLen(map[bool]int{true: 1}[forms]))
 		},
 		ginkgo.Entry("all", [3]bool{true, true, true}, false),
 		ginkgo.Entry("the first and the second", [3]bool{true, true, false}, false),
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -169,7 +169,9 @@
 			if err := j.answer.write(part); err != nil {
 				return j.unsent(conn, err)
 			}
-			break
+			if err = j.checkCrash(response); err == nil {
+				break
+			}
 		}
 		if err != nil {
 			conn.Abort()
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -220,6 +220,9 @@
 	if errors.Is(err, errNoRoom) && !j.answer.begun() {
 		return j.forward(conn, response, head, body)
 	}
+	if err == nil {
+		err = j.checkCrash(response)
+	}
 	if err != nil {
 		conn.Abort()
 		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -56,7 +56,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return j.finishStream(conn, response, head)
+			if err = j.checkCrash(response); err == nil {
+				return j.finishStream(conn, response, head)
+			}
 		}
 		if err != nil {
 			conn.Abort()
