relayer: a path that begins with two slashes is sent on unchanged

What callers saw: a path such as //a/b, on a route with the prefix "/", reached its backend server as ://a/b.

Cause: net/url writes an opaque part that begins with two slashes with a scheme.

Fix: such a target is written as a path; one that can't be written unchanged is refused with 400. All other targets are written as before.

--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -94,6 +95,46 @@
 		Expect(r.Header.Get("Expect-Life")).To(Equal("i-0"))
 	})
 
+	// Guards against a path that is changed on its way to the backend server.
+	DescribeTable("keeps its path and query, or is refused",
+		func(path string, status int) {
+			paths := make(chan string, 1)
+			b := newBackend(func(c net.Conn, r *http.Request) {
+				paths <- r.RequestURI
+				answersWell(c, r)
+			})
+			e := newEntry(runOnce, nil, b)
+			e.mu.Lock()
+			e.prefix = "/"
+			e.mu.Unlock()
+			e.reconfigure(nil)
+			// A client of net/http would escape the path.
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.server.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, err = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\nId: 1\r\nDeadline: 20000\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			defer answer.Body.Close()
+			Expect(answer.StatusCode).To(Equal(status))
+			if status == http.StatusOK {
+				Expect(<-paths).To(Equal(path))
+			} else {
+				Expect(runs(b)).To(BeZero())
+			}
+		},
+		Entry("one slash", "/a/b?c", http.StatusOK),
+		Entry("one slash and a character that a URL must not contain", "/a|b", http.StatusOK),
+		Entry("an encoded slash", "/a%2Fb", http.StatusOK),
+		Entry("two slashes", "//a/b?c", http.StatusOK),
+		Entry("two slashes and a host", "//h:80/x", http.StatusOK),
+		Entry("two slashes and nothing else", "//", http.StatusOK),
+		Entry("two slashes and an encoded one", "//a%2Fb?", http.StatusOK),
+		Entry("three slashes and an address in the query", "///x?a=//b?c", http.StatusOK),
+		Entry("two slashes and a character that a URL must not contain", "//a|b", http.StatusBadRequest),
+	)
+
 	It("without a configuration is refused with a time to retry after", func() {
 		answer := newEntry(runOnce, nil).call(ctx, map[string]string{"Deadline": "200"})
 		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -107,7 +108,7 @@
 // outgoing returns the request for the backend server.
 func (j *job) outgoing(a Attempt) *http.Request {
 	out := &http.Request{
-		Method: j.request.Method, Host: j.request.Host, URL: &url.URL{Opaque: target(j.request)},
+		Method: j.request.Method, Host: j.request.Host, URL: targetURL(target(j.request)),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: j.relayer.settings.Translator.Header(j.request.Header, a), ContentLength: int64(len(j.body)),
 	}
@@ -129,6 +130,21 @@
 	return r.URL.RequestURI()
 }
 
+// targetURL returns a URL that is written as the given path and query. An opaque part that begins
+// with two slashes would be written with a scheme; such a path with characters that a URL must not
+// contain is written escaped.
+func targetURL(target string) *url.URL {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Opaque: target}
+	}
+	path, query, hasQuery := strings.Cut(target, "?")
+	u := &url.URL{RawPath: path, RawQuery: query, ForceQuery: hasQuery}
+	if decoded, err := url.PathUnescape(path); err == nil {
+		u.Path = decoded
+	}
+	return u
+}
+
 // unanswered handles an attempt that got no complete answer.
 func (j *job) unanswered(err error) verdict {
 	notSent := errors.Is(err, exchanger.ErrNotSent)
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -174,6 +174,9 @@
 		return j.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
 	j.call = call
+	if t := target(j.request); targetURL(t).RequestURI() != t {
+		return j.refuse(http.StatusBadRequest, "the path can't be forwarded unchanged", 0)
+	}
 	routing := j.awaitRouting()
 	if routing == nil {
 		return j.refuse(http.StatusServiceUnavailable, reasonNoRouting, r.settings.RetryAfter)
