listener: a failed accept does not end a listener

What operators would see: a process that can't be reached by others any more until its restart, after its descriptors once ran out. Seen by the review in the source.

Cause: any error of Accept ended the loop.

Fix: only the close of the listener does; after other errors it goes on after a pause.

--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -3,12 +3,15 @@
 package listener
 
 import (
+	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
+	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
 // Listener serves messenger connections.
@@ -16,6 +19,10 @@
 	network  net.Listener
 	settings messenger.Settings
 
+	// root ends with Close.
+	root   context.Context
+	cancel context.CancelFunc
+
 	mu sync.Mutex
 	// conns holds the open connections; guarded by mu.
 	conns map[*messenger.Conn]struct{}
@@ -27,6 +34,7 @@
 // NewListener accepts connections on network until Close.
 func NewListener(network net.Listener, s messenger.Settings) *Listener {
 	l := &Listener{network: network, settings: s, conns: make(map[*messenger.Conn]struct{})}
+	l.root, l.cancel = context.WithCancel(context.Background())
 	l.done.Add(1)
 	go l.accept()
 	return l
@@ -35,17 +43,24 @@
 // Address returns the listener's address.
 func (l *Listener) Address() string { return l.network.Addr().String() }
 
+// acceptPause is the wait after a failed accept. The cause may pass, as when descriptors have run out.
+const acceptPause = 100 * time.Millisecond
+
 func (l *Listener) accept() {
 	defer l.done.Done()
 	for {
 		network, err := l.network.Accept()
-		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				l.settings.Log.Error().Err(err).Msg("could not accept connections")
-			}
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			l.settings.Log.Error().Err(err).Msg("could not accept a connection")
+			if !pauser.Pause(l.root, acceptPause) {
+				return
+			}
+		default:
+			l.serve(network)
 		}
-		l.serve(network)
 	}
 }
 
@@ -76,6 +91,7 @@
 
 // Close stops accepting, closes all connections and waits for their handlers.
 func (l *Listener) Close() error {
+	l.cancel()
 	err := l.network.Close()
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
