relayer: a stream that began is run anew only on a resumable route; the caller's leave

If the engine with the copy refused a request that resumes, a route whose calls may be repeated, but not resumed, would have begun the stream again within the answer; the platform has no such route. A caller that left while its interrupted run was being ended was logged as a broken stream, not as one that left.

--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -60,6 +60,9 @@
 	switch {
 	case j.resumeFrom != "":
 		return true
+	case j.ctx.Err() != nil:
+		j.answerAborted()
+		return false
 	case !j.route.Resumable:
 		j.answerExhausted("the stream broke")
 		return false
@@ -80,7 +83,7 @@
 		return ""
 	}
 	if !j.backupFits() {
-		j.relayer.metrics.misfits.WithLabelValues(j.service.Name).Inc()
+		j.relayer.metrics.unusableCopies.WithLabelValues(j.service.Name).Inc()
 		return ""
 	}
 	arrived := j.relayer.settings.Now().Sub(j.firstEventAt) >= backupReadyDelay
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -13,15 +13,15 @@
 
 // metrics are the Prometheus metrics of a relayer.
 type metrics struct {
-	calls      *prometheus.CounterVec
-	duration   prometheus.Histogram
-	firstEvent prometheus.Histogram
-	longestGap prometheus.Histogram
-	failures   *prometheus.CounterVec
-	attempts   *prometheus.CounterVec
-	losses     *prometheus.CounterVec
-	runEnds    *prometheus.CounterVec
-	misfits    *prometheus.CounterVec
+	calls          *prometheus.CounterVec
+	duration       prometheus.Histogram
+	firstEvent     prometheus.Histogram
+	longestGap     prometheus.Histogram
+	failures       *prometheus.CounterVec
+	attempts       *prometheus.CounterVec
+	losses         *prometheus.CounterVec
+	runEnds        *prometheus.CounterVec
+	unusableCopies *prometheus.CounterVec
 	// unidentified counts the answers of backend servers without the id of a request.
 	unidentified *prometheus.CounterVec
 	quarantined  *prometheus.CounterVec
@@ -46,7 +46,7 @@
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(), misfits: newMisfits(), unidentified: newUnidentified(),
+		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(), unusableCopies: newUnusableCopies(), unidentified: newUnidentified(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
@@ -101,7 +101,7 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.overloaded, m.runEnds, m.misfits, m.unidentified, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
+		r.MustRegister(m.overloaded, m.runEnds, m.unusableCopies, m.unidentified, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
 	return m
@@ -113,7 +113,7 @@
 	}, []string{labelService, "end"})
 }
 
-func newMisfits() *prometheus.CounterVec {
+func newUnusableCopies() *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "marigoldpoint_relayer_unusable_copies_total", Help: "Copies of KV caches that could not be used since their engine had restarted or had other weights, or the adapter a newer version, by service.",
 	}, []string{labelService})
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -131,7 +131,7 @@
 		j.answerAborted()
 		return false
 	case verdictNotRun:
-		if j.resumeFrom != "" && !j.repeatable() {
+		if j.resumeFrom != "" && !j.route.Resumable {
 			j.answerExhausted("no copy of the request's memory was left")
 			return false
 		}
