relayer, docs: one check whether a backend server's process has ended

The evidence of an interrupted run and the check of an answer without a length looked for another incarnation and for a listener each in code of their own; both call processEnd now. Behaviour is unchanged, and no spec was.

--- a/internal/coordination/allotter/mode.go
+++ b/internal/coordination/allotter/mode.go
@@ -10,7 +10,8 @@
 	// ModeAuto is ModeBounded for services whose backend servers report a slowdown factor, and
 	// ModeUnbounded for others.
 	ModeAuto Mode = iota
-	// ModeUnbounded counts what is buffered, without a limit.
+	// ModeUnbounded counts what is buffered, without a limit except for answers that are long or
+	// state no length.
 	ModeUnbounded
 	// ModeBounded limits what is buffered, and the time for which callers may send or read.
 	ModeBounded
--- a/internal/transport/relayer/crash.go
+++ b/internal/transport/relayer/crash.go
@@ -22,14 +22,11 @@
 	if exchanger.BodyOf(response).Framing() != exchanger.FramingConnection {
 		return nil
 	}
-	m, ok := j.relayer.settings.View().Member(j.choice.Name)
-	switch {
-	case !ok, m.Spec.State != storer.MemberStateServing:
+	if m, ok := j.relayer.settings.View().Member(j.choice.Name); !ok || m.Spec.State != storer.MemberStateServing {
 		return nil
-	case m.Spec.Incarnation != j.choice.Incarnation:
-		return errCrashed
 	}
-	if listens, err := j.relayer.settings.Pool.IsListening(j.ctx, j.choice.Address); err == nil && !listens {
+	// An error means that there is no evidence.
+	if end, _ := j.processEnd(j.ctx); end != RunEndUnknown {
 		return errCrashed
 	}
 	return nil
--- a/internal/transport/relayer/runend.go
+++ b/internal/transport/relayer/runend.go
@@ -80,15 +80,12 @@
 
 // stopRun asks the engine once to stop the run.
 func (j *job) stopRun(ctx context.Context) (StopReply, error) {
-	if m, ok := j.relayer.settings.View().Member(j.choice.Name); ok && m.Spec.Incarnation != j.choice.Incarnation {
-		return StopReply{End: RunEndReplaced}, nil
-	}
 	if !j.service.Engine.Moves {
-		listens, err := j.relayer.settings.Pool.IsListening(ctx, j.choice.Address)
-		if err == nil && !listens {
-			return StopReply{End: RunEndRefused}, nil
-		}
-		return StopReply{}, err
+		end, err := j.processEnd(ctx)
+		return StopReply{End: end}, err
+	}
+	if j.replaced() {
+		return StopReply{End: RunEndReplaced}, nil
 	}
 	t := j.relayer.settings.Translator
 	request := t.StopRequest(StopRun{Address: j.choice.Address, Incarnation: j.choice.Incarnation, Request: j.call.ID, Target: j.backup.Address})
@@ -101,3 +98,22 @@
 	}
 	return t.StopReply(answer), nil
 }
+
+// replaced reports whether another incarnation of the chosen backend server is known.
+func (j *job) replaced() bool {
+	m, ok := j.relayer.settings.View().Member(j.choice.Name)
+	return ok && m.Spec.Incarnation != j.choice.Incarnation
+}
+
+// processEnd returns the evidence that the process of the chosen backend server has ended:
+// RunEndReplaced, RunEndRefused or, if there is none, RunEndUnknown.
+func (j *job) processEnd(ctx context.Context) (RunEnd, error) {
+	if j.replaced() {
+		return RunEndReplaced, nil
+	}
+	listens, err := j.relayer.settings.Pool.IsListening(ctx, j.choice.Address)
+	if err == nil && !listens {
+		return RunEndRefused, nil
+	}
+	return RunEndUnknown, errors.Trace(err)
+}
