relayer: the log line of a retry names the attempt limit, the copy that it resumes from and the time left

The three parts of the rule on retries could not be told apart by the log: a retry that resumes a stream from a copy of its KV cache looked like any other, and neither the attempt limit nor the time that is left was named.

--- a/internal/transport/relayer/retrymetrics.go
+++ b/internal/transport/relayer/retrymetrics.go
@@ -49,7 +49,8 @@
 	r.metrics.retries.decisions.WithLabelValues(j.service.Name, d.String()).Inc()
 	u := r.budget.report(r.settings.BootNow(), j.service.Name)
 	r.settings.Log.Info().Str("Request", j.call.ID).Str("Service", j.service.Name).Str("Backend", j.choice.Name).
-		Stringer("Decision", d).Int("Reached", j.reached).Int("Entries", u.entries).Float64("Slack", u.slack).
+		Stringer("Decision", d).Int("Reached", j.reached).Int("Sent", j.sent).Int("MaxAttempts", j.route.MaxAttempts).
+		Str("ResumeFrom", j.resumeFrom).Dur("TimeLeft", j.deadline.Sub(r.settings.Now())).Int("Entries", u.entries).Float64("Slack", u.slack).
 		Float64("Requests", u.requests).Float64("Retries", u.retries).Float64("Reserved", u.reserved).Float64("InFlight", u.inFlight).Msg("retry")
 }
 
