--- a/internal/transport/relayer/runend_test.go
+++ b/internal/transport/relayer/runend_test.go
@@ -33,6 +33,8 @@
 	switch end {
 	case "stopped":
 		return relayer.StopReply{End: relayer.RunEndStopped, Handle: handle}
+	case "kept":
+		return relayer.StopReply{End: relayer.RunEndStopped}
 	case "absent":
 		return relayer.StopReply{End: relayer.RunEndAbsent}
 	case "replaced":
@@ -43,6 +45,19 @@
 	return relayer.StopReply{}
 }
 
+// resumption is where a stream is resumed.
+type resumption int
+
+const (
+	resumedNowhere resumption = iota
+	// resumedAtSource means at the engine that has stopped it.
+	resumedAtSource
+	resumedElsewhere
+)
+
+// streamedTwice is a route whose streams may run at two engines.
+var streamedTwice = tracker.Route{Stream: true, MaxAttempts: 2}
+
 // moving is an engine that can stop runs.
 var moving = &tracker.Engine{Slots: 8, MaxAdapters: 8, Models: []tracker.Model{{Name: "m"}}, Moves: true}
 
@@ -63,13 +78,22 @@
 	// from which it was resumed. Both are guarded by mu.
 	first int
 	from  []string
+	// at are the indices of the engines that resumed the stream; guarded by mu.
+	at []int
 	// versions are the versions that the attempts required; guarded by mu.
 	versions []string
 }
 
-// newInterruption returns an entry that keeps a copy of the KV cache of each stream. The engines
-// answer the requests to stop a run with stop, in order; the last one is used for all further ones.
+// newInterruption returns an entry that keeps a copy of the KV cache of each stream, which may run at
+// one engine. The engines answer the requests to stop a run with stop, in order; the last one is used
+// for all further ones.
 func newInterruption(service *tracker.Engine, lose func(b *backend, c net.Conn), stop ...func(c net.Conn, r *http.Request)) *interruption {
+	GinkgoHelper()
+	return newInterruptionOf(streamed, service, lose, stop...)
+}
+
+// newInterruptionOf is like newInterruption for a route.
+func newInterruptionOf(route tracker.Route, service *tracker.Engine, lose func(b *backend, c net.Conn), stop ...func(c net.Conn, r *http.Request)) *interruption {
 	GinkgoHelper()
 	i := &interruption{lose: lose, lost: make(chan struct{}), model: "m/a1"}
 	asked := 0
@@ -86,7 +110,7 @@
 			answer(c, r)
 		}
 	}
-	i.entry = newEntry(streamed, service, i.engines[:]...)
+	i.entry = newEntry(route, service, i.engines[:]...)
 	i.entry.reportAll(i.engines[:]...)
 	// Copies are kept only after a stream was lost.
 	before := i.entry.call(ctx, map[string]string{"Model": "m/a1", "Id": "before"})
@@ -112,7 +136,7 @@
 		i.lose(i.engines[n], c)
 	default:
 		i.mu.Lock()
-		i.from = append(i.from, from)
+		i.from, i.at = append(i.from, from), append(i.at, n)
 		i.mu.Unlock()
 		eventsWith(c, r, i.header[1], 3, 3)
 		endStream(c)
@@ -189,7 +213,7 @@
 	// Guards against a stream that may run only once and breaks although its run has ended.
 	DescribeTable("is resumed once its run has ended",
 		func(service *tracker.Engine, lose func(*backend, net.Conn), handle string, stops ...func(net.Conn, *http.Request)) {
-			i := newInterruption(service, lose, stops...)
+			i := newInterruptionOf(streamedTwice, service, lose, stops...)
 			rest, err := i.read()
 			Expect(err).NotTo(HaveOccurred())
 			Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
@@ -198,6 +222,7 @@
 				made = kept
 			}
 			Expect(i.from).To(Equal([]string{made}))
+			Expect(i.at).To(Equal([]int{1 - i.first}))
 		},
 		Entry("the engine has crashed", moving, crash, ""),
 		Entry("an engine that can't stop runs has crashed", engine, crash, ""),
@@ -209,6 +234,37 @@
 		Entry("the connection is lost again at first", moving, loseAnswer, "7", hangUp, replies("stopped 7")),
 	)
 
+	// Guards against a stream that runs at more engines than its route allows: an attempt that
+	// resumed from a copy of the KV cache did not count, although the first engine lived on.
+	DescribeTable("is not resumed at more engines than allowed",
+		func(service *tracker.Engine, lose func(*backend, net.Conn), stop func(net.Conn, *http.Request), want resumption) {
+			i := newInterruptionOf(streamed, service, lose, stop)
+			rest, err := i.read()
+			if want == resumedNowhere {
+				Expect(err).To(HaveOccurred())
+				Expect(i.at).To(BeEmpty())
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+			_, made := i.copies("7")
+			at := i.first
+			if want == resumedElsewhere {
+				made, _ = i.copies("")
+				at = 1 - i.first
+			}
+			Expect(i.from).To(Equal([]string{made}))
+			Expect(i.at).To(Equal([]int{at}))
+		},
+		Entry("the engine has crashed", moving, crash, nil, resumedElsewhere),
+		Entry("an engine that can't stop runs has crashed", engine, crash, nil, resumedElsewhere),
+		Entry("another incarnation answers", moving, loseAnswer, replies("replaced"), resumedElsewhere),
+		Entry("the engine stops it and copies its KV cache", moving, loseAnswer, replies("stopped 7"), resumedAtSource),
+		Entry("the engine stops it, and there is no room for the copy", moving, loseAnswer, replies("kept 7"), resumedAtSource),
+		Entry("the engine stops it and keeps nothing", moving, loseAnswer, replies("stopped"), resumedNowhere),
+		Entry("the engine does not have it", moving, loseAnswer, replies("absent"), resumedNowhere),
+	)
+
 	It("is resumed if another incarnation is known", func() {
 		var i *interruption
 		i = newInterruption(moving, func(_ *backend, c net.Conn) {
