relayer, platform: a stream that resumes runs at no more engines than its route allows

Callers' streams whose connection to a living engine broke went on at a further engine, and again at the next, however few engines their route allows: an attempt that resumes from a copy of the KV cache was exempt from the attempt limit. The exemption was meant for engines that have ended, which the operators don't count.

An attempt that resumes now counts, unless it goes to the engine that stopped the run; engines that are known to have ended (replaced, or no longer listening) don't. At the limit, the engine that stopped the run keeps its KV cache and resumes it, so that the caller still gets the whole stream. Where the engine does not have the run any more, the stream breaks for its caller.

--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -55,7 +55,7 @@
 func (j *job) continueStream(v verdict) bool {
 	j.resumeFrom = ""
 	if v == verdictUnknown {
-		j.resumeFrom = j.locateCopy()
+		j.resumeFrom, j.resumeAt = j.locateCopy()
 	}
 	switch {
 	case j.resumeFrom != "":
@@ -71,32 +71,40 @@
 	return true
 }
 
-// locateCopy returns the name of the copy of the KV cache from which the call resumes; empty
-// means none.
+// locateCopy returns the name of the KV cache from which the call resumes, and the engine where it
+// does; empty means that it can't. Beyond the attempt limit it resumes at the engine that stopped
+// its run, which keeps the KV cache.
 //
 // A second engine that has no copy refuses the request, unless that engine is lost at the same
 // moment: then it would not be known whether the request had started again. A copy is therefore
 // used only if it must have arrived, and, since the call may run only once, only if its run at the
 // first engine is known to have ended.
-func (j *job) locateCopy() string {
+func (j *job) locateCopy() (from, at string) {
 	if j.backup.Name == "" {
-		return ""
+		return "", ""
 	}
 	if !j.backupFits() {
 		j.relayer.metrics.unusableCopies.WithLabelValues(j.service.Name).Inc()
-		return ""
+		return "", ""
 	}
 	arrived := j.relayer.settings.Now().Sub(j.firstEventAt) >= backupReadyDelay
-	end, handle := j.endRun()
+	j.source = incarnation{name: j.choice.Name, incarnation: j.choice.Incarnation}
+	reply := j.endRun()
+	if reply.End == RunEndReplaced || reply.End == RunEndRefused {
+		j.ended++
+	}
+	elsewhere, made := j.mayResumeElsewhere(), j.choice.Address+"/"+reply.Handle
 	switch {
-	case end == RunEndUnknown:
-		return ""
-	case handle != "":
-		return j.choice.Address + "/" + handle
-	case arrived:
-		return j.backup.Address + "/" + j.call.ID
+	case reply.End == RunEndUnknown:
+		return "", ""
+	case elsewhere && reply.Copied:
+		return made, j.backup.Name
+	case elsewhere && arrived:
+		return j.backup.Address + "/" + j.call.ID, j.backup.Name
+	case reply.Handle != "":
+		return made, j.choice.Name
 	}
-	return ""
+	return "", ""
 }
 
 // recordWeights records with which version of the model's weights the KV cache of a stream is
--- a/internal/transport/relayer/retry.go
+++ b/internal/transport/relayer/retry.go
@@ -15,7 +15,7 @@
 	if j.reached == 0 {
 		return true
 	}
-	attemptsLeft := j.resumeFrom != "" || j.sent < max(1, j.route.MaxAttempts)
+	attemptsLeft := j.attemptsLeft()
 	if attemptsLeft && !j.retryReserved {
 		j.retryReserved = j.relayer.budget.reserve(j.relayer.settings.BootNow(), j.service.Name)
 	}
@@ -31,6 +31,26 @@
 	return false
 }
 
+// attemptsLeft reports whether the route allows the call at the chosen backend server.
+func (j *job) attemptsLeft() bool {
+	if j.resumeFrom == "" {
+		return j.sent < j.maxAttempts()
+	}
+	return j.resumesAtSource() || j.mayResumeElsewhere()
+}
+
+// maxAttempts returns the number of backend servers at which the call may run.
+func (j *job) maxAttempts() int { return max(1, j.route.MaxAttempts) }
+
+// mayResumeElsewhere reports whether the call may resume at a further backend server. Those that
+// have ended don't count.
+func (j *job) mayResumeElsewhere() bool { return j.sent-j.ended < j.maxAttempts() }
+
+// resumesAtSource reports whether the call resumes at the backend server that stopped its run.
+func (j *job) resumesAtSource() bool {
+	return j.resumeFrom != "" && j.source == incarnation{name: j.choice.Name, incarnation: j.choice.Incarnation}
+}
+
 // commitRetry reports whether the attempt may be sent now. Retries are counted when they are sent,
 // since they may have waited for seconds.
 func (j *job) commitRetry() bool {
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -153,13 +153,12 @@
 // errTriedAll means that maxServersPerCall backend servers refused the call.
 const errTriedAll = errors.ConstError("tried all that may take it")
 
-// choose selects a backend server: for a resumed call, the one that holds the copy of
-// its KV cache.
+// choose selects a backend server: for a resumed call, the one that holds its KV cache.
 func (j *job) choose() error {
 	r := j.relayer
 	c := j.placerCall()
 	if j.resumeFrom != "" {
-		return r.settings.Placer.ChooseNamed(r.settings.Now(), c, j.backup.Name, &j.choice)
+		return r.settings.Placer.ChooseNamed(r.settings.Now(), c, j.resumeAt, &j.choice)
 	}
 	return r.settings.Placer.Choose(r.settings.Now(), c, &j.choice)
 }
--- a/internal/transport/relayer/runend.go
+++ b/internal/transport/relayer/runend.go
@@ -51,19 +51,20 @@
 // StopReply is an engine's answer to StopRun.
 type StopReply struct {
 	End RunEnd
-	// Handle names the copy at the target; empty means that none was made.
+	// Handle names the KV cache of the run that the engine has stopped and keeps; empty means that it
+	// keeps none. Copied means that the target has a copy of the same name.
 	Handle string
+	Copied bool
 	// Busy means that the engine can't stop the run yet.
 	Busy bool
 }
 
 // endRun makes sure that the run of the current attempt, whose connection has ended, has ended
-// too, and returns the evidence, and the handle of the copy of its KV cache at the backup if the
-// engine has made one.
+// too, and returns the evidence, and what became of its KV cache.
 //
 // The end of a connection is no such evidence: it may have been reset on its way, and an engine
 // does not always drop the run of a connection that has ended.
-func (j *job) endRun() (end RunEnd, handle string) {
+func (j *job) endRun() StopReply {
 	ctx, cancel := context.WithTimeout(j.ctx, endRunTimeout)
 	defer cancel()
 	began := j.relayer.settings.Now()
@@ -73,7 +74,7 @@
 			j.relayer.metrics.runEnds.WithLabelValues(j.service.Name, reply.End.String()).Inc()
 			j.relayer.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).Str("Incarnation", j.choice.Incarnation).
 				Str("Backup", j.backup.Name).Stringer("End", reply.End).Dur("Took", j.relayer.settings.Now().Sub(began)).Msg("run interrupted")
-			return reply.End, reply.Handle
+			return reply
 		}
 	}
 }
--- a/internal/transport/relayer/runend_test.go
+++ b/internal/transport/relayer/runend_test.go
@@ -32,9 +32,9 @@
 	end, handle, _ := strings.Cut(string(a.Body), " ")
 	switch end {
 	case "stopped":
-		return relayer.StopReply{End: relayer.RunEndStopped, Handle: handle}
+		return relayer.StopReply{End: relayer.RunEndStopped, Handle: handle, Copied: handle != ""}
 	case "kept":
-		return relayer.StopReply{End: relayer.RunEndStopped}
+		return relayer.StopReply{End: relayer.RunEndStopped, Handle: handle}
 	case "absent":
 		return relayer.StopReply{End: relayer.RunEndAbsent}
 	case "replaced":
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -35,7 +35,7 @@
 	if head.NotRun {
 		if head.OtherIncarnation {
 			// The incarnation that was meant did not receive the call.
-			j.sent--
+			j.uncountServer()
 			j.count(endElsewhere)
 		} else {
 			j.count(endUnread)
@@ -68,7 +68,7 @@
 // the connection, which makes the backend server cancel the request.
 func (j *job) exchange(ctx context.Context, a Attempt) (*exchanger.Conn, *http.Response, error) {
 	t := j.relayer.settings.Translator
-	j.sent++
+	j.countServer()
 	j.reached++
 	j.bytesBeforeAttempt = j.answer.bytes
 	j.attemptAt, j.knownRevision = j.relayer.settings.Now(), j.relayer.settings.View().Revision
@@ -81,12 +81,27 @@
 		func(h http.Header) bool { return j.accepts(t.Head(0, h).Request) })
 	j.recordArrival(ctx, err)
 	if errors.Is(err, exchanger.ErrNotSent) {
-		j.sent--
+		j.uncountServer()
 		j.reached--
 	}
 	return conn, response, err
 }
 
+// countServer counts the chosen backend server as one that the call is sent to, unless the call was
+// sent there before.
+func (j *job) countServer() {
+	if j.serverCounted = !j.resumesAtSource(); j.serverCounted {
+		j.sent++
+	}
+}
+
+// uncountServer takes back what countServer has counted.
+func (j *job) uncountServer() {
+	if j.serverCounted {
+		j.sent--
+	}
+}
+
 // accepts reports whether an answer with the given id of a request is the answer to this attempt.
 // Backend servers echo the id, so that one without an id belongs to no request: it says nothing of
 // whether this one ran. The answer that is due may still follow it.
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -52,6 +52,10 @@
 	// that one of them may have run it.
 	sent       int
 	mayHaveRun bool
+	// ended counts those of sent that are known to have ended, and serverCounted means that the
+	// current attempt is counted in sent.
+	ended         int
+	serverCounted bool
 	// reached counts the attempts that reached a backend server, including those that
 	// reached an incarnation they were not meant for.
 	reached int
@@ -65,10 +69,12 @@
 	lastEventAt time.Time
 	longestGap  time.Duration
 	// backup is the engine that keeps a copy of the request's KV cache; its name is
-	// empty if there is none. resumeFrom is set for an attempt that resumes from the
-	// copy.
+	// empty if there is none. resumeFrom is set for an attempt that resumes from a
+	// copy, at the engine named resumeAt. source is the engine whose run was interrupted.
 	backup     placer.Choice
 	resumeFrom string
+	resumeAt   string
+	source     incarnation
 	// weights is the version of the model's weights with which the stream's KV cache is made; 0
 	// means unknown. adapterVersion is that of the adapter; 0 means none.
 	weights, adapterVersion uint64
