relayer: an attempt is given the time that is left when its request is written

Backend servers were given the time that was left before the connection was opened: up to the dial's 300 ms more than the caller waits, and more where an idle connection had ended first.

The time is now taken when the request is written.

--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -69,6 +69,7 @@
 	h.Set("From", a.ResumeFrom)
 	h.Set("Fetch", a.FetchFrom)
 	h.Set("Version", strconv.FormatUint(a.Version, 10))
+	h.Set("Time-Left", strconv.FormatInt(a.TimeLeft.Milliseconds(), 10))
 	if a.LastEvent != "" {
 		h.Set("After", a.LastEvent)
 	}
--- a/internal/transport/relayer/retry_test.go
+++ b/internal/transport/relayer/retry_test.go
@@ -1,16 +1,20 @@
 package relayer_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 	"marigoldpoint.example/marigoldpoint/internal/transport/relayer"
 )
@@ -52,3 +56,24 @@
 		reset(c)
 	}),
 )
+
+// Guards against an attempt that is given more time than is left, because the connection to its
+// backend server was opened after the time was taken.
+var _ = It("An attempt is given the time that is left when it is sent", func() {
+	const dialTime, deadline = 200 * time.Millisecond, 2 * time.Second
+	given := make(chan string, 1)
+	b := newBackend(func(c net.Conn, r *http.Request) {
+		given <- r.Header.Get("Time-Left")
+		answersWell(c, r)
+	})
+	pool := exchanger.NewPool(exchanger.Settings{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(dialTime)
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}})
+	DeferCleanup(pool.Close)
+	e := newEntryChanged(func(s *relayer.Settings) { s.Pool = pool }, placer.Settings{}, runOnce, nil, b)
+	Expect(e.call(ctx, map[string]string{"Deadline": strconv.FormatInt(deadline.Milliseconds(), 10)}).StatusCode).To(Equal(http.StatusOK))
+	left, err := strconv.ParseInt(<-given, 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(left).To(BeNumerically("<=", (deadline - dialTime).Milliseconds()))
+})
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -269,7 +269,6 @@
 	}
 	a.Backup = j.chooseBackup()
 	a.FetchFrom = j.fetchFrom()
-	a.TimeLeft = j.deadline.Sub(r.settings.Now())
 	if !r.settings.Placer.Accepts(r.settings.Now(), &j.choice) || !j.commitRetry() {
 		// The backend server may have asked for rest, or begun to leave, while the request
 		// waited.
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -77,7 +77,10 @@
 		j.relayer.metrics.limited.WithLabelValues(j.service.Name).Inc()
 	}
 	conn, response, err := j.relayer.settings.Pool.Exchange(ctx, j.choice.Address,
-		func() *http.Request { return j.outgoing(a) },
+		func() *http.Request {
+			a.TimeLeft = j.deadline.Sub(j.relayer.settings.Now())
+			return j.outgoing(a)
+		},
 		func(h http.Header) bool { return j.accepts(t.Head(0, h).Request) })
 	j.recordArrival(ctx, err)
 	if errors.Is(err, exchanger.ErrNotSent) {
