relayer: whether an attempt counts a server follows from where it resumes

The flag repeated resumesAtSource, whose inputs do not change while an attempt is exchanged. Behaviour is unchanged; the package's tests pass.

--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -93,14 +93,14 @@
 // countServer counts the chosen backend server as one that the call is sent to, unless the call was
 // sent there before.
 func (j *job) countServer() {
-	if j.serverCounted = !j.resumesAtSource(); j.serverCounted {
+	if !j.resumesAtSource() {
 		j.sent++
 	}
 }
 
 // uncountServer takes back what countServer has counted.
 func (j *job) uncountServer() {
-	if j.serverCounted {
+	if !j.resumesAtSource() {
 		j.sent--
 	}
 }
