controller: forward the sequence number of heartbeats to the leader

What callers saw: after the loss of a control host, requests for adapters that are not loaded were refused for up to 30 s, each after its wait for a load.

Cause: a control host copied heartbeats into the batch for the leader field by field, without the sequence number. The leader orders a companion's reports by it, and accepts a report as evidence that a permit is no longer in use only if it is later than one that lists the permit. With 0 in all of them, none was. A permit whose end was lost stayed in use until it expired.

Fix: what is forwarded is a struct of its own, embedded in the heartbeat and passed on whole, so that a field can't be left out. The encoding is the same.

Evidence: "grants the next permit although the message that finishes one is lost" fails without the fix after its 10 s, and passes with it.

--- a/internal/coordination/registrar/lease.go
+++ b/internal/coordination/registrar/lease.go
@@ -46,6 +46,14 @@
 
 // Heartbeat is a Renewal in the form in which a companion sends it to its control host.
 type Heartbeat struct {
+	LeaseRenewal
+	// Report is the change of the backend server's state; nil means unchanged.
+	Report *ServerChange `json:",omitempty"`
+}
+
+// LeaseRenewal is the part of a Heartbeat that control hosts forward to the leader, in a
+// RenewBatch.
+type LeaseRenewal struct {
 	Name  string
 	Epoch uint64
 	// Term is the highest leader's term that the companion has seen. It accepts no permits of older
@@ -55,17 +63,6 @@
 	Sequence uint64
 	// Permits are the load permits that the companion holds.
 	Permits []uint64 `json:",omitempty"`
-	// Report is the change of the backend server's state; nil means unchanged.
-	Report *ServerChange `json:",omitempty"`
-}
-
-// LeaseRenewal is the renewal of one lease in a RenewBatch.
-type LeaseRenewal struct {
-	Name     string
-	Epoch    uint64
-	Term     uint64
-	Sequence uint64
-	Permits  []uint64 `json:",omitempty"`
 }
 
 // RenewBatch carries all renewals that a control host received in one tick to the leader.
--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -274,6 +274,28 @@
 		Eventually(granted, eventuallyTimeout).Should(Receive(BeTrue()))
 	})
 
+	// Guards against nothing loading until a permit expires. A companion loads for several
+	// heartbeats and loses its control host, and with it the message that the load has ended.
+	It("grants the next permit although the message that finishes one is lost", func() {
+		follower := (g.leader() + 1) % len(g.hosts)
+		backend, lease := join("backend", g.hosts[follower].FailureDomain)
+		Eventually(backend.Host, eventuallyTimeout).Should(Equal(g.hosts[follower].Address))
+		heartbeats(backend, lease)
+		request := func(version string, timeout time.Duration) (permitter.Grant, error) {
+			waiting, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			return backend.RequestPermit(waiting, permitter.Request{Companion: "backend", Workspace: "w", Version: version})
+		}
+		held, err := request("w/a@1", eventuallyTimeout)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = request("w/b@1", memberLease/2)
+		Expect(err).To(MatchError(subscriber.ErrUnavailable))
+		Expect(g.kill(follower)).To(Succeed())
+		backend.FinishPermit(held)
+		_, err = request("w/b@1", eventuallyTimeout)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against a partitioned host that renews configuration leases. The leader is
 	// cut off from the other hosts but not from the entry, and the others elect a new
 	// leader and accept a change; the entry would apply the replaced rules, and be ready,
--- a/internal/transport/controller/member.go
+++ b/internal/transport/controller/member.go
@@ -47,7 +47,7 @@
 
 // heartbeat serves MethodRenew.
 func (c *Control) heartbeat(conn *messenger.Conn, h registrar.Heartbeat) {
-	c.relay.renew(conn, registrar.LeaseRenewal{Name: h.Name, Epoch: h.Epoch, Term: h.Term, Permits: h.Permits})
+	c.relay.renew(conn, h.LeaseRenewal)
 	if h.Report == nil || !c.isCurrentReport(h.Name, h.Epoch) {
 		return
 	}
--- a/internal/transport/sealer/authorize_test.go
+++ b/internal/transport/sealer/authorize_test.go
@@ -94,9 +94,9 @@
 		},
 		Entry("Join", messenger.MethodJoin, func(n string) any { return registrar.JoinRequest{Name: n} }),
 		Entry("Leave", messenger.MethodLeave, func(n string) any { return registrar.LeaveRequest{Name: n} }),
-		Entry("Renew", messenger.MethodRenew, func(n string) any { return registrar.Heartbeat{Name: n} }),
+		Entry("Renew", messenger.MethodRenew, func(n string) any { return registrar.Heartbeat{LeaseRenewal: registrar.LeaseRenewal{Name: n}} }),
 		Entry("Renew with a report", messenger.MethodRenew, func(n string) any {
-			return registrar.Heartbeat{Name: "engine-1", Report: &registrar.ServerChange{Name: n}}
+			return registrar.Heartbeat{LeaseRenewal: registrar.LeaseRenewal{Name: "engine-1"}, Report: &registrar.ServerChange{Name: n}}
 		}),
 		Entry("RequestPermit", messenger.MethodRequestPermit, func(n string) any {
 			return permitter.PermitRequest{Request: permitter.Request{Companion: n}}
--- a/internal/transport/sealer/benchmark_test.go
+++ b/internal/transport/sealer/benchmark_test.go
@@ -154,8 +154,8 @@
 		params json.RawMessage
 	}{
 		{"Piece", companion, messenger.MethodPiece, nil},
-		{"Renew", companion, messenger.MethodRenew, params(registrar.Heartbeat{Name: "engine-1", Epoch: 7, Sequence: 9})},
-		{"Renew_16_loaded", companion, messenger.MethodRenew, params(registrar.Heartbeat{Name: "engine-1", Report: report})},
+		{"Renew", companion, messenger.MethodRenew, params(registrar.Heartbeat{LeaseRenewal: registrar.LeaseRenewal{Name: "engine-1", Epoch: 7, Sequence: 9}})},
+		{"Renew_16_loaded", companion, messenger.MethodRenew, params(registrar.Heartbeat{LeaseRenewal: registrar.LeaseRenewal{Name: "engine-1"}, Report: report})},
 		{"Propose_claim", entry, messenger.MethodPropose, propose(storer.ClaimCall{Workspace: "peachtree", Key: "k", Digest: make([]byte, 32), Holder: "entry-1/r"})},
 	} {
 		b.Run(c.name, func(b *testing.B) {
--- a/internal/transport/subscriber/memberships.go
+++ b/internal/transport/subscriber/memberships.go
@@ -121,9 +121,9 @@
 		m.sequence++
 		state := registrar.ServerState{Name: name, Epoch: r.Epoch, Sequence: m.sequence, Load: r.Load}
 		state.Resident = slices.Compact(slices.Sorted(slices.Values(r.Resident)))
-		h := registrar.Heartbeat{
+		h := registrar.Heartbeat{LeaseRenewal: registrar.LeaseRenewal{
 			Name: name, Epoch: r.Epoch, Term: term, Sequence: m.sequence, Permits: slices.Clone(m.permits[name]),
-		}
+		}}
 		// A busy backend server's load differs at each heartbeat. If every difference were
 		// reported, it would be sent twice a second to its control host and from there to
 		// all the others, which pass on only its level.
