permitter: end the requests and permits that a companion no longer lists

What callers saw: after the host of the control leader was lost, requests for adapters that are not loaded were refused as not run for up to 30 s, after their wait for a load.

Cause: the withdrawal of a request for a permit is a message without an answer. While there is no leader it is dropped, and the control host that forwards the request goes on and makes it at the next leader, which grants a permit that nobody receives. Since its holder never listed it, no heartbeat was evidence against it, and it blocked the weight store until it expired.

Fix: heartbeats list the versions that a companion requests permits for, and a request states the heartbeat that it follows. A later heartbeat that lists neither the version nor the permit ends the request or the permit. An earlier one that arrives late says nothing. Requests of companions that don't state their heartbeat are treated as before.

The property test has answers in flight, lost withdrawals and repeated requests now, and finds a report that ignores what is requested.

--- a/internal/coordination/permitter/grant.go
+++ b/internal/coordination/permitter/grant.go
@@ -115,7 +115,7 @@
 		Version:   first.Version,
 		Expiry:    t.settings.Expiry,
 	}
-	t.held[key] = &held{grant: g, since: now, reported: now}
+	t.held[key] = &held{grant: g, since: now, reported: now, sequence: first.Sequence}
 	t.next = now.Add(t.settings.interval())
 	return g
 }
--- a/internal/coordination/permitter/permit.go
+++ b/internal/coordination/permitter/permit.go
@@ -16,6 +16,9 @@
 	Waiters int
 	// Share is the weight of the workspace; values less than 1 mean 1.
 	Share int
+	// Sequence is the sequence number of the companion's last report before the request; 0
+	// means unknown. Every later report lists the version as requested, or the permit.
+	Sequence uint64 `json:",omitempty"`
 }
 
 // Grant is a permit to load.
--- a/internal/coordination/permitter/table.go
+++ b/internal/coordination/permitter/table.go
@@ -65,9 +65,9 @@
 	since time.Time
 	// reported is the time at which the holder was last known to hold the permit.
 	reported time.Time
-	// confirmed is the sequence number of the holder's first report of the permit; 0
-	// before that.
-	confirmed uint64
+	// sequence is the sequence number after which every report of the holder lists the
+	// permit or its version, while either is in use; 0 while unknown.
+	sequence uint64
 }
 
 // lane is the queue of one workspace.
@@ -150,7 +150,7 @@
 func (t *Table) Request(now time.Time, r Request) (Grant, bool) {
 	key := target{companion: r.Companion, version: r.Version}
 	if h, ok := t.held[key]; ok {
-		h.reported = now
+		h.reported, h.sequence = now, max(h.sequence, r.Sequence)
 		return h.grant, true
 	}
 	l, ok := t.lanes[r.Workspace]
@@ -160,6 +160,7 @@
 	}
 	l.share = float64(max(r.Share, 1))
 	if w, ok := l.requests[key]; ok {
+		r.Sequence = max(r.Sequence, w.Sequence)
 		w.Request = r
 		return Grant{}, false
 	}
@@ -196,11 +197,14 @@
 	Sequence uint64
 	// Numbers lists the permits held.
 	Numbers []uint64
+	// Requested lists the versions for which permits are requested.
+	Requested []string
 }
 
-// Report records the permits held by a companion.
+// Report records the permits that a companion holds and requests.
 func (t *Table) Report(now time.Time, r Report) {
 	t.reportOwn(now, r)
+	t.withdrawUnrequested(r)
 	foreign := slices.ContainsFunc(r.Numbers, func(n uint64) bool { return Term(n) != t.term })
 	switch {
 	case foreign && !t.open(now):
@@ -213,9 +217,9 @@
 }
 
 // reportOwn extends the permits of this term that a companion reports. It ends those
-// that were reported before and no longer are, because the message that finished them
-// was lost. A report older than the first one that includes the permit was delayed and
-// says nothing about it.
+// that a later report than their request neither lists nor requests: the message that
+// finished them was lost, or the grant reached nobody. If the request did not state its
+// place among the reports, the first report that lists the permit is used instead.
 func (t *Table) reportOwn(now time.Time, r Report) {
 	for key, h := range t.held {
 		if key.companion != r.Companion {
@@ -224,15 +228,33 @@
 		switch {
 		case slices.Contains(r.Numbers, h.grant.Number):
 			h.reported = now
-			if h.confirmed == 0 || r.Sequence < h.confirmed {
-				h.confirmed = r.Sequence
+			if h.sequence == 0 || r.Sequence < h.sequence {
+				h.sequence = r.Sequence
 			}
-		case h.confirmed != 0 && r.Sequence > h.confirmed:
+		case r.endsRequest(key.version, h.sequence):
 			delete(t.held, key)
 		}
 	}
 }
 
+// withdrawUnrequested withdraws the requests of a companion that it no longer makes: the
+// message that withdrew them was lost, or was overtaken by the request.
+func (t *Table) withdrawUnrequested(r Report) {
+	for _, l := range t.lanes {
+		for key, w := range l.requests {
+			if key.companion == r.Companion && r.endsRequest(key.version, w.Sequence) {
+				delete(l.requests, key)
+			}
+		}
+	}
+}
+
+// endsRequest reports whether the companion no longer requests the permit for a version,
+// given the sequence number of its last report before the request.
+func (r *Report) endsRequest(version string, sequence uint64) bool {
+	return sequence != 0 && r.Sequence > sequence && !slices.Contains(r.Requested, version)
+}
+
 // open reports whether no permit of a previous leader can be in use.
 func (t *Table) open(now time.Time) bool {
 	return t.unconfirmed != nil && len(t.unconfirmed) == 0 || !now.Before(t.openAt)
--- a/internal/coordination/permitter/table_test.go
+++ b/internal/coordination/permitter/table_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -121,6 +123,52 @@
 		Expect(t.Held()).To(BeZero())
 	})
 
+	// Guards against nothing loading for 30 s although the store is idle. A request is
+	// withdrawn and the message that says so is lost, or a grant reaches nobody.
+	DescribeTable("ends what a companion neither holds nor requests any longer",
+		func(granted bool) {
+			t := permitter.NewTable(settings, 1, start, []string{})
+			now := start.Add(time.Second)
+			r := request("w", 0, 1)
+			r.Sequence = 5
+			t.Request(now, r)
+			held := 0
+			if granted {
+				Expect(t.Grant(now)).To(HaveLen(1))
+				held = 1
+			}
+			t.Report(now, permitter.Report{Companion: "c", Term: 1, Sequence: 5})
+			t.Report(now, permitter.Report{Companion: "c", Term: 1, Sequence: 6, Requested: []string{r.Version}})
+			t.Report(now, permitter.Report{Companion: "d", Term: 1, Sequence: 7})
+			Expect([]int{t.Waiting(), t.Held()}).To(Equal([]int{1 - held, held}))
+			t.Report(now, permitter.Report{Companion: "c", Term: 1, Sequence: 7})
+			Expect([]int{t.Waiting(), t.Held()}).To(Equal([]int{0, 0}))
+		},
+		Entry("a request", false),
+		Entry("a permit", true),
+	)
+
+	// Guards against two loads at once: a report from before a second request for the same
+	// version arrives after it.
+	DescribeTable("keeps what is requested again, whatever an earlier report says",
+		func(granted bool) {
+			t := permitter.NewTable(settings, 1, start, []string{})
+			now := start.Add(time.Second)
+			for _, sequence := range []uint64{5, 8, 5} {
+				r := request("w", 0, 1)
+				r.Sequence = sequence
+				t.Request(now, r)
+				if granted {
+					t.Grant(now)
+				}
+			}
+			t.Report(now, permitter.Report{Companion: "c", Term: 1, Sequence: 7})
+			Expect(t.Waiting() + t.Held()).To(Equal(1))
+		},
+		Entry("a request", false),
+		Entry("a permit", true),
+	)
+
 	Describe("after a change of leader", func() {
 		// Guards against loads taking twice their time after an election. A companion
 		// holds a permit of the previous leader that the new one does not know of. The
@@ -252,25 +300,55 @@
 		}
 		running := map[int]*load{}
 		knownTerms := [companions]uint64{}
+		// requested holds the companions' calls that are neither answered nor withdrawn, by
+		// version. A call may reach the leader several times.
+		requested := [companions]map[string]*permitter.Request{{}, {}, {}}
+		// waiting holds the latest call at the leader, by companion and version.
+		waiting := map[[2]string]*permitter.Request{}
+		type answer struct {
+			load
+			call *permitter.Request
+		}
+		var inFlight []answer
+		deliver := func(a answer) {
+			l, c := a.load, slices.Index(names, a.Companion)
+			if requested[c][l.Version] == a.call && permitter.Term(l.Number) >= knownTerms[c] {
+				delete(requested[c], l.Version)
+				running[c] = &l
+			}
+			if len(running) > 1 {
+				t.Fatalf("%d loads at once", len(running))
+			}
+		}
 		var lastNumber, sequence uint64
 		lastStart := start.Add(-time.Minute)
 		// expire stops the loads that companions could not report for too long.
 		expire := func() {
-			for i, l := range running {
-				if now.Sub(l.reported) >= settings.Expiry {
-					delete(running, i)
-				}
-			}
+			expired := func(l load) bool { return now.Sub(l.reported) >= settings.Expiry }
+			maps.DeleteFunc(running, func(_ int, l *load) bool { return expired(*l) })
+			inFlight = slices.DeleteFunc(inFlight, func(a answer) bool { return expired(a.load) })
 		}
 		for range 120 {
 			now = now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "step")) * time.Millisecond)
 			expire()
 			c := rapid.IntRange(0, companions-1).Draw(t, "companion")
-			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
 			case 0:
 				r := request("w", rapid.IntRange(0, 3).Draw(t, "version"), 1)
 				r.Companion = names[c]
-				table.Request(now, r)
+				if rapid.Bool().Draw(t, "withdrawn") {
+					// The message is lost.
+					delete(requested[c], r.Version)
+					continue
+				}
+				made, ok := requested[c][r.Version]
+				if !ok || !rapid.Bool().Draw(t, "repeated") {
+					r.Sequence = sequence
+					made = &r
+					requested[c][r.Version] = made
+				}
+				waiting[[2]string{r.Companion, r.Version}] = made
+				table.Request(now, *made)
 			case 1:
 				knownTerms[c] = term
 				var numbers []uint64
@@ -279,7 +357,10 @@
 					l.reported = now
 				}
 				sequence++
-				table.Report(now, permitter.Report{Companion: names[c], Term: knownTerms[c], Sequence: sequence, Numbers: numbers})
+				table.Report(now, permitter.Report{
+					Companion: names[c], Term: knownTerms[c], Sequence: sequence, Numbers: numbers,
+					Requested: slices.Collect(maps.Keys(requested[c])),
+				})
 			case 2:
 				if l := running[c]; l != nil {
 					if rapid.Bool().Draw(t, "finish arrives") {
@@ -288,6 +369,11 @@
 					delete(running, c)
 				}
 			case 3:
+				if len(inFlight) > 0 {
+					deliver(inFlight[0])
+					inFlight = inFlight[1:]
+				}
+			case 4:
 				if rapid.IntRange(0, 3).Draw(t, "elects") == 0 {
 					term++
 					table = permitter.NewTable(settings, term, now, names)
@@ -305,14 +391,7 @@
 					if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
 						continue
 					}
-					for i, n := range names {
-						if n == g.Companion && permitter.Term(g.Number) >= knownTerms[i] {
-							running[i] = &load{Grant: g, reported: now}
-						}
-					}
-					if len(running) > 1 {
-						t.Fatalf("%d loads at once", len(running))
-					}
+					inFlight = append(inFlight, answer{load{g, now}, waiting[[2]string{g.Companion, g.Version}]})
 				}
 			}
 		}
--- a/internal/coordination/registrar/lease.go
+++ b/internal/coordination/registrar/lease.go
@@ -63,6 +63,8 @@
 	Sequence uint64
 	// Permits are the load permits that the companion holds.
 	Permits []uint64 `json:",omitempty"`
+	// Requested are the versions for which the companion requests load permits.
+	Requested []string `json:",omitempty"`
 }
 
 // RenewBatch carries all renewals that a control host received in one tick to the leader.
--- a/internal/transport/controller/duties.go
+++ b/internal/transport/controller/duties.go
@@ -248,7 +248,9 @@
 	d.leasesMu.Unlock()
 	d.permitsMu.Lock()
 	for _, l := range b.Leases {
-		d.permits.Report(now, permitter.Report{Companion: l.Name, Term: l.Term, Sequence: l.Sequence, Numbers: l.Permits})
+		d.permits.Report(now, permitter.Report{
+			Companion: l.Name, Term: l.Term, Sequence: l.Sequence, Numbers: l.Permits, Requested: l.Requested,
+		})
 	}
 	d.permitsMu.Unlock()
 	return registrar.RenewAnswer{Void: void}
--- a/internal/transport/controller/faults_test.go
+++ b/internal/transport/controller/faults_test.go
@@ -296,6 +296,48 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against nothing loading until a permit expires. A companion withdraws a request
+	// while there is no leader; its control host repeats the request at the next one.
+	It("grants the next permit although one was withdrawn while there was no leader", func() {
+		old := g.leader()
+		follower := (old + 1) % len(g.hosts)
+		holder, holderLease := join("holder", g.hosts[follower].FailureDomain)
+		heartbeats(holder, holderLease)
+		backend, lease := join("backend", g.hosts[follower].FailureDomain)
+		heartbeats(backend, lease)
+		Eventually(backend.Host, eventuallyTimeout).Should(Equal(g.hosts[follower].Address))
+		request := func(ctx context.Context, version string) error {
+			grant, err := backend.RequestPermit(ctx, permitter.Request{Companion: "backend", Workspace: "w", Version: version, Waiters: 1})
+			if err == nil {
+				backend.FinishPermit(grant)
+			}
+			return err
+		}
+		held, err := holder.RequestPermit(ctx, permitter.Request{Companion: "holder", Workspace: "w", Version: "w/h@1"})
+		Expect(err).NotTo(HaveOccurred())
+
+		Expect(g.kill(old)).To(Succeed())
+		var withdrawn []chan error
+		for i := range 4 {
+			waiting, withdraw := context.WithCancel(ctx)
+			answered := make(chan error, 1)
+			go func() { answered <- request(waiting, fmt.Sprintf("w/a%d@1", i)) }()
+			Consistently(answered, "20ms").ShouldNot(Receive())
+			withdraw()
+			withdrawn = append(withdrawn, answered)
+		}
+		for _, answered := range withdrawn {
+			Eventually(answered, eventuallyTimeout).Should(Receive(HaveOccurred()))
+		}
+		Eventually(g.leader, eventuallyTimeout).ShouldNot(Equal(-1))
+		holder.FinishPermit(held)
+		waiting, cancel := context.WithTimeout(ctx, eventuallyTimeout)
+		defer cancel()
+		for i := range 4 {
+			Expect(request(waiting, fmt.Sprintf("w/b%d@1", i))).To(Succeed())
+		}
+	})
+
 	// Guards against a partitioned host that renews configuration leases. The leader is
 	// cut off from the other hosts but not from the entry, and the others elect a new
 	// leader and accept a change; the entry would apply the replaced rules, and be ready,
--- a/internal/transport/subscriber/memberships.go
+++ b/internal/transport/subscriber/memberships.go
@@ -29,6 +29,8 @@
 	sentConn *messenger.Conn
 	// permits holds the numbers of the permits in use, by backend server; guarded by mu.
 	permits map[string][]uint64
+	// requests holds the requests for permits that have not ended; guarded by mu.
+	requests []permitter.Request
 	// sequence numbers states and heartbeats; guarded by mu. It starts at the wall clock in
 	// microseconds, so that the numbers of a companion that restarts while its backend
 	// server runs, and so keeps its epoch, are higher than its predecessor's.
@@ -90,6 +92,38 @@
 	return true
 }
 
+// beginRequest records that a permit is requested and returns the request with its place
+// among the heartbeats.
+func (m *memberships) beginRequest(r permitter.Request) permitter.Request {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.Sequence = m.sequence
+	m.requests = append(m.requests, r)
+	return r
+}
+
+// endRequest records that a permit is no longer requested.
+func (m *memberships) endRequest(r permitter.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if i := slices.Index(m.requests, r); i >= 0 {
+		m.requests = slices.Delete(m.requests, i, i+1)
+	}
+}
+
+// requestedLocked returns the sorted versions for which permits are requested for a backend
+// server. The caller holds mu.
+func (m *memberships) requestedLocked(name string) []string {
+	var versions []string
+	for _, r := range m.requests {
+		if r.Companion == name {
+			versions = append(versions, r.Version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 // addPermit records that a permit is in use.
 func (m *memberships) addPermit(g permitter.Grant) {
 	m.mu.Lock()
@@ -123,6 +157,7 @@
 		state.Resident = slices.Compact(slices.Sorted(slices.Values(r.Resident)))
 		h := registrar.Heartbeat{LeaseRenewal: registrar.LeaseRenewal{
 			Name: name, Epoch: r.Epoch, Term: term, Sequence: m.sequence, Permits: slices.Clone(m.permits[name]),
+			Requested: m.requestedLocked(name),
 		}}
 		// A busy backend server's load differs at each heartbeat. If every difference were
 		// reported, it would be sent twice a second to its control host and from there to
--- a/internal/transport/subscriber/permit.go
+++ b/internal/transport/subscriber/permit.go
@@ -16,6 +16,8 @@
 	ctx, cancel := c.withCallTimeout(ctx)
 	defer cancel()
 	requestedAt := c.settings.Now()
+	r = c.members.beginRequest(r)
+	defer c.members.endRequest(r)
 	for {
 		conn, done, err := c.acquireConn(ctx)
 		if err != nil {
@@ -63,7 +65,7 @@
 	if l == nil {
 		return
 	}
-	// The message may be lost: the heartbeats list the permits in use, and the leader ends
-	// a permit that they no longer list.
+	// The message may be lost: the heartbeats list the permits in use and the versions
+	// requested, and the leader ends the permits and requests that they no longer list.
 	_ = l.conn.Notify(c.ctx, messenger.MethodFinishPermit, f)
 }
