relayer, attendant: the end of an engine's process is its companion's word, not a refused connection

An entry took a refused connection for the end of the engine's process, and let the stream resume beyond the attempt limit. The network refuses connections too, and a process that leaves closes its listener before its runs end. The same held for another incarnation in the entry's view, which may have been announced late.

The entry now asks the companion on the engine's host. The process has ended if the engine answered there until its output ended, refuses connections now, has no earlier connection open, produced nothing after it had begun to refuse, and had not announced that it leaves. An entry whose connection is refused lets the companion look at once, so that it knows since when. Another incarnation counts if the engine itself answers so, or is silent.

"is not resumed elsewhere if its engine refuses connections" (6), "asks the companion ..." and "is not resumed while the engine answers" fail with the former evidence. The spec "is resumed if another incarnation is known" wanted a stream to resume although its engine answered; it is replaced by two, for an engine that answers and one that is silent.

--- a/internal/protocol/messenger/method.go
+++ b/internal/protocol/messenger/method.go
@@ -36,6 +36,9 @@
 	// MethodFindOrigin requests the software version that began the stream of an attempt:
 	// FindOrigin, answered by FoundOrigin.
 	MethodFindOrigin Method = "Companion.FindOrigin"
+	// MethodInspect asks whether an incarnation of the backend server has ended: Inspect, answered
+	// by Inspected.
+	MethodInspect Method = "Companion.Inspect"
 	// MethodWatch subscribes to the state of the backend server: Watch.
 	MethodWatch Method = "Companion.Watch"
 	// MethodState carries the state of an engine to an entry (package placer).
--- a/internal/transport/attendant/attendant.go
+++ b/internal/transport/attendant/attendant.go
@@ -47,7 +47,9 @@
 	incarnation string
 	epoch       uint64
 	// reachable reports whether the last poll of the engine succeeded.
-	reachable  bool
+	reachable bool
+	// contact is when the engine answered and refused connections.
+	contact    contact
 	admissions map[string]*admission
 	// regulator spaces the requests to the engine's incarnation if it has named a limit, and
 	// limitReported means that its reports have named one. limitedGrants is the number of
@@ -227,6 +229,12 @@
 			return nil, err
 		}
 		return a.findOrigin(m), nil
+	case messenger.MethodInspect:
+		var m messenger.Inspect
+		if err := messenger.Decode(params, &m); err != nil {
+			return nil, err
+		}
+		return a.inspect(ctx, m), nil
 	case messenger.MethodWatch:
 		var m messenger.Watch
 		if err := messenger.Decode(params, &m); err != nil {
--- a/internal/transport/attendant/engine.go
+++ b/internal/transport/attendant/engine.go
@@ -26,6 +26,27 @@
 	HeldAdapter
 }
 
+//go:generate stringer -type=Presence -trimprefix=Presence
+
+// Presence is what a new connection to an engine's address shows.
+type Presence int
+
+// The presences.
+const (
+	// PresenceUnknown means that there was no answer.
+	PresenceUnknown Presence = iota
+	// PresenceAccepts means that the expected incarnation accepts connections.
+	PresenceAccepts
+	// PresenceConnected means that the address refuses connections, but that an earlier connection
+	// is still open.
+	PresenceConnected
+	// PresenceReplaced means that another incarnation answered.
+	PresenceReplaced
+	// PresenceRefused means that the address refuses connections, and that no earlier connection
+	// is open.
+	PresenceRefused
+)
+
 // Report is the state that an engine reports.
 type Report struct {
 	// Sequence is the number of orders that this incarnation of the engine has accepted.
--- a/internal/transport/attendant/fixture_test.go
+++ b/internal/transport/attendant/fixture_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,6 +63,8 @@
 	// requests.
 	slowdown float64
 	polls    int
+	// presences are what connections opened in order show; the last one is kept.
+	presences []attendant.Presence
 	// onOrder is called with each order that is sent; nil means nothing.
 	onOrder func(attendant.Order)
 }
@@ -88,12 +91,38 @@
 }
 
 func newEngine() *engine {
-	return &engine{incarnation: "i-1", held: map[string]uint64{}, pending: map[string]uint64{}}
+	return &engine{
+		incarnation: "i-1", held: map[string]uint64{}, pending: map[string]uint64{}, presences: []attendant.Presence{attendant.PresenceAccepts},
+	}
+}
+
+// setPresence sets what connections opened in order show.
+func (e *engine) setPresence(p ...attendant.Presence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.presences = p
+}
+
+func (e *engine) Find(context.Context, string) attendant.Presence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.presences[0]
+	if len(e.presences) > 1 {
+		e.presences = e.presences[1:]
+	}
+	return p
 }
 
 func (e *engine) Report(context.Context) (attendant.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	switch e.presences[0] {
+	case attendant.PresenceRefused:
+		return attendant.Report{}, syscall.ECONNREFUSED
+	case attendant.PresenceUnknown:
+		return attendant.Report{}, context.DeadlineExceeded
+	case attendant.PresenceAccepts, attendant.PresenceConnected, attendant.PresenceReplaced:
+	}
 	r := attendant.Report{Sequence: e.sequence, Born: e.started, Busy: e.busy, OnDisk: e.disk, Limit: e.limit, MemoryUsed: e.memoryUsed, MemoryTotal: e.memoryTotal}
 	if !e.empty {
 		m := attendant.HeldModel{Name: model, Version: 1}
--- a/internal/transport/attendant/metrics.go
+++ b/internal/transport/attendant/metrics.go
@@ -27,6 +27,8 @@
 	overloaded *prometheus.CounterVec
 	waiting    *prometheus.GaugeVec
 	outOfOrder prometheus.Counter
+	// inspected counts the answers to entries that asked whether the engine has ended.
+	inspected *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -66,10 +68,13 @@
 	m.longPrompts = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "marigoldpoint_attendant_long_prefill_share", Help: "Share of time that the engine spends on long prefills, where entries separate long prompts.",
 	})
+	m.inspected = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_attendant_inspected_total", Help: "Answers to entries that asked whether an incarnation of the engine has ended, by state.",
+	}, []string{"state"})
 	m.slowdown.Set(-1)
 	m.setLimit(regulator.Limit{})
 	if r != nil {
-		r.MustRegister(m.overloaded, m.waiting, m.outOfOrder)
+		r.MustRegister(m.overloaded, m.waiting, m.outOfOrder, m.inspected)
 		r.MustRegister(m.waited, m.loadTime, m.refused, m.sentBack, m.limit, m.originsRefused, m.slowdown, m.returned, m.postponed, m.longPrompts)
 	}
 	return m
--- a/internal/transport/attendant/observing.go
+++ b/internal/transport/attendant/observing.go
@@ -63,8 +63,13 @@
 	a.mu.Unlock()
 	sentAt := a.settings.Now()
 	r, err := a.fetchReport()
+	reopened := err == nil && a.hasReopened(member.Spec.Incarnation)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.contact.recordReport(sentAt, err)
+	if reopened {
+		a.contact.recordPresence(sentAt, PresenceAccepts)
+	}
 	wasReachable := a.reachable
 	a.reachable = err == nil
 	if err != nil {
--- a/internal/transport/attendant/settings.go
+++ b/internal/transport/attendant/settings.go
@@ -58,6 +58,8 @@
 type Engine interface {
 	// Report returns the engine's current state.
 	Report(ctx context.Context) (Report, error)
+	// Find looks for an incarnation of the engine on a new connection.
+	Find(ctx context.Context, incarnation string) Presence
 	// Order sends an order. An error means that its outcome is unknown.
 	Order(ctx context.Context, o Order) (Reply, error)
 	// Slowdown requests the health path, and returns the slowdown factor of the engine's machine
--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -90,7 +90,7 @@
 	arrived := j.relayer.settings.Now().Sub(j.firstEventAt) >= backupReadyDelay
 	j.source = incarnation{name: j.choice.Name, incarnation: j.choice.Incarnation}
 	reply := j.endRun()
-	if reply.End == RunEndReplaced || reply.End == RunEndRefused {
+	if reply.End == RunEndReplaced || reply.End == RunEndExited {
 		j.ended++
 	}
 	elsewhere, made := j.mayResumeElsewhere(), j.choice.Address+"/"+reply.Handle
--- a/internal/transport/relayer/crash.go
+++ b/internal/transport/relayer/crash.go
@@ -17,7 +17,8 @@
 // leaves. The operating system closes the connections of a process that crashes like those of a
 // complete answer.
 //
-// A sound answer of that kind is held back for the time to open a connection.
+// A refused connection is not proof of that, but an answer that may have been cut short must not pass for
+// a complete one. A sound answer of that kind is held back for the time to open a connection.
 func (j *job) checkCrash(response *http.Response) error {
 	if exchanger.BodyOf(response).Framing() != exchanger.FramingConnection {
 		return nil
@@ -26,7 +27,7 @@
 		return nil
 	}
 	// An error means that there is no evidence.
-	if end, _ := j.processEnd(j.ctx); end != RunEndUnknown {
+	if listens, err := j.relayer.settings.Pool.IsListening(j.ctx, j.choice.Address); j.replaced() || err == nil && !listens {
 		return errCrashed
 	}
 	return nil
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -202,6 +202,13 @@
 	recorded []messenger.RecordOrigin
 	// found holds the companions' answers to FindOrigin by attempt; guarded by mu.
 	found map[string]messenger.FoundOrigin
+	// inspect answers the questions whether an engine has ended; nil means that engines which refuse
+	// connections have. Guarded by mu.
+	inspect func(messenger.Inspect) (messenger.ProcessState, error)
+	// backends holds the backend servers by incarnation.
+	backends sync.Map
+	// silent is an address of a backend server at which a dial gets no answer; nil if there is none.
+	silent atomic.Pointer[string]
 	// admit implements the admission of all companions.
 	admit func(messenger.Admit) (messenger.Admitted, error)
 	// companions overrides the addresses of companions, by the backend server's name;
@@ -382,9 +389,35 @@
 
 func (e *entry) announce(i int, b *backend, state storer.MemberState) {
 	GinkgoHelper()
+	e.backends.Store("i-"+strconv.Itoa(i), b)
 	e.put(storer.KindMember, "b"+strconv.Itoa(i), member(i, b, state))
 }
 
+// processState answers a question whether an engine has ended. The caller holds mu.
+func (e *entry) processState(ctx context.Context, m messenger.Inspect) (messenger.Inspected, error) {
+	if e.inspect != nil {
+		state, err := e.inspect(m)
+		return messenger.Inspected{State: state}, err
+	}
+	b, ok := e.backends.Load(m.Incarnation)
+	if !ok {
+		return messenger.Inspected{}, nil
+	}
+	pool := exchanger.NewPool(exchanger.Settings{})
+	listens, err := pool.IsListening(ctx, b.(*backend).network.Addr().String())
+	if err == nil && !listens {
+		return messenger.Inspected{State: messenger.ProcessExited}, pool.Close()
+	}
+	return messenger.Inspected{State: messenger.ProcessRunning}, pool.Close()
+}
+
+// setInspect sets the answer to the questions whether an engine has ended.
+func (e *entry) setInspect(state messenger.ProcessState, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inspect = func(messenger.Inspect) (messenger.ProcessState, error) { return state, err }
+}
+
 // announceTogether announces the backend servers in one view, so that the entry never knows only
 // some of them.
 func (e *entry) announceTogether(backends ...*backend) {
@@ -392,6 +425,7 @@
 	e.view++
 	var changes []storer.Change
 	for i, b := range backends {
+		e.backends.Store("i-"+strconv.Itoa(i), b)
 		changes = append(changes, e.change(storer.KindMember, "b"+strconv.Itoa(i), member(i, b, storer.MemberStateServing)))
 	}
 	e.apply(changes...)
@@ -410,7 +444,7 @@
 	network, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	l := listener.NewListener(network, messenger.Settings{QuietInterval: quietInterval, Handler: messenger.HandlerFunc(
-		func(_ context.Context, _ *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
+		func(ctx context.Context, _ *messenger.Conn, method messenger.Method, params json.RawMessage) (any, error) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			switch method { //nolint:exhaustive // No other method is sent here.
@@ -421,6 +455,12 @@
 				}
 				e.admitted = append(e.admitted, m)
 				return e.admit(m)
+			case messenger.MethodInspect:
+				var m messenger.Inspect
+				if err := messenger.Decode(params, &m); err != nil {
+					return nil, err
+				}
+				return e.processState(ctx, m)
 			case messenger.MethodLimit:
 				var m messenger.Limit
 				if err := messenger.Decode(params, &m); err != nil {
@@ -473,6 +513,9 @@
 
 // dialBackend opens a connection to a backend server.
 func (e *entry) dialBackend(ctx context.Context, address string) (net.Conn, error) {
+	if silent := e.silent.Load(); silent != nil && *silent == address {
+		return nil, os.ErrDeadlineExceeded
+	}
 	conn, err := exchanger.Dialer(exchanger.DefaultUserTimeout)(ctx, address)
 	if err != nil {
 		return nil, err
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -78,6 +78,9 @@
 	// of running inspections and reports; guarded by lossesMu.
 	losses      map[incarnation]*loss
 	inspections int
+	// inspecting holds the incarnations of engines about which their companions are being asked in
+	// the background; guarded by lossesMu.
+	inspecting map[incarnation]struct{}
 	// endedLimits holds the names of the backend servers whose limit's end is being reported
 	// to the leader; guarded by lossesMu.
 	endedLimits map[string]struct{}
@@ -115,6 +118,7 @@
 		answers:       suspecter.NewAnswers(),
 		answersWanted: make(chan struct{}, 1),
 
+		inspecting:  make(map[incarnation]struct{}),
 		endedLimits: make(map[string]struct{}),
 		attempts:    make(map[string]map[*attempt]struct{}),
 		origins:     continuer.NewStore(continuer.Settings{}),
--- a/internal/transport/relayer/runend_string.go
+++ b/internal/transport/relayer/runend_string.go
@@ -10,14 +10,14 @@
 	var x [1]struct{}
 	_ = x[RunEndUnknown-0]
 	_ = x[RunEndReplaced-1]
-	_ = x[RunEndRefused-2]
+	_ = x[RunEndExited-2]
 	_ = x[RunEndAbsent-3]
 	_ = x[RunEndStopped-4]
 }
 
-const _RunEnd_name = "UnknownReplacedRefusedAbsentStopped"
+const _RunEnd_name = "UnknownReplacedExitedAbsentStopped"
 
-var _RunEnd_index = [...]uint8{0, 7, 15, 22, 28, 35}
+var _RunEnd_index = [...]uint8{0, 7, 15, 21, 27, 34}
 
 func (i RunEnd) String() string {
 	idx := int(i) - 0
--- a/internal/transport/relayer/runend_test.go
+++ b/internal/transport/relayer/runend_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
 	"marigoldpoint.example/marigoldpoint/internal/transport/relayer"
@@ -265,14 +266,61 @@
 		Entry("the engine does not have it", moving, loseAnswer, replies("absent"), resumedNowhere),
 	)
 
-	It("is resumed if another incarnation is known", func() {
-		var i *interruption
-		i = newInterruption(moving, func(_ *backend, c net.Conn) {
-			i.setMember(i.firstEngine(), func(m *storer.MemberSpec) { m.Incarnation = "i-next" })
-			reset(c)
-		}, replies("refused"))
-		rest, err := i.read()
+	// Guards against a stream that runs at more engines than its route allows, or at two at the same
+	// time: a refused connection was taken for the end of the engine's process, which lived on.
+	DescribeTable("is not resumed elsewhere if its engine refuses connections",
+		func(service *tracker.Engine, route tracker.Route, state messenger.ProcessState, inspectErr error) {
+			i := newInterruptionOf(route, service, crash)
+			i.entry.setInspect(state, inspectErr)
+			_, err := i.read()
+			Expect(err).To(HaveOccurred())
+			Expect(i.at).To(BeEmpty())
+		},
+		Entry("and runs", moving, streamed, messenger.ProcessRunning, nil),
+		Entry("and runs, below the limit", moving, streamedTwice, messenger.ProcessRunning, nil),
+		Entry("and can't stop runs", engine, streamed, messenger.ProcessRunning, nil),
+		Entry("and leaves", moving, streamed, messenger.ProcessLeaving, nil),
+		Entry("and its companion has no evidence", moving, streamed, messenger.ProcessUnknown, nil),
+		Entry("and its companion is of an earlier version", moving, streamed, messenger.ProcessUnknown, messenger.NewRefusal(messenger.ReasonUnsupported, "")),
+	)
+
+	It("asks the companion how long ago the engine was heard of", func() {
+		i := newInterruption(moving, crash)
+		var asked messenger.Inspect
+		i.entry.mu.Lock()
+		i.entry.inspect = func(m messenger.Inspect) (messenger.ProcessState, error) {
+			asked = m
+			return messenger.ProcessExited, nil
+		}
+		i.entry.mu.Unlock()
+		_, err := i.read()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+		Expect(asked.Incarnation).To(Equal("i-" + strconv.Itoa(i.first)))
+		Expect(time.Duration(asked.QuietMillis) * time.Millisecond).To(And(BeNumerically(">=", time.Second), BeNumerically("<", 10*time.Second)))
 	})
+
+	// An announcement may arrive late: the engine that answers is the one that runs the stream.
+	DescribeTable("and of whose engine another incarnation is known",
+		func(silent bool, want resumption) {
+			var i *interruption
+			i = newInterruption(moving, func(b *backend, c net.Conn) {
+				if silent {
+					address := b.network.Addr().String()
+					i.entry.silent.Store(&address)
+				}
+				i.setMember(i.firstEngine(), func(m *storer.MemberSpec) { m.Incarnation = "i-next" })
+				reset(c)
+			}, replies("refused"))
+			rest, err := i.read()
+			if want == resumedNowhere {
+				Expect(err).To(HaveOccurred())
+				Expect(i.at).To(BeEmpty())
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+		},
+		Entry("is resumed elsewhere if the engine is silent", true, resumedElsewhere),
+		Entry("is not resumed while the engine answers", false, resumedNowhere),
+	)
 })
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/juju/errors"
 
@@ -182,6 +183,9 @@
 		j.count(endGivenUp)
 		return verdictUnknown
 	case notSent:
+		if errors.Is(err, syscall.ECONNREFUSED) && j.service.Engine != nil {
+			j.relayer.inspectInBackground(j.choice)
+		}
 		j.count(endNotSent)
 		j.logFailure(err, "not sent")
 		j.release(placer.OutcomeUnreachable)
--- a/internal/transport/sealer/authorize.go
+++ b/internal/transport/sealer/authorize.go
@@ -49,7 +49,7 @@
 	switch m {
 	case messenger.MethodDispatch, messenger.MethodResume, messenger.MethodAcknowledge, messenger.MethodCancel,
 		messenger.MethodAdmit, messenger.MethodRelease, messenger.MethodLimit, messenger.MethodWatch,
-		messenger.MethodRecordOrigin, messenger.MethodFindOrigin:
+		messenger.MethodRecordOrigin, messenger.MethodFindOrigin, messenger.MethodInspect:
 		return entries
 	case messenger.MethodPiece, messenger.MethodState, messenger.MethodLimitState, messenger.MethodSpeedState, messenger.MethodCacheState, messenger.MethodLongPromptState, messenger.MethodJoin, messenger.MethodRenew, messenger.MethodLeave:
 		return companions
