relayer: an engine that refuses connections counts as crashed only by its companion's word

Callers' requests and parts of prompts were quarantined, and refused with 429, as if they had crashed an engine that only refused connections: the network does that too, and an engine that leaves.

The companion on the engine's host is asked. Without its word the next incarnation is awaited, as before for a host that is silent. A plain backend server has no companion; there a refused connection stays the only sign.

--- a/internal/transport/relayer/loss.go
+++ b/internal/transport/relayer/loss.go
@@ -1,10 +1,13 @@
 package relayer
 
 import (
+	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/identifier"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
@@ -55,6 +58,11 @@
 	incarnation      incarnation
 	service, address string
 	attempts         []brokenAttempt
+	// engine means that a companion runs on the backend server's host.
+	engine bool
+	// lastOutput is when the backend server was heard of last, or when the latest attempt was sent
+	// if it was not.
+	lastOutput time.Time
 }
 
 // brokenAttempt is an attempt that broke.
@@ -93,13 +101,19 @@
 	defer r.lossesMu.Unlock()
 	of := incarnation{name: j.choice.Name, incarnation: j.choice.Incarnation}
 	l := r.losses[of]
+	if l != nil {
+		l.lastOutput = later(l.lastOutput, j.lastOutput())
+	}
 	switch {
 	case l != nil && len(l.attempts) < maxLossAttempts:
 		l.attempts = append(l.attempts, broke)
 	case l != nil, r.inspections >= maxLosses, r.root.Err() != nil:
 		r.metrics.losses.WithLabelValues(j.service.Name, "Overflow").Inc()
 	default:
-		r.losses[of] = &loss{incarnation: of, service: j.service.Name, address: j.choice.Address, attempts: []brokenAttempt{broke}}
+		r.losses[of] = &loss{
+			incarnation: of, service: j.service.Name, address: j.choice.Address, attempts: []brokenAttempt{broke},
+			engine: j.service.Engine != nil, lastOutput: j.lastOutput(),
+		}
 		r.inspections++
 		r.tasks.Go(func() { r.inspectLoss(of) })
 	}
@@ -123,7 +137,7 @@
 // partition, a middlebox or a reset on the path looks the same as a crash.
 func (r *Relayer) inspectLoss(of incarnation) {
 	l := r.collectLoss(of)
-	f := r.fateOf(of, l.address)
+	f := r.fateOf(l)
 	defer r.inspectionDone()
 	r.metrics.losses.WithLabelValues(l.service, f.String()).Inc()
 	same := make([]string, 0, len(l.attempts))
@@ -142,12 +156,13 @@
 
 // fateOf determines the state of a backend server. It blocks for up to
 // restartDetectionTime.
-func (r *Relayer) fateOf(of incarnation, address string) fate {
+func (r *Relayer) fateOf(l *loss) fate {
+	of := l.incarnation
 	if m, ok := r.settings.View().Member(of.name); !ok || m.Spec.Incarnation == of.incarnation && m.Spec.State != storer.MemberStateServing {
 		return fateLeft
 	}
-	listens, err := r.settings.Pool.IsListening(r.root, address)
-	if err == nil && !listens {
+	ended, err := r.hasEnded(l)
+	if err == nil && ended {
 		return fateEnded
 	}
 	until := r.settings.Now().Add(restartDetectionTime)
@@ -166,3 +181,19 @@
 	}
 	return fateUnknown
 }
+
+// hasEnded reports whether the incarnation of a backend server has ended. An error means that this is
+// not known. Of a backend server without a companion, a refused connection is the only sign.
+func (r *Relayer) hasEnded(l *loss) (bool, error) {
+	if !l.engine {
+		listens, err := r.settings.Pool.IsListening(r.root, l.address)
+		return !listens, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(r.root, endRunTimeout)
+	defer cancel()
+	state, err := r.inspect(ctx, l.incarnation.name, l.address, l.incarnation.incarnation, l.lastOutput)
+	if err == nil && state == messenger.ProcessUnknown {
+		err = errors.New("the companion has no evidence")
+	}
+	return state == messenger.ProcessExited, err
+}
--- a/internal/transport/relayer/loss_test.go
+++ b/internal/transport/relayer/loss_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gbytes"
 
+	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 )
 
@@ -48,6 +49,25 @@
 		Expect(e.crashes()).To(BeEmpty(), "no end is reported")
 	})
 
+	// Guards against requests that are quarantined as if they had crashed an engine which only refused
+	// connections.
+	DescribeTable("at an engine that refuses connections reports what its companion knows",
+		func(state messenger.ProcessState, fate string, ends int) {
+			e := newEntry(runOnce, engine, crashes())
+			e.setInspect(state, nil)
+			Expect(e.call(ctx, map[string]string{"Model": "m/a1"}).StatusCode).To(Equal(http.StatusBadGateway))
+			Eventually(func() *gbytes.Buffer {
+				e.clockOffset.Add(int64(time.Second))
+				return e.log
+			}).Should(gbytes.Say(`"Fate":"` + fate + `"`))
+			Eventually(e.crashes).Should(HaveLen(ends))
+		},
+		Entry("that it has ended", messenger.ProcessExited, "Ended", 1),
+		Entry("that it runs", messenger.ProcessRunning, "Lives", 0),
+		Entry("that it leaves", messenger.ProcessLeaving, "Lives", 0),
+		Entry("nothing", messenger.ProcessUnknown, "Unknown", 0),
+	)
+
 	It("reports that its backend server has ended if another incarnation accepts connections at its address", func() {
 		b := newBackend(hangUp)
 		e := newEntry(runOnce, nil, b)
