--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -92,8 +92,9 @@
 // time from any goroutine.
 //
 // After a regular close, bytes already written would still be delivered: a host that
-// stalls for some seconds would read the request when it resumes, long after the caller
-// has disconnected, and process it. A reset discards them.
+// is cut off for some seconds would receive the request afterwards, long after the caller
+// has disconnected, and process it. A reset discards them, except for those that the peer's
+// operating system has received: a process that stalls still reads them.
 func (c *Conn) Abort() {
 	c.closed.Do(func() {
 		if tcp, ok := c.network.(*net.TCPConn); ok {
--- a/internal/transport/relayer/budget.go
+++ b/internal/transport/relayer/budget.go
@@ -11,9 +11,9 @@
 	// from the newest.
 	budgetBuckets  = 20
 	historyBuckets = 2 * budgetBuckets
-	// maxTransit is the longest time from the sending of a retry to its arrival if its entry
-	// ends: a connection whose bytes stay unacknowledged for longer is reset, which discards
-	// them.
+	// maxTransit is the longest time from the sending of a retry to its arrival at a backend
+	// server's host if its entry ends: a connection whose bytes stay unacknowledged for longer is
+	// reset, which discards them.
 	maxTransit = 2 * time.Second
 	// maxStall is the time for which a request may still arrive whose connection was reset before
 	// its answer began. A backend server that stands still reads it afterwards: the operating
