--- a/internal/transport/relayer/runend_test.go
+++ b/internal/transport/relayer/runend_test.go
@@ -172,6 +172,19 @@
 	return string(rest), err
 }
 
+// mustResume reads the stream, and checks whether it is resumed.
+func (i *interruption) mustResume(want resumption) {
+	GinkgoHelper()
+	rest, err := i.read()
+	if want == resumedNowhere {
+		Expect(err).To(HaveOccurred())
+		Expect(i.at).To(BeEmpty())
+		return
+	}
+	Expect(err).NotTo(HaveOccurred())
+	Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+}
+
 // copies returns the names of the copy that the entry has requested and of one that the first engine
 // made when it was stopped.
 func (i *interruption) copies(handle string) (kept, made string) {
@@ -240,14 +253,10 @@
 	DescribeTable("is not resumed at more engines than allowed",
 		func(service *tracker.Engine, lose func(*backend, net.Conn), stop func(net.Conn, *http.Request), want resumption) {
 			i := newInterruptionOf(streamed, service, lose, stop)
-			rest, err := i.read()
+			i.mustResume(want)
 			if want == resumedNowhere {
-				Expect(err).To(HaveOccurred())
-				Expect(i.at).To(BeEmpty())
 				return
 			}
-			Expect(err).NotTo(HaveOccurred())
-			Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
 			_, made := i.copies("7")
 			at := i.first
 			if want == resumedElsewhere {
@@ -311,14 +320,7 @@
 				i.setMember(i.firstEngine(), func(m *storer.MemberSpec) { m.Incarnation = "i-next" })
 				reset(c)
 			}, replies("refused"))
-			rest, err := i.read()
-			if want == resumedNowhere {
-				Expect(err).To(HaveOccurred())
-				Expect(i.at).To(BeEmpty())
-				return
-			}
-			Expect(err).NotTo(HaveOccurred())
-			Expect(rest).To(Equal("id: 3\ndata: x\n\n"))
+			i.mustResume(want)
 		},
 		Entry("is resumed elsewhere if the engine is silent", true, resumedElsewhere),
 		Entry("is not resumed while the engine answers", false, resumedNowhere),
