--- a/internal/transport/relayer/crash.go
+++ b/internal/transport/relayer/crash.go
@@ -26,8 +26,11 @@
 	if m, ok := j.relayer.settings.View().Member(j.choice.Name); !ok || m.Spec.State != storer.MemberStateServing {
 		return nil
 	}
+	if j.replaced() {
+		return errCrashed
+	}
 	// An error means that there is no evidence.
-	if listens, err := j.relayer.settings.Pool.IsListening(j.ctx, j.choice.Address); j.replaced() || err == nil && !listens {
+	if listens, err := j.relayer.settings.Pool.IsListening(j.ctx, j.choice.Address); err == nil && !listens {
 		return errCrashed
 	}
 	return nil
