relayer: no sign of an engine's end lifts the attempt limit

Cause: a stream that resumes elsewhere did not count its first engine if a sign said that it had ended: the companion's word, or another incarnation at its address or in the view. An engine that closes its listener and all connections in the same moment, or one whose successor listens while it finishes its runs, gives the same signs.

Now every engine that a call was sent to counts. At the limit no copy of the KV cache is requested any more, since it could not be used.

--- a/internal/transport/relayer/backup.go
+++ b/internal/transport/relayer/backup.go
@@ -29,9 +29,14 @@
 // it in j.backup and returns its address; it returns "" if no copy is to be kept.
 //
 // The streams of a lost engine may run only once. A stream that resumes from the copy
-// is the same run, and its caller sees only a pause.
+// is the same run, and its caller sees only a pause. At the attempt limit no copy is kept;
+// j.backup is then the target that a request to stop the run names.
 func (j *job) chooseBackup() string {
 	j.backup = placer.Choice{}
+	last := !j.mayResumeAfter()
+	if last && (j.service.Engine == nil || !j.service.Engine.Moves) {
+		return ""
+	}
 	c := j.call
 	if !j.relayer.lossesExpected() || !j.route.Stream || c.AnswerTokens == 0 || c.PromptTokens > maxBackupRatio*c.AnswerTokens || j.service.Engine == nil {
 		return ""
@@ -39,7 +44,7 @@
 	r := j.relayer
 	call := j.placerCall()
 	call.Software = j.choice.Software
-	if !r.settings.Placer.Second(r.settings.Now(), call, &j.choice, &j.backup) {
+	if !r.settings.Placer.Second(r.settings.Now(), call, &j.choice, &j.backup) || last {
 		return ""
 	}
 	return j.backup.Address
@@ -90,9 +95,6 @@
 	arrived := j.relayer.settings.Now().Sub(j.firstEventAt) >= backupReadyDelay
 	j.source = incarnation{name: j.choice.Name, incarnation: j.choice.Incarnation}
 	reply := j.endRun()
-	if reply.End == RunEndReplaced || reply.End == RunEndExited {
-		j.ended++
-	}
 	elsewhere, made := j.mayResumeElsewhere(), j.choice.Address+"/"+reply.Handle
 	switch {
 	case reply.End == RunEndUnknown:
--- a/internal/transport/relayer/retry.go
+++ b/internal/transport/relayer/retry.go
@@ -42,9 +42,18 @@
 // maxAttempts returns the number of backend servers at which the call may run.
 func (j *job) maxAttempts() int { return max(1, j.route.MaxAttempts) }
 
-// mayResumeElsewhere reports whether the call may resume at a further backend server. Those that
-// have ended don't count.
-func (j *job) mayResumeElsewhere() bool { return j.sent-j.ended < j.maxAttempts() }
+// mayResumeElsewhere reports whether the call may resume at a further backend server. Those that seem to
+// have ended count too: a process that goes on can give every sign of an end.
+func (j *job) mayResumeElsewhere() bool { return j.sent < j.maxAttempts() }
+
+// mayResumeAfter reports whether the call may resume at a further backend server after the attempt that is
+// about to be sent.
+func (j *job) mayResumeAfter() bool {
+	if j.resumesAtSource() {
+		return j.mayResumeElsewhere()
+	}
+	return j.sent+1 < j.maxAttempts()
+}
 
 // resumesAtSource reports whether the call resumes at the backend server that stopped its run.
 func (j *job) resumesAtSource() bool {
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -52,8 +52,6 @@
 	// that one of them may have run it.
 	sent       int
 	mayHaveRun bool
-	// ended counts those of sent that are known to have ended.
-	ended int
 	// reached counts the attempts that reached a backend server, including those that
 	// reached an incarnation they were not meant for.
 	reached int
