relayer: a planned stop sends no call that it would cut, and answers those at its end

At a planned stop of an entry, calls that became complete late in the grace period were passed on, ran, and their connections ended without an answer; so did those of calls that waited for a backend server.

Cause: only streams were compared with the end of the stop, once, before their body was read, and at the end the listener closed the connections under the calls.

Every call is compared with the end before each attempt, and while it waits: by its estimated length, and, once the load balancer has noticed the stop, by twice the longest recent attempt of its route.

--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -181,10 +181,7 @@
 		}
 	}
 	conn.Finish(response, head.KeepAlive)
-	j.count(endAnswered)
-	j.recordSurvival()
-	j.clearSuspect()
-	j.release(placer.OutcomeSuccess)
+	j.recordAnswered()
 	j.answer.finish()
 	j.log(outcomeAnswered, w.status, "")
 	return verdictAnswered
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -557,6 +557,12 @@
 // quietInterval is longer than any test.
 const quietInterval = time.Hour
 
+// planStop plans a stop that has not been noticed yet and ends after a time.
+func (e *entry) planStop(after time.Duration) {
+	now := time.Now()
+	e.relayer.PlanStop(relayer.Stop{Noticed: now.Add(after / 2), End: now.Add(after)})
+}
+
 // setCompanion sets the address of a backend server's companion.
 func (e *entry) setCompanion(name, address string) {
 	e.mu.Lock()
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -30,9 +30,13 @@
 	inFlight atomic.Int64
 	// trusted is set once the view has been up to date.
 	trusted atomic.Bool
-	// stopAt is the time at which a planned stop cuts the calls in progress, in
-	// nanoseconds since 1970; 0 if no stop is planned.
-	stopAt atomic.Int64
+	// stop is the planned stop; nil if there is none. calls ends when the calls in progress are to end,
+	// with the cause given to endCalls.
+	stop     atomic.Pointer[Stop]
+	calls    context.Context
+	endCalls context.CancelCauseFunc
+	// durations are the longest recent durations of attempts.
+	durations durations
 	// lastStreamLossAt is when a stream last broke, in nanoseconds since 1970.
 	lastStreamLossAt atomic.Int64
 	// poll triggers a check of the subscriptions to companions.
@@ -124,6 +128,7 @@
 		origins:     continuer.NewStore(continuer.Settings{}),
 	}
 	r.root, r.cancel = context.WithCancel(context.Background())
+	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	r.tasks.Go(r.watchCompanions)
 	r.tasks.Go(r.watchSilence)
 	r.tasks.Go(r.reportAnswers)
@@ -176,9 +181,6 @@
 	}
 }
 
-// SetStopTime sets the time at which a planned stop cuts the calls in progress.
-func (r *Relayer) SetStopTime(at time.Time) { r.stopAt.Store(at.UnixNano()) }
-
 // Close stops the background tasks and waits for them. It does not end calls in
 // progress; that is up to their HTTP server.
 func (r *Relayer) Close() error {
--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -19,6 +19,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/storer"
 	"marigoldpoint.example/marigoldpoint/internal/state/tracker"
+	"marigoldpoint.example/marigoldpoint/internal/transport/relayer"
 )
 
 var (
@@ -481,11 +482,11 @@
 			endStream(c)
 		})
 		e := newEntry(streamed, nil, b)
-		e.relayer.SetStopTime(time.Now().Add(time.Second))
+		e.planStop(time.Second)
 		answer := e.call(ctx, nil)
 		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
-		e.relayer.SetStopTime(time.Now().Add(time.Minute))
+		e.planStop(time.Minute)
 		Expect(read(e.call(ctx, nil))).NotTo(BeEmpty())
 		Expect(runs(b)).To(Equal(1))
 	})
@@ -499,11 +500,79 @@
 			endStream(c)
 		})
 		e := newEntry(streamed, nil, b)
-		e.relayer.SetStopTime(time.Now().Add(time.Second))
+		e.planStop(time.Second)
 		Expect(e.call(ctx, map[string]string{"Expected": "200"}).StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(read(e.call(ctx, map[string]string{"Expected": "10"}))).NotTo(BeEmpty())
 		Expect(runs(b)).To(Equal(1))
 	})
+
+	// Guards against requests that may run only once, are read late in the grace period and are sent to a
+	// backend server that can't answer before the stop.
+	DescribeTable("once it is noticed, sends calls that have time for twice the longest recent answer",
+		func(measured, left time.Duration, route tracker.Route, status int) {
+			b := newBackend(func(c net.Conn, r *http.Request) {
+				if r.Header.Get("Id") == "before" {
+					time.Sleep(measured)
+				}
+				if !route.Stream {
+					text("200", signed, "done")(c, r)
+					return
+				}
+				events(c, r, 1, 1)
+				endStream(c)
+			})
+			e := newEntry(route, nil, b)
+			if measured > 0 {
+				Expect(read(e.call(ctx, map[string]string{"Id": "before"}))).NotTo(BeEmpty())
+			}
+			now := time.Now()
+			e.relayer.PlanStop(relayer.Stop{Noticed: now, End: now.Add(left)})
+			answer := e.call(ctx, nil)
+			Expect(answer.StatusCode).To(Equal(status))
+			if status == http.StatusServiceUnavailable {
+				Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		},
+		Entry("enough", 20*time.Millisecond, 20*time.Second, runOnce, http.StatusOK),
+		Entry("too little", 500*time.Millisecond, 900*time.Millisecond, runOnce, http.StatusServiceUnavailable),
+		Entry("too little for a stream", 500*time.Millisecond, 900*time.Millisecond, streamed, http.StatusServiceUnavailable),
+		Entry("nothing is known", time.Duration(0), 10*time.Second, runOnce, http.StatusServiceUnavailable),
+		Entry("nothing is known, and the deadline is earlier", time.Duration(0), time.Minute, runOnce, http.StatusOK),
+	)
+
+	// Guards against a connection that ends without an answer at the end of a planned stop.
+	DescribeTable("answers the calls in progress at its end",
+		func(service *tracker.Engine, status int) {
+			reached := make(chan struct{}, 1)
+			b := newBackend(func(c net.Conn, _ *http.Request) {
+				reached <- struct{}{}
+				_, _ = io.Copy(io.Discard, c)
+			})
+			e := newEntry(runOnce, service, b)
+			ended := make(chan struct{})
+			defer close(ended)
+			if service != nil {
+				e.reportAll(b)
+				e.admit = func(messenger.Admit) (messenger.Admitted, error) {
+					reached <- struct{}{}
+					<-ended
+					return messenger.Admitted{}, messenger.NewRefusal(messenger.ReasonStopping, "")
+				}
+			}
+			answered := make(chan *http.Response, 1)
+			go func() {
+				defer GinkgoRecover()
+				answered <- e.call(ctx, map[string]string{"Model": "m/a1"})
+			}()
+			<-reached
+			e.planStop(10 * time.Millisecond)
+			var answer *http.Response
+			Eventually(answered).Should(Receive(&answer))
+			Expect(answer.StatusCode).To(Equal(status))
+		},
+		Entry("that a backend server may run", nil, http.StatusGatewayTimeout),
+		Entry("that wait for admission", engine, http.StatusServiceUnavailable),
+	)
 })
 
 var _ = Describe("An admission", func() {
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -61,6 +61,9 @@
 			j.answerAborted()
 			return
 		}
+		if j.refuseStopping() {
+			return
+		}
 		if whole, is := j.quarantined(); is {
 			j.refuseQuarantined(whole)
 			return
@@ -267,6 +270,11 @@
 		j.release(placer.OutcomeCanceled)
 		return verdictRejected
 	}
+	if j.outlastsStop() {
+		// The stop may have been announced while the request waited for admission.
+		j.release(placer.OutcomeCanceled)
+		return verdictNotRun
+	}
 	a.Backup = j.chooseBackup()
 	a.FetchFrom = j.fetchFrom()
 	if !r.settings.Placer.Accepts(r.settings.Now(), &j.choice) || !j.commitRetry() {
@@ -359,12 +367,14 @@
 // admitMargin is the time for a companion's refusal at the end of the wait to arrive.
 const admitMargin = 100 * time.Millisecond
 
-// answerAborted answers a call whose deadline has passed, or logs that its caller has
-// left.
+// answerAborted answers a call whose deadline has passed or that a planned stop has ended, or logs that
+// its caller has left.
 func (j *job) answerAborted() {
 	switch {
 	case j.request.Context().Err() != nil:
 		j.logLeft()
+	case errors.Is(context.Cause(j.ctx), errStopping) && j.sent == 0:
+		_ = j.refuse(http.StatusServiceUnavailable, reasonStopping, retryElsewhereDelay)
 	case j.failed != nil && !j.answer.begun():
 		j.answerFailed()
 	case j.sent > 0:
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -267,12 +267,19 @@
 		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
 	}
 	conn.Finish(response, head.KeepAlive)
+	j.recordAnswered()
+	j.sendWhole(outcomeAnswered, j.mayHaveRunAnswer(response, head, body), "")
+	return verdictAnswered
+}
+
+// recordAnswered records that the answer to the current attempt was received in full.
+func (j *job) recordAnswered() {
+	now := j.relayer.settings.Now()
+	j.relayer.durations.record(now, j.route.Name, now.Sub(j.attemptAt))
 	j.count(endAnswered)
 	j.recordSurvival()
 	j.clearSuspect()
 	j.release(placer.OutcomeSuccess)
-	j.sendWhole(outcomeAnswered, j.mayHaveRunAnswer(response, head, body), "")
-	return verdictAnswered
 }
 
 // sendWhole sends a complete answer and logs the call with the given outcome and reason. If part
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -150,6 +150,9 @@
 
 // serve processes the call and sends its answer to the caller.
 func (j *job) serve() {
+	bounded, unbind := j.relayer.boundByStop(j.ctx)
+	defer unbind()
+	j.ctx = bounded
 	if err := j.receive(); err != nil {
 		return
 	}
@@ -190,10 +193,10 @@
 	if err := j.identify(); err != nil {
 		return err
 	}
-	if j.outlastsStop() {
-		return j.refuse(http.StatusServiceUnavailable, "stopping", retryElsewhereDelay)
-	}
 	j.setDeadline()
+	if j.refuseStopping() {
+		return errAnswered
+	}
 	j.boundBuffers()
 	if err := j.charge(); err != nil {
 		return err
@@ -227,32 +230,6 @@
 	}
 }
 
-const (
-	// retryElsewhereDelay makes the caller retry at once, which leads to another entry.
-	retryElsewhereDelay = 10 * time.Millisecond
-	// streamTokenTime is the time per token of a stream at a busy engine, and
-	// streamStartTime the time before the first token.
-	streamTokenTime = 15 * time.Millisecond
-	streamStartTime = 500 * time.Millisecond
-)
-
-// outlastsStop reports whether the planned stop would most likely cut the call. Until
-// the platform's balancer has noticed the stop, it still sends new calls; long streams
-// among them are better served by another entry.
-//
-// The caller's estimate takes precedence over the maximum length: by their maximum most
-// streams would seem too long, and in a failure domain with a single entry the caller's
-// retry would be refused again.
-func (j *job) outlastsStop() bool {
-	stop := j.relayer.stopAt.Load()
-	if stop == 0 || !j.route.Stream {
-		return false
-	}
-	tokens := cmp.Or(j.call.ExpectedTokens, j.call.AnswerTokens)
-	expected := streamStartTime + time.Duration(tokens)*streamTokenTime
-	return j.arrived.Add(expected).UnixNano() > stop
-}
-
 // defaultDeadline is the deadline of calls without one, until their route is known.
 const defaultDeadline = 2 * time.Second
 
--- /dev/null
+++ b/internal/transport/relayer/stopping.go
@@ -0,0 +1,162 @@
+package relayer
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Stop is a planned stop of the process.
+type Stop struct {
+	// Noticed is when the load balancer has noticed the stop, so that callers that are refused reach
+	// another entry, and End when the calls in progress are ended.
+	Noticed, End time.Time
+}
+
+const (
+	// retryElsewhereDelay makes the caller retry at once, which leads to another entry.
+	retryElsewhereDelay = 10 * time.Millisecond
+	// streamTokenTime is the time per token of a stream at a busy engine, and
+	// streamStartTime the time before the first token.
+	streamTokenTime = 15 * time.Millisecond
+	streamStartTime = 500 * time.Millisecond
+	// durationFactor is the ratio of the time that a call is allowed for during a stop to the longest
+	// time that an attempt on its route has taken lately.
+	durationFactor = 2
+	// durationPeriod is the shortest time for which the duration of an attempt is kept, which is
+	// kept for twice that time at most.
+	durationPeriod = 10 * time.Second
+)
+
+// reasonStopping is the reason for which calls are refused or ended during a stop.
+const reasonStopping = "stopping"
+
+// errStopping ends the calls in progress at the end of a planned stop.
+const errStopping = errors.ConstError("the process stops")
+
+// PlanStop announces a planned stop: calls that it would most likely cut are refused from now on, and
+// those in progress at its end are answered then. A later plan replaces an earlier one that has not
+// ended.
+func (r *Relayer) PlanStop(s Stop) {
+	r.stop.Store(&s)
+	r.tasks.Go(func() {
+		timer := time.NewTimer(s.End.Sub(r.settings.Now()))
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			if r.stop.Load() == &s {
+				r.endCalls(errStopping)
+			}
+		case <-r.root.Done():
+		}
+	})
+}
+
+// boundByStop returns a context that also ends at the end of a planned stop, with the cause
+// errStopping.
+func (r *Relayer) boundByStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unbind := context.AfterFunc(r.calls, func() { cancel(errStopping) })
+	return ctx, func() {
+		unbind()
+		cancel(nil)
+	}
+}
+
+// outlastsStop reports whether a planned stop would most likely end the call before its answer, if it
+// were sent to a backend server now. Such calls are better served by another entry.
+//
+// Until the load balancer has noticed the stop, it still sends new calls. In a failure domain
+// with a single entry, the caller's retry would come back, so that a stream is judged by its caller's
+// estimate then: by their maximum length, or by the longest of their route, most would seem too long.
+func (j *job) outlastsStop() bool {
+	stop := j.relayer.stop.Load()
+	if stop == nil {
+		return false
+	}
+	now := j.relayer.settings.Now()
+	if !j.deadline.IsZero() && j.deadline.Before(stop.End) {
+		return false
+	}
+	noticed, longest := now.After(stop.Noticed), durationFactor*j.relayer.durations.longest(now, j.route.Name)
+	if noticed && longest == 0 {
+		return true
+	}
+	expected := longest
+	if j.route.Stream {
+		expected = j.estimatedDuration(noticed)
+		if noticed {
+			expected = max(expected, longest)
+		}
+	}
+	return now.Add(expected).After(stop.End)
+}
+
+// estimatedDuration returns the time that the call's stream takes by its length: the longest one, or the
+// one that its caller expects.
+func (j *job) estimatedDuration(longest bool) time.Duration {
+	tokens := j.call.AnswerTokens
+	if !longest {
+		tokens = cmp.Or(j.call.ExpectedTokens, tokens)
+	}
+	return streamStartTime + time.Duration(tokens)*streamTokenTime
+}
+
+// refuseStopping answers a call that outlasts a planned stop, and reports whether it has.
+func (j *job) refuseStopping() bool {
+	if !j.outlastsStop() {
+		return false
+	}
+	if j.failed != nil || j.mayHaveRun || j.answer.begun() {
+		j.answerExhausted(reasonStopping)
+	} else {
+		_ = j.refuse(http.StatusServiceUnavailable, reasonStopping, retryElsewhereDelay)
+	}
+	return true
+}
+
+// durations holds the longest time that attempts took lately, by route. The zero value is empty. It is
+// safe for concurrent use.
+type durations struct {
+	mu sync.Mutex
+	// current and previous hold the longest durations in the period that began at began, and in the
+	// one before it, by route. All are guarded by mu.
+	current, previous map[string]time.Duration
+	began             time.Time
+}
+
+// record records that an attempt on a route has been answered after took.
+func (d *durations) record(now time.Time, route string, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.advance(now)
+	if d.current == nil {
+		d.current = make(map[string]time.Duration)
+	}
+	d.current[route] = max(d.current[route], took)
+}
+
+// longest returns the longest recent duration on a route; 0 means that there is none.
+func (d *durations) longest(now time.Time, route string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.advance(now)
+	return max(d.current[route], d.previous[route])
+}
+
+// advance begins a new period once the present one is over. The caller holds mu.
+func (d *durations) advance(now time.Time) {
+	age := now.Sub(d.began)
+	if age < durationPeriod {
+		return
+	}
+	d.previous = d.current
+	if age >= 2*durationPeriod {
+		d.previous = nil
+	}
+	d.current, d.began = nil, now
+}
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/splitter"
 )
@@ -93,10 +92,7 @@
 // finishStream handles the end of a complete stream.
 func (j *job) finishStream(conn *exchanger.Conn, response *http.Response, head Head) verdict {
 	conn.Finish(response, head.KeepAlive)
-	j.count(endAnswered)
-	j.recordSurvival()
-	j.clearSuspect()
-	j.release(placer.OutcomeSuccess)
+	j.recordAnswered()
 	j.relayer.metrics.longestGap.Observe(j.longestGap.Seconds())
 	j.answer.begin(response.StatusCode, j.relayer.settings.Translator.AnswerHeader(response.Header))
 	j.answer.finish()
