exchanger, relayer, orderer: what backend servers send is limited by the memory that it takes

A faulty backend server that sends bytes that are no answer, or an answer of which the rest does not come, used up the memory of the entry that had called it, and the entry ended with the requests of all its callers (LOST, ends of processes).

Cause: the limits counted bytes, and not all of them. Parsed heads of short fields took twenty times their bytes; answers of up to 1 MiB with a length, and events of resumable streams, did not count against the limit of all answers; receive buffers grew with what nobody read; companions' own calls accepted heads of 10 MiB.

--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -31,13 +32,12 @@
 	// maxMismatchedAnswers is the maximum number of answers to other requests that one
 	// exchange skips.
 	maxMismatchedAnswers = 2
-	// maxHeadBytes bounds the head of an answer, and maxSkippedBytes the body of one that is
-	// skipped: a faulty server may send bytes without end.
-	maxHeadBytes    = 64 << 10
+	// maxSkippedBytes bounds the body of an answer that is skipped: a faulty server may send bytes
+	// without end.
 	maxSkippedBytes = 1 << 20
 )
 
-// errTooLong means that an answer exceeds maxHeadBytes or maxSkippedBytes.
+// errTooLong means that an answer exceeds maxHeadBytes, maxHeadLines or maxSkippedBytes.
 const errTooLong = errors.ConstError("the answer is too long")
 
 // Conn is a connection to one backend server. Except for Abort, it must be used by one
@@ -46,6 +46,8 @@
 	pool    *Pool
 	network net.Conn
 	reader  *bufio.Reader
+	// pushedBack holds bytes that reader reads before those of the network; nil means none.
+	pushedBack *bytes.Reader
 	// limited means that at most left further bytes may be read.
 	limited bool
 	left    int
@@ -125,7 +127,7 @@
 // stale reports whether the peer has closed the connection, or has sent bytes while no
 // request was pending.
 func (c *Conn) stale() bool {
-	if c.reader.Buffered() > 0 {
+	if c.unread() > 0 {
 		return true
 	}
 	raw, ok := c.network.(syscall.Conn)
@@ -168,11 +170,10 @@
 	}
 	// A backend server may answer and close the connection before it has read the
 	// complete request, so the answer is read even if sending has failed.
-	c.limited = true
 	defer func() { c.limited = false }()
 	for range maxMismatchedAnswers + 1 {
-		c.left = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, request)
+		c.limited = false
+		response, err := c.readResponse(request)
 		if err != nil {
 			c.Abort()
 			return nil, errors.Annotatef(ErrSent, "%v", err)
@@ -188,7 +189,7 @@
 		if accept(response.Header) {
 			return response, nil
 		}
-		c.left = maxSkippedBytes
+		c.limited, c.left = true, maxSkippedBytes
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			break
 		}
@@ -201,9 +202,10 @@
 // closes it if it can't be reused. The parameter limit is the idle time that the peer
 // announced in the head of the answer; 0 means none.
 func (c *Conn) Finish(response *http.Response, limit time.Duration) {
-	if !c.unbindContext() || response.Close || BodyOf(response).Framing() == FramingConnection || c.reader.Buffered() > 0 {
+	if !c.unbindContext() || response.Close || BodyOf(response).Framing() == FramingConnection || c.unread() > 0 {
 		c.Abort()
 		return
 	}
+	c.pushedBack = nil
 	c.pool.recycle(c, limit)
 }
--- a/internal/protocol/exchanger/pool.go
+++ b/internal/protocol/exchanger/pool.go
@@ -42,6 +42,8 @@
 	// SocketBuffer is the size of the send and the receive buffer of each TCP connection in
 	// bytes, of which the operating system may use twice as much; 0 means that it chooses.
 	SocketBuffer int
+	// ReceiveBuffer is the size of the receive buffer; 0 means SocketBuffer.
+	ReceiveBuffer int
 	// Now returns the current time with a monotonic reading; nil means time.Now.
 	Now func() time.Time
 	// Dial opens a connection; nil means Dialer(UserTimeout).
@@ -82,6 +84,17 @@
 	SetWriteBuffer(bytes int) error
 }
 
+// limitBuffers sets the sizes of a connection's buffers.
+func (s *Settings) limitBuffers(c socketBuffers) {
+	// A connection that has ended already fails when it is used.
+	if n := cmp.Or(s.ReceiveBuffer, s.SocketBuffer); n > 0 {
+		_ = c.SetReadBuffer(n)
+	}
+	if s.SocketBuffer > 0 {
+		_ = c.SetWriteBuffer(s.SocketBuffer)
+	}
+}
+
 // Dialer returns a function that opens TCP connections with the given TCP_USER_TIMEOUT.
 // The operating system closes such a connection when sent bytes, or keep-alive probes
 // while it is idle, stay unacknowledged for that time.
@@ -156,10 +169,8 @@
 	if err != nil {
 		return nil, errors.WithType(err, ErrNotSent)
 	}
-	if buffered, ok := network.(socketBuffers); ok && p.settings.SocketBuffer > 0 {
-		// A connection that has ended already fails when it is used.
-		_ = buffered.SetReadBuffer(p.settings.SocketBuffer)
-		_ = buffered.SetWriteBuffer(p.settings.SocketBuffer)
+	if buffered, ok := network.(socketBuffers); ok {
+		p.settings.limitBuffers(buffered)
 	}
 	c := &Conn{pool: p, network: network}
 	c.reader = bufio.NewReaderSize(c, bufferBytes)
@@ -274,8 +285,9 @@
 	return p.open[address]
 }
 
-// Sweep closes the idle connections whose idle limit has expired, and all idle
-// connections to addresses for which inUse returns false.
+// Sweep closes the idle connections whose idle limit has expired or that are stale, and all idle
+// connections to addresses for which inUse returns false. A stale connection may hold bytes that nobody
+// reads.
 func (p *Pool) Sweep(inUse func(address string) bool) {
 	now := p.settings.Now()
 	var expired []*Conn
@@ -283,7 +295,7 @@
 	for address, list := range p.idle {
 		retained := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) >= c.idleLimit || !inUse(address) {
+			if now.Sub(c.idleSince) >= c.idleLimit || !inUse(address) || c.stale() {
 				expired = append(expired, c)
 				continue
 			}
--- a/internal/protocol/orderer/caller.go
+++ b/internal/protocol/orderer/caller.go
@@ -93,12 +93,16 @@
 	return c
 }
 
+// maxHeadBytes bounds the head of an engine's answer. A faulty engine may send fields without end.
+const maxHeadBytes = 16 << 10
+
 func (c *client) transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         c.dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     c.settings.IdleTimeout,
+		DialContext:            c.dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    8,
+		IdleConnTimeout:        c.settings.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/protocol/splitter/events.go
+++ b/internal/protocol/splitter/events.go
@@ -1,5 +1,8 @@
 package splitter
 
+// maxIdleBuffer is the size of a buffer that is kept after all of its events are complete.
+const maxIdleBuffer = 16 << 10
+
 // Events splits a stream into complete events. The zero value is ready for use.
 type Events struct {
 	scanner Scanner
@@ -12,6 +15,9 @@
 // Push adds a piece of the stream and returns the events that are complete by now. The
 // result is valid until the next call.
 func (e *Events) Push(piece []byte) []byte {
+	if cap(e.buffer) > maxIdleBuffer && e.complete == len(e.buffer) {
+		e.buffer, e.complete = nil, 0
+	}
 	pending := copy(e.buffer, e.buffer[e.complete:])
 	e.buffer = append(e.buffer[:pending], piece...)
 	e.scanner.Scan(piece)
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -20,6 +20,9 @@
 	writeGrace = 500 * time.Millisecond
 	// forwardBuffer is the size of one read of an answer that is forwarded as it arrives, in bytes.
 	forwardBuffer = 16 << 10
+	// maxUnboundedBytes is the length up to which an answer, or an event, is buffered whatever other calls
+	// buffer.
+	maxUnboundedBytes = 8 << 10
 	// maxFailureAnswer replaces a failure that exceeds the limits of buffered bytes.
 	maxFailureAnswer = "the backend server failed, and its answer was too long to be kept\n"
 )
@@ -135,11 +138,11 @@
 }
 
 // readAnswer reads an answer as far as it may be buffered. It returns errNoRoom, and what was read,
-// if more may follow. An answer that is long, or does not state its length, is limited in any case,
-// since it may have no end.
+// if more may follow. An answer that is not short, or does not state its length, is limited in any case,
+// since many may be faulty at a time.
 func (j *job) readAnswer(response *http.Response) ([]byte, error) {
 	holding := j.holding
-	if n := response.ContentLength; !j.bounded && (n < 0 || n > allotter.DefaultAnswer) {
+	if n := response.ContentLength; !j.bounded && (n < 0 || n > maxUnboundedBytes) {
 		holding = j.relayer.buffers.NewHolding(true)
 		defer j.holding.Take(holding)
 	}
@@ -150,6 +153,38 @@
 	return body, err
 }
 
+// pendingEvent counts the bytes of an event of a stream that are buffered until it is complete.
+type pendingEvent struct {
+	holding *allotter.Holding
+	held    int64
+}
+
+// set changes the number of buffered bytes. It returns errNoRoom if they exceed a limit.
+func (p *pendingEvent) set(b *buffers, bytes int64) error {
+	if bytes <= maxUnboundedBytes {
+		p.release()
+		return nil
+	}
+	if p.holding == nil {
+		p.holding = b.NewHolding(true)
+	}
+	more := bytes - p.held
+	p.held = bytes
+	if !p.holding.Add(allotter.KindAnswer, more) {
+		b.full.WithLabelValues(allotter.KindAnswer.String()).Inc()
+		return errNoRoom
+	}
+	return nil
+}
+
+// release ends the count.
+func (p *pendingEvent) release() {
+	if p.holding != nil {
+		p.holding.Release()
+		p.holding, p.held = nil, 0
+	}
+}
+
 // forward sends an answer that may not be buffered, beginning with what was read of it. From then on
 // the caller's reading limits how fast the backend server may send, and the call can't be retried.
 func (j *job) forward(conn *exchanger.Conn, response *http.Response, head Head, read []byte) verdict {
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -32,6 +32,8 @@
 		return j.unanswered(errors.Annotate(exchanger.ErrSent, "resumed with other weights"))
 	}
 	var events splitter.Events
+	var pending pendingEvent
+	defer pending.release()
 	body := exchanger.BodyOf(response)
 	splits := j.route.Resumable || j.backup.Name != ""
 	if splits || response.Header.Get("Content-Type") == "" {
@@ -47,6 +49,8 @@
 			j.lastEvent = cmp.Or(events.ID(), j.lastEvent)
 			if events.Unfinished() > maxEventBytes {
 				err = errors.Trace(errEventTooLong)
+			} else if full := pending.set(j.relayer.buffers, int64(events.Unfinished())); full != nil {
+				err = full
 			}
 		}
 		if len(piece) > 0 {
