relayer: no repeated call is sent to a backend server that answers no call

Cause: a plain backend server that does not answer kept its share of new calls, first and repeated: a deadline that passes there is no mark against it, and no companion reports its silence.

A backend server that has answered none of its calls for 0.5 s and four times the mean of the route counts as unresponsive. First calls avoid it if there is another; repeated calls are not sent there until it has answered.

The audit of the soak counted attempts twice that are late and exceed, so that a quarter had to exceed, not a fifth; it counts them once.

--- a/internal/standin/auditor/attempts_test.go
+++ b/internal/standin/auditor/attempts_test.go
@@ -57,7 +57,7 @@
 		{name: "in time", arrivals: [][2]int{{10, 990}, {700, 300}}, want: auditor.TimeLeftReport{Late: 1}},
 		{name: "more than the caller has", arrivals: [][2]int{{10, 1501}}, want: auditor.TimeLeftReport{Exceeding: 1, Worst: 501 * time.Millisecond}},
 		{name: "no time", arrivals: [][2]int{{10, 0}}, want: auditor.TimeLeftReport{Exceeding: 1}},
-		{name: "late with the time of the first", arrivals: [][2]int{{10, 990}, {700, 990}}, want: auditor.TimeLeftReport{Exceeding: 1, Late: 1, Worst: 690 * time.Millisecond}},
+		{name: "late with the time of the first", arrivals: [][2]int{{10, 990}, {700, 990}}, want: auditor.TimeLeftReport{Exceeding: 1, Late: 1, Both: 1, Worst: 690 * time.Millisecond}},
 		{name: "late as the first", arrivals: [][2]int{{700, 990}, {1400, 290}}, want: auditor.TimeLeftReport{Late: 1}},
 		{name: "soon", arrivals: [][2]int{{10, 990}, {510, 990}}, want: auditor.TimeLeftReport{}},
 	} {
@@ -71,3 +71,23 @@
 		}
 	}
 }
+
+// TestTimeLeftCountsOnce guards against an audit that counts attempts twice which are late and exceed, so that
+// a fifth of them seems to be fewer.
+func TestTimeLeftCountsOnce(t *testing.T) {
+	for _, test := range []struct {
+		report auditor.TimeLeftReport
+		want   bool
+	}{
+		{auditor.TimeLeftReport{Exceeding: 20, Late: 20, Both: 20}, false},
+		{auditor.TimeLeftReport{Exceeding: 21, Late: 21, Both: 21}, true},
+		{auditor.TimeLeftReport{Exceeding: 21, Late: 104, Both: 21}, true},
+		{auditor.TimeLeftReport{Exceeding: 21, Late: 105, Both: 21}, false},
+		{auditor.TimeLeftReport{Exceeding: 21}, true},
+		{auditor.TimeLeftReport{Exceeding: 21, Late: 84}, false},
+	} {
+		if got := test.report.Broken(); got != test.want {
+			t.Errorf("%v: broken %v", test.report, got)
+		}
+	}
+}
--- a/internal/standin/auditor/timeleft.go
+++ b/internal/standin/auditor/timeleft.go
@@ -30,20 +30,22 @@
 // TimeLeftReport counts arrivals of requests by the time that they were given.
 type TimeLeftReport struct {
 	// Exceeding were given more time than is left, and Late were sent once more later than the
-	// tolerance.
-	Exceeding, Late int
+	// tolerance. Both counts those that are in both.
+	Exceeding, Late, Both int
 	// Worst is the longest time by which one exceeded the deadlines before.
 	Worst time.Duration
 }
 
 // String implements fmt.Stringer.
 func (r TimeLeftReport) String() string {
-	return fmt.Sprintf("%d of %d late attempts were given more time than is left, at most by %v", r.Exceeding, r.Late, r.Worst)
+	return fmt.Sprintf("%d attempts, %d of them among %d late ones, were given more time than is left, at most by %v", r.Exceeding, r.Both, r.Late, r.Worst)
 }
 
 // Broken reports whether too many attempts were given more time than is left: more than 20, and
 // more than a fifth of these and of all that were sent once more late.
-func (r TimeLeftReport) Broken() bool { return r.Exceeding > 20 && 5*r.Exceeding > r.Exceeding+r.Late }
+func (r TimeLeftReport) Broken() bool {
+	return r.Exceeding > 20 && 5*r.Exceeding > r.Exceeding+r.Late-r.Both
+}
 
 // Request records that a caller sends a request with a deadline.
 func (t *TimeLeft) Request(at time.Time, id string, deadline time.Duration) {
@@ -64,17 +66,21 @@
 	if c == nil {
 		return
 	}
-	end := at.Add(left)
+	end, late := at.Add(left), false
 	excess := left - c.deadline
 	if c.firstArrival.IsZero() {
 		c.firstArrival, c.firstEnd = at, end
 	} else if at.Sub(c.firstArrival) > timeLeftTolerance {
+		late = true
 		t.report.Late++
 		excess = max(excess, min(end.Sub(c.firstEnd), end.Sub(c.sent.Add(c.deadline))))
 	}
 	t.report.Worst = max(t.report.Worst, excess)
 	if left <= 0 || excess > timeLeftTolerance {
 		t.report.Exceeding++
+		if late {
+			t.report.Both++
+		}
 	}
 }
 
--- a/internal/transport/relayer/export_test.go
+++ b/internal/transport/relayer/export_test.go
@@ -30,3 +30,11 @@
 	})
 	both.Wait()
 }
+
+// IsUnresponsive reports whether a backend server has answered none of its calls for too long.
+func (r *Relayer) IsUnresponsive(name string) bool {
+	r.attemptsMu.Lock()
+	defer r.attemptsMu.Unlock()
+	_, unresponsive := r.unresponsive[name]
+	return unresponsive
+}
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -35,7 +35,7 @@
 	stop     atomic.Pointer[Stop]
 	calls    context.Context
 	endCalls context.CancelCauseFunc
-	// durations are the longest recent durations of attempts.
+	// durations are the recent durations of attempts.
 	durations durations
 	// lastStreamLossAt is when a stream last broke, in nanoseconds since 1970.
 	lastStreamLossAt atomic.Int64
@@ -98,8 +98,12 @@
 	held heldCalls
 
 	attemptsMu sync.Mutex
-	// attempts holds the attempts in progress by engine name; guarded by attemptsMu.
-	attempts map[string]map[*attempt]struct{}
+	// attempts holds the attempts in progress by the name of the backend server, and answeredAt when those
+	// with attempts have answered one last. unresponsive holds the incarnations of those without a
+	// companion that stood still and have not answered since, by name. All are guarded by attemptsMu.
+	attempts     map[string]map[*attempt]struct{}
+	answeredAt   map[string]time.Time
+	unresponsive map[string]string
 }
 
 // NewRelayer returns a running relayer. Calls are served by ServeHTTP.
@@ -125,7 +129,10 @@
 		inspecting:  make(map[incarnation]struct{}),
 		endedLimits: make(map[string]struct{}),
 		attempts:    make(map[string]map[*attempt]struct{}),
-		origins:     continuer.NewStore(continuer.Settings{}),
+		answeredAt:  make(map[string]time.Time),
+
+		unresponsive: make(map[string]string),
+		origins:      continuer.NewStore(continuer.Settings{}),
 	}
 	r.root, r.cancel = context.WithCancel(context.Background())
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -198,7 +198,7 @@
 
 // placerCall returns the properties of the call by which the placer chooses.
 func (j *job) placerCall() *placer.Call {
-	c := &placer.Call{Service: j.service.Name, Avoid: j.avoid, Slack: j.untilTarget(), MaxWait: j.maxWait(), Software: j.software, AvoidLimited: j.limitRefusals >= maxLimitRefusals}
+	c := &placer.Call{Service: j.service.Name, Avoid: j.avoided(), Slack: j.untilTarget(), MaxWait: j.maxWait(), Software: j.software, AvoidLimited: j.limitRefusals >= maxLimitRefusals}
 	if j.service.Engine == nil {
 		c.Late = j.route.Target > 0 && j.relayer.settings.Now().Sub(j.arrived) > j.route.Target/2
 		return c
--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -74,6 +74,7 @@
 		defer r.attemptsMu.Unlock()
 		if delete(r.attempts[name], a); len(r.attempts[name]) == 0 {
 			delete(r.attempts, name)
+			delete(r.answeredAt, name)
 		}
 		// No further reservation follows, since cancelWaiting no longer sees the attempt.
 		j.retryReserved = j.retryReserved || a.retryReserved.Load()
@@ -109,6 +110,7 @@
 			r.settings.Placer.Suspect(service, name, now.Add(suspectPolls*r.watcher.Interval()))
 			r.cancelWaiting(now, name)
 		}
+		r.suspectUnresponsive(now)
 	}
 }
 
--- a/internal/transport/relayer/stopping.go
+++ b/internal/transport/relayer/stopping.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -27,9 +26,6 @@
 	// durationFactor is the ratio of the time that a call is allowed for during a stop to the longest
 	// time that an attempt on its route has taken lately.
 	durationFactor = 2
-	// durationPeriod is the shortest time for which the duration of an attempt is kept, which is
-	// kept for twice that time at most.
-	durationPeriod = 10 * time.Second
 )
 
 // reasonStopping is the reason for which calls are refused or ended during a stop.
@@ -118,45 +114,3 @@
 	}
 	return true
 }
-
-// durations holds the longest time that attempts took lately, by route. The zero value is empty. It is
-// safe for concurrent use.
-type durations struct {
-	mu sync.Mutex
-	// current and previous hold the longest durations in the period that began at began, and in the
-	// one before it, by route. All are guarded by mu.
-	current, previous map[string]time.Duration
-	began             time.Time
-}
-
-// record records that an attempt on a route has been answered after took.
-func (d *durations) record(now time.Time, route string, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.advance(now)
-	if d.current == nil {
-		d.current = make(map[string]time.Duration)
-	}
-	d.current[route] = max(d.current[route], took)
-}
-
-// longest returns the longest recent duration on a route; 0 means that there is none.
-func (d *durations) longest(now time.Time, route string) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.advance(now)
-	return max(d.current[route], d.previous[route])
-}
-
-// advance begins a new period once the present one is over. The caller holds mu.
-func (d *durations) advance(now time.Time) {
-	age := now.Sub(d.began)
-	if age < durationPeriod {
-		return
-	}
-	d.previous = d.current
-	if age >= 2*durationPeriod {
-		d.previous = nil
-	}
-	d.current, d.began = nil, now
-}
