--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return j.unanswered(err) //nolint:contextcheck // The report of a loss outlives the call.
 	}
-	j.recordAnswer()
+	j.recordContact()
 	j.answerBody = exchanger.BodyOf(response)
 	defer j.countFraming()
 	head := r.settings.Translator.Head(response.StatusCode, response.Header)
--- a/internal/transport/relayer/unresponsive.go
+++ b/internal/transport/relayer/unresponsive.go
@@ -9,8 +9,8 @@
 // of its calls, so that it counts as unresponsive, to the mean time that calls take.
 const unresponsiveFactor = 4
 
-// recordAnswer records that the chosen backend server has answered.
-func (j *job) recordAnswer() {
+// recordContact records that the chosen backend server has answered.
+func (j *job) recordContact() {
 	r := j.relayer
 	r.attemptsMu.Lock()
 	defer r.attemptsMu.Unlock()
