--- a/internal/transport/relayer/silence.go
+++ b/internal/transport/relayer/silence.go
@@ -105,12 +105,13 @@
 		case <-ticker.C:
 		}
 		now := r.settings.Now()
+		until := now.Add(suspectPolls * r.watcher.Interval())
 		r.recordBudget()
 		for name, service := range r.pollSilent(now) {
-			r.settings.Placer.Suspect(service, name, now.Add(suspectPolls*r.watcher.Interval()))
+			r.settings.Placer.Suspect(service, name, until)
 			r.cancelWaiting(now, name)
 		}
-		r.suspectUnresponsive(now)
+		r.suspectUnresponsive(now, until)
 	}
 }
 
--- a/internal/transport/relayer/unresponsive.go
+++ b/internal/transport/relayer/unresponsive.go
@@ -19,8 +19,8 @@
 }
 
 // suspectUnresponsive finds the backend servers without a companion that have answered none of their calls for
-// much longer than calls take, and lets new calls avoid them.
-func (r *Relayer) suspectUnresponsive(now time.Time) {
+// much longer than calls take, and lets new calls avoid them until the given time.
+func (r *Relayer) suspectUnresponsive(now, until time.Time) {
 	r.attemptsMu.Lock()
 	defer r.attemptsMu.Unlock()
 	for name, attempts := range r.attempts {
@@ -32,7 +32,7 @@
 			usual := r.durations.mean(now, a.job.route.Name)
 			if now.Sub(silentSince) > max(r.settings.Silence.SilentAfter, unresponsiveFactor*usual) {
 				r.unresponsive[name] = a.incarnation
-				r.settings.Placer.Suspect(a.job.service.Name, name, now.Add(suspectPolls*r.watcher.Interval()))
+				r.settings.Placer.Suspect(a.job.service.Name, name, until)
 				break
 			}
 		}
