--- a/internal/transport/relayer/relayer_test.go
+++ b/internal/transport/relayer/relayer_test.go
@@ -510,9 +510,10 @@
 	// backend server that can't answer before the stop.
 	DescribeTable("once it is noticed, sends calls that have time for twice the longest recent answer",
 		func(measured, left time.Duration, route tracker.Route, status int) {
+			var e *entry
 			b := newBackend(func(c net.Conn, r *http.Request) {
 				if r.Header.Get("Id") == "before" {
-					time.Sleep(measured)
+					e.clockOffset.Add(int64(measured))
 				}
 				if !route.Stream {
 					text("200", signed, "done")(c, r)
@@ -521,11 +522,11 @@
 				events(c, r, 1, 1)
 				endStream(c)
 			})
-			e := newEntry(route, nil, b)
+			e = newEntry(route, nil, b)
 			if measured > 0 {
 				Expect(read(e.call(ctx, map[string]string{"Id": "before"}))).NotTo(BeEmpty())
 			}
-			now := time.Now()
+			now := time.Now().Add(measured)
 			e.relayer.PlanStop(relayer.Stop{Noticed: now, End: now.Add(left)})
 			answer := e.call(ctx, nil)
 			Expect(answer.StatusCode).To(Equal(status))
@@ -533,9 +534,10 @@
 				Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
 			}
 		},
-		Entry("enough", 20*time.Millisecond, 20*time.Second, runOnce, http.StatusOK),
-		Entry("too little", 500*time.Millisecond, 900*time.Millisecond, runOnce, http.StatusServiceUnavailable),
-		Entry("too little for a stream", 500*time.Millisecond, 900*time.Millisecond, streamed, http.StatusServiceUnavailable),
+		Entry("enough", 5*time.Second, 15*time.Second, runOnce, http.StatusOK),
+		Entry("too little", 8*time.Second, 15*time.Second, runOnce, http.StatusServiceUnavailable),
+		Entry("enough for a stream", 5*time.Second, 15*time.Second, streamed, http.StatusOK),
+		Entry("too little for a stream", 8*time.Second, 15*time.Second, streamed, http.StatusServiceUnavailable),
 		Entry("nothing is known", time.Duration(0), 10*time.Second, runOnce, http.StatusServiceUnavailable),
 		Entry("nothing is known, and the deadline is earlier", time.Duration(0), time.Minute, runOnce, http.StatusOK),
 	)
--- a/internal/transport/relayer/run.go
+++ b/internal/transport/relayer/run.go
@@ -261,8 +261,8 @@
 			return v
 		}
 	}
-	if _, is := j.quarantined(); is {
-		// The request was quarantined while it waited for admission.
+	if _, quarantined := j.quarantined(); quarantined || j.outlastsStop() {
+		// Either may have begun while the request waited for admission.
 		j.release(placer.OutcomeCanceled)
 		return verdictNotRun
 	}
@@ -270,11 +270,6 @@
 		j.release(placer.OutcomeCanceled)
 		return verdictRejected
 	}
-	if j.outlastsStop() {
-		// The stop may have been announced while the request waited for admission.
-		j.release(placer.OutcomeCanceled)
-		return verdictNotRun
-	}
 	a.Backup = j.chooseBackup()
 	a.FetchFrom = j.fetchFrom()
 	if !r.settings.Placer.Accepts(r.settings.Now(), &j.choice) || !j.commitRetry() {
