relayer: without recent answers no backend server is taken for unresponsive

A service whose calls take seconds, just after a start, would have lost the repetition of its calls: with no mean to compare with, 0.5 s without an answer was enough. Found by reading; 'is not taken for unresponsive if it isn't known how long calls take' failed with the condition left out.

--- a/internal/transport/relayer/export_test.go
+++ b/internal/transport/relayer/export_test.go
@@ -38,3 +38,9 @@
 	_, unresponsive := r.unresponsive[name]
 	return unresponsive
 }
+
+// CheckUnresponsive does what each poll does for backend servers without a companion.
+func (r *Relayer) CheckUnresponsive() {
+	now := r.settings.Now()
+	r.suspectUnresponsive(now, now.Add(time.Hour))
+}
--- a/internal/transport/relayer/unresponsive.go
+++ b/internal/transport/relayer/unresponsive.go
@@ -30,7 +30,8 @@
 			}
 			silentSince := later(time.Unix(0, a.waitingSince.Load()), r.answeredAt[name])
 			usual := r.durations.mean(now, a.job.route.Name)
-			if now.Sub(silentSince) > max(r.settings.Silence.SilentAfter, unresponsiveFactor*usual) {
+			// Without a recent answer it isn't known whether calls take that long.
+			if usual > 0 && now.Sub(silentSince) > max(r.settings.Silence.SilentAfter, unresponsiveFactor*usual) {
 				r.unresponsive[name] = a.incarnation
 				r.settings.Placer.Suspect(a.job.service.Name, name, until)
 				break
--- a/internal/transport/relayer/unresponsive_test.go
+++ b/internal/transport/relayer/unresponsive_test.go
@@ -52,4 +52,26 @@
 		Eventually(func() bool { return e.relayer.IsUnresponsive("b0") }).Should(BeFalse())
 		Eventually(func() int { return e.call(ctx, map[string]string{"Id": "next"}).StatusCode }).Should(Equal(http.StatusOK))
 	})
+
+	// Guards against calls that are not repeated since all backend servers of a service are slow.
+	It("is not taken for unresponsive if it isn't known how long calls take", func() {
+		awake, reached := make(chan struct{}), make(chan struct{}, 1)
+		slow := newBackend(func(c net.Conn, r *http.Request) {
+			reached <- struct{}{}
+			<-awake
+			answersWell(c, r)
+		})
+		e := newEntry(repeatable, nil, slow)
+		answered := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			answered <- e.call(ctx, nil).StatusCode
+		}()
+		<-reached
+		e.clockOffset.Add(int64(5 * time.Second))
+		e.relayer.CheckUnresponsive()
+		Expect(e.relayer.IsUnresponsive("b0")).To(BeFalse())
+		close(awake)
+		Eventually(answered).Should(Receive(Equal(http.StatusOK)))
+	})
 })
