--- a/internal/transport/starter/stop.go
+++ b/internal/transport/starter/stop.go
@@ -35,9 +35,7 @@
 	if p.entry == nil {
 		return nil
 	}
-	p.entryListener.DisableKeepAlives()
-	// Requests that become complete late in the grace period are refused from here on.
-	return stderrors.Join(p.entry.Drain(ctx), p.entryListener.Shutdown(ctx))
+	return stderrors.Join(p.entryListener.Shutdown(ctx), p.entry.Drain(ctx))
 }
 
 func (p *Process) stopCompanion(ctx context.Context) error {
