exchanger: the limit of lines holds for a head that arrives in pieces too

Cause: bufferHead compared the number of lines before it counted the one it had read, and the blank line that ends the head was never compared.

Evidence, 40 runs each: with the former code 'with too many fields' failed 39 times and 'with too many fields, in pieces', whose connection returns 100 bytes at once, 40 times; none with the fix.

--- a/internal/protocol/exchanger/endless_test.go
+++ b/internal/protocol/exchanger/endless_test.go
@@ -28,6 +28,20 @@
 	return n, err
 }
 
+// dialFunc opens a connection.
+type dialFunc = func(ctx context.Context, address string) (net.Conn, error)
+
+// pieces is a connection of which each Read returns a few bytes.
+type pieces struct{ net.Conn }
+
+func (c pieces) Read(p []byte) (int, error) { return c.Conn.Read(p[:min(len(p), 100)]) }
+
+// dialPieces opens a connection whose bytes arrive a few at a time.
+func dialPieces(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	return pieces{conn}, err
+}
+
 // Guards against memory that is used up by bytes that come without end.
 var _ = DescribeTable("An answer without end",
 	func(head, repeated string, maxRead int) {
@@ -68,13 +82,13 @@
 // Guards against heads that take many times their bytes once they are parsed, and against an answer that is
 // lost or mixed with the next one since its head did not arrive at once.
 var _ = DescribeTable("A head",
-	func(fields, length, pause int, want error) {
+	func(fields, length, pause int, dial dialFunc, want error) {
 		head := strings.Repeat("F: "+strings.Repeat("x", length)+"\r\n", fields)
 		s := serve(func(conn net.Conn, reader *bufio.Reader) {
 			for answer(conn, reader, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n"+head[:pause], head[pause:]+"\r", "\nok") {
 			}
 		})
-		p := exchanger.NewPool(exchanger.Settings{})
+		p := exchanger.NewPool(exchanger.Settings{Dial: dial})
 		DeferCleanup(p.Close)
 		for _, id := range []string{"1", "2", "3"} {
 			body, conn, err := exchange(p, s.address(), id)
@@ -90,14 +104,16 @@
 			Expect(s.accepted).To(HaveLen(1), "the connection is used again")
 		}
 	},
-	Entry("that is short", 1, 10, 0, nil),
-	Entry("with many fields", 124, 1, 0, nil),
-	Entry("with too many fields", 125, 1, 0, exchanger.ErrSent),
-	Entry("longer than a buffer", 10, 1000, 0, nil),
-	Entry("that arrives in parts", 10, 1000, 5000, nil),
-	Entry("with a line longer than a buffer", 1, 12000, 4050, nil),
-	Entry("that is too long", 20, 1000, 0, exchanger.ErrSent),
-	Entry("with a line that is too long", 1, 17000, 0, exchanger.ErrSent),
+	Entry("that is short", 1, 10, 0, nil, nil),
+	Entry("with many fields", 124, 1, 0, nil, nil),
+	Entry("with too many fields", 125, 1, 0, nil, exchanger.ErrSent),
+	Entry("with many fields, in pieces", 124, 1, 0, dialPieces, nil),
+	Entry("with too many fields, in pieces", 125, 1, 0, dialPieces, exchanger.ErrSent),
+	Entry("longer than a buffer", 10, 1000, 0, nil, nil),
+	Entry("that arrives in parts", 10, 1000, 5000, nil, nil),
+	Entry("with a line longer than a buffer", 1, 12000, 4050, nil, nil),
+	Entry("that is too long", 20, 1000, 0, nil, exchanger.ErrSent),
+	Entry("with a line that is too long", 1, 17000, 0, nil, exchanger.ErrSent),
 )
 
 // Guards against bytes that nobody reads, on idle connections that are not used again for a while.
--- a/internal/protocol/exchanger/head.go
+++ b/internal/protocol/exchanger/head.go
@@ -68,22 +68,20 @@
 	for lines := 0; ; {
 		piece, err := c.reader.ReadSlice('\n')
 		head = append(head, piece...)
-		if len(head) > maxHeadBytes || lines > maxHeadLines {
-			return errors.Trace(errTooLong)
+		whole := err == nil
+		if whole {
+			lines++
 		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continued = true
-			continue
-		case err != nil:
+		case len(head) > maxHeadBytes || lines > maxHeadLines:
+			return errors.Trace(errTooLong)
+		case !whole && !errors.Is(err, bufio.ErrBufferFull):
 			return errors.Trace(err)
-		}
-		lines++
-		if !continued && isBlank(piece) {
+		case whole && !continued && isBlank(piece):
 			c.pushBack(head)
 			return nil
 		}
-		continued = false
+		continued = !whole
 	}
 }
 
