starter: a planned stop refuses requests that become complete in the grace period

A request that became complete late in the grace period of a planned stop of an entry was taken, and could be interrupted at its end.

Cause: the listener waited for the requests in progress before the entry began to refuse new ones. The settings say that it refuses them after BalancerDelay.

A request that was taken before ends within Entry.RequestTimeout of the arrival of its head, which GracePeriod is not shorter than.

--- a/internal/transport/gatekeeper/entry.go
+++ b/internal/transport/gatekeeper/entry.go
@@ -109,18 +109,25 @@
 	return !draining && e.settings.Control.LeaseValid()
 }
 
+// RefuseNew makes the entry refuse new requests as not run. Those in progress end within
+// Entry.RequestTimeout.
+func (e *Entry) RefuseNew() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.draining {
+		return
+	}
+	e.draining = true
+	if e.inProgress == 0 {
+		close(e.drained)
+	}
+}
+
 // Drain refuses new requests and waits for those in progress and for the background
 // tasks. It returns ErrNotDrained if ctx ends first. The channel never changes, so it
 // is read without mu.
 func (e *Entry) Drain(ctx context.Context) error {
-	e.mu.Lock()
-	if !e.draining {
-		e.draining = true
-		if e.inProgress == 0 {
-			close(e.drained)
-		}
-	}
-	e.mu.Unlock()
+	e.RefuseNew()
 	e.settings.Recorder.Record(recorder.Event{Kind: recorder.KindStopping})
 	select {
 	case <-e.drained:
--- a/internal/transport/starter/stop.go
+++ b/internal/transport/starter/stop.go
@@ -35,6 +35,8 @@
 	if p.entry == nil {
 		return nil
 	}
+	// Requests that become complete late in the grace period could not end in it.
+	p.entry.RefuseNew()
 	return stderrors.Join(p.entryListener.Shutdown(ctx), p.entry.Drain(ctx))
 }
 
--- a/internal/transport/starter/stop_test.go
+++ b/internal/transport/starter/stop_test.go
@@ -1,7 +1,11 @@
 package starter_test
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"time"
 
@@ -112,3 +116,51 @@
 		}
 	})
 })
+
+var _ = Describe("a planned stop of an entry", func() {
+	// Guards against a request that becomes complete late in the grace period, is taken, and is interrupted at
+	// the end of it.
+	It("refuses requests that become complete in the grace period", func() {
+		listened := map[string]net.Listener{}
+		folder := GinkgoT().TempDir()
+		c := configurer.Settings{
+			Node: "entry-1", Region: "r", FailureDomain: "d", DataFolder: folder,
+			Roles:        []configurer.Role{configurer.RoleEntry, configurer.RoleControl},
+			ControlHosts: []configurer.ControlHost{{ID: 1, Address: "127.0.0.1:1", FailureDomain: "d", Region: "r"}},
+			Control:      configurer.ControlSettings{ID: 1, Listen: "127.0.0.1:1", Group: "g", Bootstrap: true},
+		}
+		c.Entry.Listen, c.Operators.Listen = "127.0.0.1:2", "127.0.0.1:3"
+		c.Stop.BalancerDelay, c.Stop.GracePeriod = configurer.Duration(time.Millisecond), configurer.Duration(testTimeout)
+		p, err := starter.NewProcess(starter.Settings{Configuration: c.WithDefaults(), Listen: func(address string) (net.Listener, error) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			listened[address] = l
+			return l, err
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		caller, err := net.Dial("tcp", listened["127.0.0.1:2"].Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer caller.Close()
+		_, err = io.WriteString(caller, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		stopped := make(chan error, 1)
+		go func() { stopped <- p.Stop(context.Background()) }()
+		Eventually(func() error {
+			refused, err := net.Dial("tcp", listened["127.0.0.1:2"].Addr().String())
+			if err == nil {
+				_ = refused.Close()
+			}
+			return err
+		}).WithTimeout(testTimeout).Should(HaveOccurred())
+		_, err = io.WriteString(caller, "\r\n{}")
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer answer.Body.Close()
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(ContainSubstring("stopping"))
+		Eventually(stopped).WithTimeout(testTimeout).Should(Receive(BeNil()))
+	})
+})
