relayer: a retry counts until its backend server has answered a later request

Cause: a request whose connection the entry had reset counted for 5 s, and one whose connection had ended otherwise counted as arrived. No page says that a process that stands still reads what it has received within some time, and on Linux a reset takes nothing back.

A retry now counts as in flight until the backend server of each attempt of its call that ended without an answer has answered a request that was sent later, and 5 s more; for a minute if it answers nothing, since a lost host would hold the budget for good.

--- a/internal/transport/relayer/budget.go
+++ b/internal/transport/relayer/budget.go
@@ -15,10 +15,14 @@
 	// server's host if its entry ends: a connection whose bytes stay unacknowledged for longer is
 	// reset, which discards them.
 	maxTransit = 2 * time.Second
-	// maxStall is the time for which a request may still arrive whose connection was reset before
-	// its answer began. A backend server that stands still reads it afterwards: the operating
-	// system keeps what has been received when a connection is reset.
+	// maxStall is the time for which a request may still arrive whose connection ended before its
+	// answer began, once its backend server has answered a later one. A backend server that stands
+	// still reads it afterwards: the operating system keeps what has been received when a connection
+	// is reset.
 	maxStall = 5 * time.Second
+	// maxOutage is the time for which such a request counts if its backend server answers nothing.
+	// A retry budget that a lost host holds for longer would be missing at those that are left.
+	maxOutage = time.Minute
 	// maxEntriesAge is the age up to which a number of entries is used.
 	maxEntriesAge = 2 * time.Second
 	// maxCountDelay is the longest time from the moment at which an entry connects to control
@@ -80,12 +84,27 @@
 	// reserved is the number of retries that are allowed and not sent yet, and inFlight that of
 	// those that were sent and may still arrive.
 	reserved, inFlight float64
-	// arrivals are the latest times at which some of the retries in flight arrive.
-	arrivals []time.Time
+	// late are the retries in flight that have ended at the entry and may still arrive.
+	late []lateRetry
 	// bucketStart is the start of the newest bucket.
 	bucketStart time.Time
 }
 
+// lateRetry is a retry that may arrive after its exchange has ended.
+type lateRetry struct {
+	// latest is the latest time at which it arrives.
+	latest time.Time
+	// unread are the attempts of its call whose backend servers have answered no later request.
+	unread []unreadAttempt
+}
+
+// unreadAttempt is an attempt whose connection ended before its answer began, so that its backend server may
+// read it later.
+type unreadAttempt struct {
+	server  string
+	endedAt time.Time
+}
+
 func newBudget(ratio, slack float64, window time.Duration, entries func() (int, time.Duration)) *budget {
 	return &budget{
 		ratio: ratio, slack: slack, window: window, bucket: window / budgetBuckets,
@@ -122,12 +141,12 @@
 		u.calls[0], u.retries[0] = 0, 0
 		u.bucketStart = u.bucketStart.Add(b.bucket)
 	}
-	u.arrivals = slices.DeleteFunc(u.arrivals, func(latest time.Time) bool {
-		if latest.After(now) {
+	u.late = slices.DeleteFunc(u.late, func(l lateRetry) bool {
+		if l.latest.After(now) {
 			return false
 		}
 		u.inFlight--
-		if i := b.bucketOf(u, latest); i < historyBuckets {
+		if i := b.bucketOf(u, l.latest); i < historyBuckets {
 			u.retries[i]++
 		}
 		return true
@@ -250,19 +269,36 @@
 	return true
 }
 
-// arrive sets the latest time at which a retry that was sent arrives, which may have passed.
-func (b *budget) arrive(now time.Time, service string, latest time.Time) {
+// arrive ends a retry that was sent. It has arrived, unless some attempts of its call may still be read.
+func (b *budget) arrive(now time.Time, service string, unread []unreadAttempt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(now, service)
-	if latest.After(now) {
-		u.arrivals = append(u.arrivals, latest)
+	if len(unread) > 0 {
+		u.late = append(u.late, lateRetry{latest: now.Add(maxOutage), unread: slices.Clone(unread)})
 		return
 	}
 	u.inFlight--
 	u.retries[0]++
 }
 
+// answered records that a backend server of a service has answered a request that was sent at the given time.
+func (b *budget) answered(now time.Time, service, server string, sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	late := b.usage(now, service).late
+	for i := range late {
+		l := &late[i]
+		if len(l.unread) == 0 {
+			continue
+		}
+		l.unread = slices.DeleteFunc(l.unread, func(a unreadAttempt) bool { return a.server == server && a.endedAt.Before(sentAt) })
+		if last := now.Add(maxStall); len(l.unread) == 0 && last.Before(l.latest) {
+			l.latest = last
+		}
+	}
+}
+
 // discard ends a retry that can't arrive.
 func (b *budget) discard(now time.Time, service string) {
 	b.mu.Lock()
--- a/internal/transport/relayer/budget_test.go
+++ b/internal/transport/relayer/budget_test.go
@@ -76,7 +76,7 @@
 	if !b.reserve(now, "s") || !b.commit(now, "s") {
 		return false
 	}
-	b.arrive(now, "s", now)
+	b.arrive(now, "s", nil)
 	return true
 }
 
@@ -144,3 +144,45 @@
 		t.Errorf("%d retries at once, %.0f are allowed", again, allowed)
 	}
 }
+
+// TestBudgetOfALostServer guards against a budget that a backend server holds that never answers again, and
+// against one that is free again before that server can have read its requests.
+func TestBudgetOfALostServer(t *testing.T) {
+	const slack, window = 10, 10 * time.Second
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name string
+		// answered is the time after which the server answers a request, sentAt the time at which that
+		// one was sent, and free that after which the budget is free again.
+		answered, sentAt, free time.Duration
+	}{
+		{"that never answers", -1, 0, maxOutage + window},
+		{"that answers", 20 * time.Second, 19 * time.Second, 20*time.Second + maxStall + window},
+		{"that answers an earlier request", 20 * time.Second, -time.Second, maxOutage + window},
+		{"that answers late", maxOutage - time.Second, maxOutage - 2*time.Second, maxOutage + window},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBudget(0, slack, window, nil)
+			for range slack {
+				if !b.reserve(start, "s") || !b.commit(start, "s") {
+					t.Fatal("the budget is not free at first")
+				}
+				b.arrive(start, "s", []unreadAttempt{{server: "a", endedAt: start}})
+			}
+			for after := time.Second; after <= c.free+time.Second; after += time.Second {
+				now := start.Add(after)
+				if after == c.answered {
+					b.answered(now, "s", "b", start.Add(c.sentAt))
+					b.answered(now, "s", "a", start.Add(c.sentAt))
+				}
+				free := b.reserve(now, "s")
+				if free {
+					b.cancel(now, "s")
+				}
+				if free != (after > c.free) {
+					t.Errorf("%v after the retries, the budget is free: %t", after, free)
+				}
+			}
+		})
+	}
+}
--- a/internal/transport/relayer/budgetsum_test.go
+++ b/internal/transport/relayer/budgetsum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -52,16 +53,18 @@
 	known             int
 	knownAt, reportAt time.Time
 	// waiting holds the retries that wait for admission, and sent those whose arrival the entry
-	// has not learned of.
-	waiting, sent []modelRetry
+	// has not learned of, and reset those whose connection was reset, until their backend server answers.
+	waiting, sent, reset []modelRetry
 }
 
 // modelRetry is a retry that is sent at a time and arrives after transit. If its connection is
-// reset, it arrives stall after the reset.
+// reset, it arrives stall after the reset, and read after its backend server has answered another
+// request.
 type modelRetry struct {
-	sent           time.Time
-	transit, stall time.Duration
-	reset          bool
+	sent                 time.Time
+	transit, stall, read time.Duration
+	reset                bool
+	server               string
 }
 
 // running returns the number of entries that are up, as control counts them.
@@ -114,7 +117,7 @@
 	if e.budget != nil && !e.cut {
 		e.changed = d.now
 	}
-	e.budget, e.waiting, e.sent = nil, nil, nil
+	e.budget, e.waiting, e.sent, e.reset = nil, nil, nil, nil
 }
 
 // advance lets time pass, and sends the retries that have been admitted.
@@ -146,12 +149,22 @@
 				arrival := r.sent.Add(r.transit)
 				switch {
 				case r.reset && !arrival.Add(-r.stall).After(d.now):
-					e.budget.arrive(d.now, "s", d.now.Add(maxStall))
+					e.budget.arrive(d.now, "s", []unreadAttempt{{server: r.server, endedAt: d.now}})
+					e.reset = append(e.reset, r)
 					return true
 				case arrival.After(d.now):
 					return false
 				}
-				e.budget.arrive(d.now, "s", d.now)
+				e.budget.arrive(d.now, "s", nil)
+				return true
+			})
+			e.reset = slices.DeleteFunc(e.reset, func(r modelRetry) bool {
+				answered := r.sent.Add(r.transit - r.read)
+				if answered.After(d.now) {
+					return false
+				}
+				// The request that is answered was sent after the reset.
+				e.budget.answered(d.now, "s", r.server, d.now.Add(time.Nanosecond))
 				return true
 			})
 		}
@@ -293,11 +306,15 @@
 			d.start(e)
 		}
 		d.advance(maxBudgetWait)
+		servers := 0
 		t.Repeat(map[string]func(*rapid.T){
 			"retries": func(t *rapid.T) {
 				r := modelRetry{sent: d.now, reset: rapid.Bool().Draw(t, "reset")}
-				r.transit = time.Duration(rapid.IntRange(0, 12000).Draw(t, "transit")) * time.Millisecond
-				r.stall = time.Duration(rapid.Int64Range(0, int64(min(r.transit, maxStall))).Draw(t, "stall"))
+				r.transit = time.Duration(rapid.IntRange(0, 40000).Draw(t, "transit")) * time.Millisecond
+				r.stall = time.Duration(rapid.Int64Range(0, int64(r.transit)).Draw(t, "stall"))
+				r.read = time.Duration(rapid.Int64Range(0, int64(min(r.stall, maxStall))).Draw(t, "read"))
+				servers++
+				r.server = fmt.Sprint(servers)
 				for range rapid.IntRange(1, 60).Draw(t, "count") {
 					for _, e := range d.entries {
 						if e.budget.reserve(d.now, "s") {
@@ -311,7 +328,7 @@
 			},
 		})
 		// The requests of the windows in which the last retries arrive count too.
-		d.advance(3 * d.window)
+		d.advance(6 * d.window)
 		if excess := d.excess(); excess != "" {
 			t.Fatal(excess)
 		}
--- a/internal/transport/relayer/retry.go
+++ b/internal/transport/relayer/retry.go
@@ -1,8 +1,6 @@
 package relayer
 
 import (
-	"context"
-
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
@@ -78,12 +76,12 @@
 
 // recordArrival records what the outcome of an exchange says about when its request arrived: the
 // answer follows the arrival, and one that was not sent never arrives. A request whose connection
-// the entry has reset may arrive later, also after another attempt of its call.
-func (j *job) recordArrival(ctx context.Context, err error) {
+// has ended without an answer may arrive later, also after another attempt of its call.
+func (j *job) recordArrival(err error) {
 	b, now := j.relayer.budget, j.relayer.settings.BootNow()
 	notSent := errors.Is(err, exchanger.ErrNotSent)
-	if err != nil && !notSent && (ctx.Err() != nil || errors.Is(err, exchanger.ErrAnswerMismatch)) {
-		j.lastArrival = now.Add(maxStall)
+	if err != nil && !notSent {
+		j.unread = append(j.unread, unreadAttempt{server: j.choice.Name, endedAt: now})
 	}
 	if !j.retryInFlight {
 		return
@@ -93,7 +91,7 @@
 		b.discard(now, j.service.Name)
 		return
 	}
-	b.arrive(now, j.service.Name, j.lastArrival)
+	b.arrive(now, j.service.Name, j.unread)
 }
 
 // cancelRetry ends the reservation of a retry that was not sent.
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -84,7 +84,7 @@
 			return j.outgoing(a)
 		},
 		func(h http.Header) bool { return j.accepts(t.Head(0, h).Request) })
-	j.recordArrival(ctx, err)
+	j.recordArrival(err)
 	if errors.Is(err, exchanger.ErrNotSent) {
 		j.uncountServer()
 		j.reached--
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -83,10 +83,9 @@
 	// retryReserved means that the next attempt is reserved in the retry budget, and
 	// retryInFlight that the current one is counted there as in flight.
 	retryReserved, retryInFlight bool
-	// lastArrival is the latest time at which attempts without an answer arrive, by
-	// Settings.BootNow.
-	lastArrival time.Time
-	waited      time.Duration
+	// unread are the attempts that may still be read.
+	unread []unreadAttempt
+	waited time.Duration
 	// current is the attempt in progress.
 	current *attempt
 	// answerBody is the body of the answer to the last attempt; nil if it got none.
--- a/internal/transport/relayer/unresponsive.go
+++ b/internal/transport/relayer/unresponsive.go
@@ -12,9 +12,11 @@
 // recordContact records that the chosen backend server has answered.
 func (j *job) recordContact() {
 	r := j.relayer
+	now, bootNow := r.settings.Now(), r.settings.BootNow()
+	r.budget.answered(bootNow, j.service.Name, j.choice.Name, bootNow.Add(j.attemptAt.Sub(now)))
 	r.attemptsMu.Lock()
 	defer r.attemptsMu.Unlock()
-	r.answeredAt[j.choice.Name] = r.settings.Now()
+	r.answeredAt[j.choice.Name] = now
 	delete(r.unresponsive, j.choice.Name)
 }
 
