--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -1,6 +1,11 @@
 package allotter
 
-import "sync/atomic"
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 //go:generate stringer -type=Kind -trimprefix=Kind
 
@@ -13,6 +18,8 @@
 	KindRequest Kind = iota
 	// KindAnswer are answers that are read completely before they are forwarded.
 	KindAnswer
+	// KindConnection are open connections, with the heads of their requests.
+	KindConnection
 	kinds
 )
 
@@ -22,6 +29,9 @@
 	// DefaultAnswer fits the answers of plain services, so that only unusual ones are forwarded
 	// before they are complete.
 	DefaultAnswer = 1 << 20
+	// DefaultConnections is 16 KiB for each of DefaultMaxConnections, and as much for heads.
+	DefaultConnections    = 64 << 20
+	DefaultMaxConnections = 2048
 )
 
 // answerShare is the share of the total up to which answers are buffered. An answer without room
@@ -34,12 +44,25 @@
 	Total int64
 	// Answer is the limit for the answers to one call.
 	Answer int64
+	// Connections is the limit for connections and the heads of their requests, which count eight times:
+	// a head takes much more once it is parsed. MaxConnections is the limit of their number.
+	Connections    int64
+	MaxConnections int
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 }
 
-// Allotter counts the buffered bytes of a process. It is safe for concurrent use.
+// Allotter counts the buffered bytes of a process, and its connections. It is safe for concurrent use.
 type Allotter struct {
-	settings Settings
-	held     [kinds]atomic.Int64
+	settings  Settings
+	held      [kinds]atomic.Int64
+	evictions atomic.Int64
+
+	mu sync.Mutex
+	// accounts holds the accounts that are open and not evicted; guarded by mu.
+	accounts map[*Account]struct{}
+	// evicted holds the accounts that were evicted and are not closed; guarded by mu.
+	evicted map[*Account]struct{}
 }
 
 // NewAllotter returns an allotter with nothing held.
@@ -50,7 +73,21 @@
 	if s.Answer <= 0 {
 		s.Answer = DefaultAnswer
 	}
-	return &Allotter{settings: s}
+	if s.Connections <= 0 {
+		s.Connections = DefaultConnections
+	}
+	if s.MaxConnections <= 0 {
+		s.MaxConnections = DefaultMaxConnections
+	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	return &Allotter{settings: s, accounts: make(map[*Account]struct{}), evicted: make(map[*Account]struct{})}
+}
+
+// NewUnlimited returns an allotter that only counts.
+func NewUnlimited() *Allotter {
+	return NewAllotter(Settings{Total: math.MaxInt64, Answer: math.MaxInt64, Connections: math.MaxInt64, MaxConnections: math.MaxInt32})
 }
 
 // Held returns the number of bytes held of a kind.
--- a/internal/coordination/allotter/kind_string.go
+++ b/internal/coordination/allotter/kind_string.go
@@ -10,12 +10,13 @@
 	var x [1]struct{}
 	_ = x[KindRequest-0]
 	_ = x[KindAnswer-1]
-	_ = x[kinds-2]
+	_ = x[KindConnection-2]
+	_ = x[kinds-3]
 }
 
-const _Kind_name = "RequestAnswerkinds"
+const _Kind_name = "RequestAnswerConnectionkinds"
 
-var _Kind_index = [...]uint8{0, 7, 13, 18}
+var _Kind_index = [...]uint8{0, 7, 13, 23, 28}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/transport/listener/abort.go
+++ b/internal/transport/listener/abort.go
@@ -37,15 +37,19 @@
 
 // resetOnClose makes Close reset a TCP connection.
 func resetOnClose(conn net.Conn) {
+	if tcp, ok := innermost(conn).(*net.TCPConn); ok {
+		// An error means that the caller has reset the connection.
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// innermost returns the connection that other connections wrap.
+func innermost(conn net.Conn) net.Conn {
 	for {
 		wrapped, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return conn
 		}
 		conn = wrapped.NetConn()
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// An error means that the caller has reset the connection.
-		_ = tcp.SetLinger(0)
-	}
 }
--- a/internal/transport/listener/http.go
+++ b/internal/transport/listener/http.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
 
@@ -21,13 +23,20 @@
 	MaxHeaderBytes int
 	// HeaderTimeout limits the time to receive a request's header; 0 means no limit.
 	HeaderTimeout time.Duration
+	// BodyTimeout limits the time to receive a request's body; 0 leaves that to the handler.
+	BodyTimeout time.Duration
 	// IdleTimeout limits the time between two requests of a connection; 0 means no limit.
 	IdleTimeout time.Duration
 	// SocketBuffer is the size of the send and the receive buffer of each TCP connection in
 	// bytes, of which the operating system may use twice as much; 0 means that it chooses.
 	SocketBuffer int
+	// ReceiveBuffer is the size of the receive buffer of each TCP connection in bytes, if SocketBuffer
+	// is 0, of which the operating system may use twice as much; 0 means that it chooses.
+	ReceiveBuffer int
 	// Admission limits the connections that a TCP listener accepts; nil means no limit.
 	Admission Admission
+	// Allotter limits the number of connections, and what they hold; nil means no limit.
+	Allotter *allotter.Allotter
 }
 
 // HTTP serves HTTP on one listener.
@@ -46,12 +55,17 @@
 
 // NewHTTP serves handler on network until Close or Shutdown.
 func NewHTTP(network net.Listener, handler http.Handler, limits Limits, log zerolog.Logger) *HTTP {
+	received := cmp.Or(limits.SocketBuffer, limits.ReceiveBuffer)
+	limitReceived(network, received)
 	if tcp, ok := network.(*net.TCPListener); ok && limits.Admission != nil {
-		network = newPausingListener(tcp, limits.Admission)
+		network = newPausingListener(tcp, limits.Admission, received)
+	}
+	if limits.Allotter == nil {
+		limits.Allotter = allotter.NewUnlimited()
 	}
 	h := &HTTP{network: network, admission: limits.Admission, done: make(chan struct{}), conns: make(map[*gracefulConn]struct{})}
 	h.server = &http.Server{
-		Handler:           h.withConnectionClose(withUnfinished(handler)),
+		Handler:           h.withConnectionClose(withUnfinished(withReceived(handler, limits.BodyTimeout))),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -62,7 +76,7 @@
 	}
 	go func() {
 		defer close(h.done)
-		if err := h.server.Serve(gracefulListener{network, limits.SocketBuffer}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := h.server.Serve(gracefulListener{network, limits}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.Error().Err(err).Str("Address", network.Addr().String()).Msg("HTTP server failed")
 		}
 	}()
@@ -106,6 +120,9 @@
 		return
 	}
 	c.setActive(state == http.StateActive)
+	if state == http.StateIdle {
+		c.account.Next()
+	}
 	if state == http.StateIdle && h.draining.Load() {
 		// Its response was in progress when keep-alives were disabled and so had no
 		// "Connection: close". Left open, the caller would keep sending requests here.
--- a/internal/transport/listener/kept.go
+++ b/internal/transport/listener/kept.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 )
 
 // gracefulConn is a connection of an HTTP server that can be ended between two requests.
@@ -21,8 +24,10 @@
 	net.Conn
 	// accepted is when the connection was accepted.
 	accepted time.Time
-	// limited reports whether the buffers of the connection are limited.
+	// limited reports whether the send buffer of the connection is limited.
 	limited bool
+	// account is what the connection holds.
+	account *allotter.Account
 
 	mu sync.Mutex
 	// active reports whether the server is processing a request; guarded by mu, as all
@@ -40,6 +45,8 @@
 	// stuck reports whether a write to a connection with limited buffers has exceeded its
 	// deadline.
 	stuck bool
+	// evicted makes all reads fail: others need the room of the request that is being received.
+	evicted bool
 }
 
 // NetConn returns the underlying connection.
@@ -58,6 +65,10 @@
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 && !c.count(n) {
+		c.Abort()
+		return 0, errNoRoom
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -76,6 +87,47 @@
 	return n, err
 }
 
+// errNoRoom means that there is no room for the head of a request. The server sends no answer.
+var errNoRoom error = &net.OpError{Op: "read", Err: errors.ConstError("no room for the head of a request")}
+
+// count counts n bytes that were read. It returns false if there is no room for them.
+func (c *gracefulConn) count(n int) bool {
+	c.mu.Lock()
+	active, ending := c.active, c.ending
+	c.mu.Unlock()
+	if ending {
+		// The connection was evicted while it was idle, and goes on.
+		c.account.Next()
+	}
+	c.account.Progressed()
+	return active || c.account.AddHead(n)
+}
+
+// Abort closes the connection with a reset.
+func (c *gracefulConn) Abort() {
+	resetOnClose(c.Conn)
+	// The connection is discarded, so an error of Close doesn't matter.
+	_ = c.Conn.Close()
+}
+
+// Evict ends what the connection receives. An idle connection ends as at a planned stop, one that has sent
+// nothing or part of a head is reset, and the handler of a request whose body is incomplete can't read on.
+func (c *gracefulConn) Evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.active:
+		c.evicted = true
+	case c.hasRead && !c.unanswered:
+		c.ending = true
+	default:
+		c.Abort()
+		return
+	}
+	// The call fails if the connection is already closed.
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+}
+
 func (c *gracefulConn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,7 +148,7 @@
 func (c *gracefulConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending {
+	if c.ending || c.evicted {
 		t = pastDeadline
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -118,6 +170,7 @@
 	c.mu.Lock()
 	reset := c.unfinished || c.stuck
 	c.mu.Unlock()
+	c.account.Close()
 	if reset {
 		resetOnClose(c.Conn)
 	}
@@ -146,22 +199,49 @@
 // gracefulListener returns accepted connections as gracefulConns.
 type gracefulListener struct {
 	net.Listener
-	// socketBuffer is Limits.SocketBuffer.
-	socketBuffer int
+	limits Limits
 }
 
-// Accept waits for a connection.
+// Accept waits for a connection. It resets those for which there is no room: their callers have sent
+// nothing that was read, and may go elsewhere.
 func (l gracefulListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			l.limitBuffers(tcp)
+		}
+		conn := &gracefulConn{Conn: c, accepted: time.Now(), limited: l.limits.SocketBuffer > 0}
+		if conn.account = l.limits.Allotter.Open(conn); conn.account != nil {
+			return conn, nil
+		}
+		conn.Abort()
+	}
+}
+
+// limitBuffers sets the sizes of the buffers of a connection. A connection that has ended already fails
+// when it is read.
+func (l gracefulListener) limitBuffers(c *net.TCPConn) {
+	if n := l.limits.SocketBuffer; n > 0 {
+		_ = c.SetReadBuffer(n)
+		_ = c.SetWriteBuffer(n)
+	}
+}
+
+// limitReceived sets the size of the receive buffers of the connections that a TCP listener will accept,
+// which includes those that already wait. It does nothing for other listeners.
+func limitReceived(network net.Listener, size int) {
+	tcp, ok := network.(*net.TCPListener)
+	if !ok || size <= 0 {
+		return
 	}
-	tcp, ok := c.(*net.TCPConn)
-	limited := ok && l.socketBuffer > 0
-	if limited {
-		// A connection that has ended already fails when it is read.
-		_ = tcp.SetReadBuffer(l.socketBuffer)
-		_ = tcp.SetWriteBuffer(l.socketBuffer)
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		// The listener is closed.
+		return
 	}
-	return &gracefulConn{Conn: c, accepted: time.Now(), limited: limited}, nil
+	// Without the option, the operating system chooses the size.
+	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
 }
--- a/internal/transport/listener/pausing.go
+++ b/internal/transport/listener/pausing.go
@@ -36,6 +36,8 @@
 type pausingListener struct {
 	admission Admission
 	address   net.Addr
+	// receiveBuffer is the size of the receive buffers of connections, 0 if it is not limited.
+	receiveBuffer int
 	// limited reports whether current has the backlog for times with a limit. Only Accept
 	// uses it.
 	limited bool
@@ -51,8 +53,8 @@
 
 // newPausingListener returns a listener that takes over network. Accept must be called by one
 // goroutine at a time.
-func newPausingListener(network net.Listener, a Admission) *pausingListener {
-	return &pausingListener{admission: a, address: network.Addr(), current: network, done: make(chan struct{})}
+func newPausingListener(network net.Listener, a Admission, receiveBuffer int) *pausingListener {
+	return &pausingListener{admission: a, receiveBuffer: receiveBuffer, address: network.Addr(), current: network, done: make(chan struct{})}
 }
 
 // Accept waits for a connection.
@@ -110,6 +112,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	limitReceived(network, l.receiveBuffer)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -12,6 +12,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
+	"marigoldpoint.example/marigoldpoint/internal/transport/listener"
 )
 
 const (
@@ -27,9 +28,6 @@
 	maxFailureAnswer = "the backend server failed, and its answer was too long to be kept\n"
 )
 
-// errNoRoom means that the bytes read exceed the limits of what may be buffered.
-const errNoRoom = errors.ConstError("no room to buffer more")
-
 // Parts of a call in which a caller was too slow, as written to metrics.
 const (
 	slowRequest = "request"
@@ -45,9 +43,12 @@
 	slow *prometheus.CounterVec
 }
 
-func newBuffers(r prometheus.Registerer, total int64) *buffers {
+func newBuffers(r prometheus.Registerer, a *allotter.Allotter, total int64) *buffers {
+	if a == nil {
+		a = allotter.NewAllotter(allotter.Settings{Total: total})
+	}
 	b := &buffers{
-		Allotter: allotter.NewAllotter(allotter.Settings{Total: total}),
+		Allotter: a,
 		full: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_buffer_full_total", Help: "Requests that were refused, and answers that were forwarded before they were complete, since the limit of buffered bytes was reached.",
 		}, []string{"kind"}),
@@ -59,7 +60,7 @@
 		return b
 	}
 	r.MustRegister(b.full, b.slow)
-	for _, k := range []allotter.Kind{allotter.KindRequest, allotter.KindAnswer} {
+	for _, k := range []allotter.Kind{allotter.KindRequest, allotter.KindAnswer, allotter.KindConnection} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "marigoldpoint_relayer_buffered_bytes", Help: "Bytes buffered for calls in progress.",
 			ConstLabels: prometheus.Labels{"kind": k.String()},
@@ -68,14 +69,22 @@
 	return b
 }
 
-// boundBuffers decides whether the call's buffers are limited. Its service must be known.
+// boundBuffers decides whether answers to the call are limited. Its service must be known.
 func (j *job) boundBuffers() {
 	s := &j.relayer.settings
 	j.bounded = s.Buffers.Bounds(s.Buffers == allotter.ModeAuto && s.Placer.SlowdownReported(j.service.Name))
 	j.holding = j.relayer.buffers.NewHolding(j.bounded)
-	if j.bounded {
-		j.answer.timeLeft = func() time.Duration { return j.deadline.Sub(s.Now()) }
+	j.answer.timeLeft = func() time.Duration { return j.deadline.Sub(s.Now()) }
+}
+
+// openAccount returns the account of the request's connection, and a function that ends it if it isn't the
+// connection that does.
+func (r *Relayer) openAccount(request *http.Request) (account *allotter.Account, end func()) {
+	if connection := listener.AccountOf(request); connection != nil {
+		return connection, func() {}
 	}
+	account = r.buffers.Count()
+	return account, account.Close
 }
 
 // releaseBuffers ends the count of what the call has buffered.
@@ -85,19 +94,18 @@
 	}
 }
 
-// holdingReader counts what is read as held, and fails with errNoRoom once a limit is exceeded.
+// holdingReader counts what is read of an answer as held, and fails with allotter.ErrNoRoom once a limit is exceeded.
 type holdingReader struct {
 	io.Reader
 	holding *allotter.Holding
-	kind    allotter.Kind
 }
 
-// Read reads and counts. It returns the bytes that were read also with errNoRoom. The last bytes of
-// an answer are taken in any case, those of a request are not: small bodies arrive in one read.
+// Read reads and counts. It returns the bytes that were read also with allotter.ErrNoRoom. The last bytes are taken
+// in any case.
 func (h holdingReader) Read(p []byte) (int, error) {
 	n, err := h.Reader.Read(p)
-	if n > 0 && !h.holding.Add(h.kind, int64(n)) && (err == nil || errors.Is(err, io.EOF) && h.kind == allotter.KindRequest) {
-		err = errNoRoom
+	if n > 0 && !h.holding.Add(allotter.KindAnswer, int64(n)) && err == nil {
+		err = allotter.ErrNoRoom
 	}
 	return n, err
 }
@@ -110,9 +118,9 @@
 	}
 	control := http.NewResponseController(j.answer.writer)
 	// A caller without a connection, as in a test, has no deadline.
-	timed := j.bounded && j.request.ContentLength != 0 && control.SetReadDeadline(time.Now().Add(j.deadline.Sub(j.relayer.settings.Now()))) == nil
+	timed := j.request.ContentLength != 0 && control.SetReadDeadline(time.Now().Add(j.deadline.Sub(j.relayer.settings.Now()))) == nil
 	var err error
-	j.body, err = io.ReadAll(holdingReader{Reader: http.MaxBytesReader(j.answer.writer, j.request.Body, limit), holding: j.holding, kind: allotter.KindRequest})
+	j.body, err = j.account.ReadAll(http.MaxBytesReader(j.answer.writer, j.request.Body, limit), j.request.ContentLength, limit)
 	if timed && err == nil {
 		// The deadline would end the connection while the call runs.
 		err = control.SetReadDeadline(time.Time{})
@@ -123,7 +131,7 @@
 		return nil
 	case errors.As(err, &large):
 		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, allotter.ErrNoRoom), j.account.Evicted():
 		j.relayer.buffers.full.WithLabelValues(allotter.KindRequest.String()).Inc()
 		j.answer.writer.Header().Set("Connection", "close")
 		return j.refuse(http.StatusServiceUnavailable, "the entry buffers too much to take the body", j.relayer.settings.RetryAfter)
@@ -137,7 +145,7 @@
 	}
 }
 
-// readAnswer reads an answer as far as it may be buffered. It returns errNoRoom, and what was read,
+// readAnswer reads an answer as far as it may be buffered. It returns allotter.ErrNoRoom, and what was read,
 // if more may follow. An answer that is not short, or does not state its length, is limited in any case,
 // since many may be faulty at a time.
 func (j *job) readAnswer(response *http.Response) ([]byte, error) {
@@ -146,8 +154,8 @@
 		holding = j.relayer.buffers.NewHolding(true)
 		defer j.holding.Take(holding)
 	}
-	body, err := io.ReadAll(holdingReader{Reader: response.Body, holding: holding, kind: allotter.KindAnswer})
-	if errors.Is(err, errNoRoom) {
+	body, err := io.ReadAll(holdingReader{Reader: response.Body, holding: holding})
+	if errors.Is(err, allotter.ErrNoRoom) {
 		j.relayer.buffers.full.WithLabelValues(allotter.KindAnswer.String()).Inc()
 	}
 	return body, err
@@ -159,7 +167,7 @@
 	held    int64
 }
 
-// set changes the number of buffered bytes. It returns errNoRoom if they exceed a limit.
+// set changes the number of buffered bytes. It returns allotter.ErrNoRoom if they exceed a limit.
 func (p *pendingEvent) set(b *buffers, bytes int64) error {
 	if bytes <= maxUnboundedBytes {
 		p.release()
@@ -172,7 +180,7 @@
 	p.held = bytes
 	if !p.holding.Add(allotter.KindAnswer, more) {
 		b.full.WithLabelValues(allotter.KindAnswer.String()).Inc()
-		return errNoRoom
+		return allotter.ErrNoRoom
 	}
 	return nil
 }
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/placer"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 )
@@ -233,7 +234,7 @@
 	body, err := j.readAnswer(response)
 	failed := j.mayHaveRunAnswer(response, head, body)
 	switch {
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, allotter.ErrNoRoom):
 		conn.Abort()
 		failed = wholeAnswer{status: http.StatusBadGateway, header: http.Header{"Content-Type": {"text/plain"}}, body: []byte(maxFailureAnswer)}
 	case err != nil:
@@ -257,7 +258,7 @@
 // can then be retried, and is never taken for a complete one.
 func (j *job) answerWhole(conn *exchanger.Conn, response *http.Response, head Head) verdict {
 	body, err := j.readAnswer(response)
-	if errors.Is(err, errNoRoom) && !j.answer.begun() {
+	if errors.Is(err, allotter.ErrNoRoom) && !j.answer.begun() {
 		return j.forward(conn, response, head, body)
 	}
 	if err == nil {
--- a/internal/transport/relayer/serve.go
+++ b/internal/transport/relayer/serve.go
@@ -37,7 +37,9 @@
 	rejection *rejection
 	service   *tracker.Service
 	body      []byte
-	// holding counts what the call buffers, and bounded means that it is limited.
+	// account counts what the caller's request holds.
+	account *allotter.Account
+	// holding counts what the call buffers of answers, and bounded means that it is limited.
 	holding *allotter.Holding
 	bounded bool
 	arrived time.Time
@@ -140,6 +142,9 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	j := &job{relayer: r, answer: answer{writer: w, request: request}, request: request, arrived: r.settings.Now(), ctx: request.Context()}
+	account, end := r.openAccount(request)
+	defer end()
+	j.account = account
 	defer j.refundQuota()
 	defer j.cancelRetry()
 	defer j.releaseBuffers()
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -106,11 +106,12 @@
 	// is expected to answer in time are refused at once: with ModeAuto those to services
 	// whose backend servers tell how fast they are.
 	Rationing rationer.Mode
-	// Buffers is whether what calls buffer is limited, and callers must have sent their request
-	// and read their answer at the deadline: with ModeAuto for services whose backend servers
-	// tell how fast they are. BufferBytes is the limit for all calls; 0 means
-	// allotter.DefaultTotal.
-	Buffers     allotter.Mode
+	// Buffers is whether all answers that are buffered are limited, not only long ones: with ModeAuto
+	// for services whose backend servers tell how fast they are.
+	Buffers allotter.Mode
+	// Allotter limits what calls buffer; nil means one of the entry's own with the limit BufferBytes, 0
+	// for allotter.DefaultTotal.
+	Allotter    *allotter.Allotter
 	BufferBytes int64
 	// Silence configures when a companion, and thus the host that it shares with its
 	// engine, counts as silent. The limit must exceed twice the heartbeat interval.
