messenger, listener, controller: limit what strangers hold at the protocol between processes

What operators saw: nothing yet; a connection that announces a message of 64 MiB had its buffer allocated at once, and silent connections had no limit.

Cause: the buffer of a message was allocated from the length that its peer claims, before a byte of it arrives, on any number of connections.

Accepted connections have accounts as callers' do: they may be evicted until their first message, and the buffer of a message above 8 KiB grows as bytes arrive and counts until it is complete.

--- a/internal/protocol/messenger/conn.go
+++ b/internal/protocol/messenger/conn.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -63,7 +64,10 @@
 	// is called before Handler. Its error, a *Refusal, is returned to the peer. Nil
 	// allows all messages.
 	Allow func(network net.Conn, method Method, params json.RawMessage) error
-	Log   zerolog.Logger
+	// Account counts long messages while they are received, and may be evicted until the first message;
+	// nil means no limit.
+	Account *allotter.Account
+	Log     zerolog.Logger
 }
 
 // Conn is a connection between two processes. It is safe for concurrent use.
@@ -113,7 +117,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Conn{settings: s, network: network, started: time.Now(), ready: make(chan struct{}), cancel: cancel, heartbeatNow: make(chan struct{}, 1)}
-	c.stream = newStream(network, func(n notice) { rpcHandler{c}.handleNotice(ctx, n) })
+	c.stream = newStream(network, s.Account, func(n notice) { rpcHandler{c}.handleNotice(ctx, n) })
 	c.rpc = jsonrpc2.NewConn(
 		ctx, c.stream, rpcHandler{c},
 		jsonrpc2.OnRecv(c.received), jsonrpc2.OnSend(c.stamp), jsonrpc2.SetLogger(debugLogger{s.Log}),
--- a/internal/protocol/messenger/stream.go
+++ b/internal/protocol/messenger/stream.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/state/recorder"
 )
 
@@ -55,6 +56,8 @@
 type stream struct {
 	network net.Conn
 	reader  *bufio.Reader
+	// account counts long messages while they are received; nil means no limit.
+	account *allotter.Account
 	// handleNotice is called for each notice, in the order of arrival of notices and
 	// objects.
 	handleNotice func(notice)
@@ -64,8 +67,8 @@
 	buffer bytes.Buffer
 }
 
-func newStream(network net.Conn, handleNotice func(notice)) *stream {
-	return &stream{network: network, reader: bufio.NewReader(network), handleNotice: handleNotice}
+func newStream(network net.Conn, account *allotter.Account, handleNotice func(notice)) *stream {
+	return &stream{network: network, reader: bufio.NewReader(network), account: account, handleNotice: handleNotice}
 }
 
 // maxRetainedBufferBytes is the maximum capacity of the write buffer that is retained
@@ -170,10 +173,28 @@
 	if length > MaxFrameBytes {
 		return 0, nil, errors.NotValidf("frame of %d bytes", length)
 	}
-	content = make([]byte, length)
-	_, err = io.ReadFull(s.reader, content)
+	content, err = s.readContent(int64(length))
+	if err == nil && s.account != nil {
+		s.account.Complete()
+	}
 	return kind, content, err
 }
 
+// readContent reads the content of a frame. A long one counts as held until it is complete, and its buffer
+// grows as it arrives, since its length is only what the peer claims.
+func (s *stream) readContent(length int64) ([]byte, error) {
+	if s.account == nil || length <= allotter.SmallRequest {
+		content := make([]byte, length)
+		_, err := io.ReadFull(s.reader, content)
+		return content, err
+	}
+	content, err := s.account.ReadAll(io.LimitReader(s.reader, length), length, length)
+	s.account.Remove(allotter.KindRequest, int64(cap(content)))
+	if err == nil && int64(len(content)) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return content, err
+}
+
 // Close implements jsonrpc2.ObjectStream.
 func (s *stream) Close() error { return s.network.Close() }
--- a/internal/transport/controller/settings.go
+++ b/internal/transport/controller/settings.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/replicator"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
@@ -84,6 +85,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Messenger holds the connection intervals; NewControl sets the other fields.
 	Messenger messenger.Settings
+	// Allotter limits the connections that Listener accepts; nil means no limit.
+	Allotter *allotter.Allotter
 	// Open opens the replicated log; nil means replicator.NewReplicator.
 	Open func(replicator.Settings, *storer.Store, replicator.Transport) (ReplicatedLog, error)
 
@@ -175,3 +178,11 @@
 		ClaimAge:       time.Duration(s.Control.ClaimRetention),
 	}
 }
+
+// allotter returns the limits of the connections that Listener accepts.
+func (s Settings) allotter() *allotter.Allotter {
+	if s.Allotter == nil {
+		return allotter.NewUnlimited()
+	}
+	return s.Allotter
+}
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
 )
@@ -18,6 +19,7 @@
 type Listener struct {
 	network  net.Listener
 	settings messenger.Settings
+	allotter *allotter.Allotter
 
 	// root ends with Close.
 	root   context.Context
@@ -31,9 +33,15 @@
 	done   sync.WaitGroup
 }
 
-// NewListener accepts connections on network until Close.
+// NewListener accepts connections on network until Close, without a limit.
 func NewListener(network net.Listener, s messenger.Settings) *Listener {
-	l := &Listener{network: network, settings: s, conns: make(map[*messenger.Conn]struct{})}
+	return NewLimitedListener(network, s, allotter.NewUnlimited())
+}
+
+// NewLimitedListener accepts connections on network until Close. The allotter limits their number, and
+// what they hold.
+func NewLimitedListener(network net.Listener, s messenger.Settings, a *allotter.Allotter) *Listener {
+	l := &Listener{network: network, settings: s, allotter: a, conns: make(map[*messenger.Conn]struct{})}
 	l.root, l.cancel = context.WithCancel(context.Background())
 	l.done.Add(1)
 	go l.accept()
@@ -64,22 +72,43 @@
 	}
 }
 
+// peerConn is the connection of an account of a Listener.
+type peerConn struct{ net.Conn }
+
+// Evict closes the connection: its peer has sent no message yet.
+func (p peerConn) Evict() { p.Abort() }
+
+// Abort resets the connection. Unlike Close, it does not wait for the peer of a sealed connection.
+func (p peerConn) Abort() {
+	conn := innermost(p.Conn)
+	resetOnClose(conn)
+	// The connection is discarded, so an error of Close doesn't matter.
+	_ = conn.Close()
+}
+
 func (l *Listener) serve(network net.Conn) {
+	settings := l.settings
+	if settings.Account = l.allotter.Open(peerConn{network}); settings.Account == nil {
+		peerConn{network}.Abort()
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
+		settings.Account.Close()
 		network.Close()
 		return
 	}
-	c := messenger.NewConn(network, l.settings)
+	c := messenger.NewConn(network, settings)
 	l.conns[c] = struct{}{}
 	l.done.Add(1)
-	go l.removeWhenDone(c)
+	go l.removeWhenDone(c, settings.Account)
 }
 
 // removeWhenDone waits for the end of a connection and removes it.
-func (l *Listener) removeWhenDone(c *messenger.Conn) {
+func (l *Listener) removeWhenDone(c *messenger.Conn, account *allotter.Account) {
 	defer l.done.Done()
+	defer account.Close()
 	<-c.Done()
 	l.mu.Lock()
 	delete(l.conns, c)
