starter, gatekeeper, configurer: limit what clients hold at the product's own listeners

What callers saw: an entry or control host with the own configuration, beside clients that stop just short of the end of their bodies or heads, grew until its host had no memory left.

Cause: a body was limited by itself, within 30 s, but not all bodies together: MaxInFlight counts calls after their body is read. Heads, connections and the operators' listener had no total.

All listeners of a process share the limits that the platform's roles have. They follow from Limits.Memory and Limits.Descriptors, by default what the host has.

--- a/cmd/marigoldpoint/serve.go
+++ b/cmd/marigoldpoint/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"syscall"
 
@@ -19,6 +20,10 @@
 	"marigoldpoint.example/marigoldpoint/internal/transport/starter"
 )
 
+// memoryLimitShare is the share of Limits.Memory that is the Go runtime's soft limit. The rest is for memory
+// that the runtime does not count, such as bytes that have arrived and were not read.
+const memoryLimitShare = 0.5
+
 // serveCommand runs the roles listed in a settings file.
 type serveCommand struct {
 	Settings string            `arg:"required" placeholder:"FILE" help:"settings file"`
@@ -33,6 +38,9 @@
 	if err := c.checkListen(s); err != nil {
 		return usageError{err}
 	}
+	if s.Limits.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.Memory)))
+	}
 	log := newLog(s, out)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/coordination/allotter/account.go
+++ b/internal/coordination/allotter/account.go
@@ -66,6 +66,7 @@
 	c.begin()
 	a.mu.Unlock()
 	if !a.fit(KindConnection, c) {
+		a.evictions.Add(1)
 		c.Close()
 		return nil
 	}
@@ -170,7 +171,14 @@
 	return found
 }
 
-// Evictions returns the number of accounts that were evicted.
+// Connections returns the number of accounts that are open and not evicted.
+func (a *Allotter) Connections() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.accounts)
+}
+
+// Evictions returns the number of accounts that were evicted, or not opened for want of room.
 func (a *Allotter) Evictions() int64 { return a.evictions.Load() }
 
 // wait is how long an account has waited for its peer. Peers that are silent come before those that send,
--- a/internal/coordination/allotter/account_test.go
+++ b/internal/coordination/allotter/account_test.go
@@ -1,6 +1,7 @@
 package allotter_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"strings"
@@ -155,8 +156,8 @@
 		if rapid.Bool().Draw(rt, "announced") {
 			length = int64(len(body))
 		}
-		got, err := c.ReadAll(io.MultiReader(strings.NewReader(string(body))), length, 20000)
-		if err != nil || string(got) != string(body) {
+		got, err := c.ReadAll(io.MultiReader(bytes.NewReader(body)), length, 20000)
+		if err != nil || !bytes.Equal(got, body) {
 			rt.Fatalf("%d of %d bytes, %v", len(got), len(body), err)
 		}
 		if a.Held(allotter.KindRequest) < int64(cap(got)) {
@@ -188,7 +189,9 @@
 			"head":     func(rt *rapid.T) { pick(rt).AddHead(rapid.IntRange(1, 1000).Draw(rt, "bytes")) },
 			"complete": func(rt *rapid.T) { pick(rt).Complete() },
 			"next":     func(rt *rapid.T) { pick(rt).Next() },
-			"advance":  func(rt *rapid.T) { now.advance(time.Duration(rapid.IntRange(1, 2000).Draw(rt, "ms")) * time.Millisecond) },
+			"advance": func(rt *rapid.T) {
+				now.advance(time.Duration(rapid.IntRange(1, 2000).Draw(rt, "ms")) * time.Millisecond)
+			},
 			"close": func(rt *rapid.T) {
 				pick(rt).Close()
 			},
--- a/internal/state/configurer/check.go
+++ b/internal/state/configurer/check.go
@@ -47,6 +47,7 @@
 	}
 	c.operators(s.Operators)
 	c.peers(s.Peers)
+	c.limits(s.Limits)
 	checkEnum(c, "Log.Level", s.Log.Level, LogLevelError)
 	checkEnum(c, "Log.Format", s.Log.Format, LogFormatConsole)
 	checkRange(c, "Stop.BalancerDelay", s.Stop.BalancerDelay, minInterval, Duration(10*time.Minute))
--- a/internal/state/configurer/settings.go
+++ b/internal/state/configurer/settings.go
@@ -53,6 +53,9 @@
 	// Peers configures the mutual authentication of the processes.
 	Peers PeersSettings
 
+	// Limits are what the process may use of its host.
+	Limits LimitSettings
+
 	// Log configures the log.
 	Log LogSettings
 
--- a/internal/transport/starter/operators.go
+++ b/internal/transport/starter/operators.go
@@ -20,6 +20,7 @@
 const (
 	operatorsMaxHeaderBytes = 32 << 10
 	operatorsHeaderTimeout  = 5 * time.Second
+	operatorsBodyTimeout    = 10 * time.Second
 	operatorsIdleTimeout    = 2 * time.Minute
 )
 
@@ -39,7 +40,10 @@
 	p.operatorsListener = listener.NewHTTP(network, p.operatorsHandler(key), listener.Limits{
 		MaxHeaderBytes: operatorsMaxHeaderBytes,
 		HeaderTimeout:  operatorsHeaderTimeout,
+		BodyTimeout:    operatorsBodyTimeout,
 		IdleTimeout:    operatorsIdleTimeout,
+		ReceiveBuffer:  receiveBuffer,
+		Allotter:       p.allotter,
 	}, p.settings.Log)
 	return nil
 }
--- a/internal/transport/starter/process.go
+++ b/internal/transport/starter/process.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marigoldpoint.example/marigoldpoint/internal/coordination/allotter"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/moderator"
 	"marigoldpoint.example/marigoldpoint/internal/state/configurer"
@@ -67,6 +68,8 @@
 	settings Settings
 	recorder *recorder.Recorder
 	random   *rand.Rand
+	// allotter limits what connections and requests hold in the process.
+	allotter *allotter.Allotter
 
 	index         *indexer.Index
 	client        *subscriber.Client
@@ -116,8 +119,10 @@
 		settings: s,
 		recorder: recorder.NewRecorder(recorder.Settings{Node: c.Node, RingSize: c.Events.RingSize, Now: s.Now}),
 		random:   rand.New(rand.NewPCG(s.Seed, 1)),
+		allotter: newAllotter(c.Limits),
 		failed:   make(chan error, 1),
 	}
+	listener.Register(s.Registry, p.allotter)
 	p.runCtx, p.cancelRun = context.WithCancel(context.Background())
 	p.recorder.Record(recorder.Event{Kind: recorder.KindStarted, Detail: "process"})
 	if err := p.start(); err != nil {
--- a/internal/transport/starter/roles.go
+++ b/internal/transport/starter/roles.go
@@ -37,6 +37,7 @@
 		Listener:      network,
 		Dial:          p.dialPeers(configurer.RoleControl),
 		Messenger:     p.messenger(nil),
+		Allotter:      p.allotter,
 		Recorder:      p.recorder,
 		Registerer:    p.settings.Registry,
 		Log:           p.settings.Log,
@@ -131,7 +132,7 @@
 		Random:        p.forkRandom(),
 	})
 	limits := gatekeeper.Limits(c.Entry)
-	limits.Admission = p.callerConnections
+	limits.Admission, limits.ReceiveBuffer, limits.Allotter = p.callerConnections, receiveBuffer, p.allotter
 	p.entryListener = listener.NewHTTP(network, p.entry.Handler(), limits, p.settings.Log)
 	return nil
 }
@@ -181,7 +182,7 @@
 	}
 	p.companionSettings = m
 	p.companion = companion.NewCompanion(s)
-	p.companionListener = listener.NewListener(network, p.messenger(p.companion))
+	p.companionListener = listener.NewLimitedListener(network, p.messenger(p.companion), p.allotter)
 	started := p.companion
 	p.tasks.Go(func() { p.joinCompanion(started) })
 	return nil
