allotter, listener: an evicted request is not served once it is complete

What callers would see: a request whose connection was evicted just before its last bytes arrived was passed on, and ended without an answer, since its connection can't be read any more and the server takes that for a caller that has left. Found by reading; the window is a few microseconds.

Complete reports whether the account was evicted, and ReadAll returns ErrNoRoom then, so that such a request gets 503 before it is passed on.

--- a/internal/coordination/allotter/account.go
+++ b/internal/coordination/allotter/account.go
@@ -237,11 +237,13 @@
 	c.progressed = c.allotter.settings.Now()
 }
 
-// Complete records that the peer has completed a request, so that the account can't be evicted.
-func (c *Account) Complete() {
+// Complete records that the peer has completed a request, so that the account can't be evicted any more. It
+// returns false if it was evicted before: the request can't be served then.
+func (c *Account) Complete() bool {
 	c.allotter.mu.Lock()
 	defer c.allotter.mu.Unlock()
 	c.receiving = false
+	return !c.evicted
 }
 
 // Next records that the request has ended, with all that it held, and that the next one is awaited. It
--- a/internal/coordination/allotter/read.go
+++ b/internal/coordination/allotter/read.go
@@ -16,8 +16,18 @@
 
 // ReadAll reads a body to its end into a buffer that grows as bytes arrive, whatever length was announced,
 // and whose capacity the account holds. A negative length means that none was announced; most is the
-// largest length that body returns. The error is ErrNoRoom or that of body.
+// largest length that body returns. The error is ErrNoRoom, also if the account was evicted meanwhile, or
+// that of body.
 func (c *Account) ReadAll(body io.Reader, length, most int64) ([]byte, error) {
+	buffer, err := c.readAll(body, length, most)
+	if c.Evicted() {
+		recycle(buffer)
+		return nil, ErrNoRoom
+	}
+	return buffer, err
+}
+
+func (c *Account) readAll(body io.Reader, length, most int64) ([]byte, error) {
 	if length >= 0 {
 		most = length
 	}
--- a/internal/transport/listener/received.go
+++ b/internal/transport/listener/received.go
@@ -34,9 +34,6 @@
 		defer account.Close()
 	}
 	body, err := account.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
-	if err != nil && account.Evicted() {
-		err = allotter.ErrNoRoom
-	}
 	if errors.Is(err, allotter.ErrNoRoom) {
 		w.Header().Set("Connection", "close")
 	}
@@ -79,7 +76,13 @@
 		// Once the handler has returned, the connection only waits for its peer.
 		defer account.Next()
 		if r.ContentLength == 0 {
-			account.Complete()
+			if !account.Complete() {
+				// The connection can't be read any more, which would end the request as if its caller
+				// had left.
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 			handler.ServeHTTP(w, r)
 			return
 		}
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -131,7 +131,7 @@
 		return nil
 	case errors.As(err, &large):
 		return j.refuse(http.StatusRequestEntityTooLarge, "body too large", 0)
-	case errors.Is(err, allotter.ErrNoRoom), j.account.Evicted():
+	case errors.Is(err, allotter.ErrNoRoom):
 		j.relayer.buffers.full.WithLabelValues(allotter.KindRequest.String()).Inc()
 		j.answer.writer.Header().Set("Connection", "close")
 		return j.refuse(http.StatusServiceUnavailable, "the entry buffers too much to take the body", j.relayer.settings.RetryAfter)
