allotter: what evicted connections have not given back leaves less room for others

What was seen: on a busy machine (load 19) three specs of heads exceeded their bound: 98, 96 and 107 MB of 96. They pass alone.

Cause: an evicted connection counted as holding nothing at once, but its memory is free only when its goroutine has run. Where the processors are busy, a crowd that comes faster than connections end takes the room several times. Heads of short fields also take more than eight times their bytes.

What evicted connections held counts until they end or go on: beyond half of the limit, new connections, heads and bodies above 8 KiB are refused. Heads count twelve times.

--- a/internal/coordination/allotter/account.go
+++ b/internal/coordination/allotter/account.go
@@ -10,13 +10,13 @@
 	// connectionBytes is what a connection takes: two goroutines with their stacks, and its buffers.
 	connectionBytes = 10 << 10
 	// headFactor is the memory of a parsed head of short fields as a multiple of its bytes.
-	headFactor = 8
+	headFactor = 12
 	// SmallRequest is the size up to which the body of a request is taken while larger ones are refused.
 	SmallRequest = 8 << 10
 	// largeShare is the share of Settings.Total for bodies above SmallRequest, with the answers.
 	largeShare = 0.75
-	// lingerShare is the number of connections that were evicted and are still open, as a share of
-	// Settings.MaxConnections, above which they are aborted.
+	// lingerShare is the share of a limit that evicted connections may take beside it. Those beyond it are
+	// aborted, and what there is no room for is refused until they have ended.
 	lingerShare = 0.5
 	// silentAfter is the time after which a peer that has sent nothing is evicted before those that do.
 	silentAfter = time.Second
@@ -42,10 +42,11 @@
 	// has sent something last at progressed.
 	receiving         bool
 	since, progressed time.Time
-	// evicted means that the account holds nothing any more, since others needed the room. Its
-	// connection may still be open.
+	// evicted means that the account holds nothing any more, since others needed the room, and left is
+	// what its connection gives back when it ends.
 	evicted   bool
 	evictedAt time.Time
+	left      [kinds]int64
 	closed    bool
 }
 
@@ -97,11 +98,21 @@
 func (c *Account) begin() {
 	now := c.allotter.settings.Now()
 	c.receiving, c.evicted, c.since, c.progressed = c.connection != nil, false, now, now
-	delete(c.allotter.evicted, c)
+	c.leave()
 	c.allotter.accounts[c] = struct{}{}
 	c.add(KindConnection, connectionBytes)
 }
 
+// leave records that the connection of an evicted account has given back what it held, or goes on. The
+// caller holds allotter.mu.
+func (c *Account) leave() {
+	delete(c.allotter.evicted, c)
+	for k := range kinds {
+		c.allotter.leaving[k] -= c.left[k]
+		c.left[k] = 0
+	}
+}
+
 // add counts n bytes. The caller holds allotter.mu.
 func (c *Account) add(k Kind, n int64) {
 	c.held[k] += n
@@ -121,15 +132,13 @@
 	for {
 		a.mu.Lock()
 		if !a.exceeded(k, c) {
+			fits := !a.crowded(k, c)
 			a.mu.Unlock()
-			return true
+			return fits
 		}
 		victim := a.longestWaiting(k, c)
 		if victim != nil {
-			victim.evicted, victim.evictedAt, victim.receiving = true, a.settings.Now(), false
-			victim.release()
-			delete(a.accounts, victim)
-			a.evicted[victim] = struct{}{}
+			a.drop(victim)
 		}
 		a.mu.Unlock()
 		if victim == nil {
@@ -140,6 +149,28 @@
 	}
 }
 
+// drop makes an account hold nothing. The caller holds mu, and then ends what its connection receives.
+func (a *Allotter) drop(victim *Account) {
+	victim.evicted, victim.evictedAt, victim.receiving = true, a.settings.Now(), false
+	for k := range kinds {
+		a.leaving[k] += victim.held[k]
+		victim.left[k] = victim.held[k]
+	}
+	victim.release()
+	delete(a.accounts, victim)
+	a.evicted[victim] = struct{}{}
+}
+
+// crowded reports whether evicted connections that have not ended leave no room for what c holds of a kind.
+// It does not hold for the bodies of small requests. The caller holds mu.
+func (a *Allotter) crowded(k Kind, c *Account) bool {
+	if k == KindConnection {
+		return float64(a.Held(k)+a.leaving[k]) > (1+lingerShare)*float64(a.settings.Connections)
+	}
+	total := a.Held(KindRequest) + a.Held(KindAnswer) + a.leaving[KindRequest]
+	return c.held[KindRequest] > SmallRequest && float64(total) > (1+lingerShare)*largeShare*float64(a.settings.Total) && a.leaving[KindRequest] > 0
+}
+
 // exceeded reports whether what c holds of a kind is over a limit together with what others hold. A
 // single request is never over the limit of requests. The caller holds mu.
 func (a *Allotter) exceeded(k Kind, c *Account) bool {
@@ -273,6 +304,6 @@
 		c.closed, c.receiving = true, false
 		c.release()
 		delete(c.allotter.accounts, c)
-		delete(c.allotter.evicted, c)
+		c.leave()
 	}
 }
--- a/internal/coordination/allotter/account_test.go
+++ b/internal/coordination/allotter/account_test.go
@@ -63,11 +63,19 @@
 	if silent.Add(allotter.KindRequest, 1) || !silent.Evicted() {
 		t.Error("an evicted account takes more")
 	}
-	third.Progressed()
 	fourth, _ := open(t, a)
-	if !fourth.Add(allotter.KindRequest, body) || !sendingPeer.evicted {
+	if fourth.Add(allotter.KindRequest, body) {
+		t.Error("a body is taken while evicted connections have not ended")
+	}
+	if !sendingPeer.evicted {
 		t.Error("the connection that has sent for longest keeps its room")
 	}
+	fourth.Next()
+	silent.Close()
+	sending.Next()
+	if !fourth.Add(allotter.KindRequest, body) {
+		t.Error("a body is refused although evicted connections have ended")
+	}
 }
 
 // TestKeepsCompleteRequests guards against a request that is evicted while a backend server may run it, and
--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -44,7 +44,7 @@
 	Total int64
 	// Answer is the limit for the answers to one call.
 	Answer int64
-	// Connections is the limit for connections and the heads of their requests, which count eight times:
+	// Connections is the limit for connections and the heads of their requests, which count twelve times:
 	// a head takes much more once it is parsed. MaxConnections is the limit of their number.
 	Connections    int64
 	MaxConnections int
@@ -61,8 +61,10 @@
 	mu sync.Mutex
 	// accounts holds the accounts that are open and not evicted; guarded by mu.
 	accounts map[*Account]struct{}
-	// evicted holds the accounts that were evicted and are not closed; guarded by mu.
+	// evicted holds the accounts that were evicted and whose connections are open; guarded by mu.
 	evicted map[*Account]struct{}
+	// leaving is what the connections of evicted accounts held and have not given back yet; guarded by mu.
+	leaving [kinds]int64
 }
 
 // NewAllotter returns an allotter with nothing held.
