--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -29,7 +29,7 @@
 	// DefaultAnswer fits the answers of plain services, so that only unusual ones are forwarded
 	// before they are complete.
 	DefaultAnswer = 1 << 20
-	// DefaultConnections is 16 KiB for each of DefaultMaxConnections, and as much for heads.
+	// DefaultConnections is 32 KiB for each of DefaultMaxConnections.
 	DefaultConnections    = 64 << 20
 	DefaultMaxConnections = 2048
 )
@@ -52,7 +52,7 @@
 	Now func() time.Time
 }
 
-// Allotter counts the buffered bytes of a process, and its connections. It is safe for concurrent use.
+// Allotter counts the buffered bytes of a process, and its accepted connections. It is safe for concurrent use.
 type Allotter struct {
 	settings  Settings
 	held      [kinds]atomic.Int64
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -94,14 +94,15 @@
 	}
 }
 
-// holdingReader counts what is read of an answer as held, and fails with allotter.ErrNoRoom once a limit is exceeded.
+// holdingReader counts what is read of an answer as held, and fails with allotter.ErrNoRoom once a limit
+// is exceeded.
 type holdingReader struct {
 	io.Reader
 	holding *allotter.Holding
 }
 
-// Read reads and counts. It returns the bytes that were read also with allotter.ErrNoRoom. The last bytes are taken
-// in any case.
+// Read reads and counts. It returns the bytes that were read also with allotter.ErrNoRoom. The last bytes
+// are taken in any case.
 func (h holdingReader) Read(p []byte) (int, error) {
 	n, err := h.Reader.Read(p)
 	if n > 0 && !h.holding.Add(allotter.KindAnswer, int64(n)) && err == nil {
@@ -145,8 +146,8 @@
 	}
 }
 
-// readAnswer reads an answer as far as it may be buffered. It returns allotter.ErrNoRoom, and what was read,
-// if more may follow. An answer that is not short, or does not state its length, is limited in any case,
+// readAnswer reads an answer as far as it may be buffered. It returns allotter.ErrNoRoom, and what was
+// read, if more may follow. An answer that is not short, or does not state its length, is limited in any case,
 // since many may be faulty at a time.
 func (j *job) readAnswer(response *http.Response) ([]byte, error) {
 	holding := j.holding
