messenger: buffers of messages grow as bytes arrive on dialed connections too

An entry dials the companion of each member, whose address comes from a heartbeat that anybody may send; a peer there that announces a message of 64 MiB had its buffer allocated at once.

--- a/internal/protocol/messenger/stream.go
+++ b/internal/protocol/messenger/stream.go
@@ -56,7 +56,7 @@
 type stream struct {
 	network net.Conn
 	reader  *bufio.Reader
-	// account counts long messages while they are received; nil means no limit.
+	// account counts long messages while they are received.
 	account *allotter.Account
 	// handleNotice is called for each notice, in the order of arrival of notices and
 	// objects.
@@ -67,7 +67,11 @@
 	buffer bytes.Buffer
 }
 
+// newStream returns a stream on an open connection. If account is nil, messages are not limited together.
 func newStream(network net.Conn, account *allotter.Account, handleNotice func(notice)) *stream {
+	if account == nil {
+		account = allotter.NewUnlimited().Count()
+	}
 	return &stream{network: network, reader: bufio.NewReader(network), account: account, handleNotice: handleNotice}
 }
 
@@ -174,8 +178,9 @@
 		return 0, nil, errors.NotValidf("frame of %d bytes", length)
 	}
 	content, err = s.readContent(int64(length))
-	if err == nil && s.account != nil {
-		s.account.Complete()
+	if err == nil {
+		// An evicted connection is closed.
+		_ = s.account.Complete()
 	}
 	return kind, content, err
 }
@@ -183,7 +188,7 @@
 // readContent reads the content of a frame. A long one counts as held until it is complete, and its buffer
 // grows as it arrives, since its length is only what the peer claims.
 func (s *stream) readContent(length int64) ([]byte, error) {
-	if s.account == nil || length <= allotter.SmallRequest {
+	if length <= allotter.SmallRequest {
 		content := make([]byte, length)
 		_, err := io.ReadFull(s.reader, content)
 		return content, err
