--- a/internal/coordination/allotter/account.go
+++ b/internal/coordination/allotter/account.go
@@ -38,16 +38,17 @@
 	connection Connection
 	// held is what the account holds of each kind; guarded by allotter.mu, as all fields below.
 	held [kinds]int64
-	// receiving means that the peer has not completed a request. It has not since the given time, and
-	// has sent something last at progressed.
+	// receiving means that a request is awaited or incomplete, which it has been since the time since. The
+	// peer has sent something last at progressed.
 	receiving         bool
 	since, progressed time.Time
-	// evicted means that the account holds nothing any more, since others needed the room, and left is
-	// what its connection gives back when it ends.
+	// evicted means that the account holds nothing any more, since others needed the room; evictedAt is
+	// when that was.
 	evicted   bool
 	evictedAt time.Time
-	left      [kinds]int64
-	closed    bool
+	// left is what the connection of an evicted account gives back when it ends.
+	left   [kinds]int64
+	closed bool
 }
 
 // Count returns an account that is never evicted, and must be closed.
