--- a/internal/standin/flooder/behavior.go
+++ b/internal/standin/flooder/behavior.go
@@ -135,11 +135,11 @@
 	Expectation = Behavior{Name: "body that is expected and not sent", Send: func(w io.Writer, e Endpoint) error {
 		return WriteAll(w, e.Head(fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n", BodyBytes)))
 	}}
-	Silence      = Behavior{Name: "Silence", Send: func(io.Writer, Endpoint) error { return nil }}
+	Silence      = Behavior{Name: "silence", Send: func(io.Writer, Endpoint) error { return nil }}
 	UnreadAnswer = Behavior{Name: "unread answer", Path: LongRoute, Unread: true, Send: func(w io.Writer, e Endpoint) error {
 		return WriteAll(w, LengthHead(e, 1), "x")
 	}}
-	Pipelined = Behavior{Name: "Pipelined requests", Path: LongRoute, Unread: true, Send: func(w io.Writer, e Endpoint) error {
+	Pipelined = Behavior{Name: "pipelined requests", Path: LongRoute, Unread: true, Send: func(w io.Writer, e Endpoint) error {
 		for range 100 {
 			if err := WriteAll(w, LengthHead(e, 1), "x"); err != nil {
 				return err
