allotter, listener, relayer: one derivation of limits, one meaning of none

Three constructors had a way of their own to say that there is no limit, and relayer.Settings had a field that only a test set.

--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -87,6 +87,27 @@
 	return &Allotter{settings: s, accounts: make(map[*Account]struct{}), evicted: make(map[*Account]struct{})}
 }
 
+const (
+	// bufferShare is the share of a process's memory for requests and answers. Garbage of the same size,
+	// the replicated state and connections need room as well.
+	bufferShare = 0.2
+	// connectionShare is the share of a process's memory for connections and the heads of their requests.
+	connectionShare = 0.1
+	// minConnections is the least limit of the number of connections.
+	minConnections = 16
+)
+
+// HostSettings returns the limits of a process that may use the given memory, in bytes, and the given number
+// of descriptors, some of which are reserved for others than accepted connections and their second ones, to
+// backend servers. A memory or a number of descriptors of 0 means the defaults.
+func HostSettings(memory int64, descriptors, reserved int) Settings {
+	s := Settings{Total: int64(bufferShare * float64(memory)), Connections: int64(connectionShare * float64(memory))}
+	if descriptors > 0 {
+		s.MaxConnections = max(minConnections, (descriptors-reserved)/2)
+	}
+	return s
+}
+
 // NewUnlimited returns an allotter that only counts.
 func NewUnlimited() *Allotter {
 	return NewAllotter(Settings{Total: math.MaxInt64, Answer: math.MaxInt64, Connections: math.MaxInt64, MaxConnections: math.MaxInt32})
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -105,7 +105,7 @@
 func (c *Control) Start() {
 	served := c.settings.Messenger
 	served.Handler = c
-	c.listener = listener.NewLimitedListener(c.settings.Listener, served, c.settings.allotter())
+	c.listener = listener.NewLimitedListener(c.settings.Listener, served, c.settings.Allotter)
 	c.workers.Add(3)
 	go c.fanout()
 	go c.tick()
--- a/internal/transport/controller/settings.go
+++ b/internal/transport/controller/settings.go
@@ -178,11 +178,3 @@
 		ClaimAge:       time.Duration(s.Control.ClaimRetention),
 	}
 }
-
-// allotter returns the limits of the connections that Listener accepts.
-func (s Settings) allotter() *allotter.Allotter {
-	if s.Allotter == nil {
-		return allotter.NewUnlimited()
-	}
-	return s.Allotter
-}
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -35,12 +35,15 @@
 
 // NewListener accepts connections on network until Close, without a limit.
 func NewListener(network net.Listener, s messenger.Settings) *Listener {
-	return NewLimitedListener(network, s, allotter.NewUnlimited())
+	return NewLimitedListener(network, s, nil)
 }
 
 // NewLimitedListener accepts connections on network until Close. The allotter limits their number, and
-// what they hold.
+// what they hold; nil means no limit.
 func NewLimitedListener(network net.Listener, s messenger.Settings, a *allotter.Allotter) *Listener {
+	if a == nil {
+		a = allotter.NewUnlimited()
+	}
 	l := &Listener{network: network, settings: s, allotter: a, conns: make(map[*messenger.Conn]struct{})}
 	l.root, l.cancel = context.WithCancel(context.Background())
 	l.done.Add(1)
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -43,9 +43,9 @@
 	slow *prometheus.CounterVec
 }
 
-func newBuffers(r prometheus.Registerer, a *allotter.Allotter, total int64) *buffers {
+func newBuffers(r prometheus.Registerer, a *allotter.Allotter) *buffers {
 	if a == nil {
-		a = allotter.NewAllotter(allotter.Settings{Total: total})
+		a = allotter.NewAllotter(allotter.Settings{})
 	}
 	b := &buffers{
 		Allotter: a,
--- a/internal/transport/relayer/buffering_test.go
+++ b/internal/transport/relayer/buffering_test.go
@@ -23,7 +23,8 @@
 // newBoundedEntry returns an entry that buffers the given number of bytes at most.
 func newBoundedEntry(total int64, route tracker.Route, backends ...*backend) *entry {
 	GinkgoHelper()
-	return newEntryChanged(func(s *relayer.Settings) { s.Buffers, s.BufferBytes = allotter.ModeBounded, total }, placer.Settings{}, route, nil, backends...)
+	limits := allotter.NewAllotter(allotter.Settings{Total: total})
+	return newEntryChanged(func(s *relayer.Settings) { s.Buffers, s.Allotter = allotter.ModeBounded, limits }, placer.Settings{}, route, nil, backends...)
 }
 
 // open sends a request on a connection of its own and returns the connection.
--- a/internal/transport/relayer/relayer.go
+++ b/internal/transport/relayer/relayer.go
@@ -112,7 +112,7 @@
 	r := &Relayer{
 		settings: s,
 		metrics:  newMetrics(s.Registerer),
-		buffers:  newBuffers(s.Registerer, s.Allotter, s.BufferBytes),
+		buffers:  newBuffers(s.Registerer, s.Allotter),
 		budget:   newBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow, s.Entries),
 		poll:     make(chan struct{}, 1),
 		random:   s.Random,
--- a/internal/transport/relayer/settings.go
+++ b/internal/transport/relayer/settings.go
@@ -109,10 +109,8 @@
 	// Buffers is whether all answers that are buffered are limited, not only long ones: with ModeAuto
 	// for services whose backend servers tell how fast they are.
 	Buffers allotter.Mode
-	// Allotter limits what calls buffer; nil means one of the entry's own with the limit BufferBytes, 0
-	// for allotter.DefaultTotal.
-	Allotter    *allotter.Allotter
-	BufferBytes int64
+	// Allotter limits what calls buffer; nil means one of the entry's own with the default limits.
+	Allotter *allotter.Allotter
 	// Silence configures when a companion, and thus the host that it shares with its
 	// engine, counts as silent. The limit must exceed twice the heartbeat interval.
 	Silence watcher.Settings
--- a/internal/transport/starter/limits.go
+++ b/internal/transport/starter/limits.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// bufferShare and connectionShare are the shares of a process's memory for requests and answers, and for
-	// connections with the heads of their requests.
-	bufferShare     = 0.2
-	connectionShare = 0.1
 	// reservedDescriptors are for files, listeners, and connections to other processes.
 	reservedDescriptors = 100
 	// receiveBuffer is the size of the receive buffers of accepted HTTP connections, in bytes. Bytes that
@@ -32,11 +28,7 @@
 	if descriptors == 0 {
 		descriptors = availableDescriptors()
 	}
-	return allotter.NewAllotter(allotter.Settings{
-		Total: int64(bufferShare * float64(memory)), Connections: int64(connectionShare * float64(memory)),
-		// A connection may need a second one, to a companion.
-		MaxConnections: max(1, (descriptors-reservedDescriptors)/2),
-	})
+	return allotter.NewAllotter(allotter.HostSettings(memory, descriptors, reservedDescriptors))
 }
 
 // availableMemory returns the memory of the host, or the limit of the Go runtime if that is less.
