--- a/internal/standin/flooder/behavior.go
+++ b/internal/standin/flooder/behavior.go
@@ -104,6 +104,21 @@
 		}
 		return WriteRepeated(w, strings.Repeat(Chunk(size), 256), BodyBytes/size*len(Chunk(size)))
 	}}
+	UnfinishedByteChunks = Behavior{Name: "unfinished chunks of one byte", Send: func(w io.Writer, e Endpoint) error {
+		const bytes = BodyBytes / 4
+		if err := WriteAll(w, ChunkedHead(e)); err != nil {
+			return err
+		}
+		return WriteRepeated(w, strings.Repeat(Chunk(1), 1024), bytes*len(Chunk(1)))
+	}}
+	KeptConnection = Behavior{Name: "unfinished body on a kept connection", Send: func(w io.Writer, e Endpoint) error {
+		first := e
+		first.Path = UnknownRoute
+		if err := WriteAll(w, first.Head("Content-Length: 0\r\n")); err != nil {
+			return err
+		}
+		return sendUnfinishedBody(w, e)
+	}}
 	WholeBody = Behavior{Name: "whole body", Send: func(w io.Writer, e Endpoint) error {
 		return WriteAll(w, LengthHead(e, BodyBytes), strings.Repeat("x", BodyBytes))
 	}}
--- a/internal/transport/starter/process.go
+++ b/internal/transport/starter/process.go
@@ -134,6 +134,7 @@
 // start starts the roles in the order of their dependencies.
 func (p *Process) start() error {
 	c := p.settings.Configuration
+	p.tasks.Go(func() { listener.LogEvictions(p.runCtx, p.allotter, p.settings.Log) })
 	if err := p.startSealer(); err != nil {
 		return errors.Annotate(err, "reading the certificate")
 	}
