--- a/review/_lab2/cut.go
+++ b/review/_lab2/cut.go
@@ -56,7 +56,7 @@
 	if err := d.start(1); err != nil {
 		return fail(err)
 	}
-	const workers, events = 3, 73
+	const workers, spoilt, callersEach, events = 7, 3, 30, 73
 	running := make([]*workerProcess, workers)
 	life := 0
 	begin := func(n int) error {
@@ -82,9 +82,9 @@
 	var sent, answered, broken atomic.Int64
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for i := range 60 {
+	for i := range workers * callersEach {
 		callers.Go(func() {
-			time.Sleep(time.Duration(i) * 70 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
 			c := d.newCaller(d.fronts[0])
 			for {
 				select {
@@ -111,6 +111,11 @@
 	time.Sleep(5 * time.Second)
 	for round := 0; round < 6; round++ {
 		n := round % workers
+		for i := range spoilt {
+			// For 5 s, each twentieth answer of these has no length.
+			running[(n+i)%workers].signal(syscall.SIGUSR2)
+		}
+		time.Sleep(3200 * time.Millisecond)
 		if trouble {
 			d.note("notice to %s: it is taken away in 2 s", running[n].name)
 			running[n].signal(syscall.SIGUSR1)
@@ -123,8 +128,10 @@
 			if err := begin(n); err != nil {
 				return fail(err)
 			}
+		} else {
+			time.Sleep(4 * time.Second)
 		}
-		time.Sleep(7 * time.Second)
+		time.Sleep(3500 * time.Millisecond)
 	}
 	close(stop)
 	callers.Wait()
--- a/review/_lab2/deployment.go
+++ b/review/_lab2/deployment.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -69,12 +70,24 @@
 	for port := 21000 + os.Getpid()%20000; port < 60000; port += 64 {
 		if d.free(port) {
 			d.port = port
+			d.stopOnSignal()
 			return d, nil
 		}
 	}
 	return nil, errors.New("no free ports")
 }
 
+// stopOnSignal ends all processes if this one is told to end.
+func (d *deployment) stopOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-told
+		d.stop(false)
+		os.Exit(2)
+	}()
+}
+
 // ip returns the loopback address of a machine.
 func ip(class, n int) string { return fmt.Sprintf("127.61.%d.%d", class, n) }
 
@@ -87,7 +100,7 @@
 // free reports whether the ports from first on are free at the addresses of all machines.
 func (d *deployment) free(first int) bool {
 	for class := classCore; class <= classWorker; class++ {
-		for n := 1; n <= 4; n++ {
+		for n := 1; n <= 7; n++ {
 			for port := first; port < first+24; port++ {
 				l, err := net.Listen("tcp", net.JoinHostPort(ip(class, n), strconv.Itoa(port)))
 				if err != nil {
--- a/review/_lab2/worker.go
+++ b/review/_lab2/worker.go
@@ -27,14 +27,17 @@
 	slots                chan struct{}
 	work                 time.Duration
 	unframedEach         int
-	engine               bool
-	events               int
-	pause                time.Duration
+	// spoilsUntil is the end of the time in which some answers have no length, in milliseconds, and
+	// spoilable counts the answers since its beginning.
+	spoilsUntil, spoilable atomic.Int64
+	engine                 bool
+	events                 int
+	pause                  time.Duration
 
-	answers, running, waiting atomic.Int64
-	state                     atomic.Value
-	remaining                 atomic.Int64
-	seq                       atomic.Uint64
+	running, waiting atomic.Int64
+	state            atomic.Value
+	remaining        atomic.Int64
+	seq              atomic.Uint64
 
 	out sync.Mutex
 }
@@ -63,7 +66,7 @@
 	flags.BoolVar(&w.engine, "engine", false, "a model worker, which answers with streams")
 	flags.IntVar(&w.events, "events", 73, "events of a stream")
 	flags.DurationVar(&w.pause, "pause", 55*time.Millisecond, "time between the events of a stream")
-	flags.IntVar(&w.unframedEach, "unframed-each", 0, "each n-th answer has no length; 0: none")
+	flags.IntVar(&w.unframedEach, "unframed-each", 0, "each n-th answer of the 5 s after SIGUSR2 has no length; 0: none")
 	if err := flags.Parse(arguments); err != nil {
 		return 2
 	}
@@ -88,6 +91,14 @@
 		w.state.Store("draining")
 		wake <- struct{}{}
 	}()
+	spoil := make(chan os.Signal, 1)
+	signal.Notify(spoil, syscall.SIGUSR2)
+	go func() {
+		for range spoil {
+			w.spoilable.Store(0)
+			w.spoilsUntil.Store(time.Now().Add(5 * time.Second).UnixMilli())
+		}
+	}()
 	go w.beat(wake)
 	for {
 		c, err := listener.Accept()
@@ -209,21 +220,8 @@
 	w.say("runs %s %s", w.id, id)
 	whole := wholeBody(id)
 	signature := "X-Marigoldpoint-Response-Signature: " + w.id + "." + id + ".600.0\r\n"
-	n := w.answers.Add(1)
 	if w.engine {
-		return w.stream(c, id, signature, w.unframedEach > 0 && n%int64(w.unframedEach) == 0)
-	}
-	if w.unframedEach > 0 && n%int64(w.unframedEach) == 0 {
-		// An answer without a length, which ends with its connection.
-		if _, err := c.Write(append([]byte(w.head(id, "200 OK", signature+"Connection: close\r\n", -1)), whole[:400]...)); err != nil {
-			return false
-		}
-		w.say("half %s %s", w.id, id)
-		time.Sleep(w.work)
-		if _, err := c.Write(whole[400:]); err == nil {
-			w.say("whole %s %s", w.id, id)
-		}
-		return false
+		return w.stream(c, id, signature, w.spoils())
 	}
 	time.Sleep(w.work)
 	_, err := c.Write(append([]byte(w.head(id, "200 OK", signature, len(whole))), whole...))
@@ -231,6 +229,14 @@
 	return err == nil
 }
 
+// spoils reports whether the next answer has no length.
+func (w *worker) spoils() bool {
+	if w.unframedEach <= 0 || time.Now().UnixMilli() >= w.spoilsUntil.Load() {
+		return false
+	}
+	return w.spoilable.Add(1)%int64(w.unframedEach) == 0
+}
+
 func (w *worker) models() []map[string]any {
 	return []map[string]any{{"name": "m0", "version": 1, "adapters": []string{}}}
 }
