exchanger: an end of a connection after a failed write is no end of an answer

Callers saw a part of an answer as the complete one. A backend server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the operating system reports the error of a socket once. The write of the request took the reset; the reads after it returned the bytes that had arrived and then io.EOF, as after an orderly close, which ends a body without a length.

Fix: a connection whose write failed never reports io.EOF to the reader of an answer, whatever the framing, and is not used again.

--- a/internal/protocol/exchanger/body.go
+++ b/internal/protocol/exchanger/body.go
@@ -19,7 +19,8 @@
 //
 // The end of a body that is delimited by the close of its connection is ambiguous. Unless the
 // body is an event stream, an orderly close is the end of the body (RFC 9112, section 8). An
-// event stream must also contain at least one event with data.
+// event stream must also contain at least one event with data. No close is orderly after a failed
+// write of the request.
 type Body struct {
 	io.ReadCloser
 	framing Framing
--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -37,8 +37,13 @@
 	maxSkippedBytes = 1 << 20
 )
 
-// errTooLong means that an answer exceeds maxHeadBytes, maxHeadLines or maxSkippedBytes.
-const errTooLong = errors.ConstError("the answer is too long")
+const (
+	// errTooLong means that an answer exceeds maxHeadBytes, maxHeadLines or maxSkippedBytes.
+	errTooLong = errors.ConstError("the answer is too long")
+	// errResetWhileWriting means that an answer ended with its connection, on which writing the
+	// request had failed.
+	errResetWhileWriting = errors.ConstError("the connection failed while the request was being written")
+)
 
 // Conn is a connection to one backend server. Except for Abort, it must be used by one
 // goroutine at a time.
@@ -58,8 +63,10 @@
 	idleSince time.Time
 	idleLimit time.Duration
 	// sent is the number of bytes written to the network.
-	sent   atomic.Int64
-	closed sync.Once
+	sent atomic.Int64
+	// writeFailed means that a request was written in part only.
+	writeFailed bool
+	closed      sync.Once
 	// unbind detaches the context of the current exchange; nil between exchanges. Only
 	// the goroutine that uses the connection may access it.
 	unbind func() bool
@@ -77,16 +84,29 @@
 // Read reads from the network. It returns errTooLong once the limit is reached.
 func (c *Conn) Read(p []byte) (int, error) {
 	if !c.limited {
-		return c.network.Read(p)
+		return c.readNetwork(p)
 	}
 	if c.left <= 0 {
 		return 0, errors.Trace(errTooLong)
 	}
-	n, err := c.network.Read(p[:min(len(p), c.left)])
+	n, err := c.readNetwork(p[:min(len(p), c.left)])
 	c.left -= n
 	return n, err
 }
 
+// readNetwork reads from the network. It returns io.EOF only if the peer has closed the connection
+// in an orderly way.
+//
+// The operating system reports the error of a socket once. After a reset that a write has reported,
+// reads return what had arrived and then io.EOF.
+func (c *Conn) readNetwork(p []byte) (int, error) {
+	n, err := c.network.Read(p)
+	if c.writeFailed && errors.Is(err, io.EOF) {
+		return n, errors.Trace(errResetWhileWriting)
+	}
+	return n, err
+}
+
 // Reused reports whether the connection has carried a request before.
 func (c *Conn) Reused() bool { return c.requests > 0 }
 
@@ -168,6 +188,7 @@
 		c.Abort()
 		return nil, errors.Annotatef(ErrNotSent, "%v", err)
 	}
+	c.writeFailed = err != nil
 	// A backend server may answer and close the connection before it has read the
 	// complete request, so the answer is read even if sending has failed.
 	defer func() { c.limited = false }()
@@ -202,7 +223,7 @@
 // closes it if it can't be reused. The parameter limit is the idle time that the peer
 // announced in the head of the answer; 0 means none.
 func (c *Conn) Finish(response *http.Response, limit time.Duration) {
-	if !c.unbindContext() || response.Close || BodyOf(response).Framing() == FramingConnection || c.unread() > 0 {
+	if !c.unbindContext() || c.writeFailed || response.Close || BodyOf(response).Framing() == FramingConnection || c.unread() > 0 {
 		c.Abort()
 		return
 	}
