exchanger: a status below 100 is no answer, and no interim one

Callers got an answer that was not their backend server's, or none before their deadline. A backend server in trouble sent an answer whose status was 000.

Cause: http.ReadResponse accepts any three digits, also signed ones, and Exchange took each status below 200 for that of an interim answer. Such an answer's body was then parsed as the next head; where the connection stayed open, the exchange waited for its deadline.

Interim answers are skipped as before.

--- a/internal/protocol/exchanger/head.go
+++ b/internal/protocol/exchanger/head.go
@@ -16,12 +16,27 @@
 	maxHeadLines = 128
 )
 
-// readResponse reads the head of an answer. It returns errTooLong for one that exceeds the limits.
+// minStatus is the lowest status (RFC 9110, section 15).
+const minStatus = http.StatusContinue
+
+// errStatus means that an answer has a status below minStatus.
+const errStatus = errors.ConstError("the answer has no valid status")
+
+// readResponse reads the head of an answer. It returns errTooLong for one that exceeds the limits, and
+// errStatus for one without a valid status.
 func (c *Conn) readResponse(request *http.Request) (*http.Response, error) {
 	if err := c.checkHead(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	// http.ReadResponse accepts any three digits.
+	if response.StatusCode < minStatus {
+		return nil, errors.Annotatef(errStatus, "status %03d", response.StatusCode)
+	}
+	return response, nil
 }
 
 // checkHead waits for the head of an answer, and checks its length before it is parsed.
