exchanger: an answer with a field whose name is not a token is no answer

Callers got an answer whose framing was not the backend server's: the name of a field in its head held a blank, such as "Content-Length : 2" or "Transfer-Encoding : chunked", and the body then ended with the connection, or held the chunks' sizes. A line that begins with a blank became a part of the field before it, a signature for instance.

Cause: http.ReadResponse keeps names with blanks as they are, where no look-up finds them, and joins continued lines. Names with control bytes, tabs, separators or without a character were refused before, as were lines without a colon.

Evidence: exchanger "An answer with a field whose name is not a token is no answer", 16 specs, each with the line at every place of the head, in an interim answer, and in a head longer than a buffer: 6 failed before (a blank in a name, at its end in two fields, a blank, a tab or nothing but a blank at the beginning of a line), none now. Names of all legal characters pass before and after.

Fix: the names of a parsed head are checked by golang.org/x/net/http/httpguts, and a line that continues a field is refused where the length of the head was checked already; RFC 9112, section 5.2, allows a gateway to refuse it. Either ends the exchange, with an unknown outcome, and closes the connection.

--- a/internal/protocol/exchanger/head.go
+++ b/internal/protocol/exchanger/head.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -14,33 +15,50 @@
 	// of a short line.
 	maxHeadBytes = 16 << 10
 	maxHeadLines = 128
+	// maxQuoted is the number of characters that an error quotes of a malformed head.
+	maxQuoted = 64
 )
 
 // minStatus is the lowest status (RFC 9110, section 15).
 const minStatus = http.StatusContinue
 
-// errStatus means that an answer has a status below minStatus.
-const errStatus = errors.ConstError("the answer has no valid status")
+const (
+	// errStatus means that an answer has a status below minStatus.
+	errStatus = errors.ConstError("the answer has no valid status")
+	// errFieldName means that the name of a field of an answer is not a token (RFC 9110, section 5.6.2).
+	errFieldName = errors.ConstError("the name of a field is not a token")
+)
 
 // readResponse reads the head of an answer. It returns errTooLong for one that exceeds the limits, and
-// errStatus for one without a valid status.
+// otherwise the errors of CheckHead.
 func (c *Conn) readResponse(request *http.Request) (*http.Response, error) {
-	if err := c.checkHead(); err != nil {
+	if err := c.checkLines(); err != nil {
 		return nil, err
 	}
 	response, err := http.ReadResponse(c.reader, request)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	// http.ReadResponse accepts any three digits.
-	if response.StatusCode < minStatus {
-		return nil, errors.Annotatef(errStatus, "status %03d", response.StatusCode)
+	return response, CheckHead(response.StatusCode, response.Header)
+}
+
+// CheckHead returns an error for the head of an answer that net/http accepts although it is malformed: net/http
+// reads any three digits as a status, and keeps names with blanks, so that such fields are not found by their
+// names.
+func CheckHead(status int, header http.Header) error {
+	if status < minStatus {
+		return errors.Annotatef(errStatus, "status %03d", status)
 	}
-	return response, nil
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Annotatef(errFieldName, "%.*q", maxQuoted, name)
+		}
+	}
+	return nil
 }
 
-// checkHead waits for the head of an answer, and checks its length before it is parsed.
-func (c *Conn) checkHead() error {
+// checkLines waits for the head of an answer, and checks its lines before it is parsed.
+func (c *Conn) checkLines() error {
 	if _, err := c.reader.Peek(1); err != nil {
 		return errors.Trace(err)
 	}
@@ -49,55 +67,64 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	switch lines, ended := headLines(arrived); {
-	case lines > maxHeadLines:
-		return errors.Trace(errTooLong)
-	case ended:
-		return nil
-	}
-	return c.bufferHead()
-}
-
-// headLines returns the number of lines of the head at the beginning of b, and whether the head ends there.
-func headLines(b []byte) (lines int, ended bool) {
+	var checker lineChecker
 	for {
-		n := bytes.IndexByte(b, '\n')
+		n := bytes.IndexByte(arrived, '\n')
 		if n < 0 {
-			return lines, false
+			return c.bufferHead()
 		}
-		lines++
-		if isBlank(b[:n+1]) {
-			return lines, true
+		if ended, err := checker.add(arrived[:n+1]); ended || err != nil {
+			return err
 		}
-		b = b[n+1:]
+		arrived = arrived[n+1:]
 	}
 }
 
-// isBlank reports whether a line with its end ends a head.
-func isBlank(line []byte) bool { return string(line) == "\n" || string(line) == "\r\n" }
-
-// bufferHead reads a head up to its end, and pushes it back.
+// bufferHead reads and checks a head up to its end, and pushes it back.
 func (c *Conn) bufferHead() error {
 	var head []byte
-	continued := false
-	for lines := 0; ; {
+	var checker lineChecker
+	for line := 0; ; {
 		piece, err := c.reader.ReadSlice('\n')
 		head = append(head, piece...)
-		whole := err == nil
-		if whole {
-			lines++
-		}
 		switch {
-		case len(head) > maxHeadBytes || lines > maxHeadLines:
+		case len(head) > maxHeadBytes:
 			return errors.Trace(errTooLong)
-		case !whole && !errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
 			return errors.Trace(err)
-		case whole && !continued && isBlank(piece):
+		}
+		ended, err := checker.add(head[line:])
+		if err != nil {
+			return err
+		}
+		if ended {
 			c.pushBack(head)
 			return nil
 		}
-		continued = !whole
+		line = len(head)
+	}
+}
+
+// lineChecker checks the lines of a head.
+type lineChecker struct {
+	// lines is the number of lines checked.
+	lines int
+}
+
+// add checks the next line, including its end, and reports whether the head ends with it. It returns errTooLong
+// after maxHeadLines, and errFieldName for a line that begins with a blank. A gateway may refuse such a line, which
+// continues the field before it (RFC 9112, section 5.2).
+func (l *lineChecker) add(line []byte) (ended bool, err error) {
+	l.lines++
+	switch {
+	case l.lines > maxHeadLines:
+		return false, errors.Trace(errTooLong)
+	case line[0] == ' ' || line[0] == '\t':
+		return false, errors.Annotatef(errFieldName, "%.*q", maxQuoted, line)
 	}
+	return string(line) == "\n" || string(line) == "\r\n", nil
 }
 
 // pushBack makes the reader read b again, before what has arrived after it.
--- a/internal/protocol/exchanger/malformed_test.go
+++ b/internal/protocol/exchanger/malformed_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -66,3 +68,54 @@
 		)
 	}
 })
+
+// Guards against an answer with a field that was misread: one whose name holds a blank was not found by its name,
+// so that the framing that it states was not used, and a line that begins with a blank was added to the field
+// before it.
+var _ = DescribeTable("An answer with a field whose name is not a token is no answer",
+	func(line string) {
+		fields := []string{"Id: %s", "Signed: yes", "Content-Length: 2"}
+		for i := range len(fields) + 1 {
+			head := strings.Join(slices.Insert(slices.Clone(fields), i, line), "\r\n")
+			expectUnknown("HTTP/1.1 200 OK\r\n" + head + "\r\n\r\nno")
+			expectUnknown("HTTP/1.1 103 x\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nno")
+			expectUnknown("HTTP/1.1 200 OK\r\nLong: " + strings.Repeat("x", 10<<10) + "\r\n" + head + "\r\n\r\nno")
+		}
+	},
+	Entry("a blank in it", "A b: c"),
+	Entry("a blank at its end", "Content-Length : 2"),
+	Entry("a blank at the end of a framing", "Transfer-Encoding : chunked"),
+	Entry("a blank before it", " A: b"),
+	Entry("a tab before it", "\tA: b"),
+	Entry("a blank line that is not empty", " "),
+	Entry("a tab in it", "A\tb: c"),
+	Entry("a tab at its end", "A\t: c"),
+	Entry("a control byte", "A\x01b: c"),
+	Entry("a zero byte", "A\x00: c"),
+	Entry("a carriage return", "A\r: c"),
+	Entry("a deleted byte", "A\x7f: c"),
+	Entry("a byte that is not ASCII", "A\x80: c"),
+	Entry("a separator", "A(b): c"),
+	Entry("no name", ": c"),
+	Entry("no colon", "A"),
+)
+
+// Guards against a sound answer that is refused since its fields have unusual, but legal, names.
+var _ = DescribeTable("An answer with a field whose name is a token is complete",
+	func(line, name, value string) {
+		for _, kept := range []bool{false, true} {
+			response, err := exchangeOpen("HTTP/1.1 200 OK\r\nId: %s\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok", kept)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Header[name]).To(Equal([]string{value}))
+			body, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal("ok"))
+		}
+	},
+	Entry("all characters", "!#$%&'*+-.^_`|~09azAZ: x", "!#$%&'*+-.^_`|~09azaz", "x"),
+	Entry("a digit", "0: x", "0", "x"),
+	Entry("no value", "A:", "A", ""),
+	Entry("no blank before the value", "A:x", "A", "x"),
+	Entry("blanks around the value", "A: \t x \t ", "A", "x"),
+	Entry("a colon in the value", "A: b: c", "A", "b: c"),
+)
