orderer: a malformed head of an answer is no answer

Callers of a companion saw answers with a status below 100, or with a field whose name held a blank; engines' answers of these kinds counted as those to orders, reports and cancellations.

Cause: the parser of net/http, which the clients of this package use, accepts both.

Each forwards calls that may and may not be repeated, reads a report, cancels, unloads and generates.

Fix: the head of each answer is checked as the entries' are, in the one function that sends requests. The outcome is unknown, and the connection is closed. A continued line stays accepted here: net/http replaces its break by a blank, as RFC 9112, section 5.2, has it.

--- a/internal/protocol/orderer/caller.go
+++ b/internal/protocol/orderer/caller.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 )
 
 // Settings are the settings of a client. The zero value of every field except Address
@@ -146,6 +147,7 @@
 	return answer, err
 }
 
+// send sends the request. The error is always an *Error.
 func send(t *http.Transport, r *http.Request) (*http.Response, error) {
 	conns := &connSet{}
 	ctx := httptrace.WithClientTrace(r.Context(), conns.trace())
@@ -157,6 +159,11 @@
 		}
 		return nil, failure
 	}
+	if err := exchanger.CheckHead(answer.StatusCode, answer.Header); err != nil {
+		// The error of the head goes before one of Close.
+		_ = answer.Body.Close()
+		return nil, &Error{MayHaveBegun: true, Cause: err}
+	}
 	return answer, nil
 }
 
