relayer: malformed answers are counted and logged by their defect

On-call could not tell which backend server sends malformed or incomplete answers, and why an answer was refused: the end of an exchange kept the text of its cause only, of which a malformed line may be 16 KiB long.

The errors of an exchange now keep their cause, of which exchanger.DefectOf returns the defect. An entry counts it, by service, in marigoldpoint_relayer_defective_answers_total, and names it in the line that it logs for the attempt, beside the request, the backend server and its incarnation. What a line quotes of an answer is bounded. A connection that breaks without an answer is not counted there.

--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -37,14 +37,6 @@
 	maxSkippedBytes = 1 << 20
 )
 
-const (
-	// errTooLong means that an answer exceeds maxHeadBytes, maxHeadLines or maxSkippedBytes.
-	errTooLong = errors.ConstError("the answer is too long")
-	// errResetWhileWriting means that an answer ended with its connection, on which writing the
-	// request had failed.
-	errResetWhileWriting = errors.ConstError("the connection failed while the request was being written")
-)
-
 // Conn is a connection to one backend server. Except for Abort, it must be used by one
 // goroutine at a time.
 type Conn struct {
@@ -64,9 +56,9 @@
 	idleLimit time.Duration
 	// sent is the number of bytes written to the network.
 	sent atomic.Int64
-	// writeFailed means that a request was written in part only.
-	writeFailed bool
-	closed      sync.Once
+	// writeErr is the error of writing a request of which a part was written; nil means none.
+	writeErr error
+	closed   sync.Once
 	// unbind detaches the context of the current exchange; nil between exchanges. Only
 	// the goroutine that uses the connection may access it.
 	unbind func() bool
@@ -101,8 +93,8 @@
 // reads return what had arrived and then io.EOF.
 func (c *Conn) readNetwork(p []byte) (int, error) {
 	n, err := c.network.Read(p)
-	if c.writeFailed && errors.Is(err, io.EOF) {
-		return n, errors.Trace(errResetWhileWriting)
+	if c.writeErr != nil && errors.Is(err, io.EOF) {
+		return n, errors.WithType(c.writeErr, ErrWriteFailed)
 	}
 	return n, err
 }
@@ -188,7 +180,7 @@
 		c.Abort()
 		return nil, errors.Annotatef(ErrNotSent, "%v", err)
 	}
-	c.writeFailed = err != nil
+	c.writeErr = err
 	// A backend server may answer and close the connection before it has read the
 	// complete request, so the answer is read even if sending has failed.
 	defer func() { c.limited = false }()
@@ -197,7 +189,11 @@
 		response, err := c.readResponse(request)
 		if err != nil {
 			c.Abort()
-			return nil, errors.Annotatef(ErrSent, "%v", err)
+			if errors.Is(err, ErrWriteFailed) {
+				// No answer has arrived.
+				err = c.writeErr
+			}
+			return nil, sentError(err)
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			c.Abort()
@@ -219,11 +215,16 @@
 	return nil, errors.Trace(ErrAnswerMismatch)
 }
 
+// sentError adds to the cause of a failed exchange that its request may have been received.
+func sentError(cause error) error {
+	return errors.Annotate(errors.WithType(cause, ErrSent), ErrSent.Error())
+}
+
 // Finish returns the connection to the pool after the answer was read to its end, or
 // closes it if it can't be reused. The parameter limit is the idle time that the peer
 // announced in the head of the answer; 0 means none.
 func (c *Conn) Finish(response *http.Response, limit time.Duration) {
-	if !c.unbindContext() || c.writeFailed || response.Close || BodyOf(response).Framing() == FramingConnection || c.unread() > 0 {
+	if !c.unbindContext() || c.writeErr != nil || response.Close || BodyOf(response).Framing() == FramingConnection || c.unread() > 0 {
 		c.Abort()
 		return
 	}
--- a/internal/protocol/exchanger/head.go
+++ b/internal/protocol/exchanger/head.go
@@ -22,29 +22,21 @@
 // minStatus is the lowest status (RFC 9110, section 15).
 const minStatus = http.StatusContinue
 
-const (
-	// errStatus means that an answer has a status below minStatus.
-	errStatus = errors.ConstError("the answer has no valid status")
-	// errFieldName means that the name of a field of an answer is not a token (RFC 9110, section 5.6.2).
-	errFieldName = errors.ConstError("the name of a field is not a token")
-)
-
-// readResponse reads the head of an answer. It returns errTooLong for one that exceeds the limits, and
-// otherwise the errors of CheckHead.
+// readResponse reads the head of an answer. DefectOf returns why a head is refused.
 func (c *Conn) readResponse(request *http.Request) (*http.Response, error) {
 	if err := c.checkLines(); err != nil {
 		return nil, err
 	}
 	response, err := http.ReadResponse(c.reader, request)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, errors.Annotatef(errSyntax, "%.*s", maxQuoted, err.Error())
 	}
 	return response, CheckHead(response.StatusCode, response.Header)
 }
 
-// CheckHead returns an error for the head of an answer that net/http accepts although it is malformed: net/http
-// reads any three digits as a status, and keeps names with blanks, so that such fields are not found by their
-// names.
+// CheckHead returns an error, whose defect DefectOf returns, for the head of an answer that net/http accepts
+// although it is malformed: net/http reads any three digits as a status, and keeps names with blanks, so that such
+// fields are not found by their names.
 func CheckHead(status int, header http.Header) error {
 	if status < minStatus {
 		return errors.Annotatef(errStatus, "status %03d", status)
--- a/internal/protocol/exchanger/query.go
+++ b/internal/protocol/exchanger/query.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-
-	"github.com/juju/errors"
 )
 
 // maxQueryBytes bounds the body of an answer to a query, in bytes.
@@ -38,9 +36,9 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxQueryBytes+1))
 	switch {
 	case err != nil:
-		return Answer{}, errors.Annotatef(ErrSent, "%v", err)
+		return Answer{}, sentError(err)
 	case len(body) > maxQueryBytes:
-		return Answer{}, errors.Annotate(ErrSent, "the answer is too long")
+		return Answer{}, sentError(errTooLong)
 	}
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/internal/protocol/orderer/recorder.go
+++ b/internal/protocol/orderer/recorder.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 )
 
 const errSealed = errors.ConstError("connection sealed: its call was given up")
 
-const errWriteFailed = errors.ConstError("the connection failed while the request was being written")
-
 // sealableConn is a connection that records whether a byte of the current request was
 // written to it, and whether a write has failed.
 //
@@ -72,7 +72,7 @@
 func (r *sealableConn) Read(data []byte) (int, error) {
 	n, err := r.Conn.Read(data)
 	if errors.Is(err, io.EOF) && !r.isOrderlyEnd() {
-		err = errors.Trace(errWriteFailed)
+		err = errors.Trace(exchanger.ErrWriteFailed)
 	}
 	return n, err
 }
--- a/internal/transport/relayer/buffering.go
+++ b/internal/transport/relayer/buffering.go
@@ -219,7 +219,7 @@
 		}
 		if err != nil {
 			conn.Abort()
-			j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
+			j.unanswered(errors.WithType(err, exchanger.ErrSent))
 			j.log(outcomeBroken, j.answer.status, err.Error())
 			return verdictAnswered
 		}
--- a/internal/transport/relayer/fixture_test.go
+++ b/internal/transport/relayer/fixture_test.go
@@ -102,6 +102,9 @@
 	// runs counts the requests that were read.
 	runs   atomic.Int64
 	script func(c net.Conn, r *http.Request)
+	// duringUpload answers a request before its body is read, and ends the connection; nil means that
+	// there are none.
+	duringUpload func(c net.Conn, r *http.Request)
 	// software is the software version that is announced; empty means none.
 	software string
 	// stop answers requests to stop a run; nil means that there are none.
@@ -139,6 +142,11 @@
 		if err != nil {
 			return
 		}
+		if b.duringUpload != nil {
+			b.runs.Add(1)
+			b.duringUpload(conn, r)
+			return
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -573,7 +581,13 @@
 // call sends a request and returns the answer. The caller reads its body.
 func (e *entry) call(ctx context.Context, header map[string]string) *http.Response {
 	GinkgoHelper()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL+"/a/b?c", strings.NewReader("body"))
+	return e.upload(ctx, header, "body")
+}
+
+// upload is like call, with the given body of the request.
+func (e *entry) upload(ctx context.Context, header map[string]string, body string) *http.Response {
+	GinkgoHelper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.server.URL+"/a/b?c", strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "h"
 	r.Header.Set("Id", "1")
--- a/internal/transport/relayer/metrics.go
+++ b/internal/transport/relayer/metrics.go
@@ -24,7 +24,9 @@
 	unusableCopies *prometheus.CounterVec
 	// unidentified counts the answers of backend servers without the id of a request.
 	unidentified *prometheus.CounterVec
-	quarantined  *prometheus.CounterVec
+	// defects counts the malformed and incomplete answers of backend servers, by defect.
+	defects     *prometheus.CounterVec
+	quarantined *prometheus.CounterVec
 	// blocked counts the calls refused since a part of their prompt is blocked.
 	blocked    *prometheus.CounterVec
 	unattended prometheus.Counter
@@ -47,7 +49,7 @@
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), retries: newRetryMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(), unusableCopies: newUnusableCopies(), unidentified: newUnidentified(),
+		prompts: newPromptMetrics(r), separation: newSeparationMetrics(r), retries: newRetryMetrics(r), overloaded: newOverloaded(), runEnds: newRunEnds(), unusableCopies: newUnusableCopies(), unidentified: newUnidentified(), defects: newDefects(),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigoldpoint_relayer_calls_total", Help: "Calls by outcome and status.",
 		}, []string{"outcome", "status"}),
@@ -102,7 +104,7 @@
 		Name: "marigoldpoint_relayer_quota_units_total", Help: "Units of calls with a quota, by workspace and what became of them.",
 	}, []string{"workspace", "decision"})
 	if r != nil {
-		r.MustRegister(m.overloaded, m.runEnds, m.unusableCopies, m.unidentified, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
+		r.MustRegister(m.overloaded, m.runEnds, m.unusableCopies, m.unidentified, m.defects, m.framings, m.resumed, m.originsRefused, m.quotas, m.rests, m.limited, m.limitRefused)
 		r.MustRegister(m.calls, m.duration, m.firstEvent, m.longestGap, m.failures, m.attempts, m.losses, m.quarantined, m.blocked, m.unattended)
 	}
 	return m
@@ -126,6 +128,12 @@
 	}, []string{labelService})
 }
 
+func newDefects() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "marigoldpoint_relayer_defective_answers_total", Help: "Answers of backend servers that are malformed, or whose end can't be told from a failure, by service and defect.",
+	}, []string{labelService, "defect"})
+}
+
 func (m *metrics) observeCall(outcome string, status int, duration time.Duration) {
 	m.calls.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
 	m.duration.Observe(duration.Seconds())
--- a/internal/transport/relayer/send.go
+++ b/internal/transport/relayer/send.go
@@ -209,6 +209,10 @@
 	j.relayer.metrics.failures.WithLabelValues(j.service.Name).Inc()
 	e := j.relayer.settings.Log.Info().Err(err).Str("Request", j.call.ID).Str("Backend", j.choice.Name).
 		Str("Incarnation", j.choice.Incarnation).Int("Sent", j.sent)
+	if defect := exchanger.DefectOf(err); defect != exchanger.DefectNone {
+		j.relayer.metrics.defects.WithLabelValues(j.service.Name, defect.String()).Inc()
+		e.Stringer("Defect", defect)
+	}
 	j.addFraming(e)
 	j.addSoftware(e)
 	e.Msg(what)
@@ -239,7 +243,7 @@
 		failed = wholeAnswer{status: http.StatusBadGateway, header: http.Header{"Content-Type": {"text/plain"}}, body: []byte(maxFailureAnswer)}
 	case err != nil:
 		conn.Abort()
-		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
+		return j.unanswered(errors.WithType(err, exchanger.ErrSent))
 	default:
 		conn.Finish(response, head.KeepAlive)
 	}
@@ -266,7 +270,7 @@
 	}
 	if err != nil {
 		conn.Abort()
-		return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
+		return j.unanswered(errors.WithType(err, exchanger.ErrSent))
 	}
 	conn.Finish(response, head.KeepAlive)
 	j.recordAnswered()
--- a/internal/transport/relayer/stream.go
+++ b/internal/transport/relayer/stream.go
@@ -65,7 +65,7 @@
 		}
 		if err != nil {
 			conn.Abort()
-			return j.unanswered(errors.Annotatef(exchanger.ErrSent, "%v", err))
+			return j.unanswered(errors.WithType(err, exchanger.ErrSent))
 		}
 	}
 }
