companion: malformed answers are counted and logged by their defect

On-call could not see at a companion that its plain service sends malformed answers: a call that got none was not logged, and its outcome did not tell the defect.

A companion now logs each such call, as it did those of engines, with the backend server and the defect, and counts the defect. Calls that their caller gave up are not logged.

--- a/internal/protocol/exchanger/conn.go
+++ b/internal/protocol/exchanger/conn.go
@@ -190,7 +190,7 @@
 		if err != nil {
 			c.Abort()
 			if errors.Is(err, ErrWriteFailed) {
-				// No answer has arrived.
+				// No complete head has arrived.
 				err = c.writeErr
 			}
 			return nil, sentError(err)
--- a/internal/transport/companion/metrics.go
+++ b/internal/transport/companion/metrics.go
@@ -8,6 +8,7 @@
 	"marigoldpoint.example/marigoldpoint/internal/coordination/loader"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/regulator"
 	"marigoldpoint.example/marigoldpoint/internal/coordination/scheduler"
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
 )
@@ -24,6 +25,7 @@
 	permitWait prometheus.Histogram
 	fill       prometheus.Histogram
 	outcomes   *prometheus.CounterVec
+	defects    *prometheus.CounterVec
 	running    prometheus.Gauge
 	waiting    prometheus.Gauge
 	limit      prometheus.Gauge
@@ -66,6 +68,9 @@
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "backend_outcomes_total", Help: "Ended attempts by outcome and reason.",
 		}, []string{"outcome", "reason"}),
+		defects: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "backend_defective_answers_total", Help: "Answers that are malformed, or whose end can't be told from a failure, by defect.",
+		}, []string{"defect"}),
 		running:    gauge("batch_running", "Requests that run at the backend server."),
 		waiting:    gauge("queue_length", "Requests that wait at the companion."),
 		limit:      gauge("backend_request_limit", "Limit of requests per second that the backend server has named, or -1."),
@@ -81,7 +86,7 @@
 		Namespace: namespace, Name: "answer_buffer_bytes", Help: "Bytes of answers held for entries.",
 	}, func() float64 { return float64(c.buffer.Used()) })
 	m.collectors = []prometheus.Collector{
-		m.stall, m.queueWait, m.permitWait, m.fill, m.outcomes, m.running, m.waiting, m.limit, m.loads, m.failures, m.evictions,
+		m.stall, m.queueWait, m.permitWait, m.fill, m.outcomes, m.defects, m.running, m.waiting, m.limit, m.loads, m.failures, m.evictions,
 		m.regrets, m.prefetches, m.steps, m.sequences, buffered,
 	}
 	if r != nil {
@@ -114,6 +119,13 @@
 	m.outcomes.WithLabelValues(o.String(), r.String()).Inc()
 }
 
+// answerFailed counts the defect of an answer that caused err, if there is one.
+func (m *metrics) answerFailed(err error) {
+	if defect := exchanger.DefectOf(err); defect != exchanger.DefectNone {
+		m.defects.WithLabelValues(defect.String()).Inc()
+	}
+}
+
 // sampleBatch records one sample of the batch. An idle backend server adds none to the fill
 // ratio.
 func (m *metrics) sampleBatch(running, waiting, maxBatch int) {
--- a/internal/transport/companion/run.go
+++ b/internal/transport/companion/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"marigoldpoint.example/marigoldpoint/internal/protocol/exchanger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/messenger"
 	"marigoldpoint.example/marigoldpoint/internal/protocol/orderer"
 	"marigoldpoint.example/marigoldpoint/internal/state/pauser"
@@ -123,6 +124,14 @@
 	return errors.Trace(r.job.answer.Write(ctx, retention, head, data))
 }
 
+// recordFailure logs a run that the backend server did not answer in full, and counts the defect of its answer.
+func (r *run) recordFailure(err error) {
+	c, d := r.companion, &r.job.dispatch
+	c.metrics.answerFailed(err)
+	c.settings.Log.Warn().Err(err).Str("Backend", c.settings.Node).Str("Request", d.Request).Str("Version", d.Version).
+		Stringer("Defect", exchanger.DefectOf(err)).Msg("run failed")
+}
+
 // handleFailure ends a run that did not complete the answer.
 func (r *run) handleFailure(ctx context.Context, err error) {
 	c, j := r.companion, r.job
@@ -131,7 +140,7 @@
 		r.handleNotRun(ctx, err)
 		return
 	}
-	c.settings.Log.Warn().Err(err).Str("Request", j.dispatch.Request).Str("Version", j.dispatch.Version).Msg("run failed")
+	r.recordFailure(err)
 	if r.engineGone(ctx, err) {
 		end := messenger.End{Outcome: messenger.OutcomeUnknown, Reason: messenger.ReasonEngine, Detail: err.Error()}
 		c.retryOrEnd(j, j.dispatch.Idempotent && j.answer.Length() == 0, true, end)
--- a/internal/transport/companion/service.go
+++ b/internal/transport/companion/service.go
@@ -28,6 +28,8 @@
 		end = messenger.End{Outcome: messenger.OutcomeUnknown, Reason: reasonOf(context.Cause(ctx)), Detail: err.Error()}
 		if errors.Is(err, orderer.ErrNotRun) {
 			end.Outcome = messenger.OutcomeNotRun
+		} else if ctx.Err() == nil {
+			r.recordFailure(err)
 		}
 	}
 	c.finish(j, end, j.dispatch.Tokens)
