--- a/internal/standin/disker/disk.go
+++ b/internal/standin/disker/disk.go
@@ -9,20 +9,19 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/juju/errors"
 
 	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
 )
 
-// Errors of injected faults.
-var (
-	// ErrCrashed is returned by operations after a crash until Restart, and by
-	// files that were opened before the last Restart.
-	ErrCrashed = errors.New("disk: the host has crashed")
-	// ErrSync is returned by a sync that FailSyncIn made fail.
-	ErrSync = errors.New("disk: sync failed")
-)
+// ErrCrashed is returned by operations after a crash until Restart, and by files that
+// were opened before the last Restart.
+var ErrCrashed = errors.New("disk: the host has crashed")
+
+// span is a range of offsets in a file, without to.
+type span struct{ from, to int }
 
 // node is a file, independent of its names.
 type node struct {
@@ -32,6 +31,35 @@
 	// unchanged is the minimum length since the last sync. A crash can't lose
 	// synced data before it.
 	unchanged int
+	// dropped are the ranges whose write-back failed: they can be read, but later
+	// syncs do not write them unless they are rewritten.
+	dropped []span
+}
+
+// dropAfter drops the part of each dropped range from offset from on.
+func (n *node) dropAfter(from int) {
+	kept := n.dropped[:0]
+	for _, s := range n.dropped {
+		if s.to = min(s.to, from); s.from < s.to {
+			kept = append(kept, s)
+		}
+	}
+	n.dropped = kept
+}
+
+// writeBack returns the content that a successful sync leaves on the disk. Dropped
+// ranges keep what was synced before, and are zero where nothing was.
+func (n *node) writeBack() []byte {
+	out := slices.Clone(n.data)
+	for _, s := range n.dropped {
+		for i := s.from; i < min(s.to, len(out)); i++ {
+			out[i] = 0
+			if i < len(n.synced) {
+				out[i] = n.synced[i]
+			}
+		}
+	}
+	return out
 }
 
 // change is a change of names that isn't durable yet, because its folder was not
@@ -61,6 +89,8 @@
 	// the injected fault, or 0 for none. Guarded by lock.
 	crashIn, syncsUntilFailure int
 	crashed                    bool
+	// full makes writes fail. Guarded by lock.
+	full bool
 	// operations is the number of mutating operations, syncs included. Guarded by
 	// lock.
 	operations int
@@ -82,14 +112,23 @@
 	d.crashIn = n
 }
 
-// FailSyncIn makes the n-th sync of a file from now on fail with ErrSync; 0
-// disables that.
+// FailSyncIn makes the n-th sync of a file or folder from now on fail with EIO; 0
+// disables that. The unsynced data of a file stays readable, but later syncs succeed
+// without writing it, unless it is rewritten.
 func (d *Disk) FailSyncIn(n int) {
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	d.syncsUntilFailure = n
 }
 
+// Fill makes the disk full or no longer full. Writes to a full disk fail with ENOSPC
+// after a random part of the data, and so do rewrites.
+func (d *Disk) Fill(full bool) {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.full = full
+}
+
 // Operations returns the number of mutating operations so far, syncs included.
 func (d *Disk) Operations() int {
 	d.lock.Lock()
@@ -136,8 +175,11 @@
 		// The truncation since the last sync didn't reach the disk.
 		return slices.Clone(n.synced)
 	}
-	out := slices.Clone(n.data[:syncedLength])
+	out := slices.Clone(n.synced[:syncedLength])
 	unsynced := n.data[syncedLength:]
+	if len(n.dropped) > 0 && d.random.IntN(2) == 0 {
+		unsynced = n.writeBack()[syncedLength:]
+	}
 	if len(unsynced) == 0 {
 		return out
 	}
@@ -168,6 +210,15 @@
 	d.locked = make(map[string]bool)
 }
 
+// Kill ends the process that uses the disk: its open files become unusable and its
+// locks are released, but no data is lost.
+func (d *Disk) Kill() {
+	d.lock.Lock()
+	defer d.lock.Unlock()
+	d.restarts++
+	d.locked = make(map[string]bool)
+}
+
 // Wipe removes all files.
 func (d *Disk) Wipe() {
 	d.lock.Lock()
@@ -215,6 +266,15 @@
 	return nil
 }
 
+// failsSync counts a sync and reports whether it fails. The caller holds lock.
+func (d *Disk) failsSync() bool {
+	if d.syncsUntilFailure == 0 {
+		return false
+	}
+	d.syncsUntilFailure--
+	return d.syncsUntilFailure == 0
+}
+
 // recordChange records and applies a change of names. The caller holds lock.
 func (d *Disk) recordChange(path string, n *node) {
 	c := change{folder: filepath.Dir(path), name: filepath.Base(path), node: n}
@@ -310,6 +370,9 @@
 	if err := d.countOperation(); err != nil {
 		return err
 	}
+	if d.failsSync() {
+		return &os.PathError{Op: "sync", Path: folder, Err: syscall.EIO}
+	}
 	rest := d.changes[:0]
 	for _, c := range d.changes {
 		if c.folder == folder {
--- a/internal/standin/disker/file.go
+++ b/internal/standin/disker/file.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"slices"
+	"syscall"
 )
 
 // file is an open file. It implements journaler.File.
@@ -38,8 +39,29 @@
 		// The write is lost completely; a crash in mid-write isn't simulated.
 		return 0, err
 	}
-	f.node.data = append(f.node.data, b...)
-	return len(b), nil
+	n, err := len(b), error(nil)
+	if f.disk.full {
+		n, err = f.disk.random.IntN(len(b)+1), &os.PathError{Op: "write", Err: syscall.ENOSPC}
+	}
+	f.node.data = append(f.node.data, b[:n]...)
+	return n, err
+}
+
+// Rewrite implements journaler.File.
+func (f *file) Rewrite(from int64) error {
+	f.disk.lock.Lock()
+	defer f.disk.lock.Unlock()
+	if err := f.checkUsable(); err != nil {
+		return err
+	}
+	if err := f.disk.countOperation(); err != nil {
+		return err
+	}
+	if f.disk.full {
+		return &os.PathError{Op: "write", Err: syscall.ENOSPC}
+	}
+	f.node.dropAfter(int(from))
+	return nil
 }
 
 // ReadAt implements journaler.File.
@@ -78,6 +100,7 @@
 	}
 	f.node.data = slices.Clone(f.node.data[:size])
 	f.node.unchanged = min(f.node.unchanged, int(size))
+	f.node.dropAfter(int(size))
 	return nil
 }
 
@@ -91,13 +114,13 @@
 	if err := f.disk.countOperation(); err != nil {
 		return err
 	}
-	if f.disk.syncsUntilFailure > 0 {
-		if f.disk.syncsUntilFailure--; f.disk.syncsUntilFailure == 0 {
-			return ErrSync
-		}
+	n := f.node
+	if f.disk.failsSync() {
+		n.dropped = append(n.dropped, span{from: min(n.unchanged, len(n.synced)), to: len(n.data)})
+		return &os.PathError{Op: "sync", Err: syscall.EIO}
 	}
-	f.node.synced = slices.Clone(f.node.data)
-	f.node.unchanged = len(f.node.data)
+	n.synced = n.writeBack()
+	n.unchanged = len(n.data)
 	return nil
 }
 
--- a/internal/state/journaler/journal_test.go
+++ b/internal/state/journaler/journal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -84,7 +85,7 @@
 		Expect(errors.As(err, &failed)).To(BeTrue())
 		_, err = j.Append([][]byte{[]byte("two")})
 		Expect(errors.As(err, &failed)).To(BeTrue())
-		Expect(errors.Is(err, disker.ErrSync)).To(BeTrue())
+		Expect(errors.Is(err, syscall.EIO)).To(BeTrue())
 	})
 
 	It("limits its size and accepts appends again after a truncation", func() {
