journaler: an interrupted reset leaves the oldest records

Operators had to empty its folder.

Reset removed the oldest segments first.

Found by reading the paths of a failed file operation. The spec crashes the disk at each operation of a reset of five segments; it fails on the code before ("Expected false to be true": the first index is not 1).

--- a/internal/state/journaler/journal_test.go
+++ b/internal/state/journaler/journal_test.go
@@ -88,6 +88,30 @@
 		Expect(errors.Is(err, syscall.EIO)).To(BeTrue())
 	})
 
+	// Guards against a journal that is refused as damaged. It is reset to a snapshot whose entry it
+	// contradicts, and crashes in between; what is left must begin before the snapshot.
+	It("loses its newest records first when a reset is interrupted", func() {
+		for n := 1; n < 20; n++ {
+			d := newDisk()
+			j, _, err := open(d)
+			Expect(err).NotTo(HaveOccurred())
+			for range 5 {
+				_, err = j.Append([][]byte{make([]byte, 240)})
+				Expect(err).NotTo(HaveOccurred())
+			}
+			d.CrashIn(n)
+			if j.Reset(3) == nil {
+				Expect(n).To(BeNumerically(">", 10))
+				return
+			}
+			d.Restart()
+			j, records, err := open(d)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(records) == 0 || j.First() == 1).To(BeTrue())
+		}
+		Fail("the reset was not reached")
+	})
+
 	It("limits its size and accepts appends again after a truncation", func() {
 		d := newDisk()
 		j, _, err := open(d)
--- a/internal/state/journaler/truncater.go
+++ b/internal/state/journaler/truncater.go
@@ -81,8 +81,9 @@
 	return nil
 }
 
-// Reset removes all records; the next record gets the index next. A crash in between
-// leaves some of the newest records, without gaps.
+// Reset removes all records; the next record gets the index next. It removes the newest
+// segments first: a crash or a failure in between leaves some of the oldest records,
+// without gaps.
 func (j *Journal) Reset(next uint64) error {
 	j.syncLock.Lock()
 	defer j.syncLock.Unlock()
@@ -95,10 +96,10 @@
 		return j.fail("close "+j.last().name, err)
 	}
 	for len(j.segments) > 0 {
-		if err := j.removeSegment(j.segments[0]); err != nil {
+		if err := j.removeSegment(j.last()); err != nil {
 			return err
 		}
-		j.segments = j.segments[1:]
+		j.segments = j.segments[:len(j.segments)-1]
 	}
 	j.lastDurable = next - 1
 	return j.createSegment(next)
