--- a/internal/coordination/replicator/applier.go
+++ b/internal/coordination/replicator/applier.go
@@ -28,10 +28,19 @@
 
 	// saving is held while a snapshot is written; only one is written at a time.
 	saving sync.Mutex
+	// retryAt is the time from which on a failed snapshot is taken again, 0 if the last one did not
+	// fail. Guarded by saving.
+	retryAt time.Duration
 }
 
+// snapshotRetryInterval is the minimum time between a failed snapshot and the next one.
+const snapshotRetryInterval = time.Second
+
 // restore loads the latest snapshot into the state machine if it is newer than applied.
 func (a *applier) restore() error {
+	if latest, _ := a.store.Latest(); latest.Index <= a.applied {
+		return nil
+	}
 	r, err := a.store.OpenLatest()
 	if err != nil || r == nil {
 		return errors.Annotate(err, "open snapshot")
@@ -80,8 +89,12 @@
 	return result, nil
 }
 
-// snapshotDue reports whether enough entries or bytes were applied to take a snapshot.
-func (a *applier) snapshotDue(s Settings) bool {
+// snapshotDue reports whether enough entries or bytes were applied to take a snapshot, or the last
+// one has failed and is to be repeated. The caller holds saving.
+func (a *applier) snapshotDue(s Settings, now time.Duration) bool {
+	if a.retryAt > 0 {
+		return now >= a.retryAt
+	}
 	return a.applied-a.snapshot >= s.SnapshotEvery || a.bytes >= s.SnapshotBytes
 }
 
@@ -93,7 +106,7 @@
 	concurrent bool
 }
 
-// freeze captures the current state for a snapshot.
+// freeze captures the current state for a snapshot. The caller holds saving.
 func (a *applier) freeze() frozenState {
 	f := frozenState{
 		metadata: snapshotter.Metadata{Index: a.applied, Term: a.term, Extra: encodeConfiguration(a.configuration)},
@@ -102,18 +115,30 @@
 	if m, ok := a.machine.(Freezer); ok {
 		f.write, f.concurrent = m.Freeze(), true
 	}
-	a.snapshot, a.bytes = a.applied, 0
+	a.snapshot, a.bytes, a.retryAt = a.applied, 0, 0
 	return f
 }
 
-// save writes a snapshot of a frozen state. It may run concurrently with apply where f.concurrent
-// is set, since it reads nothing that apply changes.
-func (a *applier) save(f frozenState, now func() time.Time) (snapshotter.Metadata, error) {
+// save writes a snapshot of a frozen state, and reports whether there is a new one. A failure of the
+// disk is not an error: the journal still has the entries, and snapshotDue is set again after
+// snapshotRetryInterval. save may run concurrently with apply where f.concurrent is set, since it
+// reads nothing that apply changes. The caller holds saving.
+func (a *applier) save(f frozenState, now func() time.Time, clock func() time.Duration) (m snapshotter.Metadata, taken bool, err error) {
 	start := now()
-	m, err := a.store.Create(f.metadata, f.write)
-	if err != nil {
-		return m, errors.Annotate(err, "take snapshot")
+	m, err = a.store.Create(f.metadata, f.write)
+	var outdated snapshotter.ErrOutdated
+	switch {
+	case err == nil:
+		a.observe(SnapshotTaken{Index: m.Index, Bytes: m.Size, Took: now().Sub(start)})
+		return m, true, nil
+	case errors.As(err, &outdated):
+		// The loop has received or read back one that is as new.
+		return m, false, nil
+	case isDiskError(err):
+		a.retryAt = clock() + snapshotRetryInterval
+		a.observe(SnapshotFailed{Index: f.metadata.Index, Cause: err})
+		return m, false, nil
+	default:
+		return m, false, errors.Annotate(err, "take snapshot")
 	}
-	a.observe(SnapshotTaken{Index: m.Index, Bytes: m.Size, Took: now().Sub(start)})
-	return m, nil
 }
--- a/internal/coordination/replicator/disk_failure_test.go
+++ b/internal/coordination/replicator/disk_failure_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"marigoldpoint.example/marigoldpoint/internal/standin/disker"
+	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
 )
 
 // newDiskGroup starts three hosts on simulated disks.
@@ -67,3 +72,44 @@
 		})
 	}
 }
+
+// diskWithoutSnapshots is a disk on which no snapshot can be written while full is set.
+type diskWithoutSnapshots struct {
+	*disker.Disk
+	full atomic.Bool
+}
+
+// Create implements journaler.FileSystem.
+func (d *diskWithoutSnapshots) Create(name string) (journaler.File, error) {
+	if d.full.Load() && strings.Contains(name, "snapshot-") {
+		return nil, &os.PathError{Op: "open", Path: name, Err: syscall.ENOSPC}
+	}
+	return d.Disk.Create(name)
+}
+
+// Guards against a control host that is lost to its group because a snapshot could not be written,
+// although no vote and no entry depends on one.
+func TestFailedSnapshotsKeepTheLog(t *testing.T) {
+	RegisterTestingT(t)
+	synctest.Test(t, func(t *testing.T) {
+		disk := &diskWithoutSnapshots{Disk: disker.NewDisk(rand.New(rand.NewPCG(1, 1)))}
+		g := newGroup(t, 1, func(s *Settings) { s.FileSystem, s.SnapshotEvery = disk, 8 })
+		r := g.network.hosts[1]
+		t.Cleanup(func() { _ = r.Close() })
+		g.leader(0)
+		propose := func() {
+			_, _, err := r.Propose(t.Context(), []byte("change"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		disk.full.Store(true)
+		for range 40 {
+			propose()
+		}
+		Expect(r.Status().Snapshot).To(BeZero())
+		disk.full.Store(false)
+		<-time.After(snapshotRetryInterval)
+		propose()
+		Eventually(func() uint64 { return r.Status().Snapshot }).WithTimeout(time.Second).Should(BeNumerically(">", 40))
+		Expect(r.Close()).To(Succeed())
+	})
+}
--- a/internal/coordination/replicator/errors.go
+++ b/internal/coordination/replicator/errors.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
+	"syscall"
 
 	"github.com/juju/errors"
+
+	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
 )
 
 // ErrNotLeader reports that this host is not the leader. The proposal was not accepted and never
@@ -76,6 +80,19 @@
 // Error returns a message with the reason.
 func (e ErrDiverged) Error() string { return "the group has diverged: " + e.Reason }
 
+// isDiskError reports whether err is the failure of a file operation that may succeed later: the
+// host can then open its files again and continue.
+func isDiskError(err error) bool {
+	var full journaler.ErrFull
+	if errors.As(err, &full) {
+		return true
+	}
+	return slices.ContainsFunc(diskErrors, func(number error) bool { return errors.Is(err, number) })
+}
+
+// diskErrors are the errors of a disk that is full or fails, and of a lack of descriptors.
+var diskErrors = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS, syscall.EMFILE, syscall.ENFILE}
+
 // ErrStopped reports that the replicator has stopped permanently.
 type ErrStopped struct {
 	// Cause is the failure that stopped the replicator, nil after Close.
--- a/internal/coordination/replicator/observation.go
+++ b/internal/coordination/replicator/observation.go
@@ -109,6 +109,13 @@
 	Disk time.Duration
 }
 
+// SnapshotFailed reports that a snapshot could not be written. The host continues without it.
+type SnapshotFailed struct {
+	// Index is the index of the last entry in the snapshot.
+	Index uint64
+	Cause error
+}
+
 // Stopped reports that the replicator has failed permanently.
 type Stopped struct{ Cause error }
 
@@ -123,4 +130,5 @@
 func (BootstrapRefused) observation()  {}
 func (ElectionEvent) observation()     {}
 func (LoopDelayed) observation()       {}
+func (SnapshotFailed) observation()    {}
 func (Stopped) observation()           {}
--- a/internal/coordination/replicator/queue.go
+++ b/internal/coordination/replicator/queue.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"context"
 	"sync"
 
 	"github.com/juju/errors"
@@ -126,8 +127,8 @@
 // Entries that the restored snapshot covers are skipped.
 func (r *Replicator) applyBatch(es []Entry, install bool) error {
 	if install {
-		if err := r.applier.restore(); err != nil {
-			return errors.Trace(err)
+		if err := r.restoreSnapshot(); err != nil {
+			return err
 		}
 		r.pendingCalls.advanceApplied(r.applier.applied)
 	}
@@ -140,7 +141,11 @@
 		r.pendingCalls.complete(e, result)
 	}
 	r.queue.done(es)
-	if !r.applier.snapshotDue(r.settings) || !r.applier.saving.TryLock() {
+	if !r.applier.saving.TryLock() {
+		return nil
+	}
+	if !r.applier.snapshotDue(r.settings, r.clock.read()) {
+		r.applier.saving.Unlock()
 		return nil
 	}
 	f := r.applier.freeze()
@@ -157,17 +162,27 @@
 	return nil
 }
 
+// restoreSnapshot restores the latest snapshot. While the disk fails it tries again, until the
+// replicator stops.
+func (r *Replicator) restoreSnapshot() error {
+	for {
+		err := r.applier.restore()
+		if !isDiskError(err) {
+			return errors.Trace(err)
+		}
+		r.settings.Log.Warn().Err(err).Msg("failed to read a snapshot; trying again")
+		if !r.sleep(context.Background(), snapshotRetryInterval) {
+			return errors.Trace(err)
+		}
+	}
+}
+
 // saveSnapshot writes a snapshot and passes its metadata to the loop. It unlocks applier.saving.
 func (r *Replicator) saveSnapshot(f frozenState) error {
 	defer r.applier.saving.Unlock()
-	m, err := r.applier.save(f, r.settings.Now)
-	var outdated snapshotter.ErrOutdated
-	if errors.As(err, &outdated) {
-		// The loop has received a newer snapshot, which the next batch restores.
-		return nil
-	}
-	if err != nil {
-		return errors.Trace(err)
+	m, taken, err := r.applier.save(f, r.settings.Now, r.clock.read)
+	if err != nil || !taken {
+		return err
 	}
 	select {
 	case r.inbox <- snapshotTaken{metadata: m}:
--- a/internal/coordination/replicator/replicator.go
+++ b/internal/coordination/replicator/replicator.go
@@ -87,15 +87,15 @@
 	return func(o Observation) {
 		r.observeLock.Lock()
 		defer r.observeLock.Unlock()
-		r.logElection(o)
+		r.logObservation(o)
 		to(o)
 	}
 }
 
-// logElection logs the events that decide whether and when there is a leader. These lines alone
-// must explain a group without a leader for seconds: which host asked which, what was refused and
-// why, and which host was delayed by its disk or not scheduled.
-func (r *Replicator) logElection(o Observation) {
+// logObservation logs snapshots that fail and the events that decide whether and when there is a
+// leader. These lines alone must explain a group without a leader for seconds: which host asked
+// which, what was refused and why, and which host was delayed by its disk or not scheduled.
+func (r *Replicator) logObservation(o Observation) {
 	switch t := o.(type) {
 	case ElectionEvent:
 		r.settings.Log.Info().Stringer("Step", t.Step).Uint64("Term", t.Term).Uint64("Other", uint64(t.Other)).
@@ -103,6 +103,8 @@
 			Stringer("Refusal", t.Refusal).Msg("election")
 	case LoopDelayed:
 		r.settings.Log.Info().Dur("Late", t.Late).Dur("Disk", t.Disk).Msg("replication loop delayed")
+	case SnapshotFailed:
+		r.settings.Log.Warn().Err(t.Cause).Uint64("Index", t.Index).Msg("failed to write a snapshot; it is taken again")
 	}
 }
 
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -188,9 +188,11 @@
 	if err == nil {
 		err = h.replica.advance()
 	}
-	if err == nil && h.applier.snapshotDue(h.replica.settings) {
+	if err == nil && h.applier.snapshotDue(h.replica.settings, s.now) {
 		var m snapshotter.Metadata
-		if m, err = h.applier.save(h.applier.freeze(), time.Now); err == nil {
+		var taken bool
+		m, taken, err = h.applier.save(h.applier.freeze(), time.Now, func() time.Duration { return s.now })
+		if taken {
 			err = h.replica.compact(m)
 		}
 	}
--- a/internal/state/snapshotter/atomic.go
+++ b/internal/state/snapshotter/atomic.go
@@ -28,18 +28,25 @@
 	}
 	contents := binary.LittleEndian.AppendUint32(data, crc32.Checksum(data, castagnoliTable))
 	if _, err := file.Write(contents); err != nil {
-		_ = file.Close()
-		return errors.Annotatef(err, "write %s", temporary)
+		return errors.Annotatef(discard(files, file, temporary, err), "write %s", temporary)
 	}
 	return errors.Trace(syncAndRename(files, file, temporary, name))
 }
 
+// discard closes and removes a temporary file after a failure, which it returns. The
+// file would occupy space on a disk that may be full. If it can't be removed now, the
+// next Open does it.
+func discard(files journaler.FileSystem, file journaler.File, temporary string, failure error) error {
+	_ = file.Close()
+	_ = files.Remove(temporary)
+	return failure
+}
+
 // syncAndRename syncs and closes a temporary file, renames it to name, and syncs the
 // folder.
 func syncAndRename(files journaler.FileSystem, file journaler.File, temporary, name string) error {
 	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return errors.Annotatef(err, "sync %s", temporary)
+		return errors.Annotatef(discard(files, file, temporary, err), "sync %s", temporary)
 	}
 	if err := file.Close(); err != nil {
 		return errors.Annotatef(err, "close %s", temporary)
--- a/internal/state/snapshotter/store_test.go
+++ b/internal/state/snapshotter/store_test.go
@@ -180,4 +180,17 @@
 			Expect(latest(to)).To(Equal(uint64(7)))
 		}
 	})
+
+	// Guards against a full disk that stays full: a snapshot that could not be written must not keep
+	// the space that it takes.
+	It("removes a snapshot that could not be written", func() {
+		d := disker.NewDisk(rand.New(rand.NewPCG(1, 0)))
+		s, _ := open(d)
+		const write = 2
+		d.FillIn(write)
+		Expect(create(s, 1)).NotTo(Succeed())
+		Expect(d.List("/s")).To(BeEmpty())
+		d.Fill(false)
+		Expect(create(s, 1)).To(Succeed())
+	})
 })
--- a/internal/state/snapshotter/writer.go
+++ b/internal/state/snapshotter/writer.go
@@ -45,8 +45,7 @@
 	}
 	w := &checksumWriter{out: file}
 	if err := w.writeSnapshot(m, write); err != nil {
-		_ = file.Close()
-		return m, errors.Annotate(err, "write snapshot")
+		return m, errors.Annotate(discard(s.settings.FileSystem, file, temporary, err), "write snapshot")
 	}
 	if err := syncAndRename(s.settings.FileSystem, file, temporary, name); err != nil {
 		return m, errors.Trace(err)
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -236,6 +236,8 @@
 		c.metrics.refused.Inc()
 	case replicator.BootstrapRefused:
 		c.record(recorder.KindFault, 0, "bootstrap refused by host %d", o.By)
+	case replicator.SnapshotFailed:
+		c.metrics.snapshotFailures.Inc()
 	case replicator.Stopped:
 		c.record(recorder.KindFault, 0, "the replicated log stopped: %v", o.Cause)
 	}
--- a/internal/transport/controller/metrics.go
+++ b/internal/transport/controller/metrics.go
@@ -23,6 +23,8 @@
 	expectedRetries *prometheus.GaugeVec
 	// limitedServers is the number of backend servers in the leader's schedule.
 	limitedServers prometheus.Gauge
+	// snapshotFailures counts the snapshots that could not be written.
+	snapshotFailures prometheus.Counter
 	// reviewedParts counts the leader's decisions on parts of prompts.
 	reviewedParts *prometheus.CounterVec
 }
@@ -60,6 +62,8 @@
 		limitedServers: gauge("limited_servers", "Backend servers whose requests the leader schedules."),
 		leading:        gauge("leading", "1 while this host has a leader's duties."),
 		buckets:        gauge("quota_buckets", "Workspaces whose quota is in use, at the leader."),
+
+		snapshotFailures: counter("snapshot_failures_total", "Snapshots that could not be written."),
 	}
 	m.expectedRetries = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "quota_expected_retries_units",
@@ -69,7 +73,7 @@
 		Namespace: namespace, Name: "reviewed_parts_total", Help: "Decisions of this leader on parts of prompts, by action.",
 	}, []string{"action"})
 	if r != nil {
-		r.MustRegister(m.reviewedParts, m.expectedRetries)
+		r.MustRegister(m.reviewedParts, m.expectedRetries, m.snapshotFailures)
 		r.MustRegister(m.elections, m.refused, m.proposals, m.sync, m.sessions, m.revision, m.age, m.members,
 			m.expired, m.deltas, m.permits, m.waiting, m.held, m.leading, m.buckets, m.limitedServers)
 	}
