replicator: a host survives a failure of its disk

Meanwhile the host is suspended: it neither acknowledges nor votes, it holds no lease, and it refuses at once what it can't serve; state machine, connections and subscribers remain, and calls are forwarded to the leader that its messages name. What was proposed and not applied has an unknown outcome, since followers may hold it.

Why nothing acknowledged is lost and no vote is given twice: whatever a host has promised was durable before; the core that is created from the files is a follower, so that it can't lead the same term again; it withholds votes for an election timeout, as after a start; and Open makes durable what it reads. Entries that the state machine holds must be in the log, else the host stops for good, as it still does for damage and for an old copy of its disk.

Metrics: disk_failures_total, suspended.

--- a/internal/coordination/replicator/core.go
+++ b/internal/coordination/replicator/core.go
@@ -145,6 +145,21 @@
 	return c, nil
 }
 
+// resume makes a core that NewCore has just created continue at the given time in a process whose
+// state machine holds the entries up to emitted. It returns ErrStaleDisk if the log lacks some of
+// them.
+func (c *Core) resume(now time.Duration, emitted uint64) error {
+	if c.log.last() < emitted {
+		return errors.Trace(ErrStaleDisk{Last: c.log.last(), Acknowledged: emitted})
+	}
+	c.clock = now
+	c.votesWithheldUntil += now
+	c.commit = max(c.commit, emitted)
+	c.emitted = c.commit
+	c.resetCampaign()
+	return nil
+}
+
 // push appends an entry, and puts its configuration in force if it holds one.
 func (c *Core) push(e Entry) error {
 	if e.Kind == EntryMembership {
--- a/internal/coordination/replicator/disk_failure_test.go
+++ b/internal/coordination/replicator/disk_failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/juju/errors"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"marigoldpoint.example/marigoldpoint/internal/standin/disker"
 	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
@@ -57,6 +59,9 @@
 					Expect(err == nil || errors.As(err, &unknown) || CertainlyNotAccepted(err)).To(BeTrue())
 					<-time.After(20 * time.Millisecond)
 				}
+				status := g.network.hosts[full].Status()
+				Expect(status.Suspended).To(BeTrue())
+				Expect(status.Leader).To(Equal(g.leader(full)), "a suspended host knows to whom calls are forwarded")
 				disks[full].Fill(false)
 
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
@@ -73,6 +78,105 @@
 	}
 }
 
+// Guards against the loss of an accepted change in a power failure. A sync of the journal fails and
+// the next one succeeds. The operating system drops pages whose write-back failed, so that the
+// later success proves nothing about them.
+func TestFailedSyncLosesNothingAccepted(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			disk := disker.NewDisk(rand.New(rand.NewPCG(seed, 1)))
+			g := newGroup(t, 1, func(s *Settings) { s.FileSystem = disk })
+			t.Cleanup(func() { _ = g.network.hosts[1].Close() })
+			g.leader(0)
+			r := g.network.hosts[1]
+			_, _, err := r.Propose(t.Context(), []byte("one"))
+			Expect(err).NotTo(HaveOccurred())
+			disk.FailSyncIn(1)
+			_, _, err = r.Propose(t.Context(), []byte("two"))
+			var unknown ErrOutcomeUnknown
+			Expect(errors.As(err, &unknown)).To(BeTrue())
+			Expect(r.Status().Suspended).To(BeTrue())
+			_, _, err = r.Propose(t.Context(), []byte("too early"))
+			Expect(CertainlyNotAccepted(err)).To(BeTrue())
+			g.leader(0)
+			_, _, err = r.Propose(t.Context(), []byte("three"))
+			Expect(err).NotTo(HaveOccurred())
+			accepted := g.machines[1].get()
+
+			disk.Crash()
+			_ = r.Close()
+			disk.Restart()
+			r = g.start(1)
+			g.leader(0)
+			Expect(r.ReadBarrier(t.Context())).To(Succeed())
+			Expect(g.machines[1].get()).To(Equal(accepted))
+		})
+	}
+}
+
+// TestPropertyFullDisksLoseNothingAccepted guards against the loss of an accepted change while the
+// disks of three hosts become full, at random times and for 0.2 to 10 s, and against a group that
+// does not continue afterwards. At the end all hosts lose power.
+func TestPropertyFullDisksLoseNothingAccepted(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "Seed"), 0))
+		RegisterTestingT(t)
+		synctest.Test(t, func(t *testing.T) {
+			g, disks := newDiskGroup(t)
+			g.leader(0)
+			accepted := proposeWhileDisksFill(t, g, disks, random)
+			for id, disk := range disks {
+				disk.Crash()
+				_ = g.network.hosts[id].Close()
+				disk.Restart()
+				g.start(id)
+			}
+			l := g.leader(0)
+			Expect(g.network.hosts[l].ReadBarrier(t.Context())).To(Succeed())
+			for _, command := range accepted {
+				Expect(g.machines[l].applied).To(HaveKeyWithValue(command, 1))
+			}
+			g.close()
+		})
+	})
+}
+
+// proposeWhileDisksFill proposes for half a minute while disks become full, and returns the accepted
+// commands.
+func proposeWhileDisksFill(t *testing.T, g *testGroup, disks map[HostID]*disker.Disk, random *rand.Rand) (accepted []string) {
+	t.Helper()
+	full := make(map[HostID]time.Time)
+	for i := range 600 {
+		if id := HostID(random.IntN(3) + 1); random.IntN(60) == 0 {
+			disks[id].Fill(true)
+			full[id] = time.Now().Add(200*time.Millisecond + time.Duration(random.Int64N(int64(9800*time.Millisecond))))
+		}
+		for id, until := range full {
+			if time.Now().After(until) {
+				disks[id].Fill(false)
+			}
+		}
+		for _, r := range g.network.hosts {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			command := fmt.Sprintf("%d-%d", r.settings.Self.ID, i)
+			if _, _, err := r.Propose(ctx, []byte(command)); err == nil {
+				accepted = append(accepted, command)
+			}
+			cancel()
+		}
+		<-time.After(50 * time.Millisecond)
+	}
+	for _, disk := range disks {
+		disk.Fill(false)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, _, err := g.network.hosts[g.leader(0)].Propose(ctx, []byte("after"))
+	Expect(err).NotTo(HaveOccurred())
+	return append(accepted, "after")
+}
+
 // diskWithoutSnapshots is a disk on which no snapshot can be written while full is set.
 type diskWithoutSnapshots struct {
 	*disker.Disk
--- a/internal/coordination/replicator/loop.go
+++ b/internal/coordination/replicator/loop.go
@@ -14,17 +14,31 @@
 // disk hangs sends no heartbeats and is replaced.
 func (r *Replicator) loop() {
 	defer r.workers.Done()
-	err := r.run()
-	r.stop(err)
+	r.stop(r.serve())
 	r.queue.waitStopped()
 	if err := r.replica.close(); err != nil {
 		r.settings.Log.Warn().Err(err).Msg("failed to close files")
 	}
-	if err := r.folderLock.Close(); err != nil {
+	if err := r.releaseFolder(); err != nil {
 		r.settings.Log.Warn().Err(err).Msg("failed to release data folder")
 	}
 }
 
+// serve handles events until Close, or a failure that is not one of the disk, which it returns.
+func (r *Replicator) serve() error {
+	for {
+		failure := r.run()
+		if !isDiskError(failure) || r.queue.hasFailed() {
+			return failure
+		}
+		r.suspend(failure)
+		if failure = r.reopen(); failure != nil || r.isClosing() {
+			return failure
+		}
+		r.resume()
+	}
+}
+
 // run handles events until Close or a failure, which it returns.
 func (r *Replicator) run() error {
 	ticker := time.NewTicker(r.settings.TickInterval)
--- a/internal/coordination/replicator/observation.go
+++ b/internal/coordination/replicator/observation.go
@@ -109,6 +109,16 @@
 	Disk time.Duration
 }
 
+// Suspended reports that a file operation has failed. The host takes no part in the group until
+// Resumed.
+type Suspended struct{ Cause error }
+
+// Resumed reports that the files are open again.
+type Resumed struct {
+	// After is the time since the failure.
+	After time.Duration
+}
+
 // SnapshotFailed reports that a snapshot could not be written. The host continues without it.
 type SnapshotFailed struct {
 	// Index is the index of the last entry in the snapshot.
@@ -130,5 +140,7 @@
 func (BootstrapRefused) observation()  {}
 func (ElectionEvent) observation()     {}
 func (LoopDelayed) observation()       {}
+func (Suspended) observation()         {}
+func (Resumed) observation()           {}
 func (SnapshotFailed) observation()    {}
 func (Stopped) observation()           {}
--- a/internal/coordination/replicator/piecer.go
+++ b/internal/coordination/replicator/piecer.go
@@ -42,14 +42,13 @@
 	if latest.Index <= r.core.commit {
 		return nil
 	}
-	// The snapshot is already durable; after a crash before the journal is reset, reconcileJournal
-	// resets it.
-	if r.core.Install(m, latest, configuration) {
-		if err := r.journal.Reset(latest.Index + 1); err != nil {
-			return errors.Trace(err)
-		}
-	}
+	// The snapshot is already durable; after a crash or a failure before the journal is reset,
+	// reconcileJournal resets it.
+	dropEntries := r.core.Install(m, latest, configuration)
 	r.settings.Observe(SnapshotInstalled{Index: latest.Index, Bytes: latest.Size})
 	r.onInstall(latest)
+	if dropEntries {
+		return errors.Trace(r.journal.Reset(latest.Index + 1))
+	}
 	return nil
 }
--- a/internal/coordination/replicator/queue.go
+++ b/internal/coordination/replicator/queue.go
@@ -104,6 +104,16 @@
 	})
 }
 
+// hasFailed reports whether the applier has stopped because of a failure.
+func (q *applyQueue) hasFailed() bool {
+	select {
+	case <-q.failed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (q *applyQueue) waitStopped() { <-q.stopped }
 
 // applyLoop is the goroutine that owns the applier and the state machine.
--- a/internal/coordination/replicator/replica.go
+++ b/internal/coordination/replicator/replica.go
@@ -39,35 +39,61 @@
 	onRead func(ReadState)
 }
 
-// openReplica opens the files. The caller sets the returned replica's functions before its first
-// use.
-func openReplica(s Settings) (*replica, error) {
-	r := &replica{settings: s}
-	var err error
-	var damaged []error
-	r.store, damaged, err = snapshotter.OpenStore(snapshotter.Settings{
+// newReplica returns a replica that has to be opened. The caller sets its functions before.
+func newReplica(s Settings) *replica {
+	return &replica{settings: s, store: snapshotter.NewStore(snapshotter.Settings{
 		Folder: filepath.Join(s.DataFolder, stateFolder), FileSystem: s.FileSystem,
-	})
+	})}
+}
+
+// open opens the files, or opens them again after a failure of the disk, and creates the core from
+// them. After an error it can be called again.
+func (r *replica) open() error {
+	damaged, err := r.store.Open()
 	if err != nil {
-		return nil, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	for _, d := range damaged {
-		s.Log.Error().Err(d).Msg("snapshot is damaged; using the previous one")
+		r.settings.Log.Error().Err(d).Msg("snapshot is damaged; using the previous one")
+	}
+	if r.journal != nil {
+		// The journal has failed; what its file holds is read again.
+		_ = r.journal.Close()
 	}
 	var entries []Entry
-	r.journal, err = journaler.Open(r.journalSettings(), func(index uint64, record []byte) error {
+	journal, err := journaler.Open(r.journalSettings(), func(index uint64, record []byte) error {
 		e, err := decodeEntry(index, record)
 		entries = append(entries, e)
 		return err
 	})
 	if err != nil {
-		return nil, errors.Trace(err)
+		return errors.Trace(err)
 	}
-	if err := r.recover(entries); err != nil {
-		_ = r.close()
-		return nil, err
+	r.journal = journal
+	return r.recover(entries)
+}
+
+// reopen opens the files again after a failure of the disk. now is the time on the host's clock.
+// The state machine keeps the entries that were passed on to it before.
+func (r *replica) reopen(now time.Duration) error {
+	emitted := uint64(0)
+	if r.core != nil {
+		emitted = r.core.emitted
 	}
-	return r, nil
+	if err := r.open(); err != nil {
+		return err
+	}
+	if err := r.core.resume(now, emitted); err != nil {
+		return errors.Annotatef(err, "data folder %s", r.settings.DataFolder)
+	}
+	latest, ok := r.store.Latest()
+	if !ok {
+		return nil
+	}
+	if latest.Index > emitted {
+		r.onInstall(latest)
+	}
+	return r.compact(latest)
 }
 
 func (r *replica) journalSettings() journaler.Settings {
@@ -160,13 +186,15 @@
 	return nil, errors.Trace(r.journal.Reset(snapshot.Index + 1))
 }
 
-// close closes the store and the journal.
+// close closes the store and the journal, as far as they are open.
 func (r *replica) close() error {
-	if err := r.store.Close(); err != nil {
-		_ = r.journal.Close()
-		return errors.Trace(err)
+	err := r.store.Close()
+	if r.journal != nil {
+		if closed := r.journal.Close(); err == nil {
+			err = closed
+		}
 	}
-	return errors.Trace(r.journal.Close())
+	return errors.Trace(err)
 }
 
 // emit fills in the group and the sender, and sends the messages.
--- a/internal/coordination/replicator/replicator.go
+++ b/internal/coordination/replicator/replicator.go
@@ -47,6 +47,8 @@
 	// quorumLost is set if this host led without a quorum after the last iteration. Used only by
 	// the loop.
 	quorumLost bool
+	// suspension describes the latest suspension. Used only by the loop.
+	suspension suspension
 	// delayReportedAt is the time of the last LoopDelayed observation, 0 if none. Used only by the
 	// loop.
 	delayReportedAt time.Duration
@@ -110,6 +112,32 @@
 
 // open locks the data folder, opens the files and connects the parts.
 func (r *Replicator) open(sm StateMachine) error {
+	r.connect(sm)
+	err := r.openFiles()
+	if err == nil {
+		err = r.applier.restore()
+	}
+	if err != nil {
+		_ = r.replica.close()
+		_ = r.releaseFolder()
+		return errors.Annotate(err, "open replica")
+	}
+	r.pendingCalls.applied = r.applier.applied
+	return nil
+}
+
+// openFiles locks the data folder, if that has not succeeded yet, and opens the files.
+func (r *Replicator) openFiles() error {
+	if err := r.lockFolder(); err != nil {
+		return err
+	}
+	return r.replica.open()
+}
+
+func (r *Replicator) lockFolder() error {
+	if r.folderLock != nil {
+		return nil
+	}
 	files := r.settings.FileSystem
 	if err := files.MakeFolder(r.settings.DataFolder); err != nil {
 		return errors.Annotate(err, "create data folder")
@@ -118,26 +146,29 @@
 	if err != nil {
 		return errors.Annotate(err, "lock data folder")
 	}
-	if r.replica, err = openReplica(r.settings); err != nil {
-		_ = folderLock.Close()
-		return errors.Annotate(err, "open replica")
-	}
 	r.folderLock = folderLock
-	r.applier = &applier{machine: sm, store: r.replica.store, observe: r.settings.Observe}
-	if err := r.applier.restore(); err != nil {
-		_ = r.replica.close()
-		_ = folderLock.Close()
-		return err
+	return nil
+}
+
+// releaseFolder releases the lock of the data folder, if it is held.
+func (r *Replicator) releaseFolder() error {
+	if r.folderLock == nil {
+		return nil
 	}
-	r.pendingCalls.applied = r.applier.applied
+	return errors.Trace(r.folderLock.Close())
+}
+
+// connect connects the replica with the applier, the transport and the callers.
+func (r *Replicator) connect(sm StateMachine) {
+	r.replica = newReplica(r.settings)
+	r.applier = &applier{machine: sm, store: r.replica.store, observe: r.settings.Observe}
 	r.replica.send = r.send
 	r.replica.onCommit = func(es []Entry) {
 		r.publish()
 		r.queue.pushEntries(es)
 	}
-	r.replica.onInstall = func(m metadata) { r.queue.pushInstall() }
+	r.replica.onInstall = func(metadata) { r.queue.pushInstall() }
 	r.replica.onRead = r.completeRead
-	return nil
 }
 
 // send passes messages to the transport, grouped by receiver.
@@ -245,8 +276,8 @@
 	}
 }
 
-// Done returns a channel that is closed once the replicator has stopped, by Close or by a failure.
-// After a failure the process must stop.
+// Done returns a channel that is closed once the replicator has stopped, by Close or by a failure
+// that can't be resolved by opening the files again. After a failure the process must stop.
 func (r *Replicator) Done() <-chan struct{} { return r.stopped }
 
 // Err returns nil while the replicator runs, and ErrStopped afterwards.
--- a/internal/coordination/replicator/status.go
+++ b/internal/coordination/replicator/status.go
@@ -16,6 +16,9 @@
 	// Commit, Applied, Last and Snapshot are the indices of the last entry known to be committed,
 	// the last applied one, the last one in the log, and the last one in a snapshot.
 	Commit, Applied, Last, Snapshot uint64
+	// Suspended is set while the host takes no part in the group, because its disk has failed.
+	// Leader is then a host that claims to lead.
+	Suspended bool
 	// JournalBytes is the size of the journal on the disk.
 	JournalBytes int64
 	// Members are the members of the configuration in force, committed or not.
--- a/internal/transport/controller/control.go
+++ b/internal/transport/controller/control.go
@@ -133,8 +133,8 @@
 }
 
 // Failed returns a channel that is closed when the replicated log has stopped because of
-// a failure. The process must then stop, since its disk can't be trusted. The channel is
-// nil if the log does not report failures.
+// a failure that can't be resolved by opening its files again. The process must then stop,
+// since its disk can't be trusted. The channel is nil if the log does not report failures.
 func (c *Control) Failed() <-chan struct{} {
 	if f, ok := c.agreement.(interface{ Done() <-chan struct{} }); ok {
 		return f.Done()
@@ -236,6 +236,12 @@
 		c.metrics.refused.Inc()
 	case replicator.BootstrapRefused:
 		c.record(recorder.KindFault, 0, "bootstrap refused by host %d", o.By)
+	case replicator.Suspended:
+		c.metrics.diskFailures.Inc()
+		c.metrics.suspended.Set(1)
+		c.record(recorder.KindFault, 0, "the replicated log is suspended: %v", o.Cause)
+	case replicator.Resumed:
+		c.metrics.suspended.Set(0)
 	case replicator.SnapshotFailed:
 		c.metrics.snapshotFailures.Inc()
 	case replicator.Stopped:
--- a/internal/transport/controller/enlisting.go
+++ b/internal/transport/controller/enlisting.go
@@ -49,10 +49,15 @@
 	}
 }
 
-// isActiveVoter reports whether this host is a voter with recent contact to a leader.
+// isActiveVoter reports whether this host is a voter with recent contact to a leader, or
+// can't become one now.
 func (c *Control) isActiveVoter() bool {
 	s := c.agreement.Status()
 	self, member := replicator.Configuration{Members: s.Members}.Find(s.Self)
+	if s.Suspended {
+		// It could not follow, and may not know its incarnation yet.
+		return true
+	}
 	if s.Formation == 0 && !c.settings.Control.Join {
 		// The group is not formed yet; this host takes part in forming it.
 		return true
--- a/internal/transport/controller/forward.go
+++ b/internal/transport/controller/forward.go
@@ -53,6 +53,8 @@
 			err = local(ctx)
 		case forwarded:
 			return c.notLeader()
+		case status.Leader == 0 && status.Suspended:
+			return c.suspendedRefusal()
 		case status.Leader == 0:
 			err = messenger.NewRefusal(messenger.ReasonUnavailable, "no leader is known")
 		default:
@@ -94,6 +96,11 @@
 	return r
 }
 
+// suspendedRefusal refuses a call that this host can't serve until its disk accepts writes.
+func (c *Control) suspendedRefusal() error {
+	return messenger.NewRefusal(messenger.ReasonUnavailable, "the disk of this host does not accept writes")
+}
+
 // retriable reports whether err proves that the call had no effect and another attempt
 // may succeed.
 func retriable(err error) bool {
--- a/internal/transport/controller/metrics.go
+++ b/internal/transport/controller/metrics.go
@@ -23,8 +23,10 @@
 	expectedRetries *prometheus.GaugeVec
 	// limitedServers is the number of backend servers in the leader's schedule.
 	limitedServers prometheus.Gauge
-	// snapshotFailures counts the snapshots that could not be written.
-	snapshotFailures prometheus.Counter
+	// diskFailures counts the failures of the disk that suspended the replicated log, and
+	// snapshotFailures the snapshots that could not be written; suspended is 1 while the log is.
+	diskFailures, snapshotFailures prometheus.Counter
+	suspended                      prometheus.Gauge
 	// reviewedParts counts the leader's decisions on parts of prompts.
 	reviewedParts *prometheus.CounterVec
 }
@@ -63,7 +65,9 @@
 		leading:        gauge("leading", "1 while this host has a leader's duties."),
 		buckets:        gauge("quota_buckets", "Workspaces whose quota is in use, at the leader."),
 
+		diskFailures:     counter("disk_failures_total", "Failures of the disk that suspended the replicated log."),
 		snapshotFailures: counter("snapshot_failures_total", "Snapshots that could not be written."),
+		suspended:        gauge("suspended", "1 while the replicated log is suspended after a failure of the disk."),
 	}
 	m.expectedRetries = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Namespace: namespace, Name: "quota_expected_retries_units",
@@ -73,7 +77,7 @@
 		Namespace: namespace, Name: "reviewed_parts_total", Help: "Decisions of this leader on parts of prompts, by action.",
 	}, []string{"action"})
 	if r != nil {
-		r.MustRegister(m.reviewedParts, m.expectedRetries, m.snapshotFailures)
+		r.MustRegister(m.reviewedParts, m.expectedRetries, m.diskFailures, m.snapshotFailures, m.suspended)
 		r.MustRegister(m.elections, m.refused, m.proposals, m.sync, m.sessions, m.revision, m.age, m.members,
 			m.expired, m.deltas, m.permits, m.waiting, m.held, m.leading, m.buckets, m.limitedServers)
 	}
--- a/internal/transport/controller/reader.go
+++ b/internal/transport/controller/reader.go
@@ -117,6 +117,9 @@
 	if passed.Revision == 0 {
 		return nil
 	}
+	if c.agreement.Status().Suspended && c.store.Revision() < passed.Revision {
+		return c.suspendedRefusal()
+	}
 	if err := c.store.Wait(ctx, passed.Revision-1); err != nil {
 		return messenger.NewRefusal(messenger.ReasonUnavailable, "this host is behind")
 	}
