replicator: a start on a full disk waits for the disk

NewReplicator returned the failure of the first write. It now starts suspended, as after a failure while it runs, and opens the files once the disk accepts writes. A folder that can't be used for another reason (permissions, a lock that another process holds, damage) still fails the start.

--- a/internal/coordination/replicator/disk_failure_test.go
+++ b/internal/coordination/replicator/disk_failure_test.go
@@ -177,6 +177,42 @@
 	return append(accepted, "after")
 }
 
+// Guards against a control host that does not start, again and again, while its disk is full: it
+// starts suspended, and takes part once the disk accepts writes.
+func TestStartOnFullDisk(t *testing.T) {
+	for _, wiped := range []bool{false, true} {
+		t.Run(map[bool]string{false: "KnownFolder", true: "NewFolder"}[wiped], func(t *testing.T) {
+			RegisterTestingT(t)
+			synctest.Test(t, func(t *testing.T) {
+				g, disks := newDiskGroup(t)
+				leader := g.leader(0)
+				full := leader%3 + 1
+				_, _, err := g.network.hosts[leader].Propose(t.Context(), []byte("before"))
+				Expect(err).NotTo(HaveOccurred())
+				g.stop(full)
+				if wiped {
+					disks[full].Wipe()
+				}
+				disks[full].Fill(true)
+				r := g.start(full)
+				<-time.After(2 * time.Second)
+				Expect(r.Err()).NotTo(HaveOccurred())
+				Expect(r.Status().Suspended).To(BeTrue())
+				_, _, err = r.Propose(t.Context(), []byte("during"))
+				Expect(CertainlyNotAccepted(err)).To(BeTrue())
+				disks[full].Fill(false)
+				Eventually(func() bool { return r.Status().Suspended }).WithTimeout(time.Second).Should(BeFalse())
+				if wiped {
+					Expect(r.Status().Formation).To(BeZero())
+				} else {
+					Eventually(func() uint64 { return g.machines[full].get() }).WithTimeout(2 * time.Second).Should(Equal(uint64(1)))
+				}
+				g.close()
+			})
+		})
+	}
+}
+
 // diskWithoutSnapshots is a disk on which no snapshot can be written while full is set.
 type diskWithoutSnapshots struct {
 	*disker.Disk
--- a/internal/coordination/replicator/loop.go
+++ b/internal/coordination/replicator/loop.go
@@ -26,8 +26,11 @@
 
 // serve handles events until Close, or a failure that is not one of the disk, which it returns.
 func (r *Replicator) serve() error {
+	failure := r.openFailure
 	for {
-		failure := r.run()
+		if failure == nil {
+			failure = r.run()
+		}
 		if !isDiskError(failure) || r.queue.hasFailed() {
 			return failure
 		}
--- a/internal/coordination/replicator/replicator.go
+++ b/internal/coordination/replicator/replicator.go
@@ -47,6 +47,8 @@
 	// quorumLost is set if this host led without a quorum after the last iteration. Used only by
 	// the loop.
 	quorumLost bool
+	// openFailure is the failure of the disk at the start, nil if there was none.
+	openFailure error
 	// suspension describes the latest suspension. Used only by the loop.
 	suspension suspension
 	// delayReportedAt is the time of the last LoopDelayed observation, 0 if none. Used only by the
@@ -62,7 +64,9 @@
 
 // NewReplicator opens the data folder, restores the state machine from the latest snapshot and
 // starts. Commands after the snapshot are applied once the leader has reported them as committed.
-// It returns journaler.ErrDamaged if durable data is missing from the disk.
+// If the disk fails, for instance because it is full, the replicator starts suspended, and does the
+// rest once the disk accepts writes. NewReplicator returns journaler.ErrDamaged if durable data is
+// missing from the disk.
 func NewReplicator(s Settings, sm StateMachine, t Transport) (*Replicator, error) {
 	s = s.withDefaults()
 	if err := s.check(); err != nil {
@@ -77,7 +81,9 @@
 	if err := r.open(sm); err != nil {
 		return nil, err
 	}
-	r.publish()
+	if r.openFailure == nil {
+		r.publish()
+	}
 	r.workers.Add(2)
 	go r.loop()
 	go r.applyLoop()
@@ -110,13 +116,18 @@
 	}
 }
 
-// open locks the data folder, opens the files and connects the parts.
+// open locks the data folder, opens the files and connects the parts. A failure of the disk is not
+// an error; it becomes openFailure.
 func (r *Replicator) open(sm StateMachine) error {
 	r.connect(sm)
 	err := r.openFiles()
 	if err == nil {
 		err = r.applier.restore()
 	}
+	if isDiskError(err) {
+		r.openFailure = err
+		return nil
+	}
 	if err != nil {
 		_ = r.replica.close()
 		_ = r.releaseFolder()
