replicator: repeated failures of a disk reopen it less and less often

A failure within 10 s of a resumption doubles the time until the files are opened again, from 0.2 s up to 5 s. One suspension in 10 s is logged as an error, with the number of failures since.

--- a/internal/coordination/replicator/suspension.go
+++ b/internal/coordination/replicator/suspension.go
@@ -13,8 +13,12 @@
 const (
 	// reopenInterval is the time between two attempts to open the files after a failure of the disk.
 	reopenInterval = 200 * time.Millisecond
-	// failureLogInterval is the minimum time between two suspensions that are logged as errors. A
-	// disk that fails again and again suspends the host every reopenInterval.
+	// stableTime is the time without a failure after which the next one counts as the first. Each
+	// further one doubles the time until the files are opened again, up to maxReopenDelay: an
+	// attempt reads the whole journal, and an election may follow.
+	stableTime     = 10 * time.Second
+	maxReopenDelay = 5 * time.Second
+	// failureLogInterval is the minimum time between two suspensions that are logged as errors.
 	failureLogInterval = 10 * time.Second
 	// probeName is the file that is written to test the disk, and probeBytes its size: enough for
 	// some hundred commands.
@@ -26,8 +30,10 @@
 // in the group: it neither acknowledges nor votes, and refuses all calls. Its state machine and its
 // connections remain, so that it continues as soon as the disk does.
 type suspension struct {
-	// since is the time of the failure.
-	since time.Duration
+	// since is the time of the failure, and resumedAt that of the last resumption.
+	since, resumedAt time.Duration
+	// delay is the minimum time between the failure and the next attempt to open the files.
+	delay time.Duration
 	// leaderAt is the time of the last message from the leader, which is shown to callers.
 	leaderAt time.Duration
 	// failures counts the suspensions since the last one that was logged as an error, and loggedAt
@@ -41,6 +47,11 @@
 func (r *Replicator) suspend(cause error) {
 	now := r.clock.read()
 	s := &r.suspension
+	if s.delay == 0 || now-s.resumedAt >= stableTime {
+		s.delay = reopenInterval
+	} else {
+		s.delay = min(2*s.delay, maxReopenDelay)
+	}
 	s.since, s.leaderAt = now, now
 	s.failures++
 	r.logSuspension().Err(cause).Int("Failures", s.failures).Msg("disk has failed; the replicated log is suspended until it accepts writes")
@@ -94,6 +105,9 @@
 			return r.queue.cause
 		case <-ticker.C:
 			r.expireLeader()
+			if r.clock.read()-r.suspension.since < r.suspension.delay {
+				continue
+			}
 			reopened, err := r.tryReopen()
 			if reopened {
 				return nil
@@ -188,7 +202,8 @@
 
 // resume makes the host a follower again.
 func (r *Replicator) resume() {
-	after := r.clock.read() - r.suspension.since
+	r.suspension.resumedAt = r.clock.read()
+	after := r.suspension.resumedAt - r.suspension.since
 	log := r.settings.Log.Debug()
 	if r.suspension.loggedAt == r.suspension.since {
 		log = r.settings.Log.Info()
