replicator: a host that remains suspended says so

Of a disk that failed twice within ten seconds the last error line was followed by "has resumed", although the host was suspended for good the second time: only the metric showed it.

An error line comes every 10 s as long as the disk fails, and a resumption is logged where an error was logged before it.

--- a/internal/coordination/replicator/suspension.go
+++ b/internal/coordination/replicator/suspension.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/rs/zerolog"
 
 	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
 )
@@ -36,10 +35,12 @@
 	delay time.Duration
 	// leaderAt is the time of the last message from the leader, which is shown to callers.
 	leaderAt time.Duration
-	// failures counts the suspensions since the last one that was logged as an error, and loggedAt
-	// is the time of that one, negative if there was none.
+	// failures counts the suspensions since the last error line, and loggedAt is the time of that
+	// line, 0 if there was none.
 	failures int
 	loggedAt time.Duration
+	// reported is set if an error line has been logged since the last line on a resumption.
+	reported bool
 }
 
 // suspend ends the host's role in the group after a failure of the disk. The outcome of the
@@ -54,7 +55,7 @@
 	}
 	s.since, s.leaderAt = now, now
 	s.failures++
-	r.logSuspension().Err(cause).Int("Failures", s.failures).Msg("disk has failed; the replicated log is suspended until it accepts writes")
+	r.logFailure(cause, "disk has failed; the replicated log is suspended until it accepts writes")
 	r.settings.Observe(Suspended{Cause: cause})
 	r.publishSuspended()
 	emitted := uint64(0)
@@ -85,15 +86,16 @@
 	p.status.Role, p.status.Silent, p.status.Suspended = Follower, nil, true
 }
 
-// logSuspension returns an event of level error if failureLogInterval has passed since the last one,
-// and of level debug otherwise.
-func (r *Replicator) logSuspension() *zerolog.Event {
-	s := &r.suspension
-	if s.loggedAt > 0 && s.since-s.loggedAt < failureLogInterval {
-		return r.settings.Log.Debug()
+// logFailure logs an error line, or one of level debug if the last error line is more recent than
+// failureLogInterval.
+func (r *Replicator) logFailure(cause error, message string) {
+	s, now := &r.suspension, r.clock.read()
+	if s.loggedAt > 0 && now-s.loggedAt < failureLogInterval {
+		r.settings.Log.Debug().Err(cause).Msg(message)
+		return
 	}
-	s.loggedAt = s.since
-	return r.settings.Log.Error()
+	r.settings.Log.Error().Err(cause).Int("Failures", s.failures).Msg(message)
+	s.failures, s.loggedAt, s.reported = 0, now, true
 }
 
 // reopen refuses calls and drops messages until the files are open again or the replicator is
@@ -118,10 +120,12 @@
 			if reopened {
 				return nil
 			}
-			if !isDiskError(err) && err != nil {
+			if err != nil && !isDiskError(err) {
 				return err
 			}
-			r.settings.Log.Debug().Err(err).Msg("the disk does not accept writes")
+			if err != nil {
+				r.logFailure(err, "disk still fails; the replicated log remains suspended")
+			}
 		}
 	}
 }
@@ -208,13 +212,14 @@
 
 // resume makes the host a follower again.
 func (r *Replicator) resume() {
-	r.suspension.resumedAt = r.clock.read()
-	after := r.suspension.resumedAt - r.suspension.since
+	s := &r.suspension
+	s.resumedAt = r.clock.read()
+	after := s.resumedAt - s.since
 	log := r.settings.Log.Debug()
-	if r.suspension.loggedAt == r.suspension.since {
+	if s.reported {
 		log = r.settings.Log.Info()
-		r.suspension.failures = 0
 	}
+	s.reported = false
 	log.Dur("After", after).Msg("disk accepts writes; the replicated log has resumed")
 	r.settings.Observe(Resumed{After: after})
 	r.publish()
