replicator: a leader whose disk fails names its successor

No change was accepted for an election timeout and more after the disk of the leader had failed: its followers waited for its heartbeats.

A leader that is suspended asks the voter with the most complete log to campaign at once, as at a planned hand-over. Its lease is void before the message leaves, its term is on its disk, and the vote itself follows the usual rules.

--- a/internal/coordination/replicator/change.go
+++ b/internal/coordination/replicator/change.go
@@ -131,19 +131,39 @@
 	if c.transferTo != 0 {
 		return nil
 	}
+	best := c.successor()
+	if best == 0 {
+		return ErrNotAccepted{Reason: "there is no other voter"}
+	}
+	c.transferTo = best
+	c.transferDeadline = c.clock + c.settings.ElectionTimeout
+	c.continueTransfer()
+	return nil
+}
+
+// successor returns the other voter with the most complete log, 0 if there is none.
+func (c *Core) successor() HostID {
 	var best HostID
 	for _, m := range c.Configuration().Members {
 		if m.Voter && m.ID != c.settings.Self && (best == 0 || c.peers[m.ID].match > c.peers[best].match) {
 			best = m.ID
 		}
 	}
+	return best
+}
+
+// abdicate returns a message that makes the successor campaign at once, because this leader can't
+// continue. The owner has voided the lease before, and calls nothing else of the core afterwards. It
+// returns false if there is no successor, or the term is not known to be on the disk.
+func (c *Core) abdicate() (Message, bool) {
+	if c.role != Leader || c.hard != c.saved {
+		return Message{}, false
+	}
+	best := c.successor()
 	if best == 0 {
-		return ErrNotAccepted{Reason: "there is no other voter"}
+		return Message{}, false
 	}
-	c.transferTo = best
-	c.transferDeadline = c.clock + c.settings.ElectionTimeout
-	c.continueTransfer()
-	return nil
+	return c.fillHeader(Message{Kind: TimeoutNow, To: best}), true
 }
 
 // continueTransfer asks the target to campaign once it holds the whole log.
--- a/internal/coordination/replicator/disk_failure_test.go
+++ b/internal/coordination/replicator/disk_failure_test.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// Guards against a group that accepts nothing for an election timeout after the disk of its leader has
+// failed: the leader asks another host to campaign at once.
+func TestFullDiskOfTheLeaderCostsNoElectionTimeout(t *testing.T) {
+	RegisterTestingT(t)
+	synctest.Test(t, func(t *testing.T) {
+		g, disks := newDiskGroup(t)
+		full := g.leader(0)
+		_, _, err := g.network.hosts[full].Propose(t.Context(), []byte("before"))
+		Expect(err).NotTo(HaveOccurred())
+		disks[full].Fill(true)
+		failed := time.Now()
+		_, _, err = g.network.hosts[full].Propose(t.Context(), []byte("during"))
+		Expect(err).To(HaveOccurred())
+		_, _, err = g.network.hosts[g.leader(full)].Propose(t.Context(), []byte("after"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(failed)).To(BeNumerically("<", DefaultElectionTimeout/2))
+		disks[full].Fill(false)
+		g.close()
+	})
+}
+
 // Guards against the loss of an accepted change in a power failure. A sync of the journal fails and
 // the next one succeeds. The operating system drops pages whose write-back failed, so that the
 // later success proves nothing about them.
--- a/internal/coordination/replicator/replica.go
+++ b/internal/coordination/replicator/replica.go
@@ -73,6 +73,17 @@
 	return r.recover(entries)
 }
 
+// suspend ends this host's role after a failure of the disk. A leader's followers would otherwise
+// wait for an election timeout.
+func (r *replica) suspend() {
+	if r.core == nil {
+		return
+	}
+	if m, ok := r.core.abdicate(); ok {
+		r.emit([]Message{m})
+	}
+}
+
 // reopen opens the files again after a failure of the disk. now is the time on the host's clock.
 // The state machine keeps the entries that were passed on to it before.
 func (r *replica) reopen(now time.Duration) error {
--- a/internal/coordination/replicator/simulation_test.go
+++ b/internal/coordination/replicator/simulation_test.go
@@ -163,6 +163,9 @@
 		s.crashOrFail(h, err)
 		return
 	}
+	if !h.suspended {
+		h.replica.suspend()
+	}
 	h.suspended = true
 	s.diskFailures++
 }
@@ -444,6 +447,10 @@
 		h.disk.FillIn(0)
 		h.disk.FailSyncIn(0)
 		h.disk.Fill(false)
+		if h.crashed() {
+			// The host may not have noticed yet: it ignores the error of a removal after a failure.
+			h.replica, h.applier, h.suspended = nil, nil, false
+		}
 		s.restart(h)
 	}
 }
--- a/internal/coordination/replicator/suspension.go
+++ b/internal/coordination/replicator/suspension.go
@@ -58,6 +58,7 @@
 	r.logFailure(cause, "disk has failed; the replicated log is suspended until it accepts writes")
 	r.settings.Observe(Suspended{Cause: cause})
 	r.publishSuspended()
+	r.replica.suspend()
 	emitted := uint64(0)
 	if c := r.replica.core; c != nil {
 		emitted = c.emitted
