--- a/internal/coordination/replicator/change.go
+++ b/internal/coordination/replicator/change.go
@@ -153,8 +153,8 @@
 }
 
 // abdicate returns a message that makes the successor campaign at once, because this leader can't
-// continue. The owner has voided the lease before, and calls nothing else of the core afterwards. It
-// returns false if there is no successor, or the term is not known to be on the disk.
+// continue. The owner voids the lease before, and doesn't use the core afterwards. It returns false
+// if this host does not lead or there is no successor, or if the term may not be on the disk.
 func (c *Core) abdicate() (Message, bool) {
 	if c.role != Leader || c.hard != c.saved {
 		return Message{}, false
--- a/internal/coordination/replicator/disk_failure_test.go
+++ b/internal/coordination/replicator/disk_failure_test.go
@@ -264,10 +264,20 @@
 	})
 }
 
-// diskWithoutSnapshots is a disk on which no snapshot can be written while full is set.
+// diskWithoutSnapshots is a disk on which no snapshot can be written while full is set, and the
+// failIn-th opening of one from now on fails.
 type diskWithoutSnapshots struct {
 	*disker.Disk
-	full atomic.Bool
+	full   atomic.Bool
+	failIn atomic.Int64
+}
+
+// Open implements journaler.FileSystem.
+func (d *diskWithoutSnapshots) Open(name string) (journaler.File, error) {
+	if strings.Contains(name, "snapshot-") && d.failIn.Add(-1) == 0 {
+		return nil, &os.PathError{Op: "open", Path: name, Err: syscall.EIO}
+	}
+	return d.Disk.Open(name)
 }
 
 // Create implements journaler.FileSystem.
@@ -305,6 +315,30 @@
 	})
 }
 
+// Guards against a host that starts with an empty state, because the disk failed when the state
+// machine was to be restored.
+func TestStartWithUnreadableSnapshot(t *testing.T) {
+	RegisterTestingT(t)
+	for failIn := range int64(4) {
+		synctest.Test(t, func(t *testing.T) {
+			disk := &diskWithoutSnapshots{Disk: disker.NewDisk(rand.New(rand.NewPCG(1, 1)))}
+			g := newGroup(t, 1, func(s *Settings) { s.FileSystem, s.SnapshotEvery = disk, 8 })
+			g.leader(0)
+			for range 40 {
+				_, _, err := g.network.hosts[1].Propose(t.Context(), []byte("change"))
+				Expect(err).NotTo(HaveOccurred())
+			}
+			g.stop(1)
+			disk.failIn.Store(failIn)
+			r := g.start(1)
+			t.Cleanup(func() { _ = r.Close() })
+			g.leader(0)
+			Expect(r.ReadBarrier(t.Context())).To(Succeed())
+			Expect(g.machines[1].get()).To(Equal(uint64(40)))
+		})
+	}
+}
+
 // diskWithoutJournal is a disk on which no record can be written.
 type diskWithoutJournal struct{ *disker.Disk }
 
--- a/internal/coordination/replicator/replica.go
+++ b/internal/coordination/replicator/replica.go
@@ -22,7 +22,10 @@
 // stop.
 type replica struct {
 	settings Settings
+	// core is nil while the files have to be opened again after a failure of the disk; emitted is then
+	// the index of the last entry that was passed to the state machine.
 	core     *Core
+	emitted  uint64
 	journal  *journaler.Journal
 	store    *snapshotter.Store
 	identity snapshotter.Identity
@@ -73,8 +76,8 @@
 	return r.recover(entries)
 }
 
-// suspend ends this host's role after a failure of the disk. A leader's followers would otherwise
-// wait for an election timeout.
+// suspend ends this host's role after a failure of the disk. A leader names its successor, since its
+// followers would otherwise wait for an election timeout.
 func (r *replica) suspend() {
 	if r.core == nil {
 		return
@@ -82,28 +85,26 @@
 	if m, ok := r.core.abdicate(); ok {
 		r.emit([]Message{m})
 	}
+	// Its log would take memory beside the one that is read again.
+	r.emitted, r.core = r.core.emitted, nil
 }
 
 // reopen opens the files again after a failure of the disk. now is the time on the host's clock.
 // The state machine keeps the entries that were passed on to it before.
 func (r *replica) reopen(now time.Duration) error {
-	emitted := uint64(0)
-	if r.core != nil {
-		emitted = r.core.emitted
-	}
+	r.suspend()
 	if err := r.open(); err != nil {
 		return err
 	}
-	if err := r.core.resume(now, emitted); err != nil {
+	if err := r.core.resume(now, r.emitted); err != nil {
 		return errors.Annotatef(err, "data folder %s", r.settings.DataFolder)
 	}
 	latest, ok := r.store.Latest()
 	if !ok {
 		return nil
 	}
-	if latest.Index > emitted {
-		r.onInstall(latest)
-	}
+	// The failure may have come between the snapshot and its restoration.
+	r.onInstall(latest)
 	return r.compact(latest)
 }
 
--- a/internal/coordination/replicator/suspension.go
+++ b/internal/coordination/replicator/suspension.go
@@ -59,11 +59,7 @@
 	r.settings.Observe(Suspended{Cause: cause})
 	r.publishSuspended()
 	r.replica.suspend()
-	emitted := uint64(0)
-	if c := r.replica.core; c != nil {
-		emitted = c.emitted
-	}
-	r.pendingCalls.failAfter(emitted, "the disk of this host has failed")
+	r.pendingCalls.failAfter(r.replica.emitted, "the disk of this host has failed")
 	for id := range r.reads {
 		r.completeRead(ReadState{ID: id, Failed: true})
 	}
