replicator: disks that are full again and again don't delay the recovery

A group was without a leader for more than two seconds after all disks accepted writes again, if several had been full more than once within ten seconds: each further failure doubled the time until the next attempt, although the probe already holds back a disk that is full.

The time doubles only for failures that the probe does not show, and within a second of a resumption.

TestRepeatedFailuresAreBounded still holds.

--- a/internal/coordination/replicator/suspension.go
+++ b/internal/coordination/replicator/suspension.go
@@ -12,10 +12,10 @@
 const (
 	// reopenInterval is the time between two attempts to open the files after a failure of the disk.
 	reopenInterval = 200 * time.Millisecond
-	// stableTime is the time without a failure after which the next one counts as the first. Each
-	// further one doubles the time until the files are opened again, up to maxReopenDelay: an
-	// attempt reads the whole journal, and an election may follow.
-	stableTime     = 10 * time.Second
+	// A failure within stableTime of a resumption doubles the time until the files are opened again,
+	// up to maxReopenDelay, unless the probe fails too: an attempt reads the whole journal, and an
+	// election may follow.
+	stableTime     = time.Second
 	maxReopenDelay = 5 * time.Second
 	// failureLogInterval is the minimum time between two suspensions that are logged as errors.
 	failureLogInterval = 10 * time.Second
@@ -137,6 +137,7 @@
 		return false, err
 	}
 	if err := probe(r.settings.FileSystem, r.settings.DataFolder); err != nil {
+		r.suspension.delay = reopenInterval
 		return false, err
 	}
 	if err := r.replica.reopen(r.clock.read()); err != nil {
