--- a/internal/state/journaler/journal_test.go
+++ b/internal/state/journaler/journal_test.go
@@ -112,6 +112,29 @@
 		Fail("the reset was not reached")
 	})
 
+	// Guards against records that are doubled or garbled on a real disk, where they are rewritten in
+	// place at each start.
+	It("keeps its records over several starts on a real disk", func() {
+		folder := GinkgoT().TempDir()
+		var want [][]byte
+		for n := range 4 {
+			var found [][]byte
+			j, err := journaler.Open(journaler.Settings{Folder: folder}, func(_ uint64, p []byte) error {
+				found = append(found, p)
+				return nil
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(found).To(Equal(want))
+			size := j.Bytes()
+			record := bytes.Repeat([]byte{byte(n)}, 300<<10)
+			_, err = j.Append([][]byte{record, {}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(j.Bytes() - size).To(Equal(int64(2*24 + len(record))))
+			Expect(j.Close()).To(Succeed())
+			want = append(want, record, []byte{})
+		}
+	})
+
 	It("limits its size and accepts appends again after a truncation", func() {
 		d := newDisk()
 		j, _, err := open(d)
