replicator, disker: less said twice

No change of behaviour. The comment of failureLogInterval spoke of suspensions, though it bounds all error lines on failures of the disk.

--- a/internal/coordination/replicator/disk_failure_test.go
+++ b/internal/coordination/replicator/disk_failure_test.go
@@ -22,6 +22,16 @@
 	"marigoldpoint.example/marigoldpoint/internal/state/journaler"
 )
 
+// closeAtEnd closes the hosts also if the test fails: synctest ends only with their goroutines.
+func (g *testGroup) closeAtEnd(t *testing.T) {
+	t.Helper()
+	t.Cleanup(func() {
+		for _, r := range g.network.hosts {
+			_ = r.Close()
+		}
+	})
+}
+
 // newDiskGroup starts three hosts on simulated disks.
 func newDiskGroup(t *testing.T) (*testGroup, map[HostID]*disker.Disk) {
 	t.Helper()
@@ -32,11 +42,7 @@
 		}
 		s.FileSystem = disks[s.Self.ID]
 	})
-	t.Cleanup(func() {
-		for _, r := range g.network.hosts {
-			_ = r.Close()
-		}
-	})
+	g.closeAtEnd(t)
 	return g, disks
 }
 
@@ -248,11 +254,7 @@
 				s.JournalBytes = 4 << 10
 			}
 		})
-		t.Cleanup(func() {
-			for _, r := range g.network.hosts {
-				_ = r.Close()
-			}
-		})
+		g.closeAtEnd(t)
 		for range 100 {
 			_, _, err := g.network.hosts[g.leader(limited)].Propose(t.Context(), make([]byte, 100))
 			Expect(err).NotTo(HaveOccurred())
@@ -381,11 +383,7 @@
 				}
 			}
 		})
-		t.Cleanup(func() {
-			for _, r := range g.network.hosts {
-				_ = r.Close()
-			}
-		})
+		g.closeAtEnd(t)
 		g.leader(0)
 		g.stop(failing)
 		r := g.start(failing)
--- a/internal/coordination/replicator/replica.go
+++ b/internal/coordination/replicator/replica.go
@@ -92,6 +92,7 @@
 // reopen opens the files again after a failure of the disk. now is the time on the host's clock.
 // The state machine keeps the entries that were passed on to it before.
 func (r *replica) reopen(now time.Duration) error {
+	// A previous attempt may have failed after it created a core.
 	r.suspend()
 	if err := r.open(); err != nil {
 		return err
--- a/internal/coordination/replicator/replicator.go
+++ b/internal/coordination/replicator/replicator.go
@@ -120,7 +120,10 @@
 // an error; it becomes openFailure.
 func (r *Replicator) open(sm StateMachine) error {
 	r.connect(sm)
-	err := r.openFiles()
+	err := r.lockFolder()
+	if err == nil {
+		err = r.replica.open()
+	}
 	if err == nil {
 		err = r.applier.restore()
 	}
@@ -137,14 +140,7 @@
 	return nil
 }
 
-// openFiles locks the data folder, if that has not succeeded yet, and opens the files.
-func (r *Replicator) openFiles() error {
-	if err := r.lockFolder(); err != nil {
-		return err
-	}
-	return r.replica.open()
-}
-
+// lockFolder locks the data folder, if that has not succeeded yet.
 func (r *Replicator) lockFolder() error {
 	if r.folderLock != nil {
 		return nil
--- a/internal/coordination/replicator/suspension.go
+++ b/internal/coordination/replicator/suspension.go
@@ -17,7 +17,7 @@
 	// election may follow.
 	stableTime     = time.Second
 	maxReopenDelay = 5 * time.Second
-	// failureLogInterval is the minimum time between two suspensions that are logged as errors.
+	// failureLogInterval is the minimum time between two error lines on failures of the disk.
 	failureLogInterval = 10 * time.Second
 	// probeName is the file that is written to test the disk, and probeBytes its size: enough for
 	// some hundred commands.
--- a/internal/standin/disker/file.go
+++ b/internal/standin/disker/file.go
@@ -28,14 +28,20 @@
 	return nil
 }
 
+// beginOperation counts a mutating operation, and returns an error if it can't be executed. The
+// caller holds the disk's lock.
+func (f *file) beginOperation() error {
+	if err := f.checkUsable(); err != nil {
+		return err
+	}
+	return f.disk.countOperation()
+}
+
 // Write implements journaler.File.
 func (f *file) Write(b []byte) (int, error) {
 	f.disk.lock.Lock()
 	defer f.disk.lock.Unlock()
-	if err := f.checkUsable(); err != nil {
-		return 0, err
-	}
-	if err := f.disk.countOperation(); err != nil {
+	if err := f.beginOperation(); err != nil {
 		// The write is lost completely; a crash in mid-write isn't simulated.
 		return 0, err
 	}
@@ -51,10 +57,7 @@
 func (f *file) Rewrite(from int64) error {
 	f.disk.lock.Lock()
 	defer f.disk.lock.Unlock()
-	if err := f.checkUsable(); err != nil {
-		return err
-	}
-	if err := f.disk.countOperation(); err != nil {
+	if err := f.beginOperation(); err != nil {
 		return err
 	}
 	if f.disk.full {
@@ -92,10 +95,7 @@
 func (f *file) Truncate(size int64) error {
 	f.disk.lock.Lock()
 	defer f.disk.lock.Unlock()
-	if err := f.checkUsable(); err != nil {
-		return err
-	}
-	if err := f.disk.countOperation(); err != nil {
+	if err := f.beginOperation(); err != nil {
 		return err
 	}
 	f.node.data = slices.Clone(f.node.data[:size])
@@ -108,10 +108,7 @@
 func (f *file) Sync() error {
 	f.disk.lock.Lock()
 	defer f.disk.lock.Unlock()
-	if err := f.checkUsable(); err != nil {
-		return err
-	}
-	if err := f.disk.countOperation(); err != nil {
+	if err := f.beginOperation(); err != nil {
 		return err
 	}
 	n := f.node
